--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# make demo   builds, runs a fleet with stand-ins, checks a short workload
+# make test   the tests, with the race detector
+# make check  formatter and linters
+# make bench  benchmarks, apart from the tests
+GO ?= go
+export CGO_ENABLED = 1
+
+.PHONY: build demo test check bench proto docs
+
+build:
+	$(GO) build -o bin/rockdoor ./cmd/rockdoor
+	$(GO) build -o bin/rockdoor-lab ./cmd/rockdoor-lab
+
+demo: build
+	KEEP=$(KEEP) scripts/demo.sh
+
+test: build
+	$(GO) test -race ./...
+
+check:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Needs protoc and protoc-gen-go; the generated code is committed.
+proto:
+	protoc --go_out=. --go_opt=paths=source_relative internal/peer/peerpb/peer.proto
--- /dev/null
+++ b/confstore/confstore.go
@@ -0,0 +1,288 @@
+// Package confstore keeps the configuration in the object API. A change writes
+// immutable, content-addressed chunks and then one small head by a conditional
+// put. That put is the acceptance of the change.
+package confstore
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// Keys in the object API. The head is below the mirrored prefix, chunks are not.
+const (
+	HeadKey     = "state/config/head"
+	ChunkPrefix = "chunk/"
+)
+
+const (
+	// workspaceBuckets splits the workspaces, which are many, by hash.
+	workspaceBuckets = 64
+	fleetChunk       = "fleet"
+	parallelChunks   = 8
+)
+
+// Ref names a chunk and its content.
+type Ref struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest"`
+}
+
+// Head is the acceptance of one revision of the configuration.
+type Head struct {
+	// Revision counts the accepted changes from 1.
+	Revision int64 `json:"revision"`
+	// ChangeID is unique to the change, also across retries of it.
+	ChangeID string    `json:"changeID"`
+	Author   string    `json:"author"`
+	Note     string    `json:"note"`
+	At       time.Time `json:"at"`
+	// Parent is the digest of the head before this one, kept as a chunk.
+	Parent string `json:"parent,omitempty"`
+	Chunks []Ref  `json:"chunks"`
+}
+
+// Digest returns the content address of a chunk.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
+// Split encodes a configuration as named chunks. Equal content gives equal
+// chunks, so that a change rewrites only what it touches.
+func Split(c *config.Config) (map[string][]byte, error) {
+	fleet := *c
+	fleet.Workspaces = nil
+	chunks := map[string][]byte{}
+	if err := encodeChunk(chunks, fleetChunk, &fleet); err != nil {
+		return nil, err
+	}
+	var buckets [workspaceBuckets][]config.Workspace
+	for _, w := range c.Workspaces {
+		b := xxhash.Sum64String(w.Name) % workspaceBuckets
+		buckets[b] = append(buckets[b], w)
+	}
+	for i, ws := range buckets {
+		if len(ws) == 0 {
+			continue
+		}
+		slices.SortFunc(ws, func(a, b config.Workspace) int { return compare(a.Name, b.Name) })
+		if err := encodeChunk(chunks, "workspaces-"+strconv.Itoa(i), &config.Config{Workspaces: ws}); err != nil {
+			return nil, err
+		}
+	}
+	return chunks, nil
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func encodeChunk(chunks map[string][]byte, name string, part *config.Config) error {
+	content, err := json.Marshal(part)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "configuration cannot be encoded", "report this as a defect")
+	}
+	if len(content) > platform.MaxValueBytes {
+		return fault.Newf(fault.Invalid, "remove what is no longer used", "part %s of the configuration has %d bytes, the limit is %d", name, len(content), platform.MaxValueBytes)
+	}
+	chunks[name] = content
+	return nil
+}
+
+// Join decodes the chunks of a configuration.
+func Join(parts []*config.Config) *config.Config {
+	var c config.Config
+	for _, p := range parts {
+		c.Hosts = append(c.Hosts, p.Hosts...)
+		c.Pools = append(c.Pools, p.Pools...)
+		c.Engines = append(c.Engines, p.Engines...)
+		c.Models = append(c.Models, p.Models...)
+		c.Services = append(c.Services, p.Services...)
+		c.Routes = append(c.Routes, p.Routes...)
+		c.Workspaces = append(c.Workspaces, p.Workspaces...)
+	}
+	return &c
+}
+
+// Accepted is a head as it stands in the store.
+type Accepted struct {
+	Head    Head
+	Version platform.Version
+	// Raw is the encoded head.
+	Raw []byte
+}
+
+// ParseHead decodes the object at HeadKey.
+func ParseHead(obj platform.Object) (Accepted, error) {
+	a := Accepted{Version: obj.Version, Raw: obj.Value}
+	if err := json.Unmarshal(obj.Value, &a.Head); err != nil {
+		return a, fault.Wrap(err, fault.Internal, "configuration head cannot be read", "check who else writes to "+HeadKey)
+	}
+	return a, nil
+}
+
+// ReadHead reads the head in force. With none, it returns the zero Accepted.
+func ReadHead(ctx context.Context, s platform.Store) (Accepted, error) {
+	obj, err := s.Get(ctx, HeadKey)
+	if fault.Is(err, fault.NotFound) {
+		return Accepted{}, nil
+	}
+	if err != nil {
+		return Accepted{}, err
+	}
+	return ParseHead(obj)
+}
+
+// Change says who changes the configuration and why.
+type Change struct {
+	// ID makes the change idempotent; empty for a new one.
+	ID     string
+	Author string
+	Note   string
+}
+
+// Writer writes configurations to the object API.
+type Writer struct {
+	store platform.Store
+	now   func() time.Time
+}
+
+// NewWriter returns a writer to s.
+func NewWriter(s platform.Store) *Writer { return &Writer{store: s, now: time.Now} }
+
+// Apply makes c the configuration that follows base. The caller has checked c.
+//
+// The error is Conflict if another change was accepted after base, Unavailable
+// if the change certainly was not accepted, and Unknown if nobody can tell yet;
+// the change id in its text then shows up in the history if it was accepted.
+func (w *Writer) Apply(ctx context.Context, base Accepted, c *config.Config, ch Change) (Accepted, error) {
+	if ch.ID == "" {
+		ch.ID = ulid.Make().String()
+	}
+	chunks, err := Split(c)
+	if err != nil {
+		return Accepted{}, err
+	}
+	head := Head{Revision: base.Head.Revision + 1, ChangeID: ch.ID, Author: ch.Author, Note: ch.Note, At: w.now().UTC()}
+	if base.Version != 0 {
+		chunks["head"] = base.Raw
+		head.Parent = Digest(base.Raw)
+	}
+	if err := w.putChunks(ctx, base.Head, chunks); err != nil {
+		return Accepted{}, err
+	}
+	delete(chunks, "head")
+	for name, content := range chunks {
+		head.Chunks = append(head.Chunks, Ref{Name: name, Digest: Digest(content)})
+	}
+	slices.SortFunc(head.Chunks, func(a, b Ref) int { return compare(a.Name, b.Name) })
+	raw, err := json.Marshal(head)
+	if err != nil {
+		return Accepted{}, fault.Wrap(err, fault.Internal, "configuration head cannot be encoded", "report this as a defect")
+	}
+	obj, err := platform.PutSettled(ctx, w.store, HeadKey, raw, base.Version, ch.ID)
+	if fault.Is(err, fault.Unknown) {
+		return w.settleByHistory(ctx, head, err)
+	}
+	if err != nil {
+		return Accepted{}, err
+	}
+	return Accepted{Head: head, Version: obj.Version, Raw: raw}, nil
+}
+
+// settleByHistory decides what became of a change whose head was overwritten
+// before its writer could read it back.
+func (w *Writer) settleByHistory(ctx context.Context, head Head, cause error) (Accepted, error) {
+	unknown := fault.Wrap(cause, fault.Unknown, "change "+head.ChangeID+" is not settled", "look for the change id in: rockdoor config history")
+	now, err := ReadHead(ctx, w.store)
+	if err != nil || now.Head.Revision < head.Revision {
+		return Accepted{}, unknown
+	}
+	for now.Head.Revision > head.Revision {
+		if now, err = w.parent(ctx, now); err != nil {
+			return Accepted{}, unknown
+		}
+	}
+	if now.Head.ChangeID == head.ChangeID {
+		return now, nil
+	}
+	return Accepted{}, fault.Newf(fault.Conflict, "read the configuration again and repeat the change",
+		"revision %d was taken by change %s of %s", head.Revision, now.Head.ChangeID, now.Head.Author)
+}
+
+func (w *Writer) parent(ctx context.Context, a Accepted) (Accepted, error) {
+	obj, err := w.store.Get(ctx, ChunkPrefix+a.Head.Parent)
+	if err != nil {
+		return Accepted{}, err
+	}
+	return ParseHead(obj)
+}
+
+// putChunks writes the chunks that the base does not hold already.
+func (w *Writer) putChunks(ctx context.Context, base Head, chunks map[string][]byte) error {
+	have := map[string]bool{}
+	for _, r := range base.Chunks {
+		have[r.Digest] = true
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallelChunks)
+	for _, content := range chunks {
+		digest := Digest(content)
+		if have[digest] {
+			continue
+		}
+		g.Go(func() error {
+			_, err := platform.PutSettled(ctx, w.store, ChunkPrefix+digest, content, 0, digest)
+			if fault.Is(err, fault.Conflict) {
+				return nil // the same content is there already
+			}
+			if err != nil {
+				return fault.Wrap(err, fault.Unavailable, "change was not accepted", "repeat it when the platform store answers")
+			}
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// History returns up to limit heads, newest first.
+func History(ctx context.Context, s platform.Store, limit int) ([]Head, error) {
+	w := &Writer{store: s}
+	a, err := ReadHead(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	var heads []Head
+	for a.Head.Revision > 0 && len(heads) < limit {
+		heads = append(heads, a.Head)
+		if a.Head.Parent == "" {
+			break
+		}
+		if a, err = w.parent(ctx, a); err != nil {
+			if fault.Is(err, fault.NotFound) {
+				break // older history has been removed
+			}
+			return heads, err
+		}
+	}
+	return heads, nil
+}
--- /dev/null
+++ b/engine/httpcontrol/httpcontrol.go
@@ -0,0 +1,100 @@
+// Package httpcontrol is the adapter to engines whose control API is HTTP with
+// JSON: GET /control/status and POST /control/order.
+package httpcontrol
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+const (
+	maxAnswerBytes = 1 << 20
+	idleTimeout    = 30 * time.Second
+)
+
+// Client gives orders over HTTP.
+type Client struct {
+	http *http.Client
+}
+
+var _ engine.Controller = (*Client)(nil)
+
+// New returns a client. A nil transport stands for one of its own.
+func New(transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Status implements engine.Controller.
+func (c *Client) Status(ctx context.Context, address string) (engine.Status, error) {
+	var st engine.Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/control/status", nil)
+	if err != nil {
+		return st, fault.Wrap(err, fault.Invalid, "engine address is wrong", "correct it in the configuration")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return st, fault.Wrap(err, fault.Unavailable, "engine "+address+" gave no status", "check the engine")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return st, fault.Newf(fault.Unavailable, "check the engine", "engine %s gave status code %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&st); err != nil {
+		return st, fault.Wrap(err, fault.Unavailable, "engine "+address+" gave a status that cannot be read", "check the engine's version")
+	}
+	return st, nil
+}
+
+// Give implements engine.Controller. The order has no GetBody, so the transport
+// never repeats it by itself.
+func (c *Client) Give(ctx context.Context, address string, o engine.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "order cannot be encoded", "report this as a defect")
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/control/order", nil)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "engine address is wrong", "correct it in the configuration")
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
+	resp, err := c.http.Do(req)
+	if err != nil && !connected.Load() {
+		return fault.Wrap(err, fault.Unavailable, "engine "+address+" cannot be reached", "check the engine")
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.Unknown, "answer of engine "+address+" was lost", "read the engine's status")
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return answerError(address, resp.StatusCode, string(bytes.TrimSpace(text)))
+}
+
+func answerError(address string, code int, text string) error {
+	switch code {
+	case http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return fault.Newf(fault.Denied, "another controller has taken over", "engine %s refused the fencing token: %s", address, text)
+	case http.StatusConflict:
+		return fault.Newf(fault.Conflict, "wait for the order before", "engine %s is busy: %s", address, text)
+	default:
+		return fault.Newf(fault.Unknown, "read the engine's status", "engine %s answered %d: %s", address, code, text)
+	}
+}
--- /dev/null
+++ b/engine/openai/openai.go
@@ -0,0 +1,201 @@
+// Package openai holds the messages of the chat and text completion protocol
+// that callers and engines speak, as far as rockdoor reads or writes them.
+package openai
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+// Headers between rockdoor and an engine.
+const (
+	// AttemptHeader carries the id of one attempt. An engine repeats it in its
+	// answer, so that a crossed answer is recognised.
+	AttemptHeader = "X-Request-Id"
+	// PriorityHeader carries the priority; higher is more urgent.
+	PriorityHeader = "X-Priority"
+	// ResumeHeader asks the engine to continue after that many pieces.
+	ResumeHeader = "X-Resume-From"
+	// NotRunHeader marks a refusal of an engine that has not begun the request.
+	NotRunHeader = "X-Not-Run"
+)
+
+// Done is the data of the event that ends a stream.
+const Done = "[DONE]"
+
+// Request is a completion request. Unknown fields are passed on untouched,
+// since the body itself is forwarded.
+type Request struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  []Message       `json:"messages,omitempty"`
+	Prompt    json.RawMessage `json:"prompt,omitempty"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Parse decodes and checks a request body.
+func Parse(body []byte, chat bool) (*Request, error) {
+	var r Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "body is not a completion request", "send a JSON object as the completion API describes")
+	}
+	switch {
+	case r.Model == "":
+		return nil, fault.New(fault.Invalid, "field model is missing", "name a model; GET /v1/models lists them")
+	case r.MaxTokens < 0:
+		return nil, fault.New(fault.Invalid, "field max_tokens is negative", "leave it out or make it positive")
+	case chat && len(r.Messages) == 0:
+		return nil, fault.New(fault.Invalid, "field messages is missing or empty", "send at least one message")
+	case !chat && len(r.Prompt) == 0:
+		return nil, fault.New(fault.Invalid, "field prompt is missing", "send a prompt")
+	}
+	return &r, nil
+}
+
+// PromptText returns the text of the prompt or of all messages.
+func (r *Request) PromptText() string {
+	var b strings.Builder
+	b.WriteString(plain(r.Prompt))
+	for _, m := range r.Messages {
+		b.WriteString(plain(m.Content))
+	}
+	return b.String()
+}
+
+// PromptBytes returns the size of the prompt without copying it.
+func (r *Request) PromptBytes() int {
+	n := len(r.Prompt)
+	for _, m := range r.Messages {
+		n += len(m.Content)
+	}
+	return n
+}
+
+// plain returns the text of a JSON string, or the JSON itself for other types.
+func plain(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return string(raw)
+}
+
+// Chunk is one event of a stream.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+}
+
+// Choice is one alternative in a chunk or response.
+type Choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text,omitempty"`
+	Delta        *Delta  `json:"delta,omitempty"`
+	Message      *Answer `json:"message,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Delta is the new part of a chat answer.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Answer is a whole chat answer.
+type Answer struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Response is a whole answer.
+type Response struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+// Model is one entry of the list of models.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// ModelList is the answer to GET /v1/models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// ErrorBody is the body of an error answer.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes an error.
+type ErrorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+func kind(chat bool, whole, part string) string {
+	if chat {
+		return part
+	}
+	return whole
+}
+
+// NewChunk returns the event for one piece of text.
+func NewChunk(id, model, text string, chat bool) Chunk {
+	c := Chunk{ID: id, Object: kind(chat, "text_completion", "chat.completion.chunk"), Model: model}
+	if chat {
+		c.Choices = []Choice{{Delta: &Delta{Content: text}}}
+	} else {
+		c.Choices = []Choice{{Text: text}}
+	}
+	return c
+}
+
+// NewFinalChunk returns the last event before Done.
+func NewFinalChunk(id, model string, chat bool) Chunk {
+	c := NewChunk(id, model, "", chat)
+	stop := "stop"
+	c.Choices[0].FinishReason = &stop
+	return c
+}
+
+// NewResponse returns a whole answer.
+func NewResponse(id, model, text string, prompt, completion int, chat bool) Response {
+	stop := "stop"
+	r := Response{ID: id, Object: kind(chat, "text_completion", "chat.completion"), Model: model}
+	r.Usage = Usage{PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion}
+	c := Choice{FinishReason: &stop}
+	if chat {
+		c.Message = &Answer{Role: "assistant", Content: text}
+	} else {
+		c.Text = text
+	}
+	r.Choices = []Choice{c}
+	return r
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,288 @@
+// Package admin serves operators: health checks, metrics, the configuration and
+// the state of the fleet. The command line uses the same calls.
+//
+//	GET  /healthz                     the process lives
+//	GET  /readyz                      the process takes requests
+//	GET  /metrics                     metrics in the text format of scrapers
+//	GET  /api/v1/config               the configuration in force
+//	PUT  /api/v1/config?ifRevision=N  replace it; 409 if another change was first
+//	POST /api/v1/config/validate      check one without accepting it
+//	GET  /api/v1/config/history       accepted changes, newest first
+//	POST /api/v1/edits                small changes of labels and states
+//	GET  /api/v1/status               members, engines, backend servers
+//	POST /api/v1/explain              where a request would run
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/confstore"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/jsonc"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+const (
+	maxConfigBytes = 64 << 20
+	maxSmallBody   = 1 << 20
+	callTimeout    = 20 * time.Second
+	defaultHistory = 20
+	maxHistory     = 1000
+)
+
+// Options of a Server.
+type Options struct {
+	Store    platform.Store
+	Loader   *confstore.Loader
+	Snapshot func() *control.Snapshot
+	// Refresh makes this process see its own writes at once.
+	Refresh func(context.Context)
+	// Ready says why the process takes no requests, or nil.
+	Ready   func() error
+	Explain func(entry.Question) (*entry.Explanation, error)
+	Self    members.Member
+	Metrics metrics.Registry
+	Logger  log.Logger
+}
+
+// Server is the handler of operators' requests.
+type Server struct {
+	o      Options
+	router *mux.Router
+	writer *confstore.Writer
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{o: o, writer: confstore.NewWriter(o.Store)}
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	r.HandleFunc("/api/v1/config", s.getConfig).Methods(http.MethodGet)
+	r.HandleFunc("/api/v1/config", s.putConfig).Methods(http.MethodPut)
+	r.HandleFunc("/api/v1/config/validate", s.validate).Methods(http.MethodPost)
+	r.HandleFunc("/api/v1/config/history", s.history).Methods(http.MethodGet)
+	r.HandleFunc("/api/v1/edits", s.edit).Methods(http.MethodPost)
+	r.HandleFunc("/api/v1/status", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/api/v1/explain", s.explain).Methods(http.MethodPost)
+	s.router = r
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	s.router.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// ErrorBody is the answer to a call that failed.
+type ErrorBody struct {
+	Kind     fault.Kind     `json:"kind"`
+	Message  string         `json:"message"`
+	Problems jsonc.Problems `json:"problems,omitempty"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	kind := fault.KindOf(err)
+	status := http.StatusInternalServerError
+	switch kind {
+	case fault.Invalid:
+		status = http.StatusUnprocessableEntity
+	case fault.NotFound:
+		status = http.StatusNotFound
+	case fault.Conflict:
+		status = http.StatusConflict
+	case fault.Unavailable, fault.Exhausted:
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "1")
+	case fault.Unknown:
+		status = http.StatusGatewayTimeout
+	}
+	writeJSON(w, status, ErrorBody{Kind: kind, Message: err.Error(), Problems: jsonc.ProblemsOf(err)})
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") }
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.o.Ready(); err != nil {
+		writeError(w, err)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// readAll reads a body up to limit bytes.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, fault.Newf(fault.Invalid, "send less", "body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "body did not arrive whole", "send it again")
+	}
+	return body, nil
+}
+
+// Accepted is the answer to a change that was accepted.
+type Accepted struct {
+	Revision int64  `json:"revision"`
+	ChangeID string `json:"changeID"`
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
+	snap := s.o.Snapshot()
+	if snap.Config == nil {
+		writeError(w, fault.New(fault.NotFound, "no configuration yet", "accept one with: rockdoor config apply"))
+		return
+	}
+	w.Header().Set("Rockdoor-Revision", strconv.FormatInt(snap.Revision, 10))
+	writeJSON(w, http.StatusOK, snap.Config.Config)
+}
+
+func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
+	text, err := readAll(w, r, maxConfigBytes)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	c, _, err := config.Parse(fileName(r), text)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	base, err := confstore.ReadHead(r.Context(), s.o.Store)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := checkRevision(r.URL.Query().Get("ifRevision"), base.Head.Revision); err != nil {
+		writeError(w, err)
+		return
+	}
+	a, err := s.writer.Apply(r.Context(), base, c, change(r))
+	s.answerChange(w, r, a, err)
+}
+
+func fileName(r *http.Request) string {
+	if name := r.URL.Query().Get("file"); name != "" {
+		return name
+	}
+	return "configuration"
+}
+
+func checkRevision(text string, inForce int64) error {
+	if text == "" {
+		return nil
+	}
+	want, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return fault.New(fault.Invalid, "ifRevision is not a number", "give the revision that the change is based on")
+	}
+	if want != inForce {
+		return fault.Newf(fault.Conflict, "read the configuration again and repeat the change",
+			"revision %d is in force, the change is based on %d", inForce, want)
+	}
+	return nil
+}
+
+func change(r *http.Request) confstore.Change {
+	q := r.URL.Query()
+	return confstore.Change{ID: q.Get("changeID"), Author: q.Get("author"), Note: q.Get("note")}
+}
+
+func (s *Server) answerChange(w http.ResponseWriter, r *http.Request, a confstore.Accepted, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	s.o.Refresh(r.Context())
+	level.Info(s.o.Logger).Log("msg", "change accepted", "revision", a.Head.Revision, "change", a.Head.ChangeID, "author", a.Head.Author, "note", a.Head.Note)
+	writeJSON(w, http.StatusOK, Accepted{Revision: a.Head.Revision, ChangeID: a.Head.ChangeID})
+}
+
+func (s *Server) validate(w http.ResponseWriter, r *http.Request) {
+	text, err := readAll(w, r, maxConfigBytes)
+	if err == nil {
+		_, _, err = config.Parse(fileName(r), text)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 {
+		limit = defaultHistory
+	}
+	heads, err := confstore.History(r.Context(), s.o.Store, min(limit, maxHistory))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	for i := range heads {
+		heads[i].Chunks = nil
+	}
+	writeJSON(w, http.StatusOK, heads)
+}
+
+func (s *Server) edit(w http.ResponseWriter, r *http.Request) {
+	var edits []confstore.Edit
+	if err := decodeSmall(w, r, &edits); err != nil {
+		writeError(w, err)
+		return
+	}
+	a, err := s.writer.EditAll(r.Context(), s.o.Loader, edits, change(r))
+	s.answerChange(w, r, a, err)
+}
+
+func decodeSmall(w http.ResponseWriter, r *http.Request, out any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(out); err != nil {
+		return fault.Wrap(err, fault.Invalid, "body cannot be read", "send the JSON that the API describes")
+	}
+	return nil
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	var q entry.Question
+	if err := decodeSmall(w, r, &q); err != nil {
+		writeError(w, err)
+		return
+	}
+	e, err := s.o.Explain(q)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, e)
+}
--- /dev/null
+++ b/internal/admin/status.go
@@ -0,0 +1,82 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/internal/control"
+)
+
+// Status is the state of the fleet as one process sees it.
+type Status struct {
+	Process  string `json:"process"`
+	Revision int64  `json:"revision"`
+	ChangeID string `json:"changeID"`
+	// Fresh is false if the process cannot know that the revision is in force.
+	Fresh   bool                  `json:"fresh"`
+	Members []control.MemberState `json:"members"`
+	Targets []TargetStatus        `json:"targets"`
+}
+
+// TargetStatus is the state of one engine or backend server.
+type TargetStatus struct {
+	Name    string             `json:"name"`
+	Kind    string             `json:"kind"`
+	Host    string             `json:"host"`
+	Domain  string             `json:"domain"`
+	Address string             `json:"address"`
+	State   config.ServerState `json:"state"`
+	Role    engine.Role        `json:"role,omitempty"`
+	// WantedRole is the role that the operator asks for.
+	WantedRole engine.Role `json:"wantedRole,omitempty"`
+	Changing   bool        `json:"changing,omitempty"`
+	Requests   int         `json:"requests"`
+	// Report is empty, or why the engine gives no status.
+	Report string `json:"report,omitempty"`
+	// ReportAge is the age of the report, in milliseconds.
+	ReportAge int64 `json:"reportAgeMs,omitempty"`
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	snap := s.o.Snapshot()
+	st := Status{
+		Process: s.o.Self.Name, Revision: snap.Revision, ChangeID: snap.ChangeID, Fresh: snap.Fresh(),
+		Members: snap.Members, Targets: []TargetStatus{},
+	}
+	if snap.Config != nil {
+		for _, e := range snap.Config.Config.Engines {
+			st.Targets = append(st.Targets, engineStatus(snap, snap.Config.Targets[e.Name]))
+		}
+		for _, svc := range snap.Config.Config.Services {
+			for _, srv := range svc.Servers {
+				st.Targets = append(st.Targets, targetStatus(snap, snap.Config.Targets[srv.Name], "server"))
+			}
+		}
+	}
+	writeJSON(w, http.StatusOK, st)
+}
+
+func targetStatus(snap *control.Snapshot, t *config.Target, kind string) TargetStatus {
+	return TargetStatus{
+		Name: t.Name, Kind: kind, Host: t.Host, Domain: t.Domain, Address: t.Address, State: t.State,
+		Requests: snap.PeerLoads[t.Name].Requests,
+	}
+}
+
+func engineStatus(snap *control.Snapshot, t *config.Target) TargetStatus {
+	st := targetStatus(snap, t, "engine")
+	st.WantedRole = t.Engine.Role
+	r, ok := snap.Reports[t.Name]
+	if !ok {
+		st.Report = "not asked by this process"
+		return st
+	}
+	st.Role, st.Changing = r.Status.Role, r.Status.Changing
+	st.ReportAge = bootclock.Since(r.At).Milliseconds()
+	if r.Err != nil {
+		st.Report = r.Err.Error()
+	}
+	return st
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,294 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/confstore"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/routing"
+)
+
+const (
+	eventQueue     = 1024
+	publishEvery   = 50 * time.Millisecond
+	loadTimeout    = 10 * time.Second
+	loadRetryDelay = 200 * time.Millisecond
+	// loadsKeptFor is how long the loads of a member that is no longer heard
+	// still count, in heartbeat intervals.
+	loadsKeptFor = 6
+)
+
+// Options of a Loop.
+type Options struct {
+	Self       members.Member
+	Mirror     *mirror.Mirror
+	Loader     *confstore.Loader
+	Heartbeat  time.Duration
+	StaleAfter time.Duration
+	Metrics    metrics.Registry
+	Logger     log.Logger
+}
+
+// Loop is the goroutine that owns the control state.
+type Loop struct {
+	o        Options
+	logger   log.Logger
+	events   chan any
+	snapshot atomic.Pointer[Snapshot]
+
+	// The rest belongs to the goroutine of Run.
+	registered []members.Member
+	contacts   map[string]*contact
+	reports    map[string]Report
+	cfg        *config.Compiled
+	head       confstore.Head
+	loading    int64 // revision being loaded, 0 if none
+	dirty      bool
+}
+
+// New returns a loop that has to be run.
+func New(o Options) *Loop {
+	l := &Loop{
+		o:        o,
+		logger:   log.With(o.Logger, "component", "control"),
+		events:   make(chan any, eventQueue),
+		contacts: map[string]*contact{},
+		reports:  map[string]Report{},
+	}
+	l.publish()
+	return l
+}
+
+// Snapshot returns the latest snapshot. It never blocks.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Events of the loop.
+type (
+	heartbeatSeen struct {
+		from *peerpb.Identity
+		beat *peerpb.Heartbeat
+		// agreed is an instant at which the sender held nothing newer than this
+		// process, 0 if that is not known.
+		agreed bootclock.Instant
+	}
+	engineReported struct {
+		name   string
+		report Report
+	}
+	configLoaded struct {
+		head confstore.Head
+		cfg  *config.Compiled
+		err  error
+	}
+)
+
+// heartbeatArrived tells the loop of a heartbeat that a member sent. It never
+// blocks; when the loop is overloaded the heartbeat is dropped.
+func (l *Loop) heartbeatArrived(from *peerpb.Identity, beat *peerpb.Heartbeat) {
+	l.send(heartbeatSeen{from: from, beat: beat})
+}
+
+// heartbeatAnswered tells the loop of the answer to a heartbeat sent at sent.
+func (l *Loop) heartbeatAnswered(from *peerpb.Identity, beat *peerpb.Heartbeat, sent bootclock.Instant) {
+	e := heartbeatSeen{from: from, beat: beat}
+	if beat.GetMirrorRevision() <= int64(l.o.Mirror.Revision()) {
+		e.agreed = sent
+	}
+	l.send(e)
+}
+
+// EngineReported tells the loop of an engine's status.
+func (l *Loop) EngineReported(name string, r Report) { l.send(engineReported{name, r}) }
+
+func (l *Loop) send(e any) {
+	select {
+	case l.events <- e:
+	default:
+		metrics.GetOrRegisterCounter("control.events_dropped", l.o.Metrics).Inc(1)
+	}
+}
+
+// Run owns the state until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	tick := time.NewTicker(publishEvery)
+	defer tick.Stop()
+	stale := time.NewTicker(l.o.Heartbeat)
+	defer stale.Stop()
+	changed := l.o.Mirror.Changed()
+	l.mirrorChanged(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			changed = l.o.Mirror.Changed()
+			l.mirrorChanged(ctx)
+		case e := <-l.events:
+			l.handle(ctx, e)
+		case <-stale.C:
+			l.dirty = true
+		case <-tick.C:
+			if l.dirty {
+				l.publish()
+			}
+		}
+	}
+}
+
+func (l *Loop) handle(ctx context.Context, e any) {
+	l.dirty = true
+	switch e := e.(type) {
+	case heartbeatSeen:
+		l.heartbeat(e)
+	case engineReported:
+		if e.report.Err != nil {
+			e.report.Status = l.reports[e.name].Status
+			e.report.Failures = l.reports[e.name].Failures + 1
+		}
+		l.reports[e.name] = e.report
+	case configLoaded:
+		l.adopt(ctx, e)
+	}
+}
+
+func (l *Loop) heartbeat(e heartbeatSeen) {
+	c := l.contacts[e.from.GetName()]
+	if c == nil || c.incarnation < e.from.GetIncarnation() {
+		c = &contact{incarnation: e.from.GetIncarnation()}
+		l.contacts[e.from.GetName()] = c
+	}
+	if c.incarnation != e.from.GetIncarnation() {
+		return // an earlier run of the member
+	}
+	c.heard, c.beat = bootclock.Now(), e.beat
+	c.agreed = max(c.agreed, e.agreed)
+}
+
+// mirrorChanged takes the members and the configuration head from the mirror.
+func (l *Loop) mirrorChanged(ctx context.Context) {
+	l.registered = members.Parse(l.o.Mirror.List(members.KeyPrefix))
+	names := map[string]bool{}
+	for _, m := range l.registered {
+		names[m.Name] = true
+	}
+	for name := range l.contacts {
+		if !names[name] && bootclock.Since(l.contacts[name].heard) > loadsKeptFor*l.o.Heartbeat {
+			delete(l.contacts, name)
+		}
+	}
+	l.loadNewest(ctx)
+	l.publish()
+}
+
+// loadNewest starts to load the configuration of the mirrored head if it is
+// newer than the one in force and no load is under way.
+func (l *Loop) loadNewest(ctx context.Context) {
+	obj, ok := l.o.Mirror.Get(confstore.HeadKey)
+	if !ok || l.loading != 0 {
+		return
+	}
+	a, err := confstore.ParseHead(obj)
+	if err != nil {
+		level.Error(l.logger).Log("msg", "configuration head not understood", "err", err)
+		return
+	}
+	if a.Head.Revision <= l.head.Revision {
+		return
+	}
+	l.loading = a.Head.Revision
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		cfg, err := l.o.Loader.Load(ctx, a.Head)
+		if err != nil {
+			time.Sleep(loadRetryDelay)
+		}
+		l.events <- configLoaded{a.Head, cfg, err}
+	}()
+}
+
+// adopt puts a loaded configuration in force, if it is newer.
+func (l *Loop) adopt(ctx context.Context, e configLoaded) {
+	l.loading = 0
+	if e.err != nil {
+		level.Warn(l.logger).Log("msg", "configuration not loaded", "revision", e.head.Revision, "err", e.err)
+	} else if e.head.Revision > l.head.Revision {
+		l.cfg, l.head = e.cfg, e.head
+		for name := range l.reports {
+			if l.cfg.Targets[name] == nil {
+				delete(l.reports, name)
+			}
+		}
+		level.Info(l.logger).Log("msg", "configuration in force", "revision", e.head.Revision, "change", e.head.ChangeID, "author", e.head.Author)
+		l.publish()
+	}
+	l.loadNewest(ctx)
+}
+
+// publish makes the present state visible to the rest of the process.
+func (l *Loop) publish() {
+	l.dirty = false
+	states := memberStates(l.registered, l.o.Self, l.contacts, l.o.Heartbeat)
+	s := &Snapshot{
+		Config:    l.cfg,
+		Revision:  l.head.Revision,
+		ChangeID:  l.head.ChangeID,
+		Members:   states,
+		PeerLoads: l.peerLoads(),
+		Reports:   make(map[string]Report, len(l.reports)),
+	}
+	for name, r := range l.reports {
+		s.Reports[name] = r
+	}
+	for _, m := range states {
+		if m.Health == members.Alive {
+			s.Serving++
+		}
+	}
+	fresh := majorityAgreed(states, l.contacts)
+	if age := l.o.Mirror.Age(); age != mirror.Never {
+		fresh = max(fresh, bootclock.Now().Add(-age))
+	}
+	s.FreshUntil = fresh.Add(l.o.StaleAfter)
+	l.snapshot.Store(s)
+}
+
+// peerLoads sums what peers have outstanding. A peer that is no longer heard
+// counts for a while, since its requests may still run.
+func (l *Loop) peerLoads() map[string]routing.Load {
+	loads := map[string]routing.Load{}
+	for _, c := range l.contacts {
+		if bootclock.Since(c.heard) > loadsKeptFor*l.o.Heartbeat {
+			continue
+		}
+		for _, e := range c.beat.GetLoads() {
+			loads[e.GetEngine()] = loads[e.GetEngine()].Add(routing.Load{
+				Requests:      int(e.GetRequests()),
+				PrefillTokens: int(e.GetPrefillTokens()),
+				DecodeTokens:  int(e.GetDecodeTokens()),
+			})
+		}
+	}
+	return loads
+}
+
+// kthLatest returns the k-th latest of the instants, or 0 if there are fewer.
+func kthLatest(at []bootclock.Instant, k int) bootclock.Instant {
+	if len(at) < k {
+		return 0
+	}
+	slices.SortFunc(at, func(a, b bootclock.Instant) int { return cmp.Compare(b, a) })
+	return at[k-1]
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,324 @@
+// Package daemon wires the parts of one rockdoor process and runs its life:
+// start, join, serve, and a stop that cuts no request.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/confstore"
+	"github.com/rockdoor/rockdoor/engine/httpcontrol"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/platform/httpapi"
+	"github.com/rockdoor/rockdoor/routing"
+	"github.com/rockdoor/rockdoor/statechart"
+)
+
+const (
+	// mirrorPrefix is what every process keeps a copy of.
+	mirrorPrefix   = "state/"
+	joinPoll       = 50 * time.Millisecond
+	unregisterTime = 2 * time.Second
+	closeTime      = time.Second
+)
+
+// Daemon is one process.
+type Daemon struct {
+	set    *settings.Settings
+	logger log.Logger
+	reg    metrics.Registry
+	self   members.Member
+	chart  *statechart.Instance
+
+	store     *platform.Limited
+	client    *httpapi.Client
+	mirror    *mirror.Mirror
+	keeper    *mirror.Keeper
+	loader    *confstore.Loader
+	loop      *control.Loop
+	heart     *control.Heart
+	transport *peer.Transport
+	reporter  *control.Reporter
+	tracker   *routing.Tracker
+	entry     *entry.Server
+	admin     *admin.Server
+
+	callers   *http.Server
+	operators *http.Server
+}
+
+// New builds a process that has to be run.
+func New(set *settings.Settings, logger log.Logger) *Daemon {
+	d := &Daemon{
+		set:     set,
+		logger:  log.With(logger, "process", set.Name),
+		reg:     metrics.NewRegistry(),
+		chart:   charts.Process.Start(),
+		mirror:  mirror.New(mirrorPrefix),
+		tracker: &routing.Tracker{},
+		self: members.Member{
+			Name: set.Name, Incarnation: members.NewIncarnation(), Host: set.Host, Domain: set.Domain,
+			Peer: set.Peer, Admin: set.Admin, Listen: set.Listen,
+		},
+	}
+	d.client = httpapi.New(set.Platform)
+	d.store = platform.NewLimited(d.client, platform.Budget{
+		CallsPerSecond: set.PlatformCalls.PerSecond, Burst: set.PlatformCalls.Burst, CallTimeout: set.PlatformCalls.Timeout.Std(),
+	}, d.reg)
+	d.buildControl()
+	d.buildServers()
+	return d
+}
+
+func (d *Daemon) buildControl() {
+	d.keeper = mirror.NewKeeper(d.mirror, d.store, d.isWatcher, d.logger)
+	d.transport = peer.NewTransport(&peerpb.Identity{Name: d.self.Name, Incarnation: d.self.Incarnation}, d, d.reg, d.logger)
+	d.loader = confstore.NewLoader(
+		func(ctx context.Context, digest string) ([]byte, error) { return d.heart.ChunkFromPeers(ctx, digest) },
+		confstore.StoreSource(d.store),
+	)
+	d.loop = control.New(control.Options{
+		Self: d.self, Mirror: d.mirror, Loader: d.loader, Heartbeat: d.set.Control.Heartbeat.Std(),
+		StaleAfter: d.set.Control.StaleAfter.Std(), Metrics: d.reg, Logger: d.logger,
+	})
+	d.heart = control.NewHeart(control.HeartOptions{
+		Loop: d.loop, Mirror: d.mirror, Transport: d.transport, Tracker: d.tracker, StoreReachable: d.store.Reachable,
+		Seeds: d.set.Seeds, Interval: d.set.Control.Heartbeat.Std(), Logger: d.logger,
+	})
+	d.reporter = control.NewReporter(d.loop, httpcontrol.New(nil), d.set.Control.Report.Std())
+}
+
+func (d *Daemon) buildServers() {
+	d.entry = entry.New(entry.Options{Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Metrics: d.reg, Logger: d.logger})
+	d.admin = admin.New(admin.Options{
+		Store: d.store, Loader: d.loader, Snapshot: d.loop.Snapshot, Refresh: d.refresh, Ready: d.ready,
+		Self: d.self, Explain: d.entry.Explain, Metrics: d.reg, Logger: d.logger,
+	})
+	d.callers = d.httpServer(d.entry)
+	d.operators = d.httpServer(d.admin)
+}
+
+func (d *Daemon) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: d.set.Limits.HeaderTimeout.Std(),
+		MaxHeaderBytes:    d.set.Limits.HeaderBytes,
+		IdleTimeout:       time.Minute,
+		ErrorLog:          discardLog(),
+	}
+}
+
+// isWatcher decides by the members that this process believes to be alive.
+func (d *Daemon) isWatcher() bool {
+	var alive []members.Member
+	for _, m := range d.loop.Snapshot().Members {
+		if m.Health == members.Alive {
+			alive = append(alive, m.Member)
+		}
+	}
+	return members.IsWatcher(alive, d.self)
+}
+
+// HandlePeer implements peer.Handler.
+func (d *Daemon) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
+	if resp := d.heart.Answer(req); resp != nil {
+		return resp
+	}
+	return &peerpb.Response{Error: "call is not known"}
+}
+
+// refresh brings the mirror forward after a write of this process.
+func (d *Daemon) refresh(ctx context.Context) { _ = d.keeper.Refresh(ctx, 0) }
+
+func (d *Daemon) ready() error {
+	if s := d.chart.State(); s != charts.ProcessServing {
+		return fault.New(fault.Unavailable, "process is "+string(s), "wait, or ask another process")
+	}
+	if !d.loop.Snapshot().Fresh() {
+		return fault.New(fault.Unavailable, "process is cut off from the platform and its peers", "check the network of this host")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	var g run.Group
+	add := func(f func(context.Context) error) {
+		g.Add(func() error { return f(background) }, func(error) { stopBackground() })
+	}
+	add(d.loop.Run)
+	add(d.keeper.Run)
+	add(d.heart.Run)
+	add(d.reporter.Run)
+	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
+	g.Add(func() error { return d.operators.Serve(listeners.admin) }, func(error) { closeServer(d.operators) })
+	g.Add(func() error { return d.callers.Serve(listeners.callers) }, func(error) { closeServer(d.callers) })
+	g.Add(func() error { return d.live(ctx, background) }, func(error) { stopBackground() })
+	err = g.Run()
+	d.entry.Close()
+	d.client.Close()
+	return err
+}
+
+func closeServer(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+type listeners struct{ callers, admin, peer net.Listener }
+
+// listen opens all listeners, or none.
+func (d *Daemon) listen() (listeners, error) {
+	var out listeners
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{{d.set.Listen, &out.callers}, {d.set.Admin, &out.admin}, {d.set.Peer, &out.peer}} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, o := range []net.Listener{out.callers, out.admin, out.peer} {
+				if o != nil {
+					o.Close()
+				}
+			}
+			return out, fault.Wrap(err, fault.Invalid, "cannot listen on "+l.address, "check the addresses in the settings and that no other process uses them")
+		}
+		*l.to = opened
+	}
+	return out, nil
+}
+
+// live is the life of the process. It returns when the process may exit.
+func (d *Daemon) live(ctx, background context.Context) error {
+	if err := d.join(ctx); err != nil {
+		d.fire(charts.StopAsked)
+		return nil
+	}
+	d.fire(charts.Joined)
+	d.heart.SetPhase(background, peerpb.Phase_PHASE_SERVING)
+	go d.stayRegistered(ctx)
+	<-ctx.Done()
+	d.fire(charts.StopAsked)
+	d.stop(background)
+	return nil
+}
+
+func (d *Daemon) fire(e statechart.Event) {
+	state, err := d.chart.Fire(e)
+	if err != nil {
+		level.Error(d.logger).Log("msg", "state chart", "err", err)
+		return
+	}
+	level.Info(d.logger).Log("msg", "process", "state", state, "incarnation", d.self.Incarnation)
+}
+
+// join waits until this process holds a configuration, has asked every peer
+// that it can reach whether there is a newer one, and is registered or knows
+// that the platform does not answer.
+func (d *Daemon) join(ctx context.Context) error {
+	tick := time.NewTicker(joinPoll)
+	defer tick.Stop()
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		if err := d.keeper.Refresh(ctx, 0); err != nil {
+			level.Warn(d.logger).Log("msg", "platform store not read at start", "err", err)
+		}
+		if err := members.Register(ctx, d.store, d.self); err != nil {
+			level.Warn(d.logger).Log("msg", "not registered", "err", err)
+		}
+		d.refresh(ctx)
+	}()
+	tried := false
+	for {
+		s := d.loop.Snapshot()
+		if tried && d.mirror.Revision() != mirror.None && s.Config != nil && d.heart.Asked() && s.Fresh() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-registered:
+			tried, registered = true, nil
+		case <-tick.C:
+		}
+	}
+}
+
+// stayRegistered registers again whenever the registration is not the one of
+// this run, for instance when the platform did not answer at start.
+func (d *Daemon) stayRegistered(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	for {
+		wait := d.set.Control.StaleAfter.Std() / 4
+		if !d.isRegistered() {
+			if err := members.Register(ctx, d.store, d.self); err != nil {
+				level.Warn(d.logger).Log("msg", "not registered", "err", err)
+				wait = retry.NextBackOff()
+			} else {
+				retry.Reset()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (d *Daemon) isRegistered() bool {
+	for _, m := range members.Parse(d.mirror.List(members.KeyPrefix + d.self.Name)) {
+		if m.Name == d.self.Name {
+			return m.Incarnation == d.self.Incarnation
+		}
+	}
+	return false
+}
+
+// stop ends the service: not ready first, then no new connections, then all
+// requests in hand are finished.
+func (d *Daemon) stop(background context.Context) {
+	d.heart.SetPhase(background, peerpb.Phase_PHASE_LEAVING)
+	time.Sleep(d.set.Limits.StopGrace.Std())
+	d.fire(charts.GraceOver)
+	d.callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(background, d.set.Limits.StopTimeout.Std())
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		level.Warn(d.logger).Log("msg", "requests were still in hand at the end of stopTimeout", "requests", d.entry.InHand())
+	}
+	uctx, ucancel := context.WithTimeout(background, unregisterTime)
+	defer ucancel()
+	if err := members.Unregister(uctx, d.store, d.self); err != nil {
+		level.Warn(d.logger).Log("msg", "registration not removed", "err", err)
+	}
+	d.fire(charts.AllFinished)
+}
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/limits"
+	"github.com/rockdoor/rockdoor/statechart"
+)
+
+// Codes of errors that callers see, besides the kinds of package fault.
+const (
+	codeNoTarget     = "no_permitted_target"
+	codeOverloaded   = "overloaded"
+	codeStale        = "configuration_stale"
+	codeNotReady     = "not_ready"
+	codeWrongEntry   = "wrong_entry_host"
+	codeUnknown      = "outcome_unknown"
+	codeFailed       = "target_failed"
+	codeTooLarge     = "request_too_large"
+	codeSlowBody     = "request_too_slow"
+	codeNoRoute      = "no_route"
+	codeMethod       = "method_not_allowed"
+	codeDeadline     = "deadline_exceeded"
+	codeKeyMismatch  = "idempotency_key_reused"
+	codeKeyInUse     = "idempotency_key_in_use"
+	codeClaimMissing = "claim_not_granted"
+)
+
+// reply is a final answer that rockdoor itself gives.
+type reply struct {
+	status int
+	code   string
+	err    error
+	// outcome is a final state of the request chart.
+	outcome statechart.State
+	// retryAfter is when asking again makes sense, 0 if it does not.
+	retryAfter time.Duration
+}
+
+// refusal is the reply to a request that did not run.
+func refusal(status int, code string, err error, retryAfter time.Duration) *reply {
+	return &reply{status: status, code: code, err: err, outcome: charts.RequestNotRun, retryAfter: retryAfter}
+}
+
+// refusalFor maps an error found before the request ran.
+func refusalFor(err error) *reply {
+	var limited *limits.Refusal
+	if errors.As(err, &limited) {
+		return refusal(http.StatusTooManyRequests, string(limited.Err.Kind), limited.Err, limited.RetryAfter)
+	}
+	kind := fault.KindOf(err)
+	status := map[fault.Kind]int{
+		fault.Invalid:     http.StatusBadRequest,
+		fault.NotFound:    http.StatusNotFound,
+		fault.Denied:      http.StatusUnauthorized,
+		fault.Conflict:    http.StatusConflict,
+		fault.Exhausted:   http.StatusTooManyRequests,
+		fault.Unavailable: http.StatusServiceUnavailable,
+	}[kind]
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	return refusal(status, string(kind), err, 0)
+}
+
+// errorType is the coarse type that clients of the completion API know.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func (p *reply) body() []byte {
+	b, _ := json.Marshal(openai.ErrorBody{Error: openai.ErrorDetail{
+		Message: p.err.Error(), Type: errorType(p.status), Code: p.code,
+	}})
+	return append(b, '\n')
+}
+
+// setRetryAfter states when to come back, in whole seconds and, for callers that
+// can wait less, in milliseconds.
+func setRetryAfter(h http.Header, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	h.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	h.Set("Retry-After-Ms", strconv.FormatInt(d.Milliseconds(), 10))
+}
+
+func (p *reply) write(w http.ResponseWriter, id string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(p.outcome))
+	if id != "" {
+		h.Set(HeaderRequest, id)
+	}
+	setRetryAfter(h, p.retryAfter)
+	w.WriteHeader(p.status)
+	_, _ = w.Write(p.body())
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,192 @@
+// Package entry serves callers: it reads and checks a request, admits it, finds
+// the targets that its rules permit, sends it to one of them, tries again where
+// that is safe, and gives the caller one whole answer or a truthful refusal.
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/routing"
+	"github.com/rockdoor/rockdoor/selector"
+)
+
+// Headers that callers may send.
+const (
+	// HeaderSelector restricts where the request may run.
+	HeaderSelector = "Rockdoor-Selector"
+	// HeaderPriority is urgent, normal or batch.
+	HeaderPriority = "Rockdoor-Priority"
+	// HeaderDeadline is how long the caller waits, such as 2s.
+	HeaderDeadline = "Rockdoor-Deadline"
+	// HeaderIdempotent is true or false and overrides the route's setting.
+	HeaderIdempotent = "Rockdoor-Idempotent"
+	// HeaderKey makes retries of a request at any entry host run at most once.
+	HeaderKey = "Idempotency-Key"
+	// HeaderWorkspace names the workspace where workspaces have no keys.
+	HeaderWorkspace = "Rockdoor-Workspace"
+)
+
+// Headers of answers.
+const (
+	// HeaderOutcome tells what became of the request: complete, not_run,
+	// unknown or failed. For a stream it is a trailer.
+	HeaderOutcome = "Rockdoor-Outcome"
+	// HeaderRequest is the id under which the request is logged.
+	HeaderRequest = "Rockdoor-Request"
+	// HeaderRevision is the configuration revision that placed the request.
+	HeaderRevision = "Rockdoor-Revision"
+)
+
+const (
+	maxDeadline   = 10 * time.Minute
+	bytesPerToken = 4
+	defaultOutput = 128
+	maxKeyBytes   = 255
+	bearerPrefix  = "Bearer "
+)
+
+// call is one request of a caller, read and checked.
+type call struct {
+	id        string
+	snapshot  *control.Snapshot
+	workspace *config.CompiledWorkspace
+	// class names the model or route in logs and metrics.
+	class      string
+	targets    []*config.Target
+	rules      selector.All
+	policy     string
+	idempotent bool
+	priority   config.Priority
+	deadline   time.Time
+	key        string
+	cost       routing.Cost
+
+	method string
+	uri    string
+	header http.Header
+	body   []byte
+	// completion is nil for a call to a plain service.
+	completion *openai.Request
+}
+
+func newCall(r *http.Request, s *control.Snapshot) *call {
+	return &call{id: ulid.Make().String(), snapshot: s, method: r.Method, uri: r.URL.RequestURI(), header: forwarded(r.Header)}
+}
+
+// stream reports whether the answer is a stream of events.
+func (c *call) stream() bool { return c.completion != nil && c.completion.Stream }
+
+// hopHeaders concern one connection, or rockdoor itself, and are not forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", "Expect", "Accept-Encoding",
+	HeaderSelector, HeaderPriority, HeaderDeadline, HeaderIdempotent, HeaderWorkspace,
+	openai.AttemptHeader, openai.PriorityHeader, openai.ResumeHeader,
+}
+
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// identify finds the workspace of a request by its API key, or by name for
+// workspaces without keys.
+func identify(r *http.Request, c *config.Compiled) (*config.CompiledWorkspace, error) {
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix); ok {
+		sum := sha256.Sum256([]byte(key))
+		if w := c.WorkspaceByKey(hex.EncodeToString(sum[:])); w != nil {
+			return w, nil
+		}
+	}
+	if name := r.Header.Get(HeaderWorkspace); name != "" {
+		if w := c.Workspaces[name]; w != nil && len(w.Keys) == 0 {
+			return w, nil
+		}
+	}
+	return nil, fault.New(fault.Denied, "workspace is not known", "send the workspace's API key as Authorization: Bearer KEY")
+}
+
+// preferences reads the headers by which a caller steers a request. The call
+// holds the defaults of its model or route already.
+func (c *call) preferences(h http.Header, now time.Time, timeout time.Duration) error {
+	if p := config.Priority(h.Get(HeaderPriority)); p != "" {
+		if p != config.Urgent && p != config.Normal && p != config.Batch {
+			return fault.Newf(fault.Invalid, "use urgent, normal or batch", "%s %q is not known", HeaderPriority, p)
+		}
+		c.priority = p
+	}
+	if text := h.Get(HeaderIdempotent); text != "" {
+		v, err := strconv.ParseBool(text)
+		if err != nil {
+			return fault.Newf(fault.Invalid, "use true or false", "%s %q is not known", HeaderIdempotent, text)
+		}
+		c.idempotent = v
+	}
+	if text := h.Get(HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > maxDeadline {
+			return fault.Newf(fault.Invalid, "give a time from 1ms to "+maxDeadline.String()+", such as 2s", "%s %q is not usable", HeaderDeadline, text)
+		}
+		timeout = d
+	}
+	c.deadline = now.Add(timeout)
+	if c.key = h.Get(HeaderKey); len(c.key) > maxKeyBytes {
+		return fault.Newf(fault.Invalid, "shorten it", "%s has %d bytes, the limit is %d", HeaderKey, len(c.key), maxKeyBytes)
+	}
+	return c.restrict(h.Get(HeaderSelector))
+}
+
+// restrict adds the selector of the request to the rules.
+func (c *call) restrict(text string) error {
+	s, err := selector.Parse(text)
+	if err != nil {
+		return err
+	}
+	if !s.Empty() {
+		c.rules = append(c.rules[:len(c.rules):len(c.rules)], selector.Named{Rule: "request", Selector: s})
+	}
+	return nil
+}
+
+// forModel fills in the call from a completion request.
+func (c *call) forModel(req *openai.Request) error {
+	m := c.snapshot.Config.Models[req.Model]
+	if m == nil {
+		return fault.Newf(fault.NotFound, "GET /v1/models lists the models", "model %q does not exist", req.Model)
+	}
+	c.completion, c.class = req, m.Name
+	c.targets, c.policy = m.Engines, c.snapshot.Config.Pools[m.Pool].Policy
+	c.rules = append(m.Rules[:len(m.Rules):len(m.Rules)], c.workspace.Rules...)
+	c.idempotent, c.priority = m.Idempotent, m.Priority
+	c.cost = routing.Cost{PrefillTokens: req.PromptBytes()/bytesPerToken + 1, DecodeTokens: defaultOutput}
+	if req.MaxTokens > 0 {
+		c.cost.DecodeTokens = req.MaxTokens
+	}
+	return nil
+}
+
+// forRoute fills in the call from a route to a plain service.
+func (c *call) forRoute(rt *config.CompiledRoute) {
+	c.class, c.targets, c.policy = rt.Path, rt.Servers, routing.LeastOutstanding
+	c.rules = append(rt.Rules[:len(rt.Rules):len(rt.Rules)], c.workspace.Rules...)
+	c.idempotent, c.priority = rt.Idempotent, rt.Priority
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/attempt"
+	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/routing"
+	"github.com/rockdoor/rockdoor/statechart"
+)
+
+const (
+	// maxAttempts bounds how often one request is sent.
+	maxAttempts = 6
+	// noTargetWait is when to ask again while no permitted target is active.
+	noTargetWait = 2 * time.Second
+	// queueFactor is how many times its capacity a target may have in hand.
+	queueUrgent = 2.0
+	queueNormal = 1.5
+	queueBatch  = 1.0
+)
+
+// run is the work on one call. It belongs to one goroutine.
+type run struct {
+	s     *Server
+	c     *call
+	w     http.ResponseWriter
+	ctx   context.Context
+	stop  context.CancelFunc
+	chart *statechart.Instance
+	start time.Time
+
+	attempts int
+	avoid    map[string]bool // targets that have failed this call
+	// delivered is how many events of a stream the caller has got.
+	delivered int
+	// begun is true once the caller has got a part of the answer.
+	begun bool
+	// target of the last attempt.
+	target *config.Target
+}
+
+func newRun(s *Server, c *call, w http.ResponseWriter, r *http.Request) *run {
+	ctx, stop := context.WithDeadline(r.Context(), c.deadline)
+	return &run{s: s, c: c, w: w, ctx: ctx, stop: stop, chart: charts.Request.Start(), start: time.Now(), avoid: map[string]bool{}}
+}
+
+// fire moves the request chart. The chart refuses nothing that run fires; a
+// refusal would be a defect and is logged.
+func (r *run) fire(e statechart.Event) {
+	if _, err := r.chart.Fire(e); err != nil {
+		level.Error(r.s.o.Logger).Log("msg", "state chart", "request", r.c.id, "err", err)
+	}
+}
+
+// do sends the call until it has a final state. It returns the reply that is
+// still owed to the caller, or nil if the answer was passed on.
+func (r *run) do() *reply {
+	r.s.retries.Request()
+	for {
+		d, rep := r.choose()
+		if rep != nil {
+			return rep
+		}
+		r.fire(charts.Chosen)
+		r.target = d.Chosen.Target
+		a := r.attempt(d)
+		if rep, final := r.settle(a); final {
+			return rep
+		}
+	}
+}
+
+// choose finds a target, or the reply to give if there is none.
+func (r *run) choose() (routing.Decision, *reply) {
+	if r.ctx.Err() != nil {
+		r.fire(charts.NoTarget)
+		return routing.Decision{}, r.given(http.StatusGatewayTimeout, codeDeadline,
+			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
+	}
+	permitted := routing.Permit(r.c.targets, r.c.rules, nil)
+	cands, full := r.candidates(permitted)
+	d := routing.Choose(r.s.policy(r.c.policy), r.c.cost, cands)
+	r.logDecision(d, len(permitted))
+	if d.Chosen != nil {
+		return d, nil
+	}
+	r.fire(charts.NoTarget)
+	switch {
+	case len(permitted) == 0:
+		return d, r.given(http.StatusServiceUnavailable, codeNoTarget,
+			fault.New(fault.Unavailable, "no active target is permitted for this request", "see why with: rockdoor explain"), noTargetWait)
+	case full > 0:
+		return d, r.given(http.StatusServiceUnavailable, codeOverloaded,
+			fault.New(fault.Exhausted, "all permitted targets are full", "ask again after the time in Retry-After"), r.s.drainTime(r.c))
+	default:
+		return d, r.given(http.StatusServiceUnavailable, codeNoTarget,
+			fault.New(fault.Unavailable, "all permitted targets failed", "ask again after the time in Retry-After"), noTargetWait)
+	}
+}
+
+// candidates returns the permitted targets that have room and have not failed
+// this call, and how many have no room.
+func (r *run) candidates(permitted []*config.Target) (cands []routing.Candidate, full int) {
+	for _, t := range permitted {
+		if r.avoid[t.Name] {
+			continue
+		}
+		load := r.s.load(t, r.c)
+		if float64(load.Requests) >= float64(t.Capacity)*queueFactor(r.c.priority) {
+			full++
+			continue
+		}
+		if r.c.snapshot.Reports[t.Name].Status.Changing {
+			continue
+		}
+		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
+	}
+	return cands, full
+}
+
+func queueFactor(p config.Priority) float64 {
+	switch p {
+	case config.Urgent:
+		return queueUrgent
+	case config.Batch:
+		return queueBatch
+	}
+	return queueNormal
+}
+
+// load is what this process and its peers have outstanding at a target.
+func (s *Server) load(t *config.Target, c *call) routing.Load {
+	return s.o.Tracker.Load(t.Name).Add(c.snapshot.PeerLoads[t.Name])
+}
+
+// attempt sends the call to the chosen target and passes the answer on.
+func (r *run) attempt(d routing.Decision) *attempt.Attempt {
+	r.attempts++
+	t := d.Chosen.Target
+	work := r.s.o.Tracker.Begin(t.Name, r.c.cost)
+	defer work.End()
+	done := r.s.breakers.begin(t.Name)
+	header := r.c.header.Clone()
+	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
+	if r.delivered > 0 {
+		header.Set(openai.ResumeHeader, strconv.Itoa(r.delivered))
+	}
+	a := r.s.runner.Start(r.ctx, attempt.Spec{
+		ID: r.c.id + "-" + strconv.Itoa(r.attempts), Address: t.Address,
+		Method: r.c.method, URI: r.c.uri, Header: header, Body: r.c.body,
+	})
+	if a.State() == charts.AttemptAnswering {
+		r.relay(a, work)
+	}
+	done(a.State(), a.Err())
+	r.s.count("attempts."+string(a.State()), r.c)
+	return a
+}
+
+// enginePriority is the number that engines know for a priority.
+func enginePriority(p config.Priority) string {
+	switch p {
+	case config.Urgent:
+		return "2"
+	case config.Batch:
+		return "0"
+	}
+	return "1"
+}
+
+// settle decides what follows from an attempt. It returns true if the call has
+// a final state, with the reply that is owed.
+func (r *run) settle(a *attempt.Attempt) (*reply, bool) {
+	switch a.State() {
+	case charts.AttemptComplete:
+		r.fire(charts.AttemptDone)
+		return nil, true
+	case charts.AttemptFailed:
+		r.fire(charts.AttemptError)
+		return r.given(http.StatusBadGateway, codeFailed, a.Err(), 0), true
+	case charts.AttemptNotRun:
+		r.fire(charts.AttemptNotBegun)
+	default:
+		if !r.c.idempotent || r.ctx.Err() != nil || !r.canResume() {
+			r.fire(charts.AttemptLost)
+			return r.given(http.StatusBadGateway, codeUnknown, a.Err(), 0), true
+		}
+		r.fire(charts.AttemptRepeat)
+	}
+	r.avoid[r.target.Name] = true
+	level.Info(r.s.o.Logger).Log("msg", "attempt failed", "request", r.c.id, "attempt", r.attempts, "target", r.target.Name, "state", a.State(), "err", a.Err())
+	if r.attempts >= maxAttempts || !r.s.retries.Retry() {
+		r.fire(charts.NoTarget)
+		return r.given(http.StatusServiceUnavailable, codeOverloaded,
+			fault.Wrap(a.Err(), fault.Unavailable, "attempts failed and no more are made", "ask again after the time in Retry-After"), noTargetWait), true
+	}
+	return nil, false
+}
+
+// canResume reports whether the call can go on elsewhere: nothing has reached
+// the caller, or a stream of which whole events have.
+func (r *run) canResume() bool { return !r.begun || r.c.stream() }
+
+// given returns a reply whose outcome is the state of the request chart.
+func (r *run) given(status int, code string, err error, retryAfter time.Duration) *reply {
+	state := r.chart.State()
+	if state == charts.RequestUnknown {
+		code = codeUnknown
+	}
+	return &reply{status: status, code: code, err: err, outcome: state, retryAfter: retryAfter}
+}
+
+// finish gives the caller what is owed and records the outcome.
+func (r *run) finish(rep *reply) {
+	defer r.stop()
+	outcome := r.chart.State()
+	code := "ok"
+	if rep != nil {
+		code = rep.code
+		r.deliver(rep)
+	}
+	took := time.Since(r.start)
+	r.s.count("outcome."+string(outcome), r.c)
+	metrics.GetOrRegisterTimer("entry.duration."+string(r.c.priority), r.s.o.Metrics).Update(took)
+	level.Info(r.s.o.Logger).Log("msg", "request", "request", r.c.id, "workspace", r.c.workspace.Name, "class", r.c.class,
+		"outcome", outcome, "code", code, "attempts", r.attempts, "took", took)
+}
+
+// drainTime estimates when a full target has room again for the call: the time
+// that its requests in hand take, divided by how many there are.
+func (s *Server) drainTime(c *call) time.Duration {
+	t := metrics.GetOrRegisterTimer("entry.duration."+string(c.priority), s.o.Metrics)
+	perRequest := time.Duration(t.Mean())
+	capacity := 0
+	for _, target := range c.targets {
+		capacity += target.Capacity
+	}
+	wait := max(perRequest/time.Duration(max(capacity, 1)), minDrainWait)
+	return min(wait, maxDrainWait)
+}
+
+const (
+	minDrainWait = 200 * time.Millisecond
+	maxDrainWait = 10 * time.Second
+)
+
+// logDecision writes the line that says why a call goes where it goes.
+func (r *run) logDecision(d routing.Decision, permitted int) {
+	if !r.s.o.Settings.Log.Decisions {
+		return
+	}
+	kv := []any{
+		"msg", "decision", "request", r.c.id, "attempt", r.attempts + 1, "workspace", r.c.workspace.Name, "class", r.c.class,
+		"priority", r.c.priority, "revision", r.c.snapshot.Revision, "policy", r.c.policy, "reason", d.Reason,
+		"permitted", permitted, "considered", d.Considered,
+	}
+	if d.Chosen != nil {
+		kv = append(kv, "chosen", d.Chosen.Target.Name, "domain", d.Chosen.Target.Domain, "score", d.Score, "load", d.Chosen.Load.Requests)
+	}
+	if d.RunnerUp != nil {
+		kv = append(kv, "runner_up", d.RunnerUp.Target.Name, "runner_up_score", d.RunnerUpScore)
+	}
+	level.Info(log.With(r.s.o.Logger)).Log(kv...)
+	metrics.GetOrRegisterCounter("entry.decisions."+string(d.Reason), r.s.o.Metrics).Inc(1)
+}
--- /dev/null
+++ b/internal/lab/load/client.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/standin/answer"
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+)
+
+// LoadIDHeader carries the id of a request through to the stand-ins' records.
+const LoadIDHeader = "X-Load-Id"
+
+const (
+	requestTimeout = 120 * time.Second
+	maxEventBytes  = 1 << 20
+)
+
+// Outcome is what became of a request, as its caller can tell.
+type Outcome string
+
+// Outcomes. All but Broken are what rockdoor said.
+const (
+	Complete Outcome = "complete"
+	NotRun   Outcome = "not_run"
+	Unknown  Outcome = "unknown"
+	Failed   Outcome = "failed"
+	// Broken is a connection that ended without a final answer.
+	Broken Outcome = "broken"
+)
+
+// Result is one request as its caller saw it.
+type Result struct {
+	ID      string        `json:"id"`
+	Class   string        `json:"class"`
+	Entry   string        `json:"entry"`
+	Planned time.Duration `json:"planned"`
+	// First, Gap and Total are the time from the planned arrival to the first
+	// token, the 95th percentile between tokens, and the time to the end.
+	First   time.Duration `json:"first"`
+	Gap     time.Duration `json:"gap"`
+	Total   time.Duration `json:"total"`
+	Prompt  int           `json:"prompt"`
+	Tokens  int           `json:"tokens"`
+	Outcome Outcome       `json:"outcome"`
+	Code    string        `json:"code"`
+	// RetryAfter is what a refusal said.
+	RetryAfter time.Duration `json:"retryAfter"`
+	// Wrong is true if a complete answer was not this request's.
+	Wrong bool `json:"wrong"`
+	// Good is true if the answer was whole, right and within its bounds.
+	Good bool `json:"good"`
+}
+
+// client sends requests to entry hosts.
+type client struct {
+	entries []string
+	http    *http.Client
+}
+
+func newClient(entries []string) *client {
+	return &client{entries: entries, http: &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute},
+	}}
+}
+
+// prompt returns a text of the given number of tokens that is unique to the request.
+func prompt(id string, tokens int) string {
+	head := "request " + id + " "
+	return head + strings.Repeat("flag ", max(0, tokens*4-len(head))/5)
+}
+
+// send runs one request and returns its result. due is the planned arrival.
+func (c *client) send(ctx context.Context, id string, a Arrival, due time.Time) Result {
+	r := Result{ID: id, Class: a.Class.Name, Planned: a.At, Prompt: a.Prompt, Entry: c.entries[rand.IntN(len(c.entries))]}
+	text := prompt(id, a.Prompt)
+	req, err := c.request(ctx, r.Entry, id, text, a)
+	if err != nil {
+		r.Outcome, r.Code = Broken, err.Error()
+		return r
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		r.Outcome, r.Code, r.Total = Broken, "no_answer", time.Since(due)
+		return r
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		r.refused(resp)
+	case a.Class.Stream:
+		r.readStream(resp, due, answer.Text(text, a.Output))
+	default:
+		r.readWhole(resp, due, expected(a, text, req))
+	}
+	r.Total = time.Since(due)
+	r.Good = r.Outcome == Complete && !r.Wrong && within(r.First, a.Class.FirstToken) && within(r.Gap, a.Class.BetweenTokens) && within(r.Total, a.Class.Whole)
+	return r
+}
+
+func within(d, bound time.Duration) bool { return bound == 0 || d <= bound }
+
+func (c *client) request(ctx context.Context, host, id, text string, a Arrival) (*http.Request, error) {
+	method, path, body := http.MethodGet, a.Class.Path, []byte(nil)
+	if a.Class.Model != "" {
+		method, path = http.MethodPost, "/v1/chat/completions"
+		content, _ := json.Marshal(text)
+		body, _ = json.Marshal(openai.Request{
+			Model: a.Class.Model, Stream: a.Class.Stream, MaxTokens: a.Output,
+			Messages: []openai.Message{{Role: "user", Content: content}},
+		})
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	h := req.Header
+	h.Set("Authorization", "Bearer key-"+a.Class.Workspace)
+	h.Set(LoadIDHeader, id)
+	if a.Class.Keyed {
+		h.Set(entry.HeaderKey, id)
+	}
+	if a.Class.Priority != "" {
+		h.Set(entry.HeaderPriority, a.Class.Priority)
+	}
+	if a.Class.Selector != "" {
+		h.Set(entry.HeaderSelector, a.Class.Selector)
+	}
+	return req, nil
+}
+
+func expected(a Arrival, text string, req *http.Request) string {
+	if a.Class.Model != "" {
+		return answer.Text(text, a.Output)
+	}
+	return serviced.Answer(req.Method, req.URL.Path, nil)
+}
+
+// refused reads an answer that is no success.
+func (r *Result) refused(resp *http.Response) {
+	var e openai.ErrorBody
+	_ = json.NewDecoder(resp.Body).Decode(&e)
+	r.Code = e.Error.Code
+	r.Outcome = Outcome(resp.Header.Get(entry.HeaderOutcome))
+	if r.Outcome == "" {
+		r.Outcome = Broken
+	}
+	if ms, err := strconv.Atoi(resp.Header.Get("Retry-After-Ms")); err == nil {
+		r.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+}
+
+func (r *Result) readWhole(resp *http.Response, due time.Time, want string) {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.Outcome, r.Code = Broken, "cut"
+		return
+	}
+	r.First = time.Since(due)
+	r.Outcome = Complete
+	got := string(body)
+	var whole openai.Response
+	if json.Unmarshal(body, &whole) == nil && len(whole.Choices) > 0 && whole.Choices[0].Message != nil {
+		got = whole.Choices[0].Message.Content
+	}
+	r.Wrong = got != want
+}
+
+func (r *Result) readStream(resp *http.Response, due time.Time, want string) {
+	var got strings.Builder
+	var gaps []time.Duration
+	last := due
+	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			break
+		}
+		if ev.Data == openai.Done {
+			r.Outcome = Complete
+			break
+		}
+		if code := streamError(ev.Data); code != "" {
+			r.Code = code
+			_, _ = io.Copy(io.Discard, resp.Body)
+			r.Outcome = Outcome(resp.Trailer.Get(entry.HeaderOutcome))
+			return
+		}
+		var c openai.Chunk
+		if json.Unmarshal([]byte(ev.Data), &c) != nil || len(c.Choices) == 0 || c.Choices[0].Delta == nil || c.Choices[0].Delta.Content == "" {
+			continue
+		}
+		now := time.Now()
+		if r.Tokens == 0 {
+			r.First = now.Sub(due)
+		} else {
+			gaps = append(gaps, now.Sub(last))
+		}
+		last = now
+		r.Tokens++
+		got.WriteString(c.Choices[0].Delta.Content)
+	}
+	if r.Outcome == "" {
+		r.Outcome, r.Code = Broken, "cut"
+		return
+	}
+	r.Gap = Percentile(gaps, 0.95)
+	r.Wrong = got.String() != want
+}
+
+func streamError(data string) string {
+	var e openai.ErrorBody
+	if json.Unmarshal([]byte(data), &e) == nil {
+		return e.Error.Code
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/load/mix.go
@@ -0,0 +1,149 @@
+// Package load is an open-loop load generator for the completion API and plain
+// services, with a check of every answer against the stand-ins' own records.
+// Arrivals don't wait for answers, so a slow system cannot slow its load down.
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name string
+	// Model is set for completions, Path for calls to a service.
+	Model string
+	Path  string
+	// Workspace is the name of the caller; its API key is "key-" and the name.
+	Workspace string
+	// PromptTokens and OutputTokens are means; the sizes are log-normal.
+	PromptTokens int
+	OutputTokens int
+	// Spread is the standard deviation of the logarithm of the sizes.
+	Spread float64
+	Stream bool
+	// Keyed requests carry an Idempotency-Key.
+	Keyed    bool
+	Priority string
+	Selector string
+	// FirstToken and BetweenTokens are the bounds for a useful answer, 0 for none.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	// Whole is the bound on the whole answer, 0 for none.
+	Whole time.Duration
+}
+
+// Phase is a time with a constant rate for each class.
+type Phase struct {
+	Name     string
+	Duration time.Duration
+	// Rates are in requests a second, by class name.
+	Rates map[string]float64
+}
+
+// Mix is a named load.
+type Mix struct {
+	Name    string
+	Doc     string
+	Classes []Class
+	Phases  []Phase
+}
+
+// Duration returns the length of all phases.
+func (m Mix) Duration() time.Duration {
+	var d time.Duration
+	for _, p := range m.Phases {
+		d += p.Duration
+	}
+	return d
+}
+
+// Class returns a class by name.
+func (m Mix) Class(name string) *Class {
+	for i := range m.Classes {
+		if m.Classes[i].Name == name {
+			return &m.Classes[i]
+		}
+	}
+	return nil
+}
+
+// Bounds of a useful answer, from the users' target.
+const (
+	firstTokenBound    = 810 * time.Millisecond
+	betweenTokensBound = 44 * time.Millisecond
+	flagBound          = 100 * time.Millisecond
+)
+
+// trinacria holds the classes of the feature-flag service.
+var trinacria = []Class{
+	{Name: "review", Model: "rule-review", Workspace: "palermo", PromptTokens: 2000, OutputTokens: 8, Spread: 0.5, Stream: true, Keyed: true, FirstToken: firstTokenBound, BetweenTokens: betweenTokensBound},
+	{Name: "notes", Model: "rollout-notes", Workspace: "releases", PromptTokens: 200, OutputTokens: 100, Spread: 0.4, Stream: true, FirstToken: firstTokenBound, BetweenTokens: betweenTokensBound},
+	{Name: "flag", Path: "/flags/checkout", Workspace: "palermo", Priority: "urgent", Whole: flagBound},
+	{Name: "kill", Path: "/kill-switch/checkout", Workspace: "palermo", Priority: "urgent", Whole: flagBound},
+}
+
+// Mixes are the named loads.
+var Mixes = []Mix{
+	{
+		Name: "demo", Doc: "a short run of everything", Classes: trinacria,
+		Phases: []Phase{{Name: "all", Duration: 10 * time.Second, Rates: map[string]float64{"review": 6, "notes": 6, "flag": 40, "kill": 5}}},
+	},
+}
+
+// MixByName returns a mix.
+func MixByName(name string) (Mix, error) {
+	i := slices.IndexFunc(Mixes, func(m Mix) bool { return m.Name == name })
+	if i < 0 {
+		return Mix{}, fault.Newf(fault.Invalid, "rockdoor-lab load --help lists the mixes", "mix %q does not exist", name)
+	}
+	return Mixes[i], nil
+}
+
+// Arrival is one request of a plan.
+type Arrival struct {
+	At     time.Duration
+	Class  *Class
+	Prompt int // tokens
+	Output int // tokens
+}
+
+// Plan draws the arrivals of a mix: a Poisson process for each class. Equal
+// seeds give equal plans.
+func Plan(m Mix, seed uint64, scale float64) []Arrival {
+	rng := rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))
+	var plan []Arrival
+	start := time.Duration(0)
+	for _, p := range m.Phases {
+		for i := range m.Classes {
+			c := &m.Classes[i]
+			rate := p.Rates[c.Name] * scale
+			if rate <= 0 {
+				continue
+			}
+			for at := exponential(rng, rate); at < p.Duration; at += exponential(rng, rate) {
+				plan = append(plan, Arrival{At: start + at, Class: c, Prompt: size(rng, c.PromptTokens, c.Spread), Output: size(rng, c.OutputTokens, c.Spread)})
+			}
+		}
+		start += p.Duration
+	}
+	slices.SortStableFunc(plan, func(a, b Arrival) int { return int(a.At - b.At) })
+	return plan
+}
+
+func exponential(rng *rand.Rand, rate float64) time.Duration {
+	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+// size draws a log-normal size with the given mean.
+func size(rng *rand.Rand, mean int, spread float64) int {
+	if mean <= 0 {
+		return 0
+	}
+	mu := math.Log(float64(mean)) - spread*spread/2
+	return max(1, int(math.Round(math.Exp(mu+spread*rng.NormFloat64()))))
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"io"
+	"slices"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+)
+
+// Summary is one class of a run.
+type Summary struct {
+	Class    string
+	Requests int
+	Outcomes map[Outcome]int
+	Good     int
+	Tokens   int
+	First    []time.Duration
+	Gaps     []time.Duration
+	Totals   []time.Duration
+}
+
+// Summarize groups results by class, in the order of the mix.
+func Summarize(m Mix, results []Result) []*Summary {
+	var out []*Summary
+	for _, c := range m.Classes {
+		s := &Summary{Class: c.Name, Outcomes: map[Outcome]int{}}
+		for _, r := range results {
+			if r.Class == c.Name {
+				s.add(r)
+			}
+		}
+		if s.Requests > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (s *Summary) add(r Result) {
+	s.Requests++
+	s.Outcomes[r.Outcome]++
+	if r.Good {
+		s.Good++
+		s.Tokens += r.Tokens + r.Prompt
+	}
+	if r.Outcome == Complete {
+		s.First = append(s.First, r.First)
+		s.Gaps = append(s.Gaps, r.Gap)
+		s.Totals = append(s.Totals, r.Total)
+	}
+}
+
+func ms(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
+
+// Print writes the summaries as a table.
+func Print(w io.Writer, sums []*Summary, took time.Duration) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"class", "requests", "complete", "refused", "unknown", "failed", "broken", "good", "good/s", "first p50", "first p95", "gap p95", "whole p50", "whole p99"})
+	for _, s := range sums {
+		t.AppendRow(table.Row{
+			s.Class, s.Requests, s.Outcomes[Complete], s.Outcomes[NotRun], s.Outcomes[Unknown], s.Outcomes[Failed], s.Outcomes[Broken],
+			s.Good, float64(int(float64(s.Good)/took.Seconds()*10)) / 10,
+			ms(Percentile(s.First, 0.5)), ms(Percentile(s.First, 0.95)), ms(Percentile(s.Gaps, 0.95)),
+			ms(Percentile(s.Totals, 0.5)), ms(Percentile(s.Totals, 0.99)),
+		})
+	}
+	t.Render()
+}
+
+// PrintViolations writes the broken promises.
+func PrintViolations(w io.Writer, v Violations) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"promise", "broken"})
+	t.AppendRows([]table.Row{
+		{"runs at a wrong place", v.WrongPlace},
+		{"runs doubled", v.Doubled},
+		{"false \"not run\"", v.FalseNotRun},
+		{"answers of another request", v.WrongAnswer},
+		{"requests without a final answer", v.Broken},
+		{"answers without a run", v.Missing},
+	})
+	t.Render()
+}
+
+// PrintCodes writes how often each code was given.
+func PrintCodes(w io.Writer, results []Result) {
+	counts := map[string]int{}
+	for _, r := range results {
+		if r.Outcome != Complete {
+			counts[string(r.Outcome)+" "+r.Code]++
+		}
+	}
+	if len(counts) == 0 {
+		return
+	}
+	var names []string
+	for n := range counts {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"outcome and code", "requests"})
+	for _, n := range names {
+		t.AppendRow(table.Row{n, counts[n]})
+	}
+	t.Render()
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,308 @@
+// Package peer carries calls between rockdoor processes: protobuf messages over
+// one yamux session per pair of processes and direction. A call never outlives
+// its deadline, messages are bounded, and a peer that sends garbage only loses
+// its session.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/hashicorp/yamux"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+)
+
+const (
+	// MaxMessageBytes bounds one message.
+	MaxMessageBytes = 4 << 20
+
+	dialTimeout     = time.Second
+	serveTimeout    = 5 * time.Second
+	maxSessions     = 256
+	maxCallsInHand  = 512
+	keepAlive       = 5 * time.Second
+	sessionTimeout  = 3 * time.Second
+	acceptRetryWait = 20 * time.Millisecond
+)
+
+// Handler answers calls. It must not keep the request.
+type Handler interface {
+	HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response
+}
+
+// Transport dials and serves peers.
+type Transport struct {
+	self    *peerpb.Identity
+	logger  log.Logger
+	reg     metrics.Registry
+	handler Handler
+	calls   *semaphore.Weighted
+
+	mu       sync.Mutex
+	dialed   map[string]*yamux.Session // by address
+	accepted map[*yamux.Session]struct{}
+	closed   bool
+	dials    singleflight.Group
+	wg       sync.WaitGroup
+}
+
+// NewTransport returns a transport that calls as self and answers by handler.
+func NewTransport(self *peerpb.Identity, handler Handler, reg metrics.Registry, logger log.Logger) *Transport {
+	return &Transport{
+		self:     self,
+		logger:   log.With(logger, "component", "peer"),
+		reg:      reg,
+		handler:  handler,
+		calls:    semaphore.NewWeighted(maxCallsInHand),
+		dialed:   map[string]*yamux.Session{},
+		accepted: map[*yamux.Session]struct{}{},
+	}
+}
+
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = sessionTimeout
+	cfg.StreamOpenTimeout = sessionTimeout
+	cfg.StreamCloseTimeout = sessionTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Serve accepts sessions until l is closed. It owns l.
+func (t *Transport) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if t.isClosed() {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			level.Warn(t.logger).Log("msg", "accept failed", "err", err)
+			time.Sleep(acceptRetryWait)
+			continue
+		}
+		t.accept(conn)
+	}
+}
+
+func (t *Transport) isClosed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed
+}
+
+func (t *Transport) accept(conn net.Conn) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || len(t.accepted) >= maxSessions {
+		session.Close()
+		return
+	}
+	t.accepted[session] = struct{}{}
+	t.wg.Add(1)
+	go t.serveSession(session)
+}
+
+func (t *Transport) serveSession(session *yamux.Session) {
+	defer t.wg.Done()
+	defer func() {
+		session.Close()
+		t.mu.Lock()
+		delete(t.accepted, session)
+		t.mu.Unlock()
+	}()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		if !t.calls.TryAcquire(1) {
+			stream.Close()
+			continue
+		}
+		t.wg.Add(1)
+		go func() {
+			defer t.wg.Done()
+			defer t.calls.Release(1)
+			if err := t.serveStream(stream); err != nil {
+				metrics.GetOrRegisterCounter("peer.bad_calls", t.reg).Inc(1)
+				level.Debug(t.logger).Log("msg", "peer call failed", "remote", session.RemoteAddr(), "err", err)
+				session.Close()
+			}
+		}()
+	}
+}
+
+// serveStream answers one call. An error means that the peer broke the protocol.
+func (t *Transport) serveStream(stream *yamux.Stream) error {
+	defer stream.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
+	req := &peerpb.Request{}
+	if err := t.read(stream, req); err != nil {
+		return err
+	}
+	if req.GetFrom().GetName() == "" || req.Body == nil {
+		return fault.New(fault.Invalid, "peer call without sender or body", "check that all processes run the same version")
+	}
+	resp := t.handler.HandlePeer(ctx, req)
+	resp.From = t.self
+	n, _ := protodelim.MarshalTo(stream, resp) // a failure means that the caller is gone
+	t.count("out", n)
+	return nil
+}
+
+func (t *Transport) read(r io.Reader, m proto.Message) error {
+	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
+	if err := opts.UnmarshalFrom(bufio.NewReader(r), m); err != nil {
+		return err
+	}
+	t.count("in", proto.Size(m))
+	return nil
+}
+
+// openStream is session.OpenStream bounded by ctx.
+func openStream(ctx context.Context, session *yamux.Session) (*yamux.Stream, error) {
+	type result struct {
+		stream *yamux.Stream
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		s, err := session.OpenStream()
+		done <- result{s, err}
+	}()
+	select {
+	case r := <-done:
+		return r.stream, r.err
+	case <-ctx.Done():
+		session.Close() // its backlog is full, so nothing answers there
+		return nil, ctx.Err()
+	}
+}
+
+func (t *Transport) count(direction string, n int) {
+	metrics.GetOrRegisterCounter("peer.bytes_"+direction, t.reg).Inc(int64(n))
+}
+
+// Call sends req to the process at address and returns its answer. The error
+// is Unavailable if no byte of the call was sent and Unknown otherwise.
+func (t *Transport) Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Response, error) {
+	session, err := t.session(ctx, address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" cannot be reached", "check the process and the network between the hosts")
+	}
+	stream, err := openStream(ctx, session)
+	if err != nil {
+		t.drop(address, session)
+		return nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" takes no calls", "check the process and the network between the hosts")
+	}
+	defer stream.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	req.From = t.self
+	n, err := protodelim.MarshalTo(stream, req)
+	t.count("out", n)
+	if err != nil {
+		t.drop(address, session)
+		return nil, fault.Wrap(err, fault.Unknown, "call to peer "+address+" was cut", "the call may have arrived")
+	}
+	resp := &peerpb.Response{}
+	if err := t.read(stream, resp); err != nil {
+		return nil, fault.Wrap(err, fault.Unknown, "answer of peer "+address+" was lost", "the call may have arrived")
+	}
+	if resp.Error != "" {
+		return nil, fault.New(fault.Denied, "peer "+address+" refused: "+resp.Error, "see the log of that process")
+	}
+	return resp, nil
+}
+
+// session returns the session to address, dialing if there is none.
+func (t *Transport) session(ctx context.Context, address string) (*yamux.Session, error) {
+	t.mu.Lock()
+	s := t.dialed[address]
+	closed := t.closed
+	t.mu.Unlock()
+	if closed {
+		return nil, fault.New(fault.Unavailable, "process is stopping", "call another process")
+	}
+	if s != nil && !s.IsClosed() {
+		return s, nil
+	}
+	v, err, _ := t.dials.Do(address, func() (any, error) { return t.dial(ctx, address) })
+	if err != nil {
+		return nil, err
+	}
+	return v.(*yamux.Session), nil
+}
+
+func (t *Transport) dial(ctx context.Context, address string) (*yamux.Session, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		s.Close()
+		return nil, fault.New(fault.Unavailable, "process is stopping", "call another process")
+	}
+	t.dialed[address] = s
+	return s, nil
+}
+
+// drop forgets a session that failed.
+func (t *Transport) drop(address string, s *yamux.Session) {
+	s.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dialed[address] == s {
+		delete(t.dialed, address)
+	}
+}
+
+// Close ends all sessions and waits for the calls in hand.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	for _, s := range t.dialed {
+		s.Close()
+	}
+	for s := range t.accepted {
+		s.Close()
+	}
+	t.mu.Unlock()
+	t.wg.Wait()
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,171 @@
+// Package members keeps the list of rockdoor processes. A process registers
+// through the object API; the list reaches everybody by the mirror. Who is
+// alive is learned from heartbeats between a bounded number of neighbours, so
+// the cost per process does not grow with the fleet.
+package members
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// KeyPrefix is where members register.
+const KeyPrefix = "state/members/"
+
+const (
+	// NeighboursEach is how many neighbours a process chooses; it is chosen by
+	// about as many others. Fleets of up to FullMesh processes all meet.
+	NeighboursEach = 8
+	FullMesh       = 16
+	// WatchersPerDomain is how many processes of a failure domain watch the store.
+	WatchersPerDomain = 2
+)
+
+// Member is the registration of one run of a process.
+type Member struct {
+	Name string `json:"name"`
+	// Incarnation orders the runs of one name; it rises with each start.
+	Incarnation string `json:"incarnation"`
+	Host        string `json:"host"`
+	Domain      string `json:"domain"`
+	// Peer, Admin and Listen are the addresses of the process.
+	Peer   string `json:"peer"`
+	Admin  string `json:"admin"`
+	Listen string `json:"listen"`
+}
+
+// NewIncarnation returns an incarnation that is later than all earlier ones of
+// hosts whose clocks agree to the millisecond.
+func NewIncarnation() string { return ulid.Make().String() }
+
+// Parse reads registrations from objects below KeyPrefix, ordered by name.
+// Objects that cannot be read are skipped.
+func Parse(objs []platform.Object) []Member {
+	var ms []Member
+	for _, o := range objs {
+		var m Member
+		if json.Unmarshal(o.Value, &m) == nil && KeyPrefix+m.Name == o.Key {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortFunc(ms, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return ms
+}
+
+// Register writes self to the store. It replaces an earlier incarnation and
+// fails with Conflict if a later one is registered.
+func Register(ctx context.Context, s platform.Store, self Member) error {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "member cannot be encoded", "report this as a defect")
+	}
+	key := KeyPrefix + self.Name
+	obj, err := s.Get(ctx, key)
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		return err
+	}
+	var old Member
+	if err == nil && json.Unmarshal(obj.Value, &old) == nil {
+		if old.Incarnation == self.Incarnation {
+			return nil
+		}
+		if old.Incarnation > self.Incarnation {
+			return fault.Newf(fault.Conflict, "stop one of the two processes or give it another name",
+				"a later process named %s is registered from %s", self.Name, old.Peer)
+		}
+	}
+	_, err = platform.PutSettled(ctx, s, key, value, obj.Version, self.Incarnation)
+	return err
+}
+
+// Unregister removes the registration of m if it is still the one in force.
+func Unregister(ctx context.Context, s platform.Store, m Member) error {
+	obj, err := s.Get(ctx, KeyPrefix+m.Name)
+	if fault.Is(err, fault.NotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var now Member
+	if json.Unmarshal(obj.Value, &now) == nil && now.Incarnation != m.Incarnation {
+		return nil
+	}
+	return s.Delete(ctx, obj.Key, obj.Version)
+}
+
+// Neighbours returns the members that self exchanges heartbeats with on its own
+// initiative: all of a small fleet, else the NeighboursEach with the highest
+// hash of the pair. The graph is random and differs at every process, so news
+// reaches all in a few hops and no process has more to do than another.
+func Neighbours(all []Member, self string) []Member {
+	others := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Name == self })
+	if len(all) <= FullMesh {
+		return others
+	}
+	slices.SortFunc(others, func(a, b Member) int {
+		return cmp.Compare(pairScore(self, b.Name), pairScore(self, a.Name))
+	})
+	return others[:NeighboursEach]
+}
+
+func pairScore(a, b string) uint64 {
+	if a > b {
+		a, b = b, a
+	}
+	return xxhash.Sum64String(a + "\x00" + b)
+}
+
+// IsWatcher reports whether self is one of the watchers of its failure domain,
+// given the members that are believed alive.
+func IsWatcher(alive []Member, self Member) bool {
+	rank := 0
+	mine := xxhash.Sum64String("watch\x00" + self.Name)
+	for _, m := range alive {
+		if m.Domain == self.Domain && m.Name != self.Name && xxhash.Sum64String("watch\x00"+m.Name) > mine {
+			rank++
+		}
+	}
+	return rank < WatchersPerDomain
+}
+
+// Health is what a process believes about a member.
+type Health string
+
+// Healths of a member.
+const (
+	// Unheard members are registered but have not been heard.
+	Unheard Health = "unheard"
+	Alive   Health = "alive"
+	// Suspected members have missed heartbeats. They may be paused or cut off.
+	Suspected Health = "suspected"
+	// Leaving members have said that they stop.
+	Leaving Health = "leaving"
+)
+
+// SuspectAfter is how many heartbeat intervals may pass without word.
+const SuspectAfter = 4
+
+// HealthAt returns the health of a member last heard at the given age.
+func HealthAt(heard bool, age, interval time.Duration, leaving bool) Health {
+	switch {
+	case !heard:
+		return Unheard
+	case leaving:
+		return Leaving
+	case age > SuspectAfter*interval:
+		return Suspected
+	default:
+		return Alive
+	}
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,89 @@
+#!/usr/bin/env bash
+# Starts the stand-ins and a fleet of entry processes on loopback addresses,
+# runs a short mixed workload through all of them and checks it. KEEP=1 leaves
+# everything up and prints what to try. FLEET sets the number of entry processes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+fleet=${FLEET:-4}
+out=${OUT:-demo-out}
+config=examples/trinacria/configuration.json
+rm -rf "$out"
+mkdir -p "$out"
+
+pids=()
+stop() {
+  [ ${#pids[@]} -eq 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+}
+trap stop EXIT
+
+start() { # start NAME COMMAND...: runs a process with its log in $out/NAME.log
+  local name=$1
+  shift
+  "$@" >"$out/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+await() { # await URL: until it answers with success
+  for _ in $(seq 200); do
+    curl -fs -o /dev/null "$1" && return 0
+    sleep 0.1
+  done
+  echo "demo: $1 did not answer; see the logs in $out" >&2
+  return 1
+}
+
+start platform bin/rockdoor-lab platform --listen 127.0.0.9:9000
+for i in $(seq 12); do
+  fencing=()
+  [ $((i % 2)) -eq 0 ] || fencing=(--fencing)
+  start "lm-$i" bin/rockdoor-lab engine --listen "127.0.1.$i:8000" --name "lm-$i" "${fencing[@]}"
+done
+for i in 1 2 3; do
+  start "flag-$i" bin/rockdoor-lab service --listen "127.0.2.$i:8000" --name "flag-$i"
+done
+await http://127.0.0.9:9000/hosts
+
+entries=()
+for i in $(seq "$fleet"); do
+  cat >"$out/entry-$i.json" <<JSON
+{
+  "name": "entry-$i", "host": "entry-host-$i", "domain": "catania-$(((i - 1) % 3 + 1))",
+  "listen": "127.0.3.$i:8080", "admin": "127.0.3.$i:7001", "peer": "127.0.3.$i:7002",
+  "platform": "http://127.0.0.9:9000",
+  "limits": {"stopGrace": "500ms"},
+}
+JSON
+  start "entry-$i" bin/rockdoor serve --settings "$out/entry-$i.json"
+  entries+=(--entry "127.0.3.$i:8080")
+done
+
+export ROCKDOOR_ADMIN=127.0.3.1:7001
+await "http://$ROCKDOOR_ADMIN/healthz"
+bin/rockdoor config apply -m "demo" "$config"
+for i in $(seq "$fleet"); do await "http://127.0.3.$i:7001/readyz"; done
+bin/rockdoor status
+echo
+verdict=0
+bin/rockdoor-lab load "${entries[@]}" --config "$config" --mix "${MIX:-demo}" --seed "${SEED:-1}" || verdict=$?
+
+echo
+echo "decisions by reason:"
+grep -ho 'msg=decision.*' "$out"/entry-*.log | grep -o ' reason=[a-z-]*' | sort | uniq -c
+echo "one of them:"
+grep -h 'msg=decision' "$out"/entry-1.log | grep class=rule-review | head -1 || true
+
+if [ -n "${KEEP:-}" ]; then
+  cat <<TEXT
+
+The fleet is up. Try:
+  curl -s 127.0.3.1:8080/flags/checkout -H 'Authorization: Bearer key-palermo'
+  curl -sN 127.0.3.2:8080/v1/chat/completions -H 'Authorization: Bearer key-releases' -d '{"model": "rollout-notes", "stream": true, "messages": [{"role": "user", "content": "hello"}]}'
+  bin/rockdoor explain --admin $ROCKDOOR_ADMIN --workspace palermo --model rule-review
+  bin/rockdoor engine drain --admin $ROCKDOOR_ADMIN lm-1
+  curl -s $ROCKDOOR_ADMIN/metrics
+The logs are in $out. Interrupt to stop.
+TEXT
+  wait
+fi
+exit $verdict
