--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -1,6 +1,6 @@
-// Package platformd is a stand-in for the platform's object API, its lagging
-// list of hosts and its rate-limited weight store. It keeps everything in
-// memory and can be told to fail in the ways that the real one does.
+// Package platformd is a stand-in for the platform: its object API over HTTP,
+// its lagging list of hosts and its rate-limited weight store. It can be told
+// to fail in the ways that the real one does.
 package platformd
 
 import (
@@ -8,21 +8,19 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
+	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/platform"
 	"github.com/rockdoor/rockdoor/platform/httpapi"
+	"github.com/rockdoor/rockdoor/platform/memstore"
 )
 
-const historyLength = 4096
-
 // Faults says how the stand-in misbehaves.
 type Faults struct {
 	// Down refuses every call.
@@ -36,34 +34,25 @@
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
 	router  *mux.Router
+	store   *memstore.Store
 	weights *rate.Limiter
 
-	mu      sync.Mutex
-	objects map[string]platform.Object
-	events  []platform.Event
-	rev     platform.Revision
-	wake    chan struct{}
-	faults  Faults
-	hosts   []platform.Host
-	calls   map[string]int
+	mu     sync.Mutex
+	faults Faults
+	hosts  []platform.Host
 }
 
 // New returns an empty stand-in whose weight store serves weightLoads loads a second.
 func New(weightLoads float64) *Server {
-	s := &Server{
-		objects: map[string]platform.Object{},
-		wake:    make(chan struct{}),
-		calls:   map[string]int{},
-		weights: rate.NewLimiter(rate.Limit(weightLoads), 1),
-	}
+	s := &Server{store: memstore.New(), weights: rate.NewLimiter(rate.Limit(weightLoads), 1)}
 	r := mux.NewRouter().UseEncodedPath()
-	r.HandleFunc("/objects/{key}", s.faulty("get", s.get)).Methods(http.MethodGet)
-	r.HandleFunc("/objects/{key}", s.faulty("put", s.put)).Methods(http.MethodPut)
-	r.HandleFunc("/objects/{key}", s.faulty("delete", s.delete)).Methods(http.MethodDelete)
-	r.HandleFunc("/objects", s.faulty("list", s.list)).Methods(http.MethodGet)
-	r.HandleFunc("/watch", s.faulty("watch", s.watch)).Methods(http.MethodGet)
-	r.HandleFunc("/hosts", s.faulty("hosts", s.getHosts)).Methods(http.MethodGet)
-	r.HandleFunc("/weights/{model}", s.faulty("weights", s.getWeights)).Methods(http.MethodGet)
+	r.HandleFunc("/objects/{key}", s.faulty(s.get)).Methods(http.MethodGet)
+	r.HandleFunc("/objects/{key}", s.faulty(s.put)).Methods(http.MethodPut)
+	r.HandleFunc("/objects/{key}", s.faulty(s.delete)).Methods(http.MethodDelete)
+	r.HandleFunc("/objects", s.faulty(s.list)).Methods(http.MethodGet)
+	r.HandleFunc("/watch", s.faulty(s.watch)).Methods(http.MethodGet)
+	r.HandleFunc("/hosts", s.faulty(s.getHosts)).Methods(http.MethodGet)
+	r.HandleFunc("/weights/{model}", s.faulty(s.getWeights)).Methods(http.MethodGet)
 	r.HandleFunc("/lab/faults", s.setFaults).Methods(http.MethodPut)
 	r.HandleFunc("/lab/hosts", s.setHosts).Methods(http.MethodPut)
 	r.HandleFunc("/lab/calls", s.getCalls).Methods(http.MethodGet)
@@ -74,38 +63,27 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
+// Store returns the objects behind the API.
+func (s *Server) Store() *memstore.Store { return s.store }
+
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
 	if f.Down {
-		s.broadcast()
-	}
-}
-
-// Calls returns how often each kind of call was made.
-func (s *Server) Calls() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := map[string]int{}
-	for k, n := range s.calls {
-		out[k] = n
+		s.store.FailWith(memstore.Down)
+	} else {
+		s.store.FailWith(nil)
 	}
-	return out
 }
 
-func (s *Server) faulty(kind string, next http.HandlerFunc) http.HandlerFunc {
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.faults
-		s.calls[kind]++
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
-		if f.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
 		if f.LoseAnswers && r.Method != http.MethodGet {
 			next(discard{http.Header{}}, r)
 			panic(http.ErrAbortHandler)
@@ -121,22 +99,6 @@
 func (d discard) Write(p []byte) (int, error) { return len(p), nil }
 func (d discard) WriteHeader(int)             {}
 
-// broadcast wakes all watches. The caller holds s.mu.
-func (s *Server) broadcast() {
-	close(s.wake)
-	s.wake = make(chan struct{})
-}
-
-// record appends an event and wakes the watches. The caller holds s.mu.
-func (s *Server) record(ev platform.Event) {
-	ev.Revision = s.rev
-	s.events = append(s.events, ev)
-	if len(s.events) > historyLength {
-		s.events = s.events[len(s.events)-historyLength:]
-	}
-	s.broadcast()
-}
-
 func key(r *http.Request) string {
 	k, _ := url.PathUnescape(mux.Vars(r)["key"])
 	return k
@@ -147,120 +109,68 @@
 	return n
 }
 
-func reply(w http.ResponseWriter, v any) {
+func reply(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), statusOf(err))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	obj, ok := s.objects[key(r)]
-	s.mu.Unlock()
-	if !ok {
-		http.Error(w, "not found", http.StatusNotFound)
-		return
+func statusOf(err error) int {
+	if err == error(platform.ErrWatchGap) {
+		return http.StatusGone
+	}
+	switch fault.KindOf(err) {
+	case fault.NotFound:
+		return http.StatusNotFound
+	case fault.Conflict:
+		return http.StatusConflict
+	case fault.Invalid:
+		return http.StatusRequestEntityTooLarge
 	}
-	reply(w, obj)
+	return http.StatusServiceUnavailable
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	obj, err := s.store.Get(r.Context(), key(r))
+	reply(w, obj, err)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
 	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
-	if err != nil || len(value) > platform.MaxValueBytes {
-		http.Error(w, "value too large or cut", http.StatusRequestEntityTooLarge)
+	if err != nil {
+		http.Error(w, "value was cut", http.StatusBadRequest)
 		return
 	}
-	k := key(r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.objects[k].Version != platform.Version(intParam(r, "ifVersion")) {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
-	}
-	s.rev++
-	obj := platform.Object{Key: k, Value: value, Version: platform.Version(s.rev), WriteID: r.URL.Query().Get("writeID")}
-	s.objects[k] = obj
-	s.record(platform.Event{Object: obj})
-	reply(w, obj)
+	obj, err := s.store.Put(r.Context(), key(r), value, platform.Version(intParam(r, "ifVersion")), r.URL.Query().Get("writeID"))
+	reply(w, obj, err)
 }
 
 func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
-	k := key(r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	obj, ok := s.objects[k]
-	if !ok {
-		http.Error(w, "not found", http.StatusNotFound)
-		return
-	}
-	if obj.Version != platform.Version(intParam(r, "ifVersion")) {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
-	}
-	s.rev++
-	delete(s.objects, k)
-	s.record(platform.Event{Object: obj, Deleted: true})
+	reply(w, struct{}{}, s.store.Delete(r.Context(), key(r), platform.Version(intParam(r, "ifVersion"))))
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	prefix := r.URL.Query().Get("prefix")
-	out := httpapi.ListResponse{Objects: []platform.Object{}}
-	s.mu.Lock()
-	out.Revision = s.rev
-	for k, obj := range s.objects {
-		if strings.HasPrefix(k, prefix) {
-			out.Objects = append(out.Objects, obj)
-		}
-	}
-	s.mu.Unlock()
-	slices.SortFunc(out.Objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
-	reply(w, out)
+	objs, rev, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	reply(w, httpapi.ListResponse{Objects: objs, Revision: rev}, err)
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	prefix := r.URL.Query().Get("prefix")
-	after := platform.Revision(intParam(r, "after"))
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	deadline := time.NewTimer(wait)
-	defer deadline.Stop()
-	for {
-		s.mu.Lock()
-		if s.faults.Down {
-			s.mu.Unlock()
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		if len(s.events) == historyLength && s.events[0].Revision > after+1 {
-			s.mu.Unlock()
-			http.Error(w, "gap", http.StatusGone)
-			return
-		}
-		out := httpapi.WatchResponse{Revision: max(s.rev, after), Events: []platform.Event{}}
-		for _, ev := range s.events {
-			if ev.Revision > after && strings.HasPrefix(ev.Object.Key, prefix) {
-				out.Events = append(out.Events, ev)
-			}
-		}
-		wake := s.wake
-		s.mu.Unlock()
-		if len(out.Events) > 0 {
-			reply(w, out)
-			return
-		}
-		select {
-		case <-wake:
-		case <-deadline.C:
-			reply(w, out)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
+	events, rev, err := s.store.Watch(r.Context(), r.URL.Query().Get("prefix"), platform.Revision(intParam(r, "after")), wait)
+	reply(w, httpapi.WatchResponse{Events: events, Revision: rev}, err)
 }
 
 func (s *Server) getHosts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, s.hosts)
+	if s.faults.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, s.hosts, nil)
 }
 
 func (s *Server) getWeights(w http.ResponseWriter, r *http.Request) {
@@ -270,7 +180,7 @@
 	}
 	reply(w, struct {
 		Model string `json:"model"`
-	}{mux.Vars(r)["model"]})
+	}{mux.Vars(r)["model"]}, nil)
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -293,4 +203,4 @@
 	s.mu.Unlock()
 }
 
-func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) { reply(w, s.Calls()) }
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) { reply(w, s.store.Calls(), nil) }
--- /dev/null
+++ b/members/members_test.go
@@ -0,0 +1,84 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/platform/memstore"
+)
+
+func fleet(n, domains int) []Member {
+	ms := make([]Member, n)
+	for i := range ms {
+		ms[i] = Member{Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprintf("d%d", i%domains)}
+	}
+	return ms
+}
+
+func TestNeighboursAreBoundedAndConnectTheFleet(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 16, 17, 128, 610} {
+		ms := fleet(n, 11)
+		edges := map[string][]string{}
+		for _, m := range ms {
+			chosen := Neighbours(ms, m.Name)
+			require.LessOrEqual(t, len(chosen), FullMesh)
+			for _, c := range chosen {
+				edges[m.Name] = append(edges[m.Name], c.Name)
+				edges[c.Name] = append(edges[c.Name], m.Name)
+			}
+		}
+		hops := reach(edges, ms[0].Name)
+		require.Len(t, hops, n)
+		for _, h := range hops {
+			require.LessOrEqual(t, h, 4, "hops in a fleet of %d", n)
+		}
+	}
+}
+
+func reach(edges map[string][]string, from string) map[string]int {
+	hops := map[string]int{from: 0}
+	for todo := []string{from}; len(todo) > 0; todo = todo[1:] {
+		for _, next := range edges[todo[0]] {
+			if _, ok := hops[next]; !ok {
+				hops[next] = hops[todo[0]] + 1
+				todo = append(todo, next)
+			}
+		}
+	}
+	return hops
+}
+
+func TestWatchersPerDomain(t *testing.T) {
+	ms := fleet(610, 11)
+	watchers := map[string]int{}
+	for _, m := range ms {
+		if IsWatcher(ms, m) {
+			watchers[m.Domain]++
+		}
+	}
+	require.Len(t, watchers, 11)
+	for d, n := range watchers {
+		require.Equal(t, WatchersPerDomain, n, d)
+	}
+}
+
+func TestLaterIncarnationWins(t *testing.T) {
+	ctx := context.Background()
+	s := memstore.New()
+	old, now := Member{Name: "a", Incarnation: "1"}, Member{Name: "a", Incarnation: "2"}
+	require.NoError(t, Register(ctx, s, old))
+	require.NoError(t, Register(ctx, s, now))
+	require.NoError(t, Register(ctx, s, now), "again")
+	require.True(t, fault.Is(Register(ctx, s, old), fault.Conflict))
+	require.NoError(t, Unregister(ctx, s, old), "not its own any more")
+	objs, _, _ := s.List(ctx, KeyPrefix)
+	require.Equal(t, []Member{now}, Parse(objs))
+	require.NoError(t, Unregister(ctx, s, now))
+	require.NoError(t, Unregister(ctx, s, now), "already gone")
+	objs, _, _ = s.List(ctx, KeyPrefix)
+	require.Empty(t, objs)
+}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,106 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/platform/memstore"
+)
+
+// Copies that follow the store or each other, in any order and with gaps, never
+// go back and are exact as of their revision.
+func TestMirrorsAreExactAndNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := memstore.New()
+		truth := map[platform.Revision]string{0: "[]"}
+		mirrors := []*Mirror{New("s/"), New("s/"), New("s/")}
+		keepers := make([]*Keeper, len(mirrors))
+		for i, m := range mirrors {
+			keepers[i] = NewKeeper(m, store, func() bool { return true }, log.NewNopLogger())
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "mirror")
+			before := mirrors[i].Revision()
+			switch rapid.SampledFrom([]string{"write", "write", "delete", "read", "copy", "stale copy"}).Draw(t, "op") {
+			case "write":
+				key := fmt.Sprintf("s/%d", rapid.IntRange(0, 3).Draw(t, "key"))
+				old, _ := store.Get(ctx, key)
+				obj, err := store.Put(ctx, key, []byte(fmt.Sprint(len(truth))), old.Version, "")
+				require.NoError(t, err)
+				truth[platform.Revision(obj.Version)] = contents(store)
+			case "delete":
+				if objs, rev, _ := store.List(ctx, "s/"); len(objs) > 0 {
+					require.NoError(t, store.Delete(ctx, objs[0].Key, objs[0].Version))
+					truth[rev+1] = contents(store)
+				}
+			case "read":
+				require.NoError(t, keepers[i].Refresh(ctx, 0))
+			case "copy":
+				from := mirrors[rapid.IntRange(0, 2).Draw(t, "from")]
+				mirrors[i].Apply(from.Since(before))
+			case "stale copy":
+				from := mirrors[rapid.IntRange(0, 2).Draw(t, "from")]
+				mirrors[i].Apply(from.Since(platform.Revision(rapid.IntRange(-1, 5).Draw(t, "after"))))
+			}
+			if now := mirrors[i].Revision(); now < before {
+				t.Fatalf("revision went back from %d to %d", before, now)
+			} else if now != None && fmt.Sprint(values(mirrors[i].List("s/"))) != truth[now] {
+				t.Fatalf("at revision %d the copy holds %v, the store held %s", now, values(mirrors[i].List("s/")), truth[now])
+			}
+		}
+	})
+}
+
+func contents(s *memstore.Store) string {
+	objs, _, _ := s.List(context.Background(), "s/")
+	return fmt.Sprint(values(objs))
+}
+
+func values(objs []platform.Object) []string {
+	out := []string{}
+	for _, o := range objs {
+		out = append(out, o.Key+"="+string(o.Value))
+	}
+	return out
+}
+
+func TestAgeComesOnlyFromProofs(t *testing.T) {
+	m := New("s/")
+	require.Equal(t, Never, m.Age())
+	m.Apply(Delta{Revision: 5, Full: true, Age: Never})
+	require.Equal(t, Never, m.Age(), "a copy without a proof")
+	m.Confirm(4, 0)
+	require.Equal(t, Never, m.Age(), "a proof of another revision")
+	m.Confirm(5, time.Hour)
+	require.GreaterOrEqual(t, m.Age(), time.Hour)
+	m.Confirm(5, time.Minute)
+	require.Less(t, m.Age(), 2*time.Minute)
+	m.Confirm(5, time.Hour)
+	require.Less(t, m.Age(), 2*time.Minute, "an older proof")
+}
+
+func TestWatchGapIsHealedByAList(t *testing.T) {
+	ctx := context.Background()
+	store := memstore.New()
+	m := New("s/")
+	k := NewKeeper(m, store, func() bool { return true }, log.NewNopLogger())
+	require.NoError(t, k.Refresh(ctx, 0))
+	v := platform.Version(0)
+	for range 5000 {
+		obj, err := store.Put(ctx, "s/a", nil, v, "")
+		require.NoError(t, err)
+		v = obj.Version
+	}
+	require.NoError(t, k.Refresh(ctx, 0))
+	require.EqualValues(t, 5000, m.Revision())
+	require.Less(t, bootclock.Since(m.provenAt), time.Minute)
+}
