--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,468 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/standin/answer"
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+	"github.com/rockdoor/rockdoor/routing"
+)
+
+func TestMain(m *testing.M) {
+	// The metrics library keeps one goroutine for the whole program.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
+
+// fleet is one entry server before stand-ins.
+type fleet struct {
+	t        *testing.T
+	engines  []*engined.Server
+	services []*serviced.Server
+	entry    *Server
+	url      string
+	mu       sync.Mutex
+	snapshot *control.Snapshot
+}
+
+const testConfig = `{
+  "hosts": [{"name": "h0", "domain": "d0"}, {"name": "h1", "domain": "d1"}, {"name": "entry", "domain": "d0"}],
+  "pools": [{"name": "p", "policy": "least-outstanding"}],
+  "engines": [
+    {"name": "e0", "pool": "p", "host": "h0", "address": "%s", "capacity": 4},
+    {"name": "e1", "pool": "p", "host": "h1", "address": "%s", "capacity": 4}
+  ],
+  "models": [
+    {"name": "review", "pool": "p", "timeout": "5s"},
+    {"name": "notes", "pool": "p", "idempotent": true, "timeout": "5s"},
+    {"name": "local", "pool": "p", "selector": "domain=d0", "timeout": "5s"}
+  ],
+  "services": [{"name": "s", "servers": [{"name": "s0", "host": "h0", "address": "%s"}, {"name": "s1", "host": "h1", "address": "%s"}]}],
+  "routes": [
+    {"path": "/flags/", "service": "s", "idempotent": true, "timeout": "2s"},
+    {"path": "/alerts/", "service": "s", "methods": ["POST", "GET"], "timeout": "2s"}
+  ],
+  "workspaces": [
+    {"name": "w"}, {"name": "d1only", "selector": "domain=d1"}, {"name": "elsewhere", "entrySelector": "host=h1"},
+    {"name": "slow", "requestsPerSecond": 0.01}
+  ]
+}`
+
+func listener(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func start(t *testing.T) *fleet {
+	f := &fleet{t: t}
+	var addresses []any
+	for i := range 2 {
+		e := engined.New(engined.Options{Name: fmt.Sprintf("e%d", i)})
+		t.Cleanup(e.Close)
+		f.engines = append(f.engines, e)
+		addresses = append(addresses, listener(t, e))
+	}
+	for i := range 2 {
+		s := serviced.New(fmt.Sprintf("s%d", i), 0)
+		f.services = append(f.services, s)
+		addresses = append(addresses, listener(t, s))
+	}
+	_, compiled, err := config.Parse("test", fmt.Appendf(nil, testConfig, addresses...))
+	require.NoError(t, err)
+	f.snapshot = &control.Snapshot{Config: compiled, Revision: 7, Serving: 1, FreshUntil: bootclock.Now().Add(time.Hour)}
+	set := &settings.Settings{Host: "entry", Domain: "d0"}
+	set.Limits = settings.Limits{BodyBytes: 4096, Requests: 64, UrgentReserve: 0.1}
+	require.NoError(t, set.Limits.BodyTimeout.UnmarshalText([]byte("300ms")))
+	f.entry = New(Options{Settings: set, Snapshot: f.current, Tracker: &routing.Tracker{}, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	t.Cleanup(f.entry.Close)
+	f.url = "http://" + listener(t, f.entry)
+	return f
+}
+
+func (f *fleet) current() *control.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+// reply of the entry server to one request.
+type got struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func (g got) code(t *testing.T) string {
+	var e openai.ErrorBody
+	require.NoError(t, json.Unmarshal([]byte(g.body), &e), g.body)
+	require.Contains(t, e.Error.Message, "remedy")
+	return e.Error.Code
+}
+
+func (f *fleet) do(method, path, body string, headers ...string) got {
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set(HeaderWorkspace, "w")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header, resp.Trailer, string(data), err}
+}
+
+func (f *fleet) chat(model string, stream bool, headers ...string) got {
+	body := fmt.Sprintf(`{"model": %q, "stream": %t, "max_tokens": 6, "messages": [{"role": "user", "content": "hello"}]}`, model, stream)
+	return f.do(http.MethodPost, pathChat, body, headers...)
+}
+
+// runs returns how often the engines ran.
+func (f *fleet) runs() (n int) {
+	for _, e := range f.engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
+func (f *fleet) calls() (n int) {
+	for _, s := range f.services {
+		n += len(s.Runs())
+	}
+	return n
+}
+
+func (f *fleet) engineFaults(faults engined.Faults) {
+	for _, e := range f.engines {
+		e.SetFaults(faults)
+	}
+}
+
+// text joins the pieces of a stream.
+func text(t *testing.T, stream string) (out string, done bool) {
+	sc := bufio.NewScanner(strings.NewReader(stream))
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == openai.Done {
+			return out, true
+		}
+		var c openai.Chunk
+		require.NoError(t, json.Unmarshal([]byte(data), &c))
+		if len(c.Choices) > 0 && c.Choices[0].Delta != nil {
+			out += c.Choices[0].Delta.Content
+		}
+	}
+	return out, false
+}
+
+func TestCompletionsArriveWhole(t *testing.T) {
+	f := start(t)
+	whole := f.chat("review", false)
+	require.Equal(t, 200, whole.status, whole.body)
+	require.Equal(t, "complete", whole.header.Get(HeaderOutcome))
+	require.Equal(t, "7", whole.header.Get(HeaderRevision))
+	require.Contains(t, whole.body, answer.Text("hello", 6))
+	stream := f.chat("review", true)
+	got, done := text(t, stream.body)
+	require.True(t, done)
+	require.Equal(t, answer.Text("hello", 6), got)
+	require.Equal(t, "complete", stream.trailer.Get(HeaderOutcome))
+	require.Equal(t, 2, f.runs())
+	plain := f.do(http.MethodPost, "/alerts/x", "farm 7")
+	require.Equal(t, serviced.Answer("POST", "/alerts/x", []byte("farm 7")), plain.body)
+}
+
+func TestEveryRunIsWhereAllSelectorsPermit(t *testing.T) {
+	f := start(t)
+	for range 10 {
+		require.Equal(t, 200, f.chat("review", false, HeaderSelector, "domain=d1").status)
+		require.Equal(t, 200, f.chat("review", true, HeaderWorkspace, "d1only").status)
+		require.Equal(t, 200, f.do(http.MethodGet, "/flags/x", "", HeaderWorkspace, "d1only").status)
+	}
+	require.Empty(t, f.engines[0].Runs())
+	require.Empty(t, f.services[0].Runs())
+	none := f.chat("local", false, HeaderWorkspace, "d1only")
+	require.Equal(t, 503, none.status)
+	require.Equal(t, codeNoTarget, none.code(t))
+	require.Equal(t, "not_run", none.header.Get(HeaderOutcome))
+	require.NotEmpty(t, none.header.Get("Retry-After"))
+	wrong := f.chat("review", false, HeaderWorkspace, "elsewhere")
+	require.Equal(t, http.StatusMisdirectedRequest, wrong.status)
+	require.Equal(t, 20, f.runs())
+}
+
+func TestRetriesStayInPlace(t *testing.T) {
+	f := start(t)
+	f.engines[0].SetFaults(engined.Faults{CutBeforeHeaders: true})
+	for range 3 {
+		g := f.chat("notes", false, HeaderSelector, "domain=d0")
+		require.Equal(t, 503, g.status)
+		require.Equal(t, codeUnknown, g.code(t), "it ran there, so nobody may say not run")
+	}
+	require.Empty(t, f.engines[1].Runs())
+}
+
+func TestWhatMayHaveRunIsNotRepeatedUnlessIdempotent(t *testing.T) {
+	for name, faults := range map[string]engined.Faults{
+		"cut before headers": {CutBeforeHeaders: true},
+		"crossed answer":     {WrongID: true},
+		"garbage":            {Garbage: true},
+		"cut in the stream":  {CutAfter: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			f.engineFaults(faults)
+			g := f.chat("review", faults.CutAfter > 0)
+			require.Equal(t, 1, f.runs())
+			if faults.CutAfter > 0 {
+				_, done := text(t, strings.Split(g.body, `data: {"error"`)[0])
+				require.False(t, done)
+				require.Contains(t, g.body, codeUnknown, "a typed error event ends the stream")
+				require.Equal(t, "unknown", g.trailer.Get(HeaderOutcome))
+				return
+			}
+			require.Equal(t, http.StatusBadGateway, g.status)
+			require.Equal(t, codeUnknown, g.code(t))
+			require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+			require.Empty(t, g.header.Get("Retry-After"))
+		})
+	}
+}
+
+func TestIdempotentRequestsGoOnElsewhere(t *testing.T) {
+	for name, faults := range map[string]engined.Faults{
+		"cut before headers": {CutBeforeHeaders: true},
+		"crossed answer":     {WrongID: true},
+		"cut in the stream":  {CutAfter: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			f.engines[0].SetFaults(faults)
+			for range 4 {
+				g := f.chat("notes", true)
+				got, done := text(t, g.body)
+				require.True(t, done, g.body)
+				require.Equal(t, answer.Text("hello", 6), got, "no token lost or repeated")
+			}
+		})
+	}
+}
+
+func TestRefusalOfAnEngineIsNotARun(t *testing.T) {
+	f := start(t)
+	f.engines[0].SetFaults(engined.Faults{Refuse: true})
+	for range 6 {
+		require.Equal(t, 200, f.chat("review", false).status)
+	}
+	f.engineFaults(engined.Faults{Refuse: true})
+	g := f.chat("review", false)
+	require.Equal(t, 503, g.status)
+	require.Equal(t, "not_run", g.header.Get(HeaderOutcome))
+	require.Equal(t, 6, f.runs())
+}
+
+// A server that closes a kept-alive connection after reading a call makes
+// HTTP clients send a GET, or a call with an Idempotency-Key, once more.
+func TestTransportNeverRepeatsACall(t *testing.T) {
+	f := start(t)
+	for i, s := range f.services {
+		require.Equal(t, 200, f.do(http.MethodGet, "/alerts/warm", "", HeaderSelector, fmt.Sprintf("server=s%d", i)).status)
+		s.SetFaults(serviced.Faults{CutBeforeHeaders: true})
+	}
+	before := f.calls()
+	g := f.do(http.MethodGet, "/alerts/x", "", HeaderKey, "k1")
+	require.Equal(t, http.StatusBadGateway, g.status)
+	require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+	require.Equal(t, before+1, f.calls())
+	g = f.do(http.MethodPost, "/alerts/x", "body", HeaderKey, "k2")
+	require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+	require.Equal(t, before+2, f.calls())
+}
+
+func TestDeadTargetIsNotARun(t *testing.T) {
+	f := start(t)
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, dead.Close())
+	for _, target := range f.snapshot.Config.Targets {
+		if target.Name == "e0" || target.Name == "s0" {
+			target.Address = dead.Addr().String()
+		}
+	}
+	for range 6 {
+		require.Equal(t, 200, f.chat("review", false).status)
+		require.Equal(t, 200, f.do(http.MethodPost, "/alerts/x", "").status)
+	}
+	g := f.chat("local", false)
+	require.Equal(t, "not_run", g.header.Get(HeaderOutcome))
+	require.Equal(t, 6, f.runs())
+	require.Equal(t, 6, f.calls())
+}
+
+func TestBadInput(t *testing.T) {
+	f := start(t)
+	for name, c := range map[string]struct {
+		g      got
+		status int
+		code   string
+	}{
+		"unknown model":   {f.chat("gpt", false), 404, "not_found"},
+		"no JSON":         {f.do("POST", pathChat, "{"), 400, "invalid"},
+		"no messages":     {f.do("POST", pathChat, `{"model": "review"}`), 400, "invalid"},
+		"too large":       {f.do("POST", pathChat, strings.Repeat("x", 5000)), 413, codeTooLarge},
+		"wrong method":    {f.do("DELETE", pathChat, ""), 405, codeMethod},
+		"route method":    {f.do("DELETE", "/flags/x", ""), 405, codeMethod},
+		"no route":        {f.do("GET", "/nowhere", ""), 404, codeNoRoute},
+		"no such API":     {f.do("GET", "/v1/nothing", ""), 404, codeNoRoute},
+		"no workspace":    {f.chat("review", false, HeaderWorkspace, "nobody"), 401, "denied"},
+		"wrong key":       {f.chat("review", false, HeaderWorkspace, "", "Authorization", "Bearer x"), 401, "denied"},
+		"bad selector":    {f.chat("review", false, HeaderSelector, "a in"), 400, "invalid"},
+		"bad priority":    {f.chat("review", false, HeaderPriority, "now"), 400, "invalid"},
+		"bad deadline":    {f.chat("review", false, HeaderDeadline, "-1s"), 400, "invalid"},
+		"bad idempotent":  {f.chat("review", false, HeaderIdempotent, "maybe"), 400, "invalid"},
+		"long key":        {f.chat("review", false, HeaderKey, strings.Repeat("k", 300)), 400, "invalid"},
+		"negative tokens": {f.do("POST", pathText, `{"model": "review", "prompt": "x", "max_tokens": -1}`), 400, "invalid"},
+	} {
+		require.Equal(t, c.status, c.g.status, "%s: %s", name, c.g.body)
+		require.Equal(t, c.code, c.g.code(t), name)
+		require.Equal(t, "not_run", c.g.header.Get(HeaderOutcome), name)
+	}
+	require.Zero(t, f.runs()+f.calls())
+}
+
+func TestSlowBodyIsCutOff(t *testing.T) {
+	f := start(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST "+pathChat+" HTTP/1.1\r\nHost: x\r\n"+HeaderWorkspace+": w\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.Equal(t, "not_run", resp.Header.Get(HeaderOutcome))
+}
+
+func TestStaleProcessRefusesWhatSelectorsGovern(t *testing.T) {
+	f := start(t)
+	stale := *f.snapshot
+	stale.FreshUntil = bootclock.Now() - 1
+	f.mu.Lock()
+	f.snapshot = &stale
+	f.mu.Unlock()
+	g := f.chat("review", false)
+	require.Equal(t, 503, g.status)
+	require.Equal(t, codeStale, g.code(t))
+	require.Equal(t, "not_run", g.header.Get(HeaderOutcome))
+	require.NotEmpty(t, g.header.Get("Retry-After"))
+	require.Zero(t, f.runs())
+}
+
+func TestDeadlineGivesAFinalAnswer(t *testing.T) {
+	f := start(t)
+	f.engineFaults(engined.Faults{Silent: true})
+	g := f.chat("notes", false, HeaderDeadline, "50ms")
+	require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+	g = f.chat("review", true, HeaderDeadline, "50ms")
+	require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+}
+
+func TestCallerThatVanishesCancelsTheEngine(t *testing.T) {
+	f := start(t)
+	f.engineFaults(engined.Faults{Silent: true})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	body := `{"model": "review", "messages": [{"role": "user", "content": "x"}]}`
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\n%s: w\r\nContent-Length: %d\r\n\r\n%s", pathChat, HeaderWorkspace, len(body), body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.runs() == 1 }, 5*time.Second, time.Millisecond)
+	conn.Close()
+	require.Eventually(t, func() bool {
+		for _, e := range f.engines {
+			for _, r := range e.Runs() {
+				if r.Cancelled {
+					return f.entry.InHand() == 0
+				}
+			}
+		}
+		return false
+	}, 5*time.Second, time.Millisecond)
+}
+
+func TestFullTargetsRefuseAtOnce(t *testing.T) {
+	f := start(t)
+	f.engineFaults(engined.Faults{Silent: true})
+	var wg sync.WaitGroup
+	for range 12 { // 2 engines, capacity 4, and half as much queued
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.chat("review", false, HeaderDeadline, "1s")
+		}()
+	}
+	require.Eventually(t, func() bool { return f.runs() == 12 }, 5*time.Second, time.Millisecond)
+	g := f.chat("review", false)
+	require.Equal(t, codeOverloaded, g.code(t))
+	require.Equal(t, "not_run", g.header.Get(HeaderOutcome))
+	require.NotEmpty(t, g.header.Get("Retry-After"))
+	wg.Wait()
+}
+
+func TestWorkspaceRateIsRefusedWithATime(t *testing.T) {
+	f := start(t)
+	statuses := map[int]int{}
+	for range 5 {
+		statuses[f.do(http.MethodGet, "/flags/x", "", HeaderWorkspace, "slow").status]++
+	}
+	require.Equal(t, map[int]int{200: 2, 429: 3}, statuses)
+}
+
+func TestModelsListsWhatTheWorkspaceMayUse(t *testing.T) {
+	f := start(t)
+	g := f.do(http.MethodGet, "/v1/models", "", HeaderWorkspace, "d1only")
+	var list openai.ModelList
+	require.NoError(t, json.Unmarshal([]byte(g.body), &list))
+	require.Len(t, list.Data, 2, "local may not run where this workspace may")
+}
+
+func TestExplainSaysWhereAndWhyNotElsewhere(t *testing.T) {
+	f := start(t)
+	e, err := f.entry.Explain(Question{Workspace: "d1only", Model: "review"})
+	require.NoError(t, err)
+	require.Equal(t, "e1", e.Chosen)
+	require.Equal(t, "workspace domain=d1", e.Targets[1].Rule)
+	_, err = f.entry.Explain(Question{Workspace: "w"})
+	require.ErrorContains(t, err, "remedy")
+	require.Zero(t, f.runs())
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -67,9 +67,11 @@
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
 	r.HandleFunc(pathChat, s.complete).Methods(http.MethodPost)
 	r.HandleFunc(pathText, s.complete).Methods(http.MethodPost)
+	for _, path := range []string{"/v1/models", pathChat, pathText} {
+		r.HandleFunc(path, s.wrongMethod)
+	}
 	r.PathPrefix("/v1/").HandlerFunc(s.noRoute)
 	r.PathPrefix("/").HandlerFunc(s.service)
-	r.MethodNotAllowedHandler = http.HandlerFunc(s.wrongMethod)
 	s.router = r
 	return s
 }
@@ -206,17 +208,22 @@
 	return false
 }
 
-// readBody reads the whole body within the limits on size and time.
+// readBody reads the whole body within the limits on size and time. After a
+// failure the read deadline stays in force and the connection is closed, since
+// the HTTP server would otherwise wait for the rest of the body before it sends
+// the answer.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) *reply {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.o.Settings.Limits.BodyTimeout.Std()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.o.Settings.Limits.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		c.body = body
 		return nil
+	}
+	w.Header().Set("Connection", "close")
+	var large *http.MaxBytesError
+	switch {
 	case errors.As(err, &large):
 		e := fault.Newf(fault.Invalid, "send less", "request body is larger than %d bytes", large.Limit)
 		return refusal(http.StatusRequestEntityTooLarge, codeTooLarge, e, 0)
