Count a request at its target in the same step that checks the limit

Cause: TestFullTargetsRefuseAtOnce failed now and then: two calls that chose at the same moment both saw room at one engine, so one engine went over its limit while another stayed under.

Ruled out: a slow test; the refused call waited its full deadline because an engine had taken it.

Change: Tracker.Begin checks and counts in one step and the choice is made again if another call was first.

Conclusion: the bound on queued work at an engine holds for one process. Between processes it is exact only up to the age of a heartbeat.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -68,45 +68,63 @@
 func (r *run) do() *reply {
 	r.s.retries.Request()
 	for {
-		d, rep := r.choose()
+		work, rep := r.choose()
 		if rep != nil {
 			return rep
 		}
 		r.fire(charts.Chosen)
-		r.target = d.Chosen.Target
-		a := r.attempt(d)
+		a := r.attempt(work)
 		if rep, final := r.settle(a); final {
 			return rep
 		}
 	}
 }
 
-// choose finds a target, or the reply to give if there is none.
-func (r *run) choose() (routing.Decision, *reply) {
+// choose finds a target and counts the call there, or returns the reply to give
+// if there is none.
+func (r *run) choose() (*routing.Work, *reply) {
 	if r.ctx.Err() != nil {
 		r.fire(charts.NoTarget)
-		return routing.Decision{}, r.given(http.StatusGatewayTimeout, codeDeadline,
+		return nil, r.given(http.StatusGatewayTimeout, codeDeadline,
 			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
 	}
 	permitted := routing.Permit(r.c.targets, r.c.rules, nil)
-	cands, full := r.candidates(permitted)
-	d := routing.Choose(r.s.policy(r.c.policy), r.c.cost, cands)
-	r.logDecision(d, len(permitted))
-	if d.Chosen != nil {
-		return d, nil
+	for {
+		cands, full := r.candidates(permitted)
+		d := routing.Choose(r.s.policy(r.c.policy), r.c.cost, cands)
+		if d.Chosen == nil {
+			r.logDecision(d, len(permitted))
+			return nil, r.noTarget(len(permitted), full)
+		}
+		t := d.Chosen.Target
+		limit := r.room(t) - r.c.snapshot.PeerLoads[t.Name].Requests
+		if work := r.s.o.Tracker.Begin(t.Name, r.c.cost, limit); work != nil {
+			r.target = t
+			r.logDecision(d, len(permitted))
+			return work, nil
+		}
 	}
+}
+
+// noTarget returns the reply to a call for which there is no target.
+func (r *run) noTarget(permitted, full int) *reply {
 	r.fire(charts.NoTarget)
 	switch {
-	case len(permitted) == 0:
-		return d, r.given(http.StatusServiceUnavailable, codeNoTarget,
+	case permitted == 0:
+		return r.given(http.StatusServiceUnavailable, codeNoTarget,
 			fault.New(fault.Unavailable, "no active target is permitted for this request", "see why with: rockdoor explain"), noTargetWait)
 	case full > 0:
-		return d, r.given(http.StatusServiceUnavailable, codeOverloaded,
+		return r.given(http.StatusServiceUnavailable, codeOverloaded,
 			fault.New(fault.Exhausted, "all permitted targets are full", "ask again after the time in Retry-After"), r.s.drainTime(r.c))
-	default:
-		return d, r.given(http.StatusServiceUnavailable, codeNoTarget,
-			fault.New(fault.Unavailable, "all permitted targets failed", "ask again after the time in Retry-After"), noTargetWait)
 	}
+	return r.given(http.StatusServiceUnavailable, codeNoTarget,
+		fault.New(fault.Unavailable, "all permitted targets failed", "ask again after the time in Retry-After"), noTargetWait)
+}
+
+// room returns how many requests a target may have in hand for the call to be
+// sent there.
+func (r *run) room(t *config.Target) int {
+	return int(float64(t.Capacity) * queueFactor(r.c.priority))
 }
 
 // candidates returns the permitted targets that have room and have not failed
@@ -117,7 +135,7 @@
 			continue
 		}
 		load := r.s.load(t, r.c)
-		if float64(load.Requests) >= float64(t.Capacity)*queueFactor(r.c.priority) {
+		if load.Requests >= r.room(t) {
 			full++
 			continue
 		}
@@ -145,10 +163,9 @@
 }
 
 // attempt sends the call to the chosen target and passes the answer on.
-func (r *run) attempt(d routing.Decision) *attempt.Attempt {
+func (r *run) attempt(work *routing.Work) *attempt.Attempt {
 	r.attempts++
-	t := d.Chosen.Target
-	work := r.s.o.Tracker.Begin(t.Name, r.c.cost)
+	t := r.target
 	defer work.End()
 	done := r.s.breakers.begin(t.Name)
 	header := r.c.header.Clone()
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -81,7 +81,8 @@
 
 func TestTrackerReturnsToZero(t *testing.T) {
 	var tr Tracker
-	w := tr.Begin("e", Cost{100, 3})
+	w := tr.Begin("e", Cost{100, 3}, 1)
+	require.Nil(t, tr.Begin("e", Cost{}, 1), "over the limit")
 	require.Equal(t, Load{1, 100, 3}, tr.Load("e"))
 	for range 5 {
 		w.Token()
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -28,14 +28,19 @@
 	ended   bool
 }
 
-// Begin counts a request at a target until its End.
-func (t *Tracker) Begin(target string, c Cost) *Work {
+// Begin counts a request at a target until its End, or returns nil if the
+// target already has limit requests of this process. Counting and checking are
+// one step, so that requests that begin together cannot exceed the limit.
+func (t *Tracker) Begin(target string, c Cost, limit int) *Work {
 	v, ok := t.targets.Load(target)
 	if !ok {
 		v, _ = t.targets.LoadOrStore(target, &outstanding{})
 	}
 	o := v.(*outstanding)
-	o.requests.Add(1)
+	if o.requests.Add(1) > int64(limit) {
+		o.requests.Add(-1)
+		return nil
+	}
 	o.prefill.Add(int64(c.PrefillTokens))
 	o.decode.Add(int64(c.DecodeTokens))
 	return &Work{at: o, prefill: int64(c.PrefillTokens), decode: int64(c.DecodeTokens)}
