--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 //	GET  /api/v1/config/history       accepted changes, newest first
 //	POST /api/v1/edits                small changes of labels and states
 //	GET  /api/v1/status               members, engines, backend servers
+//	POST /api/v1/vouch                vouch that a run of a process is over
 //	POST /api/v1/explain              where a request would run
 package admin
 
@@ -31,6 +32,7 @@
 	"github.com/rockdoor/rockdoor/confstore"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/controller"
 	"github.com/rockdoor/rockdoor/internal/entry"
 	"github.com/rockdoor/rockdoor/jsonc"
 	"github.com/rockdoor/rockdoor/members"
@@ -55,6 +57,8 @@
 	// Ready says why the process takes no requests, or nil.
 	Ready   func() error
 	Explain func(entry.Question) (*entry.Explanation, error)
+	// Pools says which pools' orders this process gives or would give.
+	Pools   func() []controller.PoolStatus
 	Self    members.Member
 	Metrics metrics.Registry
 	Logger  log.Logger
@@ -80,6 +84,7 @@
 	r.HandleFunc("/api/v1/config/history", s.history).Methods(http.MethodGet)
 	r.HandleFunc("/api/v1/edits", s.edit).Methods(http.MethodPost)
 	r.HandleFunc("/api/v1/status", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/api/v1/vouch", s.vouch).Methods(http.MethodPost)
 	r.HandleFunc("/api/v1/explain", s.explain).Methods(http.MethodPost)
 	s.router = r
 	return s
@@ -273,6 +278,31 @@
 	return nil
 }
 
+// Vouch is an operator's word that a run of a process is over and will never
+// act again.
+type Vouch struct {
+	Incarnation string `json:"incarnation"`
+	By          string `json:"by"`
+}
+
+func (s *Server) vouch(w http.ResponseWriter, r *http.Request) {
+	var v Vouch
+	err := decodeSmall(w, r, &v)
+	if err == nil && (v.Incarnation == "" || v.By == "") {
+		err = fault.New(fault.Invalid, "incarnation or by is missing", "give both; rockdoor status -o json shows the incarnations")
+	}
+	if err == nil {
+		_, err = platform.PutSettled(r.Context(), s.o.Store, controller.VouchPrefix+v.Incarnation, []byte(v.By), 0, v.By)
+	}
+	if err != nil && !fault.Is(err, fault.Conflict) {
+		writeError(w, err)
+		return
+	}
+	level.Warn(s.o.Logger).Log("msg", "operator vouches that a process is over", "incarnation", v.Incarnation, "by", v.By)
+	s.o.Refresh(r.Context())
+	writeJSON(w, http.StatusOK, v)
+}
+
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	var q entry.Question
 	if err := decodeSmall(w, r, &q); err != nil {
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -7,6 +7,7 @@
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/controller"
 )
 
 // Status is the state of the fleet as one process sees it.
@@ -18,6 +19,8 @@
 	Fresh   bool                  `json:"fresh"`
 	Members []control.MemberState `json:"members"`
 	Targets []TargetStatus        `json:"targets"`
+	// Pools are those that this process is a candidate to control.
+	Pools []controller.PoolStatus `json:"pools"`
 }
 
 // TargetStatus is the state of one engine or backend server.
@@ -32,7 +35,9 @@
 	// WantedRole is the role that the operator asks for.
 	WantedRole engine.Role `json:"wantedRole,omitempty"`
 	Changing   bool        `json:"changing,omitempty"`
-	Requests   int         `json:"requests"`
+	// Order is the state of the last order, if it has not ended.
+	Order    string `json:"order,omitempty"`
+	Requests int    `json:"requests"`
 	// Report is empty, or why the engine gives no status.
 	Report string `json:"report,omitempty"`
 	// ReportAge is the age of the report, in milliseconds.
@@ -43,7 +48,7 @@
 	snap := s.o.Snapshot()
 	st := Status{
 		Process: s.o.Self.Name, Revision: snap.Revision, ChangeID: snap.ChangeID, Fresh: snap.Fresh(),
-		Members: snap.Members, Targets: []TargetStatus{},
+		Members: snap.Members, Targets: []TargetStatus{}, Pools: s.o.Pools(),
 	}
 	if snap.Config != nil {
 		for _, e := range snap.Config.Config.Engines {
@@ -68,6 +73,9 @@
 func engineStatus(snap *control.Snapshot, t *config.Target) TargetStatus {
 	st := targetStatus(snap, t, "engine")
 	st.WantedRole = t.Engine.Role
+	if o := snap.Orders[t.Name]; o.Open() {
+		st.Order = string(o.State)
+	}
 	r, ok := snap.Reports[t.Name]
 	if !ok {
 		st.Report = "not asked by this process"
--- a/internal/charts/charts.go
+++ b/internal/charts/charts.go
@@ -16,10 +16,11 @@
 	Attempt = load("attempt.json")
 	Request = load("request.json")
 	Process = load("process.json")
+	Order   = load("order.json")
 )
 
 // All lists the charts, for the docs.
-var All = []*statechart.Chart{Attempt, Request, Process}
+var All = []*statechart.Chart{Attempt, Request, Process, Order}
 
 func load(name string) *statechart.Chart {
 	text, err := files.ReadFile(name)
@@ -79,3 +80,26 @@
 	GraceOver   statechart.Event = "grace_over"
 	AllFinished statechart.Event = "all_finished"
 )
+
+// States and events of the order chart.
+const (
+	OrderDraining  statechart.State = "draining"
+	OrderIntended  statechart.State = "intended"
+	OrderChanging  statechart.State = "changing"
+	OrderRestoring statechart.State = "restoring"
+	OrderStuck     statechart.State = "stuck"
+	OrderDone      statechart.State = "done"
+	OrderFailed    statechart.State = "failed"
+
+	Drained     statechart.Event = "drained"
+	DrainFailed statechart.Event = "drain_failed"
+	Taken       statechart.Event = "taken"
+	NotTaken    statechart.Event = "refused"
+	Lost        statechart.Event = "lost"
+	Reached     statechart.Event = "reached"
+	Unchanged   statechart.Event = "unchanged"
+	HalfChanged statechart.Event = "half_changed"
+	Restored    statechart.Event = "restored"
+	NotRestored statechart.Event = "not_restored"
+	Abandoned   statechart.Event = "abandoned"
+)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/controller"
 	"github.com/rockdoor/rockdoor/internal/entry"
 	"github.com/rockdoor/rockdoor/selector"
 )
@@ -201,6 +202,14 @@
 	}
 	t.Render()
 	fmt.Fprintln(c.App.Writer)
+	if len(st.Pools) > 0 {
+		t = newTable(c, "POOL", "CONTROLLER", "TOKEN", "WAITS FOR")
+		for _, p := range st.Pools {
+			t.AppendRow(table.Row{p.Pool, controllerText(p), p.Token, p.Waiting})
+		}
+		t.Render()
+		fmt.Fprintln(c.App.Writer)
+	}
 	t = newTable(c, "TARGET", "KIND", "HOST", "DOMAIN", "STATE", "ROLE", "REQUESTS", "REPORT")
 	for _, e := range st.Targets {
 		t.AppendRow(table.Row{e.Name, e.Kind, e.Host, e.Domain, e.State, roleText(e), e.Requests, e.Report})
@@ -208,17 +217,50 @@
 	t.Render()
 }
 
+func controllerText(p controller.PoolStatus) string {
+	if p.Held {
+		return "this process"
+	}
+	return "stands by"
+}
+
 func roleText(e admin.TargetStatus) string {
 	role := string(e.Role)
 	if e.Changing {
 		role += " (changing)"
 	}
+	if e.Order != "" {
+		role += " (order " + e.Order + ")"
+	}
 	if e.WantedRole != "" && e.WantedRole != e.Role {
 		role += " -> " + string(e.WantedRole)
 	}
 	return role
 }
 
+func leaseCommand() *cli.Command {
+	return &cli.Command{
+		Name: "lease", Usage: "help with the leases of controllers",
+		Subcommands: []*cli.Command{{
+			Name: "vouch", Usage: "vouch that a run of a process is over", ArgsUsage: "INCARNATION",
+			Description: example("A successor then takes over without waiting for the lease to end. Only do this for a process that\n"+
+				"can never act again, for instance on a host that was switched off. It is logged.", "rockdoor lease vouch 01J9Z3NDEKTSV4RRFFQ69G5FAV"),
+			Flags: changeFlags(),
+			Action: func(c *cli.Context) error {
+				if c.NArg() != 1 {
+					return fault.New(fault.Invalid, "no incarnation is given", "rockdoor status -o json shows the incarnations; flags go before it")
+				}
+				body, err := json.Marshal(admin.Vouch{Incarnation: c.Args().First(), By: c.String("author")})
+				if err != nil {
+					return err
+				}
+				_, err = call(c, http.MethodPost, "/api/v1/vouch", nil, body, nil)
+				return err
+			},
+		}},
+	}
+}
+
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "say where a request would run, and why not elsewhere, without running it",
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/orders"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -50,6 +51,7 @@
 
 	// The rest belongs to the goroutine of Run.
 	registered []members.Member
+	orders     map[string]orders.Record
 	contacts   map[string]*contact
 	reports    map[string]Report
 	cfg        *config.Compiled
@@ -188,10 +190,23 @@
 			delete(l.contacts, name)
 		}
 	}
+	l.readOrders()
 	l.loadNewest(ctx)
 	l.publish()
 }
 
+func (l *Loop) readOrders() {
+	l.orders = map[string]orders.Record{}
+	for _, obj := range l.o.Mirror.List(orders.KeyPrefix) {
+		rec, err := orders.ParseRecord(obj)
+		if err != nil {
+			level.Error(l.logger).Log("msg", "order record not understood", "err", err)
+			continue
+		}
+		l.orders[rec.Engine] = rec
+	}
+}
+
 // loadNewest starts to load the configuration of the mirrored head if it is
 // newer than the one in force and no load is under way.
 func (l *Loop) loadNewest(ctx context.Context) {
@@ -248,6 +263,7 @@
 		Members:   states,
 		PeerLoads: l.peerLoads(),
 		Reports:   make(map[string]Report, len(l.reports)),
+		Orders:    l.orders,
 	}
 	for name, r := range l.reports {
 		s.Reports[name] = r
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -12,6 +12,8 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/orders"
+	"github.com/rockdoor/rockdoor/platform"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -23,7 +25,9 @@
 	Heard bootclock.Instant `json:"-"`
 	// ConfigRevision is the configuration in force there when last heard.
 	ConfigRevision int64 `json:"configRevision"`
-	Self           bool  `json:"self"`
+	// MirrorRevision is how far its copy of the object API was when last heard.
+	MirrorRevision platform.Revision `json:"mirrorRevision"`
+	Self           bool              `json:"self"`
 }
 
 // Report is the last status that an engine gave this process.
@@ -48,6 +52,8 @@
 	// PeerLoads is what other processes have outstanding, by target.
 	PeerLoads map[string]routing.Load
 	Reports   map[string]Report
+	// Orders holds the last order to each engine.
+	Orders map[string]orders.Record
 	// FreshUntil is when this process can no longer know that the
 	// configuration is the one in force.
 	FreshUntil bootclock.Instant
@@ -57,6 +63,12 @@
 // to the staleness limit.
 func (s *Snapshot) Fresh() bool { return bootclock.Now() < s.FreshUntil }
 
+// Available reports whether an engine may get new requests: no order to it is
+// open and it does not say that it is changing.
+func (s *Snapshot) Available(target string) bool {
+	return !s.Orders[target].Open() && !s.Reports[target].Status.Changing
+}
+
 // contact is what heartbeats have told about one member.
 type contact struct {
 	incarnation string
@@ -83,6 +95,7 @@
 		if c := contacts[m.Name]; c != nil && c.incarnation == m.Incarnation {
 			st.Heard = c.heard
 			st.ConfigRevision = c.beat.GetConfigRevision()
+			st.MirrorRevision = platform.Revision(c.beat.GetMirrorRevision())
 			st.Health = members.HealthAt(true, bootclock.Since(c.heard), interval, c.leaving())
 		}
 		out = append(out, st)
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,372 @@
+// Package controller carries out role changes. For each pool one process holds
+// the lease and gives the orders; a second one stands by.
+package controller
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/lease"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/orders"
+	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/routing"
+)
+
+const (
+	// candidates is how many processes want the lease of a pool.
+	candidates = 2
+	reviewTime = 500 * time.Millisecond
+	pollTime   = 100 * time.Millisecond
+	// stepTimeout bounds one use of the store for a lease.
+	stepTimeout = 2 * time.Second
+	statusTime  = time.Second
+)
+
+// Options of a Manager.
+type Options struct {
+	Store    platform.Store
+	Engines  engine.Controller
+	Giver    orders.Giver
+	Snapshot func() *control.Snapshot
+	Mirror   *mirror.Mirror
+	Tracker  *routing.Tracker
+	Self     members.Member
+	LeaseTTL time.Duration
+	// StaleAfter is when a process that is cut off stops sending requests.
+	StaleAfter time.Duration
+	Logger     log.Logger
+}
+
+// Manager runs one controller for each pool that this process is a candidate
+// for. It is safe for concurrent use.
+type Manager struct {
+	o Options
+
+	mu    sync.Mutex
+	pools map[string]*controller
+}
+
+// New returns a manager that has to be run.
+func New(o Options) *Manager { return &Manager{o: o, pools: map[string]*controller{}} }
+
+// PoolStatus is the state of one pool's controller at this process.
+type PoolStatus struct {
+	Pool string `json:"pool"`
+	// Held is true if this process gives the orders.
+	Held  bool  `json:"held"`
+	Token int64 `json:"token,omitempty"`
+	// Waiting says what a candidate waits for.
+	Waiting string `json:"waiting,omitempty"`
+}
+
+// Status returns the pools that this process is a candidate for.
+func (m *Manager) Status() []PoolStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []PoolStatus{}
+	for _, c := range m.pools {
+		g, held := c.lessee.Grant()
+		st := PoolStatus{Pool: c.pool, Held: held, Waiting: c.lessee.Waiting()}
+		if held {
+			st.Token = g.Token
+		}
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	return out
+}
+
+// Run starts and stops controllers as the pools and members change, until ctx
+// ends, and then releases all leases.
+func (m *Manager) Run(ctx context.Context) error {
+	tick := time.NewTicker(reviewTime)
+	defer tick.Stop()
+	for {
+		m.review(ctx)
+		select {
+		case <-ctx.Done():
+			m.stopAll()
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// review compares the controllers that run with those that should.
+func (m *Manager) review(ctx context.Context) {
+	s := m.o.Snapshot()
+	if s.Config == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range s.Config.Pools {
+		wanted := rank(s.Members, m.o.Self.Name, name) < candidates
+		c := m.pools[name]
+		switch {
+		case wanted && c == nil:
+			m.pools[name] = m.start(ctx, name)
+		case !wanted && c != nil:
+			delete(m.pools, name)
+			go c.stop()
+		}
+	}
+	for name, c := range m.pools {
+		if s.Config.Pools[name] == nil {
+			delete(m.pools, name)
+			go c.stop()
+		}
+	}
+}
+
+// rank returns how many living members have a higher hash with the pool than
+// self has.
+func rank(ms []control.MemberState, self, pool string) int {
+	hash := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + pool) }
+	mine, higher := hash(self), 0
+	for _, m := range ms {
+		if m.Health == members.Alive && m.Name != self && hash(m.Name) > mine {
+			higher++
+		}
+	}
+	return higher
+}
+
+func (m *Manager) stopAll() {
+	m.mu.Lock()
+	pools := m.pools
+	m.pools = map[string]*controller{}
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, c := range pools {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.stop()
+		}()
+	}
+	wg.Wait()
+}
+
+// controller is a candidate for one pool.
+type controller struct {
+	m      *Manager
+	pool   string
+	lessee *lease.Lessee
+	exec   *orders.Executor
+	logger log.Logger
+	cancel context.CancelFunc
+	done   chan struct{}
+	drain  drainState
+}
+
+// drainState is what is known about the order record that is being drained for.
+type drainState struct {
+	version platform.Version
+	// seen is the revision of the mirror when it first held the record.
+	seen   platform.Revision
+	spread bool
+	// quiet is since when the engine has reported no requests.
+	quiet time.Time
+}
+
+func (m *Manager) start(ctx context.Context, pool string) *controller {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &controller{m: m, pool: pool, cancel: cancel, done: make(chan struct{})}
+	c.logger = log.With(m.o.Logger, "component", "controller", "pool", pool)
+	c.lessee = lease.New(lease.Options{
+		Store: m.o.Store, Shard: "pool/" + pool, Holder: m.o.Self.Name, Incarnation: m.o.Self.Incarnation, Address: m.o.Self.Peer,
+		TTL: m.o.LeaseTTL, Gone: m.gone, Logger: m.o.Logger,
+	})
+	c.exec = orders.New(orders.Options{
+		Store: m.o.Store, Engines: m.o.Engines, Giver: m.o.Giver, Grant: c.lessee.Grant, Holder: m.o.Self.Name,
+		Drained: c.drained, Logger: m.o.Logger, Poll: pollTime,
+	})
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); c.keepLease(ctx) }()
+	go func() { defer wg.Done(); c.work(ctx) }()
+	go func() { wg.Wait(); close(c.done) }()
+	return c
+}
+
+// gone reports whether a lease holder is proven to be over: a later process is
+// registered at the address where it listened, or an operator has vouched.
+func (m *Manager) gone(rec lease.Record) (string, bool) {
+	for _, ms := range m.o.Snapshot().Members {
+		if ms.Peer == rec.Address && ms.Incarnation > rec.Incarnation {
+			return "later process " + ms.Name + " listens at " + ms.Peer, true
+		}
+	}
+	if obj, ok := m.o.Mirror.Get(VouchPrefix + rec.Incarnation); ok {
+		return "vouched by " + string(obj.Value), true
+	}
+	return "", false
+}
+
+// VouchPrefix is where operators vouch that a run of a process is over. The key
+// ends in the incarnation, the value is who vouches.
+const VouchPrefix = "state/vouch/"
+
+func (c *controller) keepLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		sctx, cancel := context.WithTimeout(ctx, stepTimeout)
+		if err := c.lessee.Step(sctx); err != nil && !fault.Is(err, fault.Conflict) {
+			level.Debug(c.logger).Log("msg", "lease", "err", err)
+		}
+		cancel()
+		sleep(ctx, c.lessee.Interval())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// stop ends the work and gives the lease up in writing.
+func (c *controller) stop() {
+	c.cancel()
+	<-c.done
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	if err := c.lessee.Release(ctx); err != nil {
+		level.Warn(c.logger).Log("msg", "lease not released", "err", err)
+	}
+}
+
+// work gives orders while the lease is held.
+func (c *controller) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, held := c.lessee.Grant(); held {
+			if err := c.round(ctx); err != nil && ctx.Err() == nil {
+				level.Warn(c.logger).Log("msg", "round ended", "err", err)
+			}
+		}
+		sleep(ctx, reviewTime)
+	}
+}
+
+// round recovers open orders first and then changes the role of at most one
+// engine.
+func (c *controller) round(ctx context.Context) error {
+	s := c.m.o.Snapshot()
+	if s.Config == nil {
+		return nil
+	}
+	for _, e := range c.engines(s) {
+		if !s.Orders[e.Name].Open() {
+			continue
+		}
+		if _, err := c.exec.Recover(ctx, target(e)); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.engines(s) {
+		if e.Role == "" || e.State == config.Withdrawn || s.Orders[e.Name].Open() {
+			continue
+		}
+		st, err := c.status(ctx, e.Address)
+		if err != nil || st.Changing || st.Role == e.Role {
+			continue
+		}
+		return c.exec.ChangeRole(ctx, target(e), st.Role, e.Role, "asked for by the configuration")
+	}
+	return nil
+}
+
+func (c *controller) engines(s *control.Snapshot) []config.Engine {
+	var out []config.Engine
+	for _, e := range s.Config.Config.Engines {
+		if e.Pool == c.pool {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func target(e config.Engine) orders.Target {
+	return orders.Target{Name: e.Name, Address: e.Address, Fencing: e.Fencing}
+}
+
+func (c *controller) status(ctx context.Context, address string) (engine.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	return c.m.o.Engines.Status(ctx, address)
+}
+
+// drained reports whether no request can be at an engine any more: its order
+// record is known to every process that may send requests, no process has one
+// outstanding, and since then the engine itself has reported none for longer
+// than its reports lag.
+func (c *controller) drained(ctx context.Context, t orders.Target, since time.Time, written platform.Version) bool {
+	s := c.m.o.Snapshot()
+	if c.drain.version != written {
+		c.drain = drainState{version: written, seen: mirror.None}
+	}
+	if !c.spread(s, t.Name, since) {
+		return false
+	}
+	st, err := c.status(ctx, t.Address)
+	outstanding := s.PeerLoads[t.Name].Requests + c.m.o.Tracker.Load(t.Name).Requests
+	if err != nil || outstanding > 0 || st.Running+st.Waiting > 0 {
+		c.drain.quiet = time.Time{}
+		return false
+	}
+	if c.drain.quiet.IsZero() {
+		c.drain.quiet = time.Now()
+	}
+	return time.Since(c.drain.quiet) >= reportLag
+}
+
+// spread reports whether every process knows the record: all living members say
+// that they have it, and any other has been cut off for so long that it sends
+// nothing.
+func (c *controller) spread(s *control.Snapshot, name string, since time.Time) bool {
+	if c.drain.spread {
+		return true
+	}
+	if c.drain.seen == mirror.None {
+		obj, ok := c.m.o.Mirror.Get(orders.KeyPrefix + name)
+		if !ok || obj.Version != c.drain.version {
+			return false
+		}
+		c.drain.seen = c.m.o.Mirror.Revision()
+	}
+	c.drain.spread = everywhere(s, c.drain.seen) || time.Since(since) >= c.m.o.StaleAfter+staleMargin
+	return c.drain.spread
+}
+
+// everywhere reports whether all members hold a mirror of at least rev.
+func everywhere(s *control.Snapshot, rev platform.Revision) bool {
+	for _, m := range s.Members {
+		if !m.Self && (m.MirrorRevision < rev || m.Health == members.Suspected || m.Health == members.Unheard) {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// staleMargin covers requests that were being sent when a process became stale.
+	staleMargin = time.Second
+	// reportLag bounds the age of the load that an engine reports.
+	reportLag = 1500 * time.Millisecond
+)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,12 +20,14 @@
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/controller"
 	"github.com/rockdoor/rockdoor/internal/entry"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/orders"
 	"github.com/rockdoor/rockdoor/platform"
 	"github.com/rockdoor/rockdoor/platform/httpapi"
 	"github.com/rockdoor/rockdoor/routing"
@@ -60,6 +62,7 @@
 	tracker   *routing.Tracker
 	entry     *entry.Server
 	admin     *admin.Server
+	manager   *controller.Manager
 
 	callers   *http.Server
 	operators *http.Server
@@ -103,14 +106,20 @@
 		Loop: d.loop, Mirror: d.mirror, Transport: d.transport, Tracker: d.tracker, StoreReachable: d.store.Reachable,
 		Seeds: d.set.Seeds, Interval: d.set.Control.Heartbeat.Std(), Logger: d.logger,
 	})
-	d.reporter = control.NewReporter(d.loop, httpcontrol.New(nil), d.set.Control.Report.Std())
+	engines := httpcontrol.New(nil)
+	d.reporter = control.NewReporter(d.loop, engines, d.set.Control.Report.Std())
+	d.manager = controller.New(controller.Options{
+		Store: d.store, Engines: engines, Giver: orders.GuardedGiver{}, Snapshot: d.loop.Snapshot, Mirror: d.mirror,
+		Tracker: d.tracker, Self: d.self, LeaseTTL: d.set.Control.LeaseTTL.Std(), StaleAfter: d.set.Control.StaleAfter.Std(),
+		Logger: d.logger,
+	})
 }
 
 func (d *Daemon) buildServers() {
 	d.entry = entry.New(entry.Options{Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Metrics: d.reg, Logger: d.logger})
 	d.admin = admin.New(admin.Options{
 		Store: d.store, Loader: d.loader, Snapshot: d.loop.Snapshot, Refresh: d.refresh, Ready: d.ready,
-		Self: d.self, Explain: d.entry.Explain, Metrics: d.reg, Logger: d.logger,
+		Self: d.self, Explain: d.entry.Explain, Pools: d.manager.Status, Metrics: d.reg, Logger: d.logger,
 	})
 	d.callers = d.httpServer(d.entry)
 	d.operators = d.httpServer(d.admin)
@@ -224,7 +233,7 @@
 	d.fire(charts.Joined)
 	d.heart.SetPhase(background, peerpb.Phase_PHASE_SERVING)
 	go d.stayRegistered(ctx)
-	<-ctx.Done()
+	_ = d.manager.Run(ctx) // until ctx ends; releases its leases
 	d.fire(charts.StopAsked)
 	d.stop(background)
 	return nil
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,429 @@
+// Package e2e tests whole fleets of real processes before stand-ins. The test
+// program itself becomes a rockdoor process when it is started with the variable
+// below, so the processes run under the race detector too.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/cli"
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/platformd"
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+)
+
+const (
+	childVariable = "ROCKDOOR_E2E_CHILD"
+	patience      = 30 * time.Second
+	poll          = 20 * time.Millisecond
+	entryPort     = 8080
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		os.Exit(cli.Main(os.Args))
+	}
+	os.Exit(m.Run())
+}
+
+// options of a fleet.
+type options struct {
+	entries int
+	engines int
+	fencing bool
+	timing  engined.Timing
+	// wanted roles, by engine name.
+	roles map[string]string
+}
+
+// fleet is a number of entry processes, with stand-ins inside the test.
+type fleet struct {
+	t        *testing.T
+	o        options
+	dir      string
+	net      string
+	platform *platformd.Server
+	store    *cutter
+	engines  []*engined.Server
+	services []*serviced.Server
+	config   string
+	procs    []*process
+}
+
+// process is one entry process.
+type process struct {
+	f    *fleet
+	i    int
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	mu   sync.Mutex
+	done chan struct{}
+}
+
+// subnets gives each fleet of this test program loopback addresses of its own.
+var subnets = struct {
+	sync.Mutex
+	n int
+}{}
+
+func subnet() string {
+	subnets.Lock()
+	defer subnets.Unlock()
+	subnets.n++
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", 16+(pid/200+subnets.n*7)%200, pid%200+1)
+}
+
+func newFleet(t *testing.T, o options) *fleet {
+	f := &fleet{t: t, o: o, dir: t.TempDir(), net: subnet(), platform: platformd.New(2)}
+	f.store = newCutter(t, f.listen(f.net+".250:9001", f.platform))
+	for i := range o.engines {
+		e := engined.New(engined.Options{Name: fmt.Sprintf("e%d", i), Fencing: o.fencing, Timing: o.timing})
+		t.Cleanup(e.Close)
+		f.engines = append(f.engines, e)
+		f.listen(fmt.Sprintf("%s.%d:8000", f.net, 100+i), e)
+	}
+	for i := range 3 {
+		s := serviced.New(fmt.Sprintf("s%d", i), time.Millisecond)
+		f.services = append(f.services, s)
+		f.listen(fmt.Sprintf("%s.%d:8000", f.net, 200+i), s)
+	}
+	f.config = f.configuration(o.roles)
+	t.Cleanup(f.stopAll)
+	for i := range o.entries {
+		f.start(i)
+	}
+	return f
+}
+
+// startFleet starts a fleet with its configuration in force everywhere.
+func startFleet(t *testing.T, o options) *fleet {
+	f := newFleet(t, o)
+	f.awaitAdmin(0)
+	f.apply(0, f.config)
+	for i := range o.entries {
+		f.awaitReady(i)
+	}
+	return f
+}
+
+func (f *fleet) listen(address string, h http.Handler) string {
+	l, err := net.Listen("tcp", address)
+	require.NoError(f.t, err)
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	f.t.Cleanup(func() { _ = s.Close() })
+	return address
+}
+
+func domain(i int) string { return fmt.Sprintf("d%d", i%3) }
+
+// configuration of the fleet, with the wanted roles of engines.
+func (f *fleet) configuration(roles map[string]string) string {
+	var hosts, engines, servers []string
+	for i := range f.o.engines {
+		hosts = append(hosts, fmt.Sprintf(`{"name": "eh%d", "domain": %q}`, i, domain(i)))
+		engines = append(engines, fmt.Sprintf(`{"name": "e%d", "pool": "p", "host": "eh%d", "address": "%s.%d:8000", "fencing": %t, "role": %q}`,
+			i, i, f.net, 100+i, f.o.fencing, roles[fmt.Sprintf("e%d", i)]))
+	}
+	for i := range 3 {
+		hosts = append(hosts, fmt.Sprintf(`{"name": "sh%d", "domain": %q}`, i, domain(i)))
+		servers = append(servers, fmt.Sprintf(`{"name": "s%d", "host": "sh%d", "address": "%s.%d:8000"}`, i, i, f.net, 200+i))
+	}
+	return fmt.Sprintf(`{
+  "hosts": [%s],
+  "pools": [{"name": "p"}],
+  "engines": [%s],
+  "models": [{"name": "review", "pool": "p", "timeout": "60s"}, {"name": "notes", "pool": "p", "idempotent": true, "timeout": "60s"}],
+  "services": [{"name": "s", "servers": [%s]}],
+  "routes": [{"path": "/flags/", "service": "s", "idempotent": true}, {"path": "/alerts/", "service": "s", "methods": ["POST"]}],
+  "workspaces": [{"name": "w"}]
+}`, strings.Join(hosts, ", "), strings.Join(engines, ", "), strings.Join(servers, ", "))
+}
+
+func (f *fleet) address(i, port int) string { return fmt.Sprintf("%s.%d:%d", f.net, 1+i, port) }
+
+// start starts the i-th entry process, also again after it has ended.
+func (f *fleet) start(i int) {
+	var seeds []string
+	for j := range f.o.entries {
+		seeds = append(seeds, fmt.Sprintf("%q", f.address(j, 7002)))
+	}
+	text := fmt.Sprintf(`{
+  "name": "entry-%d", "host": "entry-%d", "domain": %q, "listen": %q, "admin": %q, "peer": %q, "platform": "http://%s",
+  "seeds": [%s],
+  "limits": {"stopGrace": "200ms", "stopTimeout": "30s"},
+  "control": {"heartbeat": "100ms", "staleAfter": "2s", "leaseTTL": "1s", "report": "200ms"},
+  "platformCalls": {"perSecond": 50},
+  "log": {"level": "debug"}
+}`, i, i, domain(i), f.address(i, entryPort), f.address(i, 7001), f.address(i, 7002), f.store.address, strings.Join(seeds, ", "))
+	file := filepath.Join(f.dir, fmt.Sprintf("entry-%d.json", i))
+	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
+	p := &process{f: f, i: i, log: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(os.Args[0], "serve", "--settings", file)
+	p.cmd.Env = append(os.Environ(), childVariable+"=1")
+	p.cmd.Stderr = p
+	require.NoError(f.t, p.cmd.Start())
+	go func() { _ = p.cmd.Wait(); close(p.done) }()
+	for len(f.procs) <= i {
+		f.procs = append(f.procs, nil)
+	}
+	f.procs[i] = p
+}
+
+// Write keeps the log of a process.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (f *fleet) stopAll() {
+	for _, p := range f.procs {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if strings.Contains(p.text(), "DATA RACE") {
+			f.t.Errorf("data race in entry-%d:\n%s", p.i, p.text())
+		}
+		if f.t.Failed() {
+			lines := strings.Split(p.text(), "\n")
+			f.t.Logf("entry-%d:\n%s", p.i, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+	}
+}
+
+// await waits for a condition, which the test cannot go on without.
+func (f *fleet) await(what string, cond func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !cond() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited %s in vain for: %s", patience, what)
+		}
+		time.Sleep(poll)
+	}
+}
+
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// get calls the admin API of the i-th process.
+func (f *fleet) get(i int, path string, out any) bool {
+	resp, err := client.Get("http://" + f.address(i, 7001) + path)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	return out == nil || json.NewDecoder(resp.Body).Decode(out) == nil
+}
+
+func (f *fleet) awaitAdmin(i int) {
+	f.await(fmt.Sprintf("admin of entry-%d", i), func() bool { return f.get(i, "/healthz", nil) })
+}
+
+func (f *fleet) awaitReady(i int) {
+	f.await(fmt.Sprintf("entry-%d ready", i), func() bool { return f.get(i, "/readyz", nil) })
+}
+
+func (f *fleet) status(i int) admin.Status {
+	var st admin.Status
+	f.get(i, "/api/v1/status", &st)
+	return st
+}
+
+// put sends a configuration to the i-th process.
+func (f *fleet) put(i int, config string) (admin.Accepted, int) {
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.address(i, 7001)+"/api/v1/config?author=test", strings.NewReader(config))
+	require.NoError(f.t, err)
+	resp, err := client.Do(req)
+	if err != nil {
+		return admin.Accepted{}, 0
+	}
+	defer resp.Body.Close()
+	var a admin.Accepted
+	_ = json.NewDecoder(resp.Body).Decode(&a)
+	return a, resp.StatusCode
+}
+
+func (f *fleet) apply(i int, config string) int64 {
+	a, code := f.put(i, config)
+	require.Equal(f.t, http.StatusOK, code)
+	return a.Revision
+}
+
+// awaitRevision waits until processes have at least a revision in force.
+func (f *fleet) awaitRevision(rev int64, procs ...int) {
+	for _, i := range procs {
+		f.await(fmt.Sprintf("revision %d at entry-%d", rev, i), func() bool { return f.status(i).Revision >= rev })
+	}
+}
+
+// controllerOf returns the process that holds the pool's lease, or -1.
+func (f *fleet) controllerOf(except int) int {
+	for i := range f.procs {
+		if i == except {
+			continue
+		}
+		for _, p := range f.status(i).Pools {
+			if p.Held {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+func (f *fleet) awaitController(except int) int {
+	holder := -1
+	f.await("a controller", func() bool { holder = f.controllerOf(except); return holder >= 0 })
+	return holder
+}
+
+// answer of an entry process to a caller.
+type callResult struct {
+	status  int
+	outcome string
+	body    string
+	whole   bool
+	err     error
+}
+
+// call sends a request to the i-th process.
+func (f *fleet) call(i int, method, path, body string, headers ...string) callResult {
+	req, err := http.NewRequest(method, "http://"+f.address(i, entryPort)+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Rockdoor-Workspace", "w")
+	for j := 0; j < len(headers); j += 2 {
+		req.Header.Set(headers[j], headers[j+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return callResult{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	r := callResult{status: resp.StatusCode, outcome: resp.Header.Get("Rockdoor-Outcome"), body: string(data), err: err}
+	if r.outcome == "" {
+		r.outcome = resp.Trailer.Get("Rockdoor-Outcome")
+	}
+	r.whole = err == nil && r.outcome == "complete"
+	return r
+}
+
+func chatBody(model string, tokens int, text string) string {
+	return fmt.Sprintf(`{"model": %q, "stream": true, "max_tokens": %d, "messages": [{"role": "user", "content": %q}]}`, model, tokens, text)
+}
+
+func (f *fleet) chat(i int, model string, tokens int, headers ...string) callResult {
+	return f.call(i, http.MethodPost, "/v1/chat/completions", chatBody(model, tokens, "hello"), headers...)
+}
+
+// roleOrders returns the role orders that took effect at an engine.
+func (f *fleet) roleOrders(i int) []engine.Order {
+	var out []engine.Order
+	for _, o := range f.engines[i].Orders() {
+		if o.Kind == engine.OrderRole {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// cutter passes connections on to one address and can cut them.
+type cutter struct {
+	address string
+	mu      sync.Mutex
+	cut     bool
+	conns   map[net.Conn]bool
+}
+
+func newCutter(t *testing.T, to string) *cutter {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := &cutter{address: l.Addr().String(), conns: map[net.Conn]bool{}}
+	t.Cleanup(func() { l.Close(); c.set(true) })
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.pass(in, to)
+		}
+	}()
+	return c
+}
+
+func (c *cutter) pass(in net.Conn, to string) {
+	out, err := net.Dial("tcp", to)
+	if err != nil {
+		in.Close()
+		return
+	}
+	c.mu.Lock()
+	if c.cut {
+		c.mu.Unlock()
+		in.Close()
+		out.Close()
+		return
+	}
+	c.conns[in], c.conns[out] = true, true
+	c.mu.Unlock()
+	go func() { _, _ = io.Copy(out, in); out.Close() }()
+	_, _ = io.Copy(in, out)
+	in.Close()
+}
+
+// set cuts all connections or lets new ones through.
+func (c *cutter) set(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+	if cut {
+		for conn := range c.conns {
+			conn.Close()
+		}
+		clear(c.conns)
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -139,7 +139,7 @@
 			full++
 			continue
 		}
-		if r.c.snapshot.Reports[t.Name].Status.Changing {
+		if !r.s.o.Snapshot().Available(t.Name) {
 			continue
 		}
 		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -4,6 +4,7 @@
 package engined
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -49,15 +50,17 @@
 
 // Run is the engine's record of one request.
 type Run struct {
-	Attempt   string    `json:"attempt"`
-	LoadID    string    `json:"loadID"`
-	Engine    string    `json:"engine"`
-	Model     string    `json:"model"`
-	From      int       `json:"from"`
-	Pieces    int       `json:"pieces"`
-	Cancelled bool      `json:"cancelled"`
-	Start     time.Time `json:"start"`
-	End       time.Time `json:"end"`
+	Attempt   string `json:"attempt"`
+	LoadID    string `json:"loadID"`
+	Engine    string `json:"engine"`
+	Model     string `json:"model"`
+	From      int    `json:"from"`
+	Pieces    int    `json:"pieces"`
+	Cancelled bool   `json:"cancelled"`
+	// Aborted runs were cut by an order that the engine took.
+	Aborted bool      `json:"aborted"`
+	Start   time.Time `json:"start"`
+	End     time.Time `json:"end"`
 }
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
@@ -73,8 +76,13 @@
 	token    int64
 	role     engine.Role
 	changing bool
-	models   []string
-	reports  []engine.Status
+	// halfway is true after a crash in the middle of an order.
+	halfway bool
+	models  []string
+	// abort ends all running requests; an engine that changes role drops them.
+	abort   context.CancelFunc
+	life    context.Context
+	reports []engine.Status
 }
 
 // New starts an engine.
@@ -92,12 +100,18 @@
 	r.HandleFunc("/lab/orders", s.getOrders).Methods(http.MethodGet)
 	r.HandleFunc("/lab/faults", s.putFaults).Methods(http.MethodPut)
 	s.router = r
+	s.life, s.abort = context.WithCancel(context.Background())
 	go s.sched.run()
 	return s
 }
 
 // Close stops the engine.
-func (s *Server) Close() { s.sched.close() }
+func (s *Server) Close() {
+	s.sched.close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abort()
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
@@ -150,12 +164,13 @@
 		Engine: s.opts.Name, Model: req.Model, From: from, Start: time.Now(),
 	})
 	pieces := 0
-	defer func() { s.end(n, pieces, r.Context().Err() != nil) }()
+	ctx, life := s.runContext(r.Context())
+	defer func() { s.end(n, pieces, r.Context().Err() != nil, life.Err() != nil) }()
 	if f.Silent {
 		<-r.Context().Done()
 		return
 	}
-	q := &sequence{ctx: r.Context(), priority: priority, prefill: answer.Tokens(prompt) + from, decode: max(total-from, 0)}
+	q := &sequence{ctx: ctx, priority: priority, prefill: answer.Tokens(prompt) + from, decode: max(total-from, 0)}
 	s.sched.add(q)
 	id := r.Header.Get(openai.AttemptHeader)
 	if f.WrongID {
@@ -173,8 +188,8 @@
 	for i := from; i < total; i++ {
 		select {
 		case <-q.ready:
-		case <-r.Context().Done():
-			return
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
 		}
 		if f.CutAfter > 0 && i-from >= f.CutAfter {
 			panic(http.ErrAbortHandler)
@@ -185,6 +200,16 @@
 	out.finish(total)
 }
 
+// runContext ends with the request or when the engine drops all requests.
+func (s *Server) runContext(ctx context.Context) (run, life context.Context) {
+	s.mu.Lock()
+	life = s.life
+	s.mu.Unlock()
+	run, cancel := context.WithCancel(ctx)
+	context.AfterFunc(life, cancel)
+	return run, life
+}
+
 func (s *Server) isChanging() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,11 +223,12 @@
 	return len(s.runs) - 1
 }
 
-func (s *Server) end(n, pieces int, cancelled bool) {
+func (s *Server) end(n, pieces int, cancelled, aborted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[n].Pieces = pieces
 	s.runs[n].Cancelled = cancelled
+	s.runs[n].Aborted = aborted && !cancelled
 	s.runs[n].End = time.Now()
 }
 
@@ -291,18 +317,25 @@
 	if o.Kind == engine.OrderFence || s.hasTaken(o.ID) {
 		return
 	}
-	if s.changing {
+	if s.changing && o.Kind != engine.OrderReset {
 		http.Error(w, "busy with another order", http.StatusConflict)
 		return
 	}
 	s.orders = append(s.orders, o)
-	if s.faults.CrashInOrder {
-		s.changing = true
+	if s.faults.CrashInOrder && o.Kind == engine.OrderRole {
+		s.dropRequests()
+		s.changing, s.halfway = true, true
 		panic(http.ErrAbortHandler)
 	}
 	s.take(o)
 }
 
+// dropRequests ends all running requests. The caller holds s.mu.
+func (s *Server) dropRequests() {
+	s.abort()
+	s.life, s.abort = context.WithCancel(context.Background())
+}
+
 func (s *Server) hasTaken(id string) bool {
 	for _, o := range s.orders {
 		if o.ID == id {
@@ -316,19 +349,29 @@
 func (s *Server) take(o engine.Order) {
 	switch o.Kind {
 	case engine.OrderRole:
-		s.changing = true
-		time.AfterFunc(s.opts.Timing.scale(s.opts.Timing.RoleChange), func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.role, s.changing = o.Role, false
-		})
+		s.dropRequests()
+		s.changeRole(o.Role)
+	case engine.OrderReset:
+		if s.halfway || !s.changing {
+			s.halfway = false
+			s.changeRole(o.Role)
+		}
 	case engine.OrderLoad:
 		s.models = append(s.models[:len(s.models):len(s.models)], o.Model)
-	case engine.OrderReset:
-		s.changing = false
 	}
 }
 
+// changeRole makes the engine unavailable for the time of a change. The caller
+// holds s.mu.
+func (s *Server) changeRole(to engine.Role) {
+	s.changing = true
+	time.AfterFunc(s.opts.Timing.scale(s.opts.Timing.RoleChange), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.role, s.changing = to, false
+	})
+}
+
 func (s *Server) getRuns(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.Runs())
 }
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,242 @@
+// Package lease gives one process at a time the authority over a shard, through
+// one object of the object API. Times are measured on the boot-time clock.
+//
+// The holder counts its lease from before it sent the grant or renewal. A
+// successor counts from when it saw the last renewal, and adds a bound on the
+// drift between two clocks. Every grant carries a fencing token that is higher
+// than all before and is never used again.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/jsonc"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// KeyPrefix is where leases are kept. It is not mirrored, since renewals are
+// frequent and concern only the candidates.
+const KeyPrefix = "lease/"
+
+const (
+	// renewals is how often a lease is renewed in its life.
+	renewals = 3
+	// driftShare bounds how much faster one host's clock runs than another's, as
+	// a share of the lease's life.
+	driftShare = 100
+)
+
+// Record is the content of a lease object.
+type Record struct {
+	// Holder and Incarnation name one run of a process.
+	Holder      string `json:"holder"`
+	Incarnation string `json:"incarnation"`
+	// Address is where the holder listens for its peers. A later process that
+	// listens there proves that the holder is over.
+	Address string         `json:"address"`
+	Token   int64          `json:"token"`
+	TTL     jsonc.Duration `json:"ttl"`
+	// Released is true if the holder gave the lease up in writing.
+	Released bool `json:"released"`
+	// Renewal makes every write of a holder different.
+	Renewal int64 `json:"renewal"`
+}
+
+// Grant is authority for a time.
+type Grant struct {
+	Token int64
+	// Until is when the authority ends.
+	Until bootclock.Instant
+}
+
+// Valid reports whether the grant holds for at least margin from now.
+func (g Grant) Valid(margin time.Duration) bool {
+	return g.Token > 0 && bootclock.Now().Add(margin) < g.Until
+}
+
+// Options of a Lessee.
+type Options struct {
+	Store platform.Store
+	// Shard names what the lease is about.
+	Shard       string
+	Holder      string
+	Incarnation string
+	Address     string
+	TTL         time.Duration
+	// Gone says whether the holder in a record is proven to be over, so that its
+	// lease need not be waited out, and by what. It may be nil.
+	Gone   func(Record) (reason string, gone bool)
+	Logger log.Logger
+}
+
+// Lessee wants the lease of one shard. It is safe for concurrent use.
+type Lessee struct {
+	o      Options
+	logger log.Logger
+
+	mu      sync.Mutex
+	grant   Grant
+	version platform.Version
+	record  Record
+	// seen is the last version of another holder's record, since seenAt.
+	seen    platform.Version
+	seenAt  bootclock.Instant
+	waiting string
+}
+
+// New returns a Lessee that does not hold the lease yet.
+func New(o Options) *Lessee {
+	return &Lessee{o: o, logger: log.With(o.Logger, "component", "lease", "shard", o.Shard)}
+}
+
+// Grant returns the authority in force, if any.
+func (l *Lessee) Grant() (Grant, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant, l.grant.Valid(0)
+}
+
+// Waiting says what an acquisition waits for; empty if it does not wait.
+func (l *Lessee) Waiting() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting
+}
+
+// Drift returns what a successor adds to the life of a lease.
+func Drift(ttl time.Duration) time.Duration { return ttl / driftShare }
+
+// Interval returns how long to wait until the next Step.
+func (l *Lessee) Interval() time.Duration {
+	base := l.o.TTL / renewals
+	return base*9/10 + rand.N(base/5)
+}
+
+// Step renews the lease if it is held, and otherwise tries to get it.
+func (l *Lessee) Step(ctx context.Context) error {
+	if _, held := l.Grant(); held {
+		return l.renew(ctx)
+	}
+	return l.acquire(ctx)
+}
+
+func (l *Lessee) acquire(ctx context.Context) error {
+	obj, err := l.o.Store.Get(ctx, KeyPrefix+l.o.Shard)
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		l.wait("the platform store")
+		return err
+	}
+	at := bootclock.Now()
+	var rec Record
+	if err == nil {
+		if jerr := json.Unmarshal(obj.Value, &rec); jerr != nil {
+			return fault.Wrap(jerr, fault.Internal, "lease of "+l.o.Shard+" cannot be read", "check who else writes to "+obj.Key)
+		}
+		if !l.free(obj.Version, rec, at) {
+			return nil
+		}
+	}
+	return l.take(ctx, obj.Version, Record{
+		Holder: l.o.Holder, Incarnation: l.o.Incarnation, Address: l.o.Address, Token: rec.Token + 1, TTL: jsonc.Duration(l.o.TTL),
+	})
+}
+
+// free reports whether the lease of another holder may be taken over now.
+func (l *Lessee) free(v platform.Version, rec Record, at bootclock.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rec.Released {
+		return true
+	}
+	if rec.Holder == l.o.Holder && rec.Incarnation == l.o.Incarnation {
+		return true // this process's own grant, which has ended by its own clock
+	}
+	if reason, gone := l.gone(rec); gone {
+		level.Info(l.logger).Log("msg", "lease taken over early", "holder", rec.Holder, "incarnation", rec.Incarnation, "reason", reason)
+		return true
+	}
+	if v != l.seen {
+		l.seen, l.seenAt = v, at
+	}
+	left := rec.TTL.Std() + Drift(rec.TTL.Std()) - at.Sub(l.seenAt)
+	if left <= 0 {
+		return true
+	}
+	l.waiting = "lease of " + rec.Holder + ", for " + left.Round(time.Millisecond).String() + " unless it is renewed or released"
+	return false
+}
+
+func (l *Lessee) gone(rec Record) (string, bool) {
+	if l.o.Gone == nil {
+		return "", false
+	}
+	return l.o.Gone(rec)
+}
+
+func (l *Lessee) wait(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = what
+}
+
+// take writes a record and, if that succeeds, holds the lease from before the
+// write was sent.
+func (l *Lessee) take(ctx context.Context, v platform.Version, rec Record) error {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
+	}
+	sent := bootclock.Now()
+	obj, err := platform.PutSettled(ctx, l.o.Store, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		if fault.Is(err, fault.Conflict) {
+			l.grant = Grant{}
+		}
+		return err
+	}
+	if l.grant.Token != rec.Token {
+		level.Info(l.logger).Log("msg", "lease held", "token", rec.Token)
+	}
+	l.version, l.record, l.waiting = obj.Version, rec, ""
+	l.grant = Grant{Token: rec.Token, Until: sent.Add(rec.TTL.Std())}
+	return nil
+}
+
+func (l *Lessee) renew(ctx context.Context) error {
+	l.mu.Lock()
+	v, rec := l.version, l.record
+	l.mu.Unlock()
+	rec.Renewal++
+	return l.take(ctx, v, rec)
+}
+
+// Release gives the lease up in writing, so that a successor need not wait.
+// Nothing may be done under the grant any more when it is called.
+func (l *Lessee) Release(ctx context.Context) error {
+	l.mu.Lock()
+	v, rec, held := l.version, l.record, l.grant.Valid(0)
+	l.grant = Grant{}
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	rec.Released = true
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
+	}
+	_, err = l.o.Store.Put(ctx, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
+	return err
+}
