Role changes drain, are fenced and survive the loss of their controller

Cause: an order timed out at once in state draining, because the time at which a new order entered its state was never set; the controller then gave up and tried again in a loop. Seen in the log as drain_failed within 2 ms.

Ruled out: the drain check itself and the lease, which was held throughout.

Change: the time is set when the order starts; after a failed order an engine is left alone for 3 s. The bound on a change is a pool setting (changeTimeout), since engines differ and the test needs a short one.

Conclusion: kill, pause past the lease and release of the controller in the middle of an order end with both engines in the ordered role, tokens never falling and no order taken twice, for engines that check tokens and that don't.

--- a/config/config.go
+++ b/config/config.go
@@ -51,6 +51,7 @@
 	GoodputWeight float64        `json:"goodputWeight"`
 	ChangeWeight  float64        `json:"changeWeight"`
 	MinDwell      jsonc.Duration `json:"minDwell"`
+	ChangeTimeout jsonc.Duration `json:"changeTimeout"`
 }
 
 // ServerState is what the operator wants of an engine or backend server.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/lease"
 	"github.com/rockdoor/rockdoor/members"
@@ -33,6 +34,8 @@
 	// stepTimeout bounds one use of the store for a lease.
 	stepTimeout = 2 * time.Second
 	statusTime  = time.Second
+	// retryAfter is how long an engine is left alone after an order failed.
+	retryAfter = 3 * time.Second
 )
 
 // Options of a Manager.
@@ -275,19 +278,23 @@
 		if !s.Orders[e.Name].Open() {
 			continue
 		}
-		if _, err := c.exec.Recover(ctx, target(e)); err != nil {
+		if _, err := c.exec.Recover(ctx, c.target(s, e)); err != nil {
 			return err
 		}
 	}
 	for _, e := range c.engines(s) {
-		if e.Role == "" || e.State == config.Withdrawn || s.Orders[e.Name].Open() {
+		last := s.Orders[e.Name]
+		if e.Role == "" || e.State == config.Withdrawn || last.Open() {
+			continue
+		}
+		if last.State == charts.OrderFailed && time.Since(last.Since) < retryAfter {
 			continue
 		}
 		st, err := c.status(ctx, e.Address)
 		if err != nil || st.Changing || st.Role == e.Role {
 			continue
 		}
-		return c.exec.ChangeRole(ctx, target(e), st.Role, e.Role, "asked for by the configuration")
+		return c.exec.ChangeRole(ctx, c.target(s, e), st.Role, e.Role, "asked for by the configuration")
 	}
 	return nil
 }
@@ -302,8 +309,11 @@
 	return out
 }
 
-func target(e config.Engine) orders.Target {
-	return orders.Target{Name: e.Name, Address: e.Address, Fencing: e.Fencing}
+func (c *controller) target(s *control.Snapshot, e config.Engine) orders.Target {
+	return orders.Target{
+		Name: e.Name, Address: e.Address, Fencing: e.Fencing,
+		ChangeTimeout: s.Config.Pools[c.pool].Roles.ChangeTimeout.Std(),
+	}
 }
 
 func (c *controller) status(ctx context.Context, address string) (engine.Status, error) {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -149,7 +149,7 @@
 	}
 	return fmt.Sprintf(`{
   "hosts": [%s],
-  "pools": [{"name": "p"}],
+  "pools": [{"name": "p", "roles": {"changeTimeout": "3s"}}],
   "engines": [%s],
   "models": [{"name": "review", "pool": "p", "timeout": "60s"}, {"name": "notes", "pool": "p", "idempotent": true, "timeout": "60s"}],
   "services": [{"name": "s", "servers": [%s]}],
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -68,6 +68,8 @@
 	Address string
 	// Fencing engines refuse an order with an old token.
 	Fencing bool
+	// ChangeTimeout bounds a change and a restoration; 0 takes the chart's bound.
+	ChangeTimeout time.Duration
 }
 
 // Options of an Executor.
@@ -126,7 +128,7 @@
 	if old, err := ParseRecord(obj); obj.Version != 0 && (err != nil || old.Open()) {
 		return fault.Newf(fault.Conflict, "recover the order before first", "engine %s has an open order", t.Name)
 	}
-	r := &run{e: e, t: t, version: obj.Version, chart: charts.Order.Start()}
+	r := &run{e: e, t: t, version: obj.Version, chart: charts.Order.Start(), entered: time.Now()}
 	r.rec = Record{
 		Engine: t.Name, From: from, Reason: reason, Holder: e.o.Holder,
 		Order: engine.Order{ID: ulid.Make().String(), Token: g.Token, Kind: engine.OrderRole, Role: to},
@@ -199,7 +201,7 @@
 		if r.moved {
 			continue
 		}
-		if limit, event := r.chart.Timeout(); event != "" && time.Since(r.entered) > limit.Std() {
+		if limit, event := r.timeout(); event != "" && time.Since(r.entered) > limit {
 			if err := r.fire(ctx, event); err != nil {
 				return err
 			}
@@ -217,6 +219,16 @@
 	return nil
 }
 
+// timeout returns the bound on the present state and the event that is then due.
+func (r *run) timeout() (time.Duration, statechart.Event) {
+	limit, event := r.chart.Timeout()
+	s := r.chart.State()
+	if r.t.ChangeTimeout > 0 && (s == charts.OrderChanging || s == charts.OrderRestoring) {
+		return r.t.ChangeTimeout, event
+	}
+	return limit.Std(), event
+}
+
 func (r *run) step(ctx context.Context) error {
 	g, ok := r.e.o.Grant()
 	if !ok || g.Token != r.rec.Order.Token {
