--- a/guard/guard.go
+++ b/guard/guard.go
@@ -69,6 +69,9 @@
 // Do runs write if the deadline is at least margin away, with a timer armed for
 // the deadline around both the check and the write. write must not block.
 func Do(deadline bootclock.Instant, margin time.Duration, write func() error) error {
+	if bootclock.Now().Add(margin) >= deadline {
+		return ErrTooLate // a timer armed for the past would kill at once
+	}
 	t, err := Arm(deadline)
 	if err != nil {
 		return err
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,163 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/platform/memstore"
+)
+
+func lessee(s *memstore.Store, name string, ttl time.Duration) *Lessee {
+	return New(Options{Store: s, Shard: "x", Holder: name, Incarnation: "1", TTL: ttl, Logger: log.NewNopLogger()})
+}
+
+func TestReleasedLeaseIsTakenAtOnceWithAHigherToken(t *testing.T) {
+	ctx := context.Background()
+	s := memstore.New()
+	a, b := lessee(s, "a", time.Hour), lessee(s, "b", time.Hour)
+	require.NoError(t, a.Step(ctx))
+	require.NoError(t, b.Step(ctx))
+	_, held := b.Grant()
+	require.False(t, held)
+	require.Contains(t, b.Waiting(), "lease of a")
+	require.NoError(t, a.Release(ctx))
+	_, held = a.Grant()
+	require.False(t, held)
+	require.NoError(t, b.Step(ctx))
+	g, held := b.Grant()
+	require.True(t, held)
+	require.EqualValues(t, 2, g.Token)
+}
+
+func TestProvenEndOfTheHolderLetsASuccessorGoSooner(t *testing.T) {
+	ctx := context.Background()
+	s := memstore.New()
+	a, b := lessee(s, "a", time.Hour), lessee(s, "b", time.Hour)
+	gone := false
+	b.o.Gone = func(Record) (string, bool) { return "test", gone }
+	require.NoError(t, a.Step(ctx))
+	require.NoError(t, b.Step(ctx))
+	_, held := b.Grant()
+	require.False(t, held)
+	gone = true
+	require.NoError(t, b.Step(ctx))
+	_, held = b.Grant()
+	require.True(t, held)
+	require.Error(t, a.Step(ctx), "the old holder learns it at its next renewal")
+	_, held = a.Grant()
+	require.False(t, held)
+}
+
+func TestLostAnswerOfARenewalKeepsTheLease(t *testing.T) {
+	ctx := context.Background()
+	s := memstore.New()
+	a := lessee(s, "a", time.Hour)
+	require.NoError(t, a.Step(ctx))
+	lost := false
+	s.FailWith(func(op memstore.Op, _ string) memstore.Failure {
+		if op == memstore.OpPut && !lost {
+			lost = true
+			return memstore.LosesAnswer
+		}
+		return memstore.Works
+	})
+	require.NoError(t, a.Step(ctx))
+	g, held := a.Grant()
+	require.True(t, held)
+	require.EqualValues(t, 1, g.Token)
+}
+
+// span is a time in which a process believed that it had authority.
+type span struct {
+	name     string
+	token    int64
+	from, to bootclock.Instant
+}
+
+// Candidates that are paused, and whose store fails in every way, never hold
+// the lease at the same time.
+func TestNoTwoHoldersAtOnce(t *testing.T) {
+	const ttl = 60 * time.Millisecond
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	s := memstore.New()
+	var fmu sync.Mutex
+	frng := rand.New(rand.NewPCG(seed, 0))
+	s.FailWith(func(op memstore.Op, _ string) memstore.Failure {
+		fmu.Lock()
+		defer fmu.Unlock()
+		if frng.IntN(4) > 0 {
+			return memstore.Works
+		}
+		if op == memstore.OpPut {
+			return memstore.Failure(1 + frng.IntN(3))
+		}
+		return memstore.Refuses
+	})
+	var mu sync.Mutex
+	var spans []span
+	var wg sync.WaitGroup
+	end := time.Now().Add(3 * time.Second)
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(seed, uint64(i+1)))
+			l := lessee(s, fmt.Sprint(i), ttl)
+			for time.Now().Before(end) {
+				ctx, cancel := context.WithTimeout(context.Background(), ttl/2)
+				_ = l.Step(ctx)
+				cancel()
+				if g, held := l.Grant(); held {
+					mu.Lock()
+					spans = append(spans, span{l.o.Holder, g.Token, bootclock.Now(), g.Until})
+					mu.Unlock()
+				}
+				time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+				if rng.IntN(10) == 0 {
+					time.Sleep(2 * ttl) // a pause
+				}
+				if rng.IntN(20) == 0 {
+					_ = l.Release(context.Background())
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	checkSpans(t, spans)
+}
+
+func checkSpans(t *testing.T, spans []span) {
+	slices.SortFunc(spans, func(a, b span) int { return int(a.token - b.token) })
+	require.NotEmpty(t, spans)
+	holders := map[int64]string{}
+	lastUse := map[int64]bootclock.Instant{}
+	firstUse := map[int64]bootclock.Instant{}
+	for _, s := range spans {
+		if h, ok := holders[s.token]; ok {
+			require.Equal(t, h, s.name, "token %d was used by two", s.token)
+		} else {
+			firstUse[s.token] = s.from
+		}
+		holders[s.token] = s.name
+		lastUse[s.token] = max(lastUse[s.token], s.from)
+	}
+	previous := bootclock.Instant(0)
+	for token := int64(1); token <= spans[len(spans)-1].token; token++ {
+		if _, ok := holders[token]; !ok {
+			continue
+		}
+		require.Greater(t, firstUse[token], previous, "token %d was used while an earlier one still was", token)
+		previous = max(previous, lastUse[token])
+	}
+	t.Logf("%d spans, %d holders", len(spans), len(holders))
+}
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -148,11 +148,11 @@
 		return false, ErrNoGrant
 	}
 	obj, err := e.read(ctx, t.Name)
-	if err != nil {
+	if err != nil || obj.Version == 0 {
 		return false, err
 	}
 	rec, err := ParseRecord(obj)
-	if obj.Version == 0 || err != nil || !rec.Open() {
+	if err != nil || !rec.Open() {
 		return false, err
 	}
 	r := &run{e: e, t: t, rec: rec, version: obj.Version, chart: charts.Order.Resume(rec.State), entered: time.Now()}
