Run a keyed request at most once across entry hosts

Cause: callers and the balancer send a request again to any entry host; without a memory shared between them a rule review or an alert would run twice.

Ruled out: one conditional create per key in the platform's service. It would bind keyed requests to several hundred writes a second for the whole fleet and to the platform's outages.

Change: package claims. Three holders per shard of the keys, in different failure domains, agreed through one small table in the platform's service; a request runs once two of three grant its claim. A replaced holder abstains until it has copied the claims of both others; too many lost at once makes the shard wait out the window. The second caller gets the first's answer, or unknown.

--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,368 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/platform/memstore"
+)
+
+// world is a fleet of claim holders whose calls fail as a property test draws.
+type world struct {
+	t       *rapid.T
+	objects *memstore.Store
+	procs   map[string]*proc // by name
+	started int
+	// cut holds pairs of processes, or a process and "store", that cannot talk.
+	cut map[string]bool
+	// suspected processes live but are taken for dead by the others.
+	suspected map[string]bool
+	// runs counts how often each key was run.
+	runs map[string]int
+}
+
+type proc struct {
+	w      *world
+	m      Member
+	store  *Store
+	keeper *Keeper
+	claim  *Claimant
+	seen   platform.Object // the mirror
+	down   bool
+}
+
+const testWindow = time.Hour
+
+func (w *world) start(i int) {
+	w.started++
+	name := fmt.Sprintf("p%d", i)
+	p := &proc{w: w, m: Member{name, fmt.Sprintf("%04d", w.started), fmt.Sprintf("d%d", i%3)}}
+	p.store = NewStore(p.m, testWindow)
+	p.claim = NewClaimant(p.store, p)
+	p.keeper = NewKeeper(KeeperOptions{
+		Store: p.store, Peers: p, Objects: p, Logger: log.NewNopLogger(), Live: w.live,
+		Mirrored: func() (platform.Object, bool) { return p.seen, p.seen.Version > 0 },
+		// Every process may change the table, which is harder than one.
+		Registrar: func() bool { return true },
+	})
+	w.procs[name] = p
+}
+
+func (w *world) live() []Member {
+	var out []Member
+	for i := range 5 {
+		if p := w.procs[fmt.Sprintf("p%d", i)]; p != nil && !p.down && !w.suspected[p.m.Name] {
+			out = append(out, p.m)
+		}
+	}
+	return out
+}
+
+func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
+
+func (w *world) reach(from, to string) bool { return !w.cut[pair(from, to)] }
+
+// refresh copies the table from the store, as the mirror would.
+func (p *proc) refresh() {
+	if !p.w.reach(p.m.Name, "store") {
+		return
+	}
+	if obj, err := p.w.objects.Get(context.Background(), TableKey); err == nil {
+		p.seen = obj
+	}
+}
+
+func (p *proc) peer(to Member) (*proc, error) {
+	other := p.w.procs[to.Name]
+	if other == nil || other.down || other.m != to || !p.w.reach(p.m.Name, to.Name) {
+		return nil, fault.New(fault.Unavailable, "not reached", "")
+	}
+	return other, nil
+}
+
+func (p *proc) Claim(_ context.Context, to Member, c Claim) (Reply, error) {
+	other, err := p.peer(to)
+	if err != nil {
+		return Reply{}, err
+	}
+	reply := other.store.Claim(c)
+	return reply, nil
+}
+
+func (p *proc) Abandon(_ context.Context, to Member, c Claim) error {
+	other, err := p.peer(to)
+	if err == nil {
+		other.store.Abandon(c)
+	}
+	return err
+}
+
+func (p *proc) Page(_ context.Context, to Member, shard int, epoch int64, after string) ([]Record, bool, bool, error) {
+	other, err := p.peer(to)
+	if err != nil {
+		return nil, false, false, err
+	}
+	page, more, ready := other.store.Page(shard, epoch, after)
+	return page, more, ready, nil
+}
+
+// The object API, as far as the keeper uses it.
+func (p *proc) Put(ctx context.Context, key string, value []byte, v platform.Version, id string) (platform.Object, error) {
+	if !p.w.reach(p.m.Name, "store") {
+		return platform.Object{}, fault.New(fault.Unavailable, "cut", "")
+	}
+	return p.w.objects.Put(ctx, key, value, v, id)
+}
+func (p *proc) Get(ctx context.Context, key string) (platform.Object, error) {
+	return p.w.objects.Get(ctx, key)
+}
+func (p *proc) List(context.Context, string) ([]platform.Object, platform.Revision, error) {
+	panic("not used")
+}
+func (p *proc) Delete(context.Context, string, platform.Version) error { panic("not used") }
+func (p *proc) Watch(context.Context, string, platform.Revision, time.Duration) ([]platform.Event, platform.Revision, error) {
+	panic("not used")
+}
+
+// acquire claims synchronously and in steps that the test orders itself: the
+// holders are asked one after another, with other events between.
+type acquisition struct {
+	p      *proc
+	claim  Claim
+	todo   []Holder
+	grants int
+	quorum int
+}
+
+// Keys that are claimed again and again, while processes crash, restart, are
+// cut off, and the holders change, run at most once each.
+func TestKeysRunAtMostOnce(t *testing.T) {
+	granted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, objects: memstore.New(), procs: map[string]*proc{}, cut: map[string]bool{}, suspected: map[string]bool{}, runs: map[string]int{}}
+		for i := range 3 {
+			w.start(i)
+		}
+		for range 6 { // until all hold their shards
+			for i := range 3 {
+				w.procs[fmt.Sprint("p", i)].refresh()
+				w.procs[fmt.Sprint("p", i)].keeper.Step(context.Background())
+			}
+		}
+		var open []*acquisition
+		name := func(label string) string {
+			return fmt.Sprintf("p%d", rapid.IntRange(0, 4).Draw(t, label))
+		}
+		for n := range rapid.IntRange(20, 150).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"keep", "keep", "keep", "refresh", "refresh", "claim", "claim", "ask", "ask", "ask", "ask", "ask", "ask", "ask", "ask", "crash", "restart", "give up", "suspect", "cut", "heal"}).Draw(t, "step") {
+			case "keep":
+				if p := w.procs[name("p")]; p != nil && !p.down {
+					p.keeper.Step(context.Background())
+				}
+			case "refresh":
+				if p := w.procs[name("p")]; p != nil && !p.down {
+					p.refresh()
+				}
+			case "claim":
+				if p := w.procs[name("p")]; p != nil && !p.down && p.store.Table() != nil {
+					key := fmt.Sprintf("k%d", rapid.IntRange(0, 1).Draw(t, "key"))
+					tb := p.store.Table()
+					shard := tb.Shards[tb.ShardOf(key)]
+					c := Claim{Key: key, Claimant: fmt.Sprint("c", n), Digest: "d", Process: p.m.Name, Epoch: shard.Epoch}
+					open = append(open, &acquisition{p, c, shard.Holders, 0, Quorum(len(shard.Holders))})
+				}
+			case "ask":
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "acquisition")
+					if !open[i].ask(w) {
+						open = append(open[:i], open[i+1:]...)
+					}
+				}
+			case "crash":
+				if p := w.procs[name("p")]; p != nil {
+					p.down = true
+				}
+			case "restart":
+				i := rapid.IntRange(0, 4).Draw(t, "p")
+				w.start(i)
+			case "give up":
+				if p := w.procs[name("p")]; p != nil && !p.down && p.store.Table() != nil {
+					if next, changed := Next(p.store.Table(), w.live(), true); changed {
+						_ = p.keeper.write(context.Background(), next)
+					}
+				}
+			case "suspect":
+				w.suspected[name("p")] = true
+			case "cut":
+				w.cut[pair(name("a"), rapid.SampledFrom([]string{"store", "p0", "p1", "p2"}).Draw(t, "b"))] = true
+			case "heal":
+				clear(w.cut)
+				clear(w.suspected)
+			}
+		}
+		for key, n := range w.runs {
+			granted++
+			if n > 1 {
+				t.Fatalf("%s ran %d times", key, n)
+			}
+		}
+	})
+	t.Logf("%d keys ran", granted)
+	require.Greater(t, granted, 20)
+}
+
+// ask asks the next holder. It returns false when the acquisition has ended.
+func (a *acquisition) ask(w *world) bool {
+	if a.p.down {
+		return false // the claimant crashed; its claims stay
+	}
+	if len(a.todo) == 0 {
+		a.p.store.Abandon(a.claim)
+		for _, h := range a.p.store.Table().Shards[a.p.store.Table().ShardOf(a.claim.Key)].Holders {
+			_ = a.p.Abandon(context.Background(), h.Member, a.claim)
+		}
+		return false
+	}
+	reply := a.p.claim.ask(context.Background(), a.todo[0].Member, a.claim)
+	a.todo = a.todo[1:]
+	if reply.Verdict == Granted {
+		a.grants++
+	}
+	if a.grants >= a.quorum {
+		w.runs[a.claim.Key]++
+		return false
+	}
+	return true
+}
+
+func members(n int) []Member {
+	ms := make([]Member, n)
+	for i := range ms {
+		ms[i] = Member{fmt.Sprintf("m%d", i), "1", fmt.Sprintf("d%d", i%3)}
+	}
+	return ms
+}
+
+func TestHoldersAreInDifferentDomainsAndSpread(t *testing.T) {
+	table, changed := Next(nil, members(9), false)
+	require.True(t, changed)
+	per := map[string]int{}
+	for _, s := range table.Shards {
+		domains := map[string]bool{}
+		for _, h := range s.Holders {
+			domains[h.Domain] = true
+			per[h.Name]++
+		}
+		require.Len(t, domains, Replicas)
+	}
+	require.Len(t, per, 9)
+	_, changed = Next(table, members(9), true)
+	require.False(t, changed, "nothing to do")
+}
+
+func TestTwoLostHoldersStartAfreshOnlyWhenGivenUp(t *testing.T) {
+	table, _ := Next(nil, members(3), false)
+	live := append(members(3)[:1], Member{"x", "1", "d1"}, Member{"y", "1", "d2"})
+	_, changed := Next(table, live, false)
+	require.False(t, changed)
+	fresh, changed := Next(table, live, true)
+	require.True(t, changed)
+	require.Equal(t, fresh.Shards[0].Epoch, fresh.Shards[0].Fresh)
+	s := NewStore(live[0], time.Hour)
+	s.Adopt(table)
+	c := Claim{Key: "k", Claimant: "a", Epoch: 1}
+	require.Equal(t, Granted, s.Claim(c).Verdict)
+	s.Adopt(fresh)
+	c.Epoch = 2
+	require.Equal(t, Abstain, s.Claim(c).Verdict, "claims that were lost may be within their window")
+	s.Adopt(fresh.withoutFresh())
+	require.Equal(t, Granted, s.Claim(c).Verdict)
+}
+
+func TestOneLostHolderIsReplacedByOneThatAbstainsUntilItHasCopied(t *testing.T) {
+	table, _ := Next(nil, members(3), false)
+	live := append(members(3)[:2], Member{"x", "1", "d2"})
+	next, changed := Next(table, live, false)
+	require.True(t, changed)
+	s := next.Shards[0]
+	require.EqualValues(t, 2, s.Epoch)
+	require.Zero(t, s.Fresh)
+	x := NewStore(Member{"x", "1", "d2"}, time.Hour)
+	x.Adopt(next)
+	require.Equal(t, Abstain, x.Claim(Claim{Key: "k", Claimant: "a", Epoch: 2}).Verdict)
+}
+
+func TestVerdicts(t *testing.T) {
+	m := members(1)
+	table, _ := Next(nil, m, false)
+	s := NewStore(m[0], time.Hour)
+	c := Claim{Key: "k", Claimant: "a", Digest: "d", Process: "m0", Epoch: 1}
+	require.Equal(t, Abstain, s.Claim(c).Verdict, "no table yet")
+	s.Adopt(table)
+	require.Equal(t, Granted, s.Claim(c).Verdict)
+	require.Equal(t, Granted, s.Claim(c).Verdict, "the same claimant again")
+	other := c
+	other.Claimant = "b"
+	require.Equal(t, Reply{Seen, "a", "m0"}, s.Claim(other))
+	other.Digest = "x"
+	require.Equal(t, Mismatch, s.Claim(other).Verdict)
+	s.Abandon(other)
+	require.Equal(t, Mismatch, s.Claim(other).Verdict, "only the claimant can withdraw")
+	s.Abandon(c)
+	require.Equal(t, Abstain, s.Claim(c).Verdict, "a claim that arrives after its withdrawal")
+	require.Equal(t, Granted, s.Claim(other).Verdict)
+	other.Epoch = 7
+	require.Equal(t, Abstain, s.Claim(other).Verdict, "another epoch")
+	require.Equal(t, 1, s.Held())
+}
+
+func TestClaimsEndWithTheirWindow(t *testing.T) {
+	m := members(1)
+	table, _ := Next(nil, m, false)
+	s := NewStore(m[0], time.Nanosecond)
+	s.Adopt(table)
+	require.Equal(t, Granted, s.Claim(Claim{Key: "k", Claimant: "a", Epoch: 1}).Verdict)
+	time.Sleep(time.Millisecond)
+	require.Equal(t, Granted, s.Claim(Claim{Key: "k", Claimant: "b", Epoch: 1}).Verdict)
+	time.Sleep(time.Millisecond)
+	s.Expire()
+	require.Zero(t, s.Held())
+}
+
+func TestContestedKeysAreBlockedWhenCopied(t *testing.T) {
+	m := members(1)
+	table, _ := Next(nil, m, false)
+	s := NewStore(m[0], time.Hour)
+	s.Adopt(table)
+	shard := table.ShardOf("k")
+	require.True(t, s.Import(shard, 1, []Record{{Key: "k", Claimant: "a"}}))
+	require.True(t, s.Import(shard, 1, []Record{{Key: "k", Claimant: "b"}}))
+	s.Abandon(Claim{Key: "k", Claimant: "a", Epoch: 1})
+	require.Equal(t, Seen, s.Claim(Claim{Key: "k", Claimant: "c", Epoch: 1}).Verdict)
+}
+
+func FuzzParseTable(f *testing.F) {
+	table, _ := Next(nil, members(3), false)
+	text, _ := json.Marshal(table)
+	f.Add(text)
+	f.Add([]byte(`{"shards": [{"epoch": -1}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		table, err := ParseTable(platform.Object{Value: text})
+		if err != nil || len(table.Shards) == 0 {
+			return
+		}
+		s := NewStore(members(1)[0], time.Hour)
+		s.Adopt(table)
+		s.Claim(Claim{Key: "k", Claimant: "a", Epoch: 1})
+		Next(table, members(2), true)
+	})
+}
--- a/internal/charts/charts.go
+++ b/internal/charts/charts.go
@@ -55,7 +55,10 @@
 	RequestNotRun   statechart.State = "not_run"
 	RequestUnknown  statechart.State = "unknown"
 	RequestFailed   statechart.State = "failed"
+	// RequestDuplicate requests got the answer of another with the same key.
+	RequestDuplicate statechart.State = "duplicate"
 
+	Duplicate       statechart.Event = "duplicate"
 	Admitted        statechart.Event = "admitted"
 	Refused         statechart.Event = "refused"
 	Chosen          statechart.Event = "chosen"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/confstore"
 	"github.com/rockdoor/rockdoor/engine/httpcontrol"
 	"github.com/rockdoor/rockdoor/fault"
@@ -40,6 +41,7 @@
 	joinPoll       = 50 * time.Millisecond
 	unregisterTime = 2 * time.Second
 	closeTime      = time.Second
+	handOverTime   = 5 * time.Second
 )
 
 // Daemon is one process.
@@ -63,6 +65,7 @@
 	entry     *entry.Server
 	admin     *admin.Server
 	manager   *controller.Manager
+	claims    *claimPart
 
 	callers   *http.Server
 	operators *http.Server
@@ -116,7 +119,11 @@
 }
 
 func (d *Daemon) buildServers() {
-	d.entry = entry.New(entry.Options{Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Metrics: d.reg, Logger: d.logger})
+	d.claims = d.newClaimPart()
+	d.entry = entry.New(entry.Options{
+		Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Process: d.process(), Claims: d.claims,
+		Metrics: d.reg, Logger: d.logger,
+	})
 	d.admin = admin.New(admin.Options{
 		Store: d.store, Loader: d.loader, Snapshot: d.loop.Snapshot, Refresh: d.refresh, Ready: d.ready,
 		Self: d.self, Explain: d.entry.Explain, Pools: d.manager.Status, Metrics: d.reg, Logger: d.logger,
@@ -151,6 +158,9 @@
 	if resp := d.heart.Answer(req); resp != nil {
 		return resp
 	}
+	if resp := d.claims.answer(req); resp != nil {
+		return resp
+	}
 	return &peerpb.Response{Error: "call is not known"}
 }
 
@@ -183,6 +193,7 @@
 	add(d.keeper.Run)
 	add(d.heart.Run)
 	add(d.reporter.Run)
+	add(d.claims.keeper.Run)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
 	g.Add(func() error { return d.operators.Serve(listeners.admin) }, func(error) { closeServer(d.operators) })
 	g.Add(func() error { return d.callers.Serve(listeners.callers) }, func(error) { closeServer(d.callers) })
@@ -303,6 +314,24 @@
 	}
 }
 
+// handOver waits, for a bounded time, until other processes hold the claims that
+// this one holds. They take them over because its heartbeats say that it leaves.
+func (d *Daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	tick := time.NewTicker(joinPoll)
+	defer tick.Stop()
+	// Serving counts this process, which is no longer a candidate.
+	for d.claims.store.Holds() && d.loop.Snapshot().Serving > claims.Replicas {
+		select {
+		case <-ctx.Done():
+			level.Warn(d.logger).Log("msg", "claims not handed over", "claims", d.claims.store.Held())
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func (d *Daemon) isRegistered() bool {
 	for _, m := range members.Parse(d.mirror.List(members.KeyPrefix + d.self.Name)) {
 		if m.Name == d.self.Name {
@@ -317,6 +346,7 @@
 func (d *Daemon) stop(background context.Context) {
 	d.heart.SetPhase(background, peerpb.Phase_PHASE_LEAVING)
 	time.Sleep(d.set.Limits.StopGrace.Std())
+	d.handOver(background)
 	d.fire(charts.GraceOver)
 	d.callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(background, d.set.Limits.StopTimeout.Std())
--- /dev/null
+++ b/internal/e2e/requests_test.go
@@ -0,0 +1,232 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/platformd"
+)
+
+// history is what the callers of a run were told, by request.
+type history struct {
+	mu      sync.Mutex
+	answers map[string][]callResult
+}
+
+func (h *history) add(id string, r callResult) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers[id] = append(h.answers[id], r)
+}
+
+// counts returns how many answers had each outcome.
+func (h *history) counts() map[string]int {
+	out := map[string]int{}
+	for _, rs := range h.answers {
+		for _, r := range rs {
+			name := r.outcome
+			if r.err != nil {
+				name = "connection lost"
+			}
+			out[name]++
+		}
+	}
+	return out
+}
+
+// runsByID returns how often each request ran, from the engines' own records.
+func (f *fleet) runsByID() map[string]int {
+	runs := map[string]int{}
+	for _, e := range f.engines {
+		for _, r := range e.Runs() {
+			runs[r.LoadID]++
+		}
+	}
+	return runs
+}
+
+// check compares what callers were told with what the engines recorded.
+func (h *history) check(t *testing.T, f *fleet) {
+	runs := f.runsByID()
+	for id, rs := range h.answers {
+		require.LessOrEqual(t, runs[id], 1, "%s ran more than once", id)
+		whole := ""
+		for _, r := range rs {
+			if r.outcome == "not_run" && len(rs) == 1 {
+				require.Zero(t, runs[id], "%s was said not to have run", id)
+			}
+			if r.whole && r.status == http.StatusOK {
+				require.Equal(t, 1, runs[id], "%s was answered without a run", id)
+				require.Contains(t, r.body, "[DONE]")
+				if whole != "" {
+					require.Equal(t, whole, r.body, "two answers to %s differ", id)
+				}
+				whole = r.body
+			}
+		}
+	}
+	t.Logf("%d requests, answers: %v", len(h.answers), h.counts())
+}
+
+// senders send each keyed request to several processes at once, and to another
+// one again when they got no whole answer, until stop is closed.
+func (f *fleet) senders(n int, h *history, stop chan struct{}) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for s := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", s, i)
+				var both sync.WaitGroup
+				for range 2 {
+					both.Add(1)
+					go func() {
+						defer both.Done()
+						f.sendUntilAnswered(id, h)
+					}()
+				}
+				both.Wait()
+			}
+		}()
+	}
+	return &wg
+}
+
+func (f *fleet) sendUntilAnswered(id string, h *history) {
+	for range 4 {
+		r := f.chat(rand.IntN(len(f.procs)), "review", 5, "Idempotency-Key", id, "X-Load-Id", id)
+		h.add(id, r)
+		if r.whole {
+			return
+		}
+		time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+	}
+}
+
+var quick = engined.Timing{StepBase: 2 * time.Millisecond, RoleChange: 300 * time.Millisecond}
+
+func TestKeysRunAtMostOnceUnderFaults(t *testing.T) {
+	faults := map[string]func(f *fleet){
+		"none": func(*fleet) {},
+		"kill": func(f *fleet) { f.procs[1].kill(); time.Sleep(time.Second); f.start(1) },
+		"pause": func(f *fleet) {
+			f.procs[1].signal(syscall.SIGSTOP)
+			time.Sleep(7 * time.Second) // until others hold its claims
+			f.procs[1].signal(syscall.SIGCONT)
+		},
+		"platform down": func(f *fleet) {
+			f.platform.SetFaults(platformd.Faults{Down: true})
+			f.procs[2].kill()
+			time.Sleep(3 * time.Second)
+			f.platform.SetFaults(platformd.Faults{})
+			f.start(2)
+		},
+		"rolling replacement": func(f *fleet) {
+			for i := range f.procs {
+				f.procs[i].signal(syscall.SIGTERM)
+				<-f.procs[i].done
+				f.start(i)
+				f.awaitReady(i)
+			}
+		},
+		"engine crash": func(f *fleet) {
+			f.engines[0].SetFaults(engined.Faults{CutBeforeHeaders: true})
+			time.Sleep(time.Second)
+			f.engines[0].SetFaults(engined.Faults{CutAfter: 2})
+			time.Sleep(time.Second)
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, options{entries: 5, engines: 3, timing: quick})
+			f.await("keyed requests", func() bool { return f.chat(0, "review", 5, "Idempotency-Key", "first").whole })
+			h := &history{answers: map[string][]callResult{}}
+			stop := make(chan struct{})
+			wg := f.senders(6, h, stop)
+			time.Sleep(500 * time.Millisecond)
+			fault(f)
+			time.Sleep(time.Second)
+			close(stop)
+			wg.Wait()
+			h.check(t, f)
+		})
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	f := startFleet(t, options{entries: 3, engines: 2, timing: engined.Timing{StepBase: 10 * time.Millisecond}})
+	results := make(chan callResult, 10)
+	for range 10 {
+		go func() { results <- f.chat(1, "review", 100) }()
+	}
+	f.await("requests at the engines", func() bool { return len(f.runsByID()) > 0 && f.inHand() == 10 })
+	f.procs[1].signal(syscall.SIGTERM)
+	f.await("not ready", func() bool { return !f.get(1, "/readyz", nil) })
+	for range 10 {
+		require.True(t, (<-results).whole)
+	}
+	<-f.procs[1].done
+	require.True(t, f.procs[1].cmd.ProcessState.Success(), f.procs[1].text())
+}
+
+func (f *fleet) inHand() (n int) {
+	for _, e := range f.engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
+func TestDrainedEngineGetsNoNewWorkAndCutsNothing(t *testing.T) {
+	f := startFleet(t, options{entries: 3, engines: 2, timing: engined.Timing{StepBase: 5 * time.Millisecond}})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := f.chat(i%3, "review", 40); !r.whole {
+					t.Errorf("cut by a drain: %+v", r)
+				}
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	r, err := client.Post("http://"+f.address(0, 7001)+"/api/v1/edits", "", strings.NewReader(`[{"kind": "engine", "name": "e0", "state": "draining"}]`))
+	require.NoError(t, err)
+	r.Body.Close()
+	require.Equal(t, 200, r.StatusCode)
+	accepted := time.Now()
+	time.Sleep(4 * time.Second)
+	close(stop)
+	wg.Wait()
+	last := time.Time{}
+	for _, run := range f.engines[0].Runs() {
+		if run.Start.After(last) {
+			last = run.Start
+		}
+	}
+	require.Less(t, last.Sub(accepted), 3*time.Second, "new work after the bound")
+	t.Logf("last new request %s after the drain was accepted", last.Sub(accepted))
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,8 +20,10 @@
 	"go.uber.org/goleak"
 
 	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/standin/answer"
@@ -40,6 +43,7 @@
 	engines  []*engined.Server
 	services []*serviced.Server
 	entry    *Server
+	claims   *claims.Store
 	url      string
 	mu       sync.Mutex
 	snapshot *control.Snapshot
@@ -94,12 +98,30 @@
 	set := &settings.Settings{Host: "entry", Domain: "d0"}
 	set.Limits = settings.Limits{BodyBytes: 4096, Requests: 64, UrgentReserve: 0.1}
 	require.NoError(t, set.Limits.BodyTimeout.UnmarshalText([]byte("300ms")))
-	f.entry = New(Options{Settings: set, Snapshot: f.current, Tracker: &routing.Tracker{}, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	self := claims.Member{Name: "entry", Incarnation: "1"}
+	table, _ := claims.Next(nil, []claims.Member{self}, false)
+	f.claims = claims.NewStore(self, time.Hour)
+	f.claims.Adopt(table)
+	f.entry = New(Options{Settings: set, Snapshot: f.current, Tracker: &routing.Tracker{}, Process: "entry/1", Claims: f, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
 	t.Cleanup(f.entry.Close)
 	f.url = "http://" + listener(t, f.entry)
 	return f
 }
 
+// The fleet is its own claims, of one holder.
+func (f *fleet) Acquire(ctx context.Context, c claims.Claim) claims.Result {
+	return claims.NewClaimant(f.claims, nil).Acquire(ctx, c)
+}
+
+func (f *fleet) Abandon(c claims.Claim) { f.claims.Abandon(c) }
+
+func (f *fleet) Outcome(_ context.Context, process, claimant string) (Outcome, error) {
+	if process != "entry/1" {
+		return Outcome{}, fault.New(fault.Unknown, "gone", "")
+	}
+	return f.entry.Outcome(claimant), nil
+}
+
 func (f *fleet) current() *control.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -466,3 +488,59 @@
 	require.ErrorContains(t, err, "remedy")
 	require.Zero(t, f.runs())
 }
+
+func TestKeyedRequestRunsOnceAndIsAnsweredAgain(t *testing.T) {
+	f := start(t)
+	for _, stream := range []bool{false, true} {
+		key := fmt.Sprint("k", stream)
+		before := f.runs()
+		first := f.chat("review", stream, HeaderKey, key)
+		second := f.chat("review", stream, HeaderKey, key)
+		require.Equal(t, 200, first.status, first.body)
+		require.Equal(t, first.body, second.body)
+		require.Equal(t, "true", second.header.Get(HeaderReplayed))
+		require.Equal(t, before+1, f.runs())
+		other := f.chat("review", stream, HeaderKey, key, HeaderWorkspace, "d1only")
+		require.Equal(t, 200, other.status, "another workspace has its own keys")
+		reused := f.do(http.MethodPost, pathChat, `{"model": "review", "messages": [{"role": "user", "content": "else"}]}`, HeaderKey, key)
+		require.Equal(t, codeKeyMismatch, reused.code(t))
+	}
+}
+
+func TestKeyedRequestThatDidNotRunMayBeSentAgain(t *testing.T) {
+	f := start(t)
+	f.engineFaults(engined.Faults{Refuse: true})
+	g := f.chat("review", false, HeaderKey, "k")
+	require.Equal(t, "not_run", g.header.Get(HeaderOutcome))
+	f.engineFaults(engined.Faults{})
+	require.Equal(t, 200, f.chat("review", false, HeaderKey, "k").status)
+	require.Equal(t, 1, f.runs())
+}
+
+func TestKeyedRequestWithoutAKnownOutcomeIsNeverCalledNotRun(t *testing.T) {
+	f := start(t)
+	lost := claims.Claim{Key: "w\x00k", Claimant: "c", Digest: "d", Process: "crashed/1", Epoch: 1}
+	body := `{"model": "review", "messages": [{"role": "user", "content": "hi"}]}`
+	lost.Digest = (&call{method: http.MethodPost, uri: pathChat, body: []byte(body)}).digest()
+	require.Equal(t, claims.Granted, f.claims.Claim(lost).Verdict)
+	g := f.do(http.MethodPost, pathChat, body, HeaderKey, "k")
+	require.Equal(t, codeUnknown, g.code(t))
+	require.Equal(t, "unknown", g.header.Get(HeaderOutcome))
+	require.Zero(t, f.runs())
+}
+
+func TestKeyedRequestsAtTheSameMomentRunOnce(t *testing.T) {
+	f := start(t)
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g := f.chat("review", true, HeaderKey, "k")
+			require.Contains(t, []int{200, http.StatusConflict}, g.status, g.body)
+			require.NotEqual(t, "not_run", g.header.Get(HeaderOutcome))
+		}()
+	}
+	wg.Wait()
+	require.Equal(t, 1, f.runs())
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
@@ -46,6 +47,8 @@
 	delivered int
 	// begun is true once the caller has got a part of the answer.
 	begun bool
+	// claim is held if the call has an idempotency key.
+	claim *claims.Claim
 	// target of the last attempt.
 	target *config.Target
 }
@@ -245,6 +248,11 @@
 	code := "ok"
 	if rep != nil {
 		code = rep.code
+	}
+	if r.claim != nil {
+		r.settleClaim(outcome)
+	}
+	if rep != nil {
 		r.deliver(rep)
 	}
 	took := time.Since(r.start)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,8 +36,12 @@
 	// Snapshot returns the latest control state.
 	Snapshot func() *control.Snapshot
 	Tracker  *routing.Tracker
-	Metrics  metrics.Registry
-	Logger   log.Logger
+	// Process identifies this run of the process to the others.
+	Process string
+	// Claims grants requests with an idempotency key.
+	Claims  Claims
+	Metrics metrics.Registry
+	Logger  log.Logger
 }
 
 // Server is the handler of callers' requests.
@@ -48,6 +52,7 @@
 	runner   *attempt.Runner
 	breakers *breakers
 	retries  *limits.RetryBudget
+	outcomes *outcomes
 
 	policyMu sync.Mutex
 	policies map[string]routing.Policy
@@ -61,6 +66,7 @@
 		runner:   attempt.NewRunner(),
 		breakers: newBreakers(),
 		retries:  limits.NewRetryBudget(),
+		outcomes: newOutcomes(),
 		policies: map[string]routing.Policy{},
 	}
 	r := mux.NewRouter().SkipClean(true)
@@ -245,6 +251,10 @@
 	}
 	defer release()
 	run.fire(charts.Admitted)
+	if c.claimed() {
+		run.serveClaimed()
+		return
+	}
 	run.finish(run.do())
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,7 +61,9 @@
 	Heartbeat  jsonc.Duration `json:"heartbeat"`
 	StaleAfter jsonc.Duration `json:"staleAfter"`
 	LeaseTTL   jsonc.Duration `json:"leaseTTL"`
-	Report     jsonc.Duration `json:"report"`
+	// ClaimWindow is how long an idempotency key is remembered.
+	ClaimWindow jsonc.Duration `json:"claimWindow"`
+	Report      jsonc.Duration `json:"report"`
 }
 
 // Log says what is logged.
