--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -173,7 +173,7 @@
 	f := startFleet(t, options{entries: 3, engines: 2, timing: engined.Timing{StepBase: 10 * time.Millisecond}})
 	results := make(chan callResult, 10)
 	for range 10 {
-		go func() { results <- f.chat(1, "review", 100) }()
+		go func() { results <- f.chat(1, "review", 400) }() // far longer than the server takes to close
 	}
 	f.await("requests at the engines", func() bool { return len(f.runsByID()) > 0 && f.inHand() == 10 })
 	f.procs[1].signal(syscall.SIGTERM)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -39,7 +39,7 @@
 
 // fleet is one entry server before stand-ins.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	engines  []*engined.Server
 	services []*serviced.Server
 	entry    *Server
@@ -53,15 +53,15 @@
   "hosts": [{"name": "h0", "domain": "d0"}, {"name": "h1", "domain": "d1"}, {"name": "entry", "domain": "d0"}],
   "pools": [{"name": "p", "policy": "least-outstanding"}],
   "engines": [
-    {"name": "e0", "pool": "p", "host": "h0", "address": "%s", "capacity": 4},
-    {"name": "e1", "pool": "p", "host": "h1", "address": "%s", "capacity": 4}
+    {"name": "e0", "pool": "p", "host": "h0", "address": "%[1]s", "capacity": %[5]d},
+    {"name": "e1", "pool": "p", "host": "h1", "address": "%[2]s", "capacity": %[5]d}
   ],
   "models": [
     {"name": "review", "pool": "p", "timeout": "5s"},
     {"name": "notes", "pool": "p", "idempotent": true, "timeout": "5s"},
     {"name": "local", "pool": "p", "selector": "domain=d0", "timeout": "5s"}
   ],
-  "services": [{"name": "s", "servers": [{"name": "s0", "host": "h0", "address": "%s"}, {"name": "s1", "host": "h1", "address": "%s"}]}],
+  "services": [{"name": "s", "servers": [{"name": "s0", "host": "h0", "address": "%[3]s", "capacity": %[5]d}, {"name": "s1", "host": "h1", "address": "%[4]s", "capacity": %[5]d}]}],
   "routes": [
     {"path": "/flags/", "service": "s", "idempotent": true, "timeout": "2s"},
     {"path": "/alerts/", "service": "s", "methods": ["POST", "GET"], "timeout": "2s"}
@@ -72,13 +72,18 @@
   ]
 }`
 
-func listener(t *testing.T, h http.Handler) string {
+func listener(t testing.TB, h http.Handler) string {
 	s := httptest.NewServer(h)
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-func start(t *testing.T) *fleet {
+func start(t *testing.T) *fleet { return startWith(t, 4) }
+
+// startBench starts a fleet whose targets never are full.
+func startBench(b *testing.B) *fleet { return startWith(b, 100000) }
+
+func startWith(t testing.TB, capacity int) *fleet {
 	f := &fleet{t: t}
 	var addresses []any
 	for i := range 2 {
@@ -92,11 +97,12 @@
 		f.services = append(f.services, s)
 		addresses = append(addresses, listener(t, s))
 	}
+	addresses = append(addresses, capacity)
 	_, compiled, err := config.Parse("test", fmt.Appendf(nil, testConfig, addresses...))
 	require.NoError(t, err)
 	f.snapshot = &control.Snapshot{Config: compiled, Revision: 7, Serving: 1, FreshUntil: bootclock.Now().Add(time.Hour)}
 	set := &settings.Settings{Host: "entry", Domain: "d0"}
-	set.Limits = settings.Limits{BodyBytes: 4096, Requests: 64, UrgentReserve: 0.1}
+	set.Limits = settings.Limits{BodyBytes: 4096, Requests: 16 * capacity, UrgentReserve: 0.1}
 	require.NoError(t, set.Limits.BodyTimeout.UnmarshalText([]byte("300ms")))
 	self := claims.Member{Name: "entry", Incarnation: "1"}
 	table, _ := claims.Next(nil, []claims.Member{self}, false)
