Keep control inside its budget from 8 to 128 processes

Cause: above 16 processes not all meet, and a member that was not heard counted as dead. At 32 processes 28 of them therefore watched the store (108 watches a second), two processes fought over the claim table (9 writes a second) and each process sent and got 112 KB/s. News that met a heartbeat or fetch on its way waited for the next interval (237 ms). One process worked out the claim table ten times a second (12.4 % of a core at 128).

Ruled out: the flood of heartbeats itself, which is 16 to 24 exchanges a second.

Change: members that are no neighbours are presumed to live unless a neighbour of theirs says, after four vain heartbeats, that they are silent; that word travels with the heartbeats. News is sent again after a beat that was on its way, and fetched again after a fetch. Loads travel only in answers, as numbers. A settled claim table is not worked out again.

--- a/claims/keeper.go
+++ b/claims/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -52,6 +53,14 @@
 	short   time.Time // since when a shard has missed too many holders
 	expired time.Time
 	fresh   freshSince
+	// settled is the table version and the members for which there was nothing
+	// to change, so that the same question is not worked out again.
+	settled settled
+}
+
+type settled struct {
+	version platform.Version
+	live    []Member
 }
 
 // freshSince is since when a registrar has seen the same shards marked as fresh.
@@ -170,6 +179,9 @@
 func (k *Keeper) register(ctx context.Context) {
 	t := k.o.Store.Table()
 	live := k.o.Live()
+	if t != nil && k.settled.version == k.adopted && slices.Equal(k.settled.live, live) {
+		return
+	}
 	if !k.isShort(t, live) {
 		k.short = time.Time{}
 	} else if k.short.IsZero() {
@@ -181,6 +193,9 @@
 		next, changed = k.unmarkFresh(t)
 	}
 	if !changed {
+		if _, fresh := freshShards(t); fresh == 0 && k.short.IsZero() {
+			k.settled = settled{k.adopted, live}
+		}
 		return
 	}
 	if err := k.write(ctx, next); err != nil {
@@ -193,10 +208,7 @@
 // unmarkFresh ends the waiting of shards that started afresh once a window has
 // passed since this process first saw all of them so.
 func (k *Keeper) unmarkFresh(t *Table) (*Table, bool) {
-	if t == nil {
-		return nil, false
-	}
-	epoch, shards := t.fresh()
+	epoch, shards := freshShards(t)
 	if epoch != k.fresh.epoch || shards != k.fresh.shards {
 		k.fresh = freshSince{epoch, shards, bootclock.Now()}
 	}
--- a/claims/table.go
+++ b/claims/table.go
@@ -218,9 +218,12 @@
 	return next
 }
 
-// fresh returns the highest epoch at which a shard started afresh and is still
-// marked so, and how many shards are.
-func (t *Table) fresh() (epoch int64, shards int) {
+// freshShards returns the highest epoch at which a shard started afresh and is
+// still marked so, and how many shards are.
+func freshShards(t *Table) (epoch int64, shards int) {
+	if t == nil {
+		return 0, 0
+	}
 	for i := range t.Shards {
 		if f := t.Shards[i].Fresh; f > 0 {
 			epoch = max(epoch, f)
--- a/config/compile.go
+++ b/config/compile.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -58,14 +59,18 @@
 
 // Compiled is a configuration in the form that routing reads. It is immutable.
 type Compiled struct {
-	Config     *Config
-	Hosts      map[string]*Host
-	Pools      map[string]*Pool
-	Targets    map[string]*Target
-	Models     map[string]*CompiledModel
-	Routes     []*CompiledRoute // longest path first
-	Workspaces map[string]*CompiledWorkspace
-	byKey      map[string]*CompiledWorkspace
+	Config  *Config
+	Hosts   map[string]*Host
+	Pools   map[string]*Pool
+	Targets map[string]*Target
+	// TargetNames are the names of all targets in order, and TargetIndex the
+	// place of each name in them.
+	TargetNames []string
+	TargetIndex map[string]int
+	Models      map[string]*CompiledModel
+	Routes      []*CompiledRoute // longest path first
+	Workspaces  map[string]*CompiledWorkspace
+	byKey       map[string]*CompiledWorkspace
 }
 
 // WorkspaceByKey returns the workspace that owns an API key, given the SHA-256
@@ -132,9 +137,18 @@
 	b.models()
 	b.routes(b.services())
 	b.workspaces()
+	b.indexTargets()
 	return b.out, b.ps
 }
 
+func (b *compiler) indexTargets() {
+	b.out.TargetNames = slices.Sorted(maps.Keys(b.out.Targets))
+	b.out.TargetIndex = make(map[string]int, len(b.out.TargetNames))
+	for i, name := range b.out.TargetNames {
+		b.out.TargetIndex[name] = i
+	}
+}
+
 func (b *compiler) problem(msg, remedy string, pointer ...string) {
 	b.ps = append(b.ps, b.doc.Problem(jsonc.Pointer(pointer...), msg, remedy))
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -58,7 +58,9 @@
 	Ready   func() error
 	Explain func(entry.Question) (*entry.Explanation, error)
 	// Pools says which pools' orders this process gives or would give.
-	Pools   func() []controller.PoolStatus
+	Pools func() []controller.PoolStatus
+	// Watcher says whether this process watches the store.
+	Watcher func() bool
 	Self    members.Member
 	Metrics metrics.Registry
 	Logger  log.Logger
@@ -226,8 +228,8 @@
 		writeError(w, err)
 		return
 	}
-	s.o.Refresh(r.Context())
 	level.Info(s.o.Logger).Log("msg", "change accepted", "revision", a.Head.Revision, "change", a.Head.ChangeID, "author", a.Head.Author, "note", a.Head.Note)
+	s.o.Refresh(r.Context())
 	writeJSON(w, http.StatusOK, Accepted{Revision: a.Head.Revision, ChangeID: a.Head.ChangeID})
 }
 
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -16,7 +16,9 @@
 	Revision int64  `json:"revision"`
 	ChangeID string `json:"changeID"`
 	// Fresh is false if the process cannot know that the revision is in force.
-	Fresh   bool                  `json:"fresh"`
+	Fresh bool `json:"fresh"`
+	// Watcher is true if the process reads the platform's store for its domain.
+	Watcher bool                  `json:"watcher"`
 	Members []control.MemberState `json:"members"`
 	Targets []TargetStatus        `json:"targets"`
 	// Pools are those that this process is a candidate to control.
@@ -48,7 +50,7 @@
 	snap := s.o.Snapshot()
 	st := Status{
 		Process: s.o.Self.Name, Revision: snap.Revision, ChangeID: snap.ChangeID, Fresh: snap.Fresh(),
-		Members: snap.Members, Targets: []TargetStatus{}, Pools: s.o.Pools(),
+		Members: snap.Members, Targets: []TargetStatus{}, Pools: s.o.Pools(), Watcher: s.o.Watcher(),
 	}
 	if snap.Config != nil {
 		for _, e := range snap.Config.Config.Engines {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,8 @@
 	registered []members.Member
 	orders     map[string]orders.Record
 	contacts   map[string]*contact
+	neighbours map[string]bool
+	said       map[string]saidSilent
 	reports    map[string]Report
 	cfg        *config.Compiled
 	head       confstore.Head
@@ -67,6 +69,7 @@
 		logger:   log.With(o.Logger, "component", "control"),
 		events:   make(chan any, eventQueue),
 		contacts: map[string]*contact{},
+		said:     map[string]saidSilent{},
 		reports:  map[string]Report{},
 	}
 	l.publish()
@@ -81,11 +84,14 @@
 	heartbeatSeen struct {
 		from *peerpb.Identity
 		beat *peerpb.Heartbeat
+		// answer is true for the answer to a heartbeat of this process.
+		answer bool
 		// agreed is an instant at which the sender held nothing newer than this
 		// process, 0 if that is not known.
 		agreed bootclock.Instant
 	}
-	engineReported struct {
+	heartbeatFailed struct{ name, incarnation string }
+	engineReported  struct {
 		name   string
 		report Report
 	}
@@ -104,7 +110,7 @@
 
 // heartbeatAnswered tells the loop of the answer to a heartbeat sent at sent.
 func (l *Loop) heartbeatAnswered(from *peerpb.Identity, beat *peerpb.Heartbeat, sent bootclock.Instant) {
-	e := heartbeatSeen{from: from, beat: beat}
+	e := heartbeatSeen{from: from, beat: beat, answer: true}
 	if beat.GetMirrorRevision() <= int64(l.o.Mirror.Revision()) {
 		e.agreed = sent
 	}
@@ -154,6 +160,8 @@
 	switch e := e.(type) {
 	case heartbeatSeen:
 		l.heartbeat(e)
+	case heartbeatFailed:
+		l.failed(e)
 	case engineReported:
 		if e.report.Err != nil {
 			e.report.Status = l.reports[e.name].Status
@@ -166,18 +174,74 @@
 }
 
 func (l *Loop) heartbeat(e heartbeatSeen) {
-	c := l.contacts[e.from.GetName()]
-	if c == nil || c.incarnation < e.from.GetIncarnation() {
-		c = &contact{incarnation: e.from.GetIncarnation()}
-		l.contacts[e.from.GetName()] = c
-	}
-	if c.incarnation != e.from.GetIncarnation() {
+	c := l.contact(e.from.GetName(), e.from.GetIncarnation())
+	if c == nil {
 		return // an earlier run of the member
 	}
+	c.failures = 0
 	c.heard, c.beat = bootclock.Now(), e.beat
+	if e.answer {
+		c.loads = e.beat
+	}
 	c.agreed = max(c.agreed, e.agreed)
+	l.hearSilent(e.beat.GetSilent())
 }
 
+// contact returns what is known of a run of a member, nil if a later run is
+// known already.
+func (l *Loop) contact(name, incarnation string) *contact {
+	c := l.contacts[name]
+	if c == nil || c.incarnation < incarnation {
+		c = &contact{incarnation: incarnation}
+		l.contacts[name] = c
+	}
+	if c.incarnation != incarnation {
+		return nil
+	}
+	return c
+}
+
+func (l *Loop) failed(e heartbeatFailed) {
+	if c := l.contact(e.name, e.incarnation); c != nil {
+		c.failures++
+		c.failedAt = bootclock.Now()
+	}
+}
+
+// hearSilent takes in another process's word about silent members.
+func (l *Loop) hearSilent(all []*peerpb.Silent) {
+	for _, s := range all {
+		at := bootclock.Now().Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
+		if old, ok := l.said[s.GetName()]; ok && old.incarnation == s.GetIncarnation() && old.at >= at {
+			continue
+		}
+		l.said[s.GetName()] = saidSilent{s.GetIncarnation(), at}
+	}
+}
+
+// silent returns the members that this process, or one that it heard from, has
+// found silent.
+func (l *Loop) silent() []*peerpb.Silent {
+	var out []*peerpb.Silent
+	for name, c := range l.contacts {
+		if l.neighbours[name] && c.silent(l.o.Heartbeat) {
+			out = append(out, &peerpb.Silent{Name: name, Incarnation: c.incarnation, AgeMs: millisSince(c.failedAt)})
+		}
+	}
+	for name, s := range l.said {
+		c := l.contacts[name]
+		heard := c != nil && c.heard > s.at
+		if heard || bootclock.Since(s.at) > silentKeptFor {
+			delete(l.said, name)
+		} else if c == nil || !c.silent(l.o.Heartbeat) {
+			out = append(out, &peerpb.Silent{Name: name, Incarnation: s.incarnation, AgeMs: millisSince(s.at)})
+		}
+	}
+	return out
+}
+
+func millisSince(at bootclock.Instant) uint32 { return uint32(bootclock.Since(at).Milliseconds()) }
+
 // mirrorChanged takes the members and the configuration head from the mirror.
 func (l *Loop) mirrorChanged(ctx context.Context) {
 	l.registered = members.Parse(l.o.Mirror.List(members.KeyPrefix))
@@ -185,6 +249,10 @@
 	for _, m := range l.registered {
 		names[m.Name] = true
 	}
+	l.neighbours = map[string]bool{}
+	for _, m := range members.Neighbours(l.registered, l.o.Self.Name) {
+		l.neighbours[m.Name] = true
+	}
 	for name := range l.contacts {
 		if !names[name] && bootclock.Since(l.contacts[name].heard) > loadsKeptFor*l.o.Heartbeat {
 			delete(l.contacts, name)
@@ -255,7 +323,8 @@
 // publish makes the present state visible to the rest of the process.
 func (l *Loop) publish() {
 	l.dirty = false
-	states := memberStates(l.registered, l.o.Self, l.contacts, l.o.Heartbeat)
+	silent := l.silent()
+	states := l.memberStates()
 	s := &Snapshot{
 		Config:    l.cfg,
 		Revision:  l.head.Revision,
@@ -264,16 +333,17 @@
 		PeerLoads: l.peerLoads(),
 		Reports:   make(map[string]Report, len(l.reports)),
 		Orders:    l.orders,
+		Silent:    silent,
 	}
 	for name, r := range l.reports {
 		s.Reports[name] = r
 	}
 	for _, m := range states {
-		if m.Health == members.Alive {
+		if m.Health.Living() {
 			s.Serving++
 		}
 	}
-	fresh := majorityAgreed(states, l.contacts)
+	fresh := l.majorityAgreed(states)
 	if age := l.o.Mirror.Age(); age != mirror.Never {
 		fresh = max(fresh, bootclock.Now().Add(-age))
 	}
@@ -282,24 +352,32 @@
 }
 
 // peerLoads sums what peers have outstanding. A peer that is no longer heard
-// counts for a while, since its requests may still run.
+// counts for a while, since its requests may still run. Loads of a peer under
+// another configuration are left out, since its indexes mean other targets.
 func (l *Loop) peerLoads() map[string]routing.Load {
 	loads := map[string]routing.Load{}
+	if l.cfg == nil {
+		return loads
+	}
 	for _, c := range l.contacts {
-		if bootclock.Since(c.heard) > loadsKeptFor*l.o.Heartbeat {
+		if bootclock.Since(c.heard) > loadsKeptFor*l.o.Heartbeat || c.loads.GetConfigRevision() != l.head.Revision {
 			continue
 		}
-		for _, e := range c.beat.GetLoads() {
-			loads[e.GetEngine()] = loads[e.GetEngine()].Add(routing.Load{
-				Requests:      int(e.GetRequests()),
-				PrefillTokens: int(e.GetPrefillTokens()),
-				DecodeTokens:  int(e.GetDecodeTokens()),
-			})
+		v := c.loads.GetLoads()
+		for ; len(v) >= loadFields; v = v[loadFields:] {
+			if int(v[0]) >= len(l.cfg.TargetNames) {
+				continue
+			}
+			name := l.cfg.TargetNames[v[0]]
+			loads[name] = loads[name].Add(routing.Load{Requests: int(v[1]), PrefillTokens: int(v[2]), DecodeTokens: int(v[3])})
 		}
 	}
 	return loads
 }
 
+// loadFields is how many numbers a heartbeat has for each target.
+const loadFields = 4
+
 // kthLatest returns the k-th latest of the instants, or 0 if there are fewer.
 func kthLatest(at []bootclock.Instant, k int) bootclock.Instant {
 	if len(at) < k {
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -40,9 +40,11 @@
 
 	phase    atomic.Int32
 	fetching atomic.Bool
+	// wanted is the highest mirror revision that this process has heard of.
+	wanted atomic.Int64
 
 	mu       sync.Mutex
-	inFlight map[string]bool // by address
+	inFlight map[string]bool // by address; true if there is news for it
 	rounds   map[string]bool // addresses whose first beat ended
 }
 
@@ -75,23 +77,33 @@
 // SetPhase changes what the heartbeats say about this process and beats at once.
 func (h *Heart) SetPhase(ctx context.Context, p peerpb.Phase) {
 	h.phase.Store(int32(p))
-	h.beatAll(ctx)
+	h.beatAll(ctx, true)
 }
 
-// Beat returns the heartbeat of this process.
-func (h *Heart) Beat() *peerpb.Heartbeat {
-	b := &peerpb.Heartbeat{
+// ownBeat returns the heartbeat of this process.
+func (h *Heart) ownBeat() *peerpb.Heartbeat {
+	return &peerpb.Heartbeat{
 		Phase:          peerpb.Phase(h.phase.Load()),
 		MirrorRevision: int64(h.mirror.Revision()),
 		MirrorAgeMs:    ageMillis(h.mirror.Age()),
 		ConfigRevision: h.loop.Snapshot().Revision,
 		StoreReachable: h.reachable(),
+		Silent:         h.loop.Snapshot().Silent,
+	}
+}
+
+// answerBeat is ownBeat with the loads. They go only into answers, so that each
+// pair of processes sends them once an interval each way.
+func (h *Heart) answerBeat() *peerpb.Heartbeat {
+	b := h.ownBeat()
+	s := h.loop.Snapshot()
+	if s.Config == nil {
+		return b
 	}
 	h.tracker.Each(func(target string, l routing.Load) {
-		b.Loads = append(b.Loads, &peerpb.EngineLoad{
-			Engine: target, Requests: uint32(l.Requests),
-			PrefillTokens: uint32(max(l.PrefillTokens, 0)), DecodeTokens: uint32(max(l.DecodeTokens, 0)),
-		})
+		if i, ok := s.Config.TargetIndex[target]; ok {
+			b.Loads = append(b.Loads, uint32(i), uint32(l.Requests), uint32(max(l.PrefillTokens, 0)), uint32(max(l.DecodeTokens, 0)))
+		}
 	})
 	return b
 }
@@ -114,94 +126,106 @@
 func (h *Heart) Run(ctx context.Context) error {
 	tick := time.NewTicker(h.interval)
 	defer tick.Stop()
+	news := false
 	for {
 		changed := h.mirror.Changed()
-		h.beatAll(ctx)
+		h.beatAll(ctx, news)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			news = false
 		case <-changed:
+			news = true
 		}
 	}
 }
 
-// addresses returns whom to beat: the neighbours, or the seeds if there are none.
-func (h *Heart) addresses() []string {
+// whom returns the members to beat: the neighbours, or the seeds, of which only
+// the address is known, if there are none.
+func (h *Heart) whom() []members.Member {
 	var ms []members.Member
 	for _, m := range h.loop.Snapshot().Members {
 		ms = append(ms, m.Member)
 	}
-	var out []string
-	for _, m := range members.Neighbours(ms, h.loop.o.Self.Name) {
-		out = append(out, m.Peer)
-	}
-	if len(out) > 0 {
+	if out := members.Neighbours(ms, h.loop.o.Self.Name); len(out) > 0 {
 		return out
 	}
+	var out []members.Member
 	for _, s := range h.seeds {
 		if s != h.loop.o.Self.Peer {
-			out = append(out, s)
+			out = append(out, members.Member{Peer: s})
 		}
 	}
 	return out
 }
 
-func (h *Heart) beatAll(ctx context.Context) {
-	for _, a := range h.addresses() {
-		if h.start(a) {
-			go h.beat(ctx, a)
+// beatAll beats all neighbours. News is sent again to those that a beat without
+// it is on its way to.
+func (h *Heart) beatAll(ctx context.Context, news bool) {
+	for _, m := range h.whom() {
+		if h.start(m.Peer, news) {
+			go h.beat(ctx, m)
 		}
 	}
 }
 
 // start claims the right to beat an address; a slow peer gets one beat at a time.
-func (h *Heart) start(address string) bool {
+func (h *Heart) start(address string, news bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.inFlight[address] {
+	if _, beating := h.inFlight[address]; beating {
+		h.inFlight[address] = h.inFlight[address] || news
 		return false
 	}
-	h.inFlight[address] = true
+	h.inFlight[address] = false
 	return true
 }
 
-func (h *Heart) finish(address string) {
+// finish ends a beat. It returns true if there has been news since it began.
+func (h *Heart) finish(address string) (again bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	again = h.inFlight[address]
 	delete(h.inFlight, address)
 	h.rounds[address] = true
+	return again
 }
 
 // Asked reports whether every process that is to be beaten has answered or
 // failed to answer at least once.
 func (h *Heart) Asked() bool {
-	addresses := h.addresses()
+	all := h.whom()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, a := range addresses {
-		if !h.rounds[a] {
+	for _, m := range all {
+		if !h.rounds[m.Peer] {
 			return false
 		}
 	}
 	return true
 }
 
-func (h *Heart) beat(ctx context.Context, address string) {
-	defer h.finish(address)
-	ctx, cancel := context.WithTimeout(ctx, max(h.interval, minBeatTimeout))
+func (h *Heart) beat(ctx context.Context, to members.Member) {
+	defer func() {
+		if h.finish(to.Peer) && ctx.Err() == nil && h.start(to.Peer, false) {
+			go h.beat(ctx, to)
+		}
+	}()
+	bctx, cancel := context.WithTimeout(ctx, max(h.interval, minBeatTimeout))
 	defer cancel()
 	sent := bootclock.Now()
-	resp, err := h.transport.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: h.Beat()}})
+	resp, err := h.transport.Call(bctx, to.Peer, &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: h.ownBeat()}})
 	if err != nil {
-		level.Debug(h.logger).Log("msg", "no heartbeat", "peer", address, "err", err)
+		level.Debug(h.logger).Log("msg", "no heartbeat", "peer", to.Peer, "err", err)
+		if to.Name != "" {
+			h.loop.send(heartbeatFailed{to.Name, to.Incarnation})
+		}
 		return
 	}
-	beat := resp.GetHeartbeat()
-	if beat == nil {
-		return
+	if beat := resp.GetHeartbeat(); beat != nil {
+		h.answered(ctx, resp.GetFrom(), beat, to.Peer, sent)
 	}
-	h.answered(ctx, resp.GetFrom(), beat, address, sent)
 }
 
 // answered takes in the answer to a heartbeat that was sent at the given
@@ -213,17 +237,30 @@
 		h.mirror.Confirm(remote, age+bootclock.Since(sent))
 	}
 	if remote > h.mirror.Revision() {
-		h.fetch(ctx, address)
+		h.fetch(ctx, address, remote)
 	}
 	h.loop.heartbeatAnswered(from, beat, sent)
 }
 
-// fetch brings the mirror forward from the process at address.
-func (h *Heart) fetch(ctx context.Context, address string) {
-	if !h.fetching.CompareAndSwap(false, true) {
-		return
+// fetch brings the mirror forward from the process at address. News that
+// arrives while a fetch is under way is fetched right after it.
+func (h *Heart) fetch(ctx context.Context, address string, revision platform.Revision) {
+	for {
+		wanted := h.wanted.Load()
+		if int64(revision) <= wanted || h.wanted.CompareAndSwap(wanted, int64(revision)) {
+			break
+		}
+	}
+	for h.fetching.CompareAndSwap(false, true) {
+		ok := h.fetchOnce(ctx, address)
+		h.fetching.Store(false)
+		if !ok || int64(h.mirror.Revision()) >= h.wanted.Load() {
+			return
+		}
 	}
-	defer h.fetching.Store(false)
+}
+
+func (h *Heart) fetchOnce(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
 	defer cancel()
 	req := &peerpb.Request{Body: &peerpb.Request_FetchMirror{FetchMirror: &peerpb.FetchMirror{After: int64(h.mirror.Revision())}}}
@@ -231,15 +268,17 @@
 	resp, err := h.transport.Call(ctx, address, req)
 	if err != nil {
 		level.Debug(h.logger).Log("msg", "mirror not fetched", "peer", address, "err", err)
-		return
+		return false
 	}
-	if d := resp.GetMirror(); d != nil {
-		delta := decodeDelta(req.GetFetchMirror().GetAfter(), d)
-		if delta.Age != mirror.Never {
-			delta.Age += bootclock.Since(sent)
-		}
-		h.mirror.Apply(delta)
+	d := resp.GetMirror()
+	if d == nil {
+		return false
+	}
+	delta := decodeDelta(req.GetFetchMirror().GetAfter(), d)
+	if delta.Age != mirror.Never {
+		delta.Age += bootclock.Since(sent)
 	}
+	return h.mirror.Apply(delta)
 }
 
 // addressOf returns the peer address of a member by name, or "".
@@ -257,11 +296,11 @@
 	switch b := req.Body.(type) {
 	case *peerpb.Request_Heartbeat:
 		address := h.addressOf(req.GetFrom().GetName())
-		if address != "" && b.Heartbeat.GetMirrorRevision() > int64(h.mirror.Revision()) {
-			go h.fetch(context.Background(), address)
+		if remote := platform.Revision(b.Heartbeat.GetMirrorRevision()); address != "" && remote > h.mirror.Revision() {
+			go h.fetch(context.Background(), address, remote)
 		}
 		h.loop.heartbeatArrived(req.GetFrom(), b.Heartbeat)
-		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: h.Beat()}}
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: h.answerBeat()}}
 	case *peerpb.Request_FetchMirror:
 		d := h.mirror.Since(platform.Revision(b.FetchMirror.GetAfter()))
 		return &peerpb.Response{Body: &peerpb.Response_Mirror{Mirror: encodeDelta(d)}}
--- a/internal/control/reporter.go
+++ b/internal/control/reporter.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxReported bounds how many engines one process asks for their load.
-	maxReported     = 64
+	maxReported     = 16
 	parallelReports = 16
 	reportTimeout   = time.Second
 )
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -54,6 +54,8 @@
 	Reports   map[string]Report
 	// Orders holds the last order to each engine.
 	Orders map[string]orders.Record
+	// Silent is what this process tells others about silent members.
+	Silent []*peerpb.Silent
 	// FreshUntil is when this process can no longer know that the
 	// configuration is the one in force.
 	FreshUntil bootclock.Instant
@@ -77,49 +79,82 @@
 	// process does.
 	agreed bootclock.Instant
 	beat   *peerpb.Heartbeat
+	// loads is the last heartbeat that carried loads.
+	loads *peerpb.Heartbeat
+	// failures counts heartbeats in a row that the member did not answer.
+	failures int
+	failedAt bootclock.Instant
 }
 
 func (c *contact) leaving() bool { return c.beat.GetPhase() == peerpb.Phase_PHASE_LEAVING }
 
-// memberStates joins the registrations with the contacts.
-func memberStates(ms []members.Member, self members.Member, contacts map[string]*contact, interval time.Duration) []MemberState {
-	out := make([]MemberState, 0, len(ms)+1)
+// silent reports whether the member has been beaten in vain. A process that was
+// itself paused has not heard its peers either, but has not beaten them in vain.
+func (c *contact) silent(interval time.Duration) bool {
+	return c.failures >= members.SuspectAfter && bootclock.Since(c.heard) > members.SuspectAfter*interval
+}
+
+// saidSilent is another process's word that a member is silent.
+type saidSilent struct {
+	incarnation string
+	at          bootclock.Instant
+}
+
+// silentKeptFor is how long such word counts unless it is repeated.
+const silentKeptFor = 5 * time.Second
+
+// memberStates joins the registrations with what is known about each member.
+func (l *Loop) memberStates() []MemberState {
+	out := make([]MemberState, 0, len(l.registered)+1)
 	selfListed := false
-	for _, m := range ms {
-		if m.Name == self.Name {
+	for _, m := range l.registered {
+		if m.Name == l.o.Self.Name {
 			selfListed = true
 			out = append(out, MemberState{Member: m, Health: members.Alive, Self: true})
 			continue
 		}
-		st := MemberState{Member: m, Health: members.Unheard}
-		if c := contacts[m.Name]; c != nil && c.incarnation == m.Incarnation {
-			st.Heard = c.heard
-			st.ConfigRevision = c.beat.GetConfigRevision()
-			st.MirrorRevision = platform.Revision(c.beat.GetMirrorRevision())
-			st.Health = members.HealthAt(true, bootclock.Since(c.heard), interval, c.leaving())
-		}
-		out = append(out, st)
+		out = append(out, l.memberState(m))
 	}
 	if !selfListed {
-		out = append(out, MemberState{Member: self, Health: members.Alive, Self: true})
+		out = append(out, MemberState{Member: l.o.Self, Health: members.Alive, Self: true})
 	}
 	return out
 }
 
-// majorityAgreed returns the latest instant at which a majority of all members,
-// this one included, had been heard to hold nothing newer. Members that have
-// said that they leave do not count.
-func majorityAgreed(states []MemberState, contacts map[string]*contact) bootclock.Instant {
+func (l *Loop) memberState(m members.Member) MemberState {
+	st := MemberState{Member: m, Health: members.Presumed}
+	if l.neighbours[m.Name] {
+		st.Health = members.Unheard
+	}
+	c := l.contacts[m.Name]
+	if c != nil && c.incarnation == m.Incarnation && c.beat != nil {
+		st.Heard = c.heard
+		st.ConfigRevision = c.beat.GetConfigRevision()
+		st.MirrorRevision = platform.Revision(c.beat.GetMirrorRevision())
+		st.Health = members.HealthAt(true, bootclock.Since(c.heard), l.o.Heartbeat, c.leaving())
+	}
+	if said, ok := l.said[m.Name]; ok && said.incarnation == m.Incarnation && st.Health != members.Alive && st.Health != members.Leaving {
+		st.Health = members.Suspected
+		st.Heard = max(st.Heard, said.at.Add(-members.SuspectAfter*l.o.Heartbeat))
+	}
+	return st
+}
+
+// majorityAgreed returns the latest instant at which a majority had been heard
+// to hold nothing newer: of all members in a small fleet, and of this process's
+// neighbours, which are a random sample, in a large one. Members that have said
+// that they leave do not count.
+func (l *Loop) majorityAgreed(states []MemberState) bootclock.Instant {
 	now := bootclock.Now()
 	var agreed []bootclock.Instant
 	for _, s := range states {
-		if s.Health == members.Leaving {
+		if s.Health == members.Leaving || !(s.Self || l.neighbours[s.Name]) {
 			continue
 		}
 		at := bootclock.Instant(0)
 		if s.Self {
 			at = now
-		} else if c := contacts[s.Name]; c != nil && c.incarnation == s.Incarnation {
+		} else if c := l.contacts[s.Name]; c != nil && c.incarnation == s.Incarnation {
 			at = c.agreed
 		}
 		agreed = append(agreed, at)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -141,7 +141,7 @@
 	hash := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + pool) }
 	mine, higher := hash(self), 0
 	for _, m := range ms {
-		if m.Health == members.Alive && m.Name != self && hash(m.Name) > mine {
+		if m.Health.Living() && m.Name != self && hash(m.Name) > mine {
 			higher++
 		}
 	}
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -62,13 +62,7 @@
 }
 
 func mayHold(m control.MemberState) bool {
-	switch m.Health {
-	case members.Alive:
-		return true
-	case members.Suspected:
-		return bootclock.Since(m.Heard) < lostAfter
-	}
-	return false
+	return m.Health.Living() || m.Health == members.Suspected && bootclock.Since(m.Heard) < lostAfter
 }
 
 // registrar reports whether this process has the highest hash of all that live
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 	})
 	d.admin = admin.New(admin.Options{
 		Store: d.store, Loader: d.loader, Snapshot: d.loop.Snapshot, Refresh: d.refresh, Ready: d.ready,
-		Self: d.self, Explain: d.entry.Explain, Pools: d.manager.Status, Metrics: d.reg, Logger: d.logger,
+		Self: d.self, Explain: d.entry.Explain, Pools: d.manager.Status, Watcher: d.isWatcher, Metrics: d.reg, Logger: d.logger,
 	})
 	d.callers = d.httpServer(d.entry)
 	d.operators = d.httpServer(d.admin)
@@ -147,7 +147,7 @@
 func (d *Daemon) isWatcher() bool {
 	var alive []members.Member
 	for _, m := range d.loop.Snapshot().Members {
-		if m.Health == members.Alive {
+		if m.Health.Living() {
 			alive = append(alive, m.Member)
 		}
 	}
--- a/members/members.go
+++ b/members/members.go
@@ -25,7 +25,7 @@
 const (
 	// NeighboursEach is how many neighbours a process chooses; it is chosen by
 	// about as many others. Fleets of up to FullMesh processes all meet.
-	NeighboursEach = 8
+	NeighboursEach = 6
 	FullMesh       = 16
 	// WatchersPerDomain is how many processes of a failure domain watch the store.
 	WatchersPerDomain = 2
@@ -144,15 +144,20 @@
 
 // Healths of a member.
 const (
-	// Unheard members are registered but have not been heard.
+	// Unheard members are neighbours that have not been heard yet.
 	Unheard Health = "unheard"
 	Alive   Health = "alive"
+	// Presumed members are no neighbours; nobody says that they are silent.
+	Presumed Health = "presumed"
 	// Suspected members have missed heartbeats. They may be paused or cut off.
 	Suspected Health = "suspected"
 	// Leaving members have said that they stop.
 	Leaving Health = "leaving"
 )
 
+// Living reports whether a member is believed to serve.
+func (h Health) Living() bool { return h == Alive || h == Presumed }
+
 // SuspectAfter is how many heartbeat intervals may pass without word.
 const SuspectAfter = 4
 
