Merge the platform's list of leaving hosts; remove registrations of the dead

Cause: a backend server whose host the platform takes away got new work until an operator drained it, and a killed process stayed registered for ever.

Ruled out: every process reading the list itself, which would cost a call a second for each.

Change: the process that keeps the claim table also copies the list of leaving hosts to a mirrored object once a second, and removes members that have been silent for a minute. Removed members that live register again.

The platform's list itself lags by what the platform takes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,6 +52,7 @@
 	// The rest belongs to the goroutine of Run.
 	registered []members.Member
 	orders     map[string]orders.Record
+	leaving    map[string]bool
 	contacts   map[string]*contact
 	neighbours map[string]bool
 	said       map[string]saidSilent
@@ -258,12 +259,19 @@
 			delete(l.contacts, name)
 		}
 	}
-	l.readOrders()
+	l.readState()
 	l.loadNewest(ctx)
 	l.publish()
 }
 
-func (l *Loop) readOrders() {
+// readState takes the orders and the leaving hosts from the mirror.
+func (l *Loop) readState() {
+	l.leaving = map[string]bool{}
+	if obj, ok := l.o.Mirror.Get(LeavingKey); ok {
+		for _, a := range ParseLeaving(obj) {
+			l.leaving[a] = true
+		}
+	}
 	l.orders = map[string]orders.Record{}
 	for _, obj := range l.o.Mirror.List(orders.KeyPrefix) {
 		rec, err := orders.ParseRecord(obj)
@@ -333,6 +341,7 @@
 		PeerLoads: l.peerLoads(),
 		Reports:   make(map[string]Report, len(l.reports)),
 		Orders:    l.orders,
+		Leaving:   l.leaving,
 		Silent:    silent,
 	}
 	for name, r := range l.reports {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,6 +5,8 @@
 package control
 
 import (
+	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/rockdoor/rockdoor/bootclock"
@@ -54,6 +56,8 @@
 	Reports   map[string]Report
 	// Orders holds the last order to each engine.
 	Orders map[string]orders.Record
+	// Leaving holds the IP numbers of hosts that the platform says are leaving.
+	Leaving map[string]bool
 	// Silent is what this process tells others about silent members.
 	Silent []*peerpb.Silent
 	// FreshUntil is when this process can no longer know that the
@@ -65,10 +69,25 @@
 // to the staleness limit.
 func (s *Snapshot) Fresh() bool { return bootclock.Now() < s.FreshUntil }
 
-// Available reports whether an engine may get new requests: no order to it is
-// open and it does not say that it is changing.
-func (s *Snapshot) Available(target string) bool {
-	return !s.Orders[target].Open() && !s.Reports[target].Status.Changing
+// Available reports whether a target may get new requests: its host is not
+// leaving, no order to it is open and it does not say that it is changing.
+func (s *Snapshot) Available(t *config.Target) bool {
+	if len(s.Leaving) > 0 {
+		if host, _, err := net.SplitHostPort(t.Address); err == nil && s.Leaving[host] {
+			return false
+		}
+	}
+	return !s.Orders[t.Name].Open() && !s.Reports[t.Name].Status.Changing
+}
+
+// LeavingKey is where the IP numbers of leaving hosts are kept, as a JSON list.
+const LeavingKey = "state/leaving"
+
+// ParseLeaving reads the list at LeavingKey; what cannot be read is empty.
+func ParseLeaving(obj platform.Object) []string {
+	leaving := []string{}
+	_ = json.Unmarshal(obj.Value, &leaving)
+	return leaving
 }
 
 // contact is what heartbeats have told about one member.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -195,6 +195,7 @@
 	add(d.heart.Run)
 	add(d.reporter.Run)
 	add(d.claims.keeper.Run)
+	add(d.ward)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
 	g.Add(func() error { return serve(background, d.operators, listeners.admin) }, func(error) { stopBackground(); closeServer(d.operators) })
 	g.Add(func() error { return serve(background, d.callers, listeners.callers) }, func(error) { stopBackground(); closeServer(d.callers) })
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -192,7 +192,31 @@
 	return n
 }
 
-func TestDrainedEngineGetsNoNewWorkAndCutsNothing(t *testing.T) {
+// leaveBy drains an engine, or makes the platform say that its host is leaving.
+var leaveBy = map[string]func(f *fleet){
+	"drain": func(f *fleet) {
+		r, err := client.Post("http://"+f.address(0, 7001)+"/api/v1/edits", "", strings.NewReader(`[{"kind": "engine", "name": "e0", "state": "draining"}]`))
+		require.NoError(f.t, err)
+		r.Body.Close()
+		require.Equal(f.t, 200, r.StatusCode)
+	},
+	"platform's list": func(f *fleet) {
+		body := fmt.Sprintf(`[{"address": "%s.100", "state": "leaving"}]`, f.net)
+		req, err := http.NewRequest(http.MethodPut, "http://"+f.net+".250:9001/lab/hosts", strings.NewReader(body))
+		require.NoError(f.t, err)
+		r, err := client.Do(req)
+		require.NoError(f.t, err)
+		r.Body.Close()
+	},
+}
+
+func TestLeavingEngineGetsNoNewWorkAndCutsNothing(t *testing.T) {
+	for name, leave := range leaveBy {
+		t.Run(name, func(t *testing.T) { leavingEngine(t, leave) })
+	}
+}
+
+func leavingEngine(t *testing.T, leave func(*fleet)) {
 	f := startFleet(t, options{entries: 3, engines: 2, timing: engined.Timing{StepBase: 5 * time.Millisecond}})
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -213,10 +237,7 @@
 		}()
 	}
 	time.Sleep(300 * time.Millisecond)
-	r, err := client.Post("http://"+f.address(0, 7001)+"/api/v1/edits", "", strings.NewReader(`[{"kind": "engine", "name": "e0", "state": "draining"}]`))
-	require.NoError(t, err)
-	r.Body.Close()
-	require.Equal(t, 200, r.StatusCode)
+	leave(f)
 	accepted := time.Now()
 	time.Sleep(4 * time.Second)
 	close(stop)
@@ -228,5 +249,5 @@
 		}
 	}
 	require.Less(t, last.Sub(accepted), 3*time.Second, "new work after the bound")
-	t.Logf("last new request %s after the drain was accepted", last.Sub(accepted))
+	t.Logf("last new request %s after the engine was to leave", last.Sub(accepted))
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -142,7 +142,7 @@
 			full++
 			continue
 		}
-		if !r.s.o.Snapshot().Available(t.Name) {
+		if !r.s.o.Snapshot().Available(t) {
 			continue
 		}
 		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
