Pages for operators and developers; reference and charts made from the files

Cause: nothing told a newcomer how to run, change or trust the system.

Ruled out: a reference written by hand, since it drifts from the schema; a test compares the pages with what the schemas and charts give.

The command line tells a refused connection (nothing happened) from a lost answer.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 # Needs protoc and protoc-gen-go; the generated code is committed.
 proto:
 	protoc --go_out=. --go_opt=paths=source_relative internal/peer/peerpb/peer.proto
+
+# Writes the pages that are made from schemas and state charts.
+docs:
+	ROCKDOOR_UPDATE_DOCS=1 $(GO) test -count=1 -run TestGeneratedPagesAreCurrent ./internal/cli
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -8,8 +8,10 @@
 	"net/url"
 	"os"
 	"os/user"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"github.com/rockdoor/rockdoor/fault"
@@ -57,7 +59,7 @@
 	}
 	client := http.Client{Timeout: clientTimeout}
 	resp, err := client.Do(req)
-	if err != nil && method == http.MethodGet {
+	if err != nil && (method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED)) {
 		return nil, fault.Wrap(err, fault.Unavailable, "no answer", "check --admin, or name another entry process")
 	}
 	if err != nil {
