--- a/cmd/rockdoor-lab/load.go
+++ b/cmd/rockdoor-lab/load.go
@@ -59,6 +59,7 @@
 	fmt.Printf("mix %s, seed %d, %d entry hosts, %d requests in %s\n", mix.Name, c.Uint64("seed"), len(c.StringSlice("entry")), len(results), took.Round(time.Millisecond))
 	load.Print(os.Stdout, load.Summarize(mix, results), took)
 	load.PrintCodes(os.Stdout, results)
+	load.PrintSummary(os.Stdout, fmt.Sprintf("mix=%s seed=%d", mix.Name, c.Uint64("seed")), load.Summarize(mix, results))
 	load.PrintViolations(os.Stdout, v)
 	if name := c.String("save"); name != "" {
 		data, err := json.Marshal(results)
--- a/engine/openai/openai.go
+++ b/engine/openai/openai.go
@@ -18,10 +18,32 @@
 	PriorityHeader = "X-Priority"
 	// ResumeHeader asks the engine to continue after that many pieces.
 	ResumeHeader = "X-Resume-From"
+	// PhaseHeader with the value PhasePrefill asks an engine to read the prompt
+	// only and to export its KV cache.
+	PhaseHeader = "X-Phase"
+	// KVHeader names an exported KV cache to import instead of reading the
+	// prompt, and KVTokensHeader its size in tokens.
+	KVHeader       = "X-Kv"
+	KVTokensHeader = "X-Kv-Tokens"
 	// NotRunHeader marks a refusal of an engine that has not begun the request.
 	NotRunHeader = "X-Not-Run"
 )
 
+// PhasePrefill is the value of PhaseHeader.
+const PhasePrefill = "prefill"
+
+// MaxDecodePrompt is the longest prompt, in tokens, that an engine in the decode
+// role reads itself. Longer ones come as a KV cache.
+const MaxDecodePrompt = 512
+
+// KVExport is the answer to a request in the prefill phase.
+type KVExport struct {
+	// KV names the exported cache.
+	KV string `json:"kv"`
+	// PromptTokens is its size.
+	PromptTokens int `json:"prompt_tokens"`
+}
+
 // Done is the data of the event that ends a stream.
 const Done = "[DONE]"
 
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -48,7 +48,9 @@
 	runs := map[string]int{}
 	for _, e := range f.engines {
 		for _, r := range e.Runs() {
-			runs[r.LoadID]++
+			if r.Phase == "" { // a prefill gives no answer and may be repeated
+				runs[r.LoadID]++
+			}
 		}
 	}
 	return runs
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/control"
@@ -550,3 +551,22 @@
 	wg.Wait()
 	require.Equal(t, 1, f.runs())
 }
+
+func TestLongPromptIsReadByAnEngineInThePrefillRole(t *testing.T) {
+	f := startWith(t, 4)
+	f.engines[0].SetRole(engine.RolePrefill)
+	f.snapshot.Reports = map[string]control.Report{"e0": {Status: engine.Status{Role: engine.RolePrefill}}}
+	body := fmt.Sprintf(`{"model": "review", "stream": true, "max_tokens": 6, "messages": [{"role": "user", "content": %q}]}`, strings.Repeat("word ", 600))
+	send := func() got { return f.do(http.MethodPost, pathChat, body) }
+	g := send()
+	out, done := text(t, g.body)
+	require.True(t, done, g.body)
+	require.Equal(t, answer.Text(strings.Repeat("word ", 600), 6), out)
+	require.Equal(t, openai.PhasePrefill, f.engines[0].Runs()[0].Phase)
+	require.Empty(t, f.engines[1].Runs()[0].Phase)
+
+	f.engines[0].SetFaults(engined.Faults{CutBeforeHeaders: true})
+	_, done = text(t, send().body)
+	require.True(t, done, "a prompt that could not be read apart is read where the request runs")
+	require.Len(t, f.engines[1].Runs(), 2)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -47,6 +47,10 @@
 	delivered int
 	// begun is true once the caller has got a part of the answer.
 	begun bool
+	// kv is an exported KV cache of the prompt, to be imported by the target.
+	kv openai.KVExport
+	// whole is true if the prompt is not to be read apart (any more).
+	whole bool
 	// claim is held if the call has an idempotency key.
 	claim *claims.Claim
 	// target of the last attempt.
@@ -71,6 +75,7 @@
 func (r *run) do() *reply {
 	r.s.retries.Request()
 	for {
+		r.readApart()
 		work, rep := r.choose()
 		if rep != nil {
 			return rep
@@ -92,19 +97,33 @@
 			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
 	}
 	permitted := routing.Permit(r.c.targets, r.c.rules, nil)
+	cost := r.c.cost
+	if r.kv.KV != "" {
+		cost.PrefillTokens = 0
+	}
+	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
+	if work == nil {
+		return nil, r.noTarget(len(permitted), full)
+	}
+	r.target = t
+	return work, nil
+}
+
+// pick chooses among the permitted targets of fitting roles and counts the cost
+// there. It returns no work if there is none, and how many are full.
+func (r *run) pick(permitted []*config.Target, cost routing.Cost, fits func(*config.Target) bool, phase string) (*routing.Work, *config.Target, int) {
 	for {
-		cands, full := r.candidates(permitted)
-		d := routing.Choose(r.s.policy(r.c.policy), r.c.cost, cands)
+		cands, full := r.candidates(permitted, fits)
+		d := routing.Choose(r.s.policy(r.c.policy), cost, cands)
 		if d.Chosen == nil {
-			r.logDecision(d, len(permitted))
-			return nil, r.noTarget(len(permitted), full)
+			r.logDecision(d, len(permitted), phase)
+			return nil, nil, full
 		}
 		t := d.Chosen.Target
 		limit := r.room(t) - r.c.snapshot.PeerLoads[t.Name].Requests
-		if work := r.s.o.Tracker.Begin(t.Name, r.c.cost, limit); work != nil {
-			r.target = t
-			r.logDecision(d, len(permitted))
-			return work, nil
+		if work := r.s.o.Tracker.Begin(t.Name, cost, limit); work != nil {
+			r.logDecision(d, len(permitted), phase)
+			return work, t, full
 		}
 	}
 }
@@ -132,9 +151,9 @@
 
 // candidates returns the permitted targets that have room and have not failed
 // this call, and how many have no room.
-func (r *run) candidates(permitted []*config.Target) (cands []routing.Candidate, full int) {
+func (r *run) candidates(permitted []*config.Target, fits func(*config.Target) bool) (cands []routing.Candidate, full int) {
 	for _, t := range permitted {
-		if r.avoid[t.Name] {
+		if r.avoid[t.Name] || !fits(t) {
 			continue
 		}
 		load := r.s.load(t, r.c)
@@ -173,6 +192,10 @@
 	done := r.s.breakers.begin(t.Name)
 	header := r.c.header.Clone()
 	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
+	if r.kv.KV != "" {
+		header.Set(openai.KVHeader, r.kv.KV)
+		header.Set(openai.KVTokensHeader, strconv.Itoa(r.kv.PromptTokens))
+	}
 	if r.delivered > 0 {
 		header.Set(openai.ResumeHeader, strconv.Itoa(r.delivered))
 	}
@@ -219,6 +242,7 @@
 		r.fire(charts.AttemptRepeat)
 	}
 	r.avoid[r.target.Name] = true
+	r.kv = openai.KVExport{} // the import may be what failed
 	level.Info(r.s.o.Logger).Log("msg", "attempt failed", "request", r.c.id, "attempt", r.attempts, "target", r.target.Name, "state", a.State(), "err", a.Err())
 	if r.attempts >= maxAttempts || !r.s.retries.Retry() {
 		r.fire(charts.NoTarget)
@@ -281,13 +305,13 @@
 )
 
 // logDecision writes the line that says why a call goes where it goes.
-func (r *run) logDecision(d routing.Decision, permitted int) {
+func (r *run) logDecision(d routing.Decision, permitted int, phase string) {
 	if !r.s.o.Settings.Log.Decisions {
 		return
 	}
 	kv := []any{
 		"msg", "decision", "request", r.c.id, "attempt", r.attempts + 1, "workspace", r.c.workspace.Name, "class", r.c.class,
-		"priority", r.c.priority, "revision", r.c.snapshot.Revision, "policy", r.c.policy, "reason", d.Reason,
+		"priority", r.c.priority, "revision", r.c.snapshot.Revision, "policy", r.c.policy, "phase", phase, "reason", d.Reason,
 		"permitted", permitted, "considered", d.Considered,
 	}
 	if d.Chosen != nil {
--- a/internal/lab/load/check.go
+++ b/internal/lab/load/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rockdoor/rockdoor/config"
@@ -17,6 +18,8 @@
 	Engine string `json:"engine"`
 	Server string `json:"server"`
 	From   int    `json:"from"`
+	// Phase is prefill for a run that only read the prompt.
+	Phase string `json:"phase"`
 }
 
 // Target returns the name of the engine or backend server.
@@ -88,6 +91,7 @@
 				v.WrongPlace++
 			}
 		}
+		mine = slices.DeleteFunc(mine, func(r TargetRun) bool { return r.Phase != "" })
 		if !idempotent && len(mine) > 1 {
 			v.Doubled++
 		}
--- a/internal/lab/load/mix.go
+++ b/internal/lab/load/mix.go
@@ -87,12 +87,52 @@
 	{Name: "kill", Path: "/kill-switch/checkout", Workspace: "palermo", Priority: "urgent", Whole: flagBound},
 }
 
+// piimaring holds the classes of the collection rounds.
+var piimaring = []Class{
+	{Name: "review", Model: "load-review", Workspace: "coop-tartu", PromptTokens: 3000, OutputTokens: 6, Spread: 0.6, Stream: true, Keyed: true, FirstToken: firstTokenBound, BetweenTokens: betweenTokensBound},
+	{Name: "notes", Model: "pickup-notes", Workspace: "coop-voru", PromptTokens: 150, OutputTokens: 80, Spread: 0.4, Stream: true, FirstToken: firstTokenBound, BetweenTokens: betweenTokensBound},
+	{Name: "round", Path: "/rounds/today", Workspace: "coop-tartu", Priority: "urgent", Whole: flagBound},
+}
+
+func rates(review, notes, urgent float64) map[string]float64 {
+	return map[string]float64{"review": review, "notes": notes, "flag": urgent, "round": urgent}
+}
+
 // Mixes are the named loads.
 var Mixes = []Mix{
 	{
 		Name: "demo", Doc: "a short run of everything", Classes: trinacria,
 		Phases: []Phase{{Name: "all", Duration: 10 * time.Second, Rates: map[string]float64{"review": 6, "notes": 6, "flag": 40, "kill": 5}}},
 	},
+	{
+		Name: "steady", Doc: "Trinacria, an even mix", Classes: trinacria,
+		Phases: []Phase{{Name: "all", Duration: 15 * time.Second, Rates: rates(16, 20, 50)}},
+	},
+	{
+		Name: "burst", Doc: "Trinacria, long reviews in a burst between short notes", Classes: trinacria,
+		Phases: []Phase{
+			{Name: "before", Duration: 4 * time.Second, Rates: rates(2, 24, 50)},
+			{Name: "burst", Duration: 8 * time.Second, Rates: rates(36, 24, 50)},
+			{Name: "after", Duration: 6 * time.Second, Rates: rates(2, 24, 50)},
+		},
+	},
+	{
+		Name: "shift", Doc: "Trinacria, the share of prefill grows by half and falls back over a minute", Classes: trinacria,
+		Phases: []Phase{
+			{Name: "low", Duration: 15 * time.Second, Rates: rates(8, 36, 50)},
+			{Name: "high", Duration: 30 * time.Second, Rates: rates(30, 16, 50)},
+			{Name: "low again", Duration: 15 * time.Second, Rates: rates(8, 36, 50)},
+		},
+	},
+	{
+		Name: "rounds", Doc: "Piimaring, farm histories in short bursts", Classes: piimaring,
+		Phases: []Phase{
+			{Name: "before", Duration: 4 * time.Second, Rates: rates(2, 24, 20)},
+			{Name: "burst", Duration: 4 * time.Second, Rates: rates(30, 24, 20)},
+			{Name: "between", Duration: 4 * time.Second, Rates: rates(2, 24, 20)},
+			{Name: "burst again", Duration: 4 * time.Second, Rates: rates(30, 24, 20)},
+		},
+	},
 }
 
 // MixByName returns a mix.
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -112,3 +113,18 @@
 	}
 	t.Render()
 }
+
+// PrintSummary writes one line with the share of requests whose answers were
+// useful, for all and for each class.
+func PrintSummary(w io.Writer, label string, sums []*Summary) {
+	good, all := 0, 0
+	for _, s := range sums {
+		good += s.Good
+		all += s.Requests
+	}
+	fmt.Fprintf(w, "SUMMARY %s good=%d of=%d share=%.3f", label, good, all, float64(good)/float64(max(all, 1)))
+	for _, s := range sums {
+		fmt.Fprintf(w, " %s=%.3f", s.Class, float64(s.Good)/float64(s.Requests))
+	}
+	fmt.Fprintln(w)
+}
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -50,10 +50,12 @@
 
 // Run is the engine's record of one request.
 type Run struct {
-	Attempt   string `json:"attempt"`
-	LoadID    string `json:"loadID"`
-	Engine    string `json:"engine"`
-	Model     string `json:"model"`
+	Attempt string `json:"attempt"`
+	LoadID  string `json:"loadID"`
+	Engine  string `json:"engine"`
+	Model   string `json:"model"`
+	// Phase is prefill for a run that only read the prompt.
+	Phase     string `json:"phase"`
 	From      int    `json:"from"`
 	Pieces    int    `json:"pieces"`
 	Cancelled bool   `json:"cancelled"`
@@ -123,6 +125,13 @@
 	s.faults = f
 }
 
+// SetRole changes the role at once, without an order.
+func (s *Server) SetRole(r engine.Role) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.role = r
+}
+
 // Runs returns the record of all runs.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -150,18 +159,19 @@
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
-	if f.Refuse || s.isChanging() {
+	prompt := req.PromptText()
+	phase, kv := r.Header.Get(openai.PhaseHeader), r.Header.Get(openai.KVHeader)
+	if f.Refuse || !s.accepts(phase, kv, answer.Tokens(prompt)) {
 		w.Header().Set(openai.NotRunHeader, "true")
 		http.Error(w, "not accepting work", http.StatusServiceUnavailable)
 		return
 	}
-	prompt := req.PromptText()
 	from, _ := strconv.Atoi(r.Header.Get(openai.ResumeHeader))
 	priority, _ := strconv.Atoi(r.Header.Get(openai.PriorityHeader))
 	total := answer.Length(prompt, req.MaxTokens)
 	n := s.begin(Run{
 		Attempt: r.Header.Get(openai.AttemptHeader), LoadID: r.Header.Get("X-Load-Id"),
-		Engine: s.opts.Name, Model: req.Model, From: from, Start: time.Now(),
+		Engine: s.opts.Name, Model: req.Model, Phase: phase, From: from, Start: time.Now(),
 	})
 	pieces := 0
 	ctx, life := s.runContext(r.Context())
@@ -171,6 +181,18 @@
 		return
 	}
 	q := &sequence{ctx: ctx, priority: priority, prefill: answer.Tokens(prompt) + from, decode: max(total-from, 0)}
+	if phase == openai.PhasePrefill {
+		if f.CutBeforeHeaders {
+			panic(http.ErrAbortHandler)
+		}
+		s.export(w, r, q)
+		return
+	}
+	if kv != "" {
+		tokens, _ := strconv.Atoi(r.Header.Get(openai.KVTokensHeader))
+		time.Sleep(s.opts.Timing.importTime(tokens))
+		q.prefill = from
+	}
 	s.sched.add(q)
 	id := r.Header.Get(openai.AttemptHeader)
 	if f.WrongID {
@@ -200,6 +222,36 @@
 	out.finish(total)
 }
 
+// accepts reports whether the engine takes a request in its present role.
+func (s *Server) accepts(phase, kv string, promptTokens int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.changing:
+		return false
+	case s.role == engine.RolePrefill:
+		return phase == openai.PhasePrefill
+	case s.role == engine.RoleDecode:
+		return phase == "" && (kv != "" || promptTokens <= openai.MaxDecodePrompt)
+	}
+	return true
+}
+
+// export reads the prompt and names the KV cache that it leaves.
+func (s *Server) export(w http.ResponseWriter, r *http.Request, q *sequence) {
+	tokens := q.prefill
+	q.decode = 1
+	s.sched.add(q)
+	select {
+	case <-q.ready:
+	case <-q.ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get(openai.AttemptHeader)
+	w.Header().Set(openai.AttemptHeader, id)
+	writeJSON(w, http.StatusOK, openai.KVExport{KV: s.opts.Name + "/" + id, PromptTokens: tokens})
+}
+
 // runContext ends with the request or when the engine drops all requests.
 func (s *Server) runContext(ctx context.Context) (run, life context.Context) {
 	s.mu.Lock()
@@ -210,12 +262,6 @@
 	return run, life
 }
 
-func (s *Server) isChanging() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changing
-}
-
 func (s *Server) begin(run Run) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/engined/scheduler.go
+++ b/internal/standin/engined/scheduler.go
@@ -26,6 +26,8 @@
 	RoleChange time.Duration `json:"roleChange"`
 	// ReportLag is the age of the load that the engine reports.
 	ReportLag time.Duration `json:"reportLag"`
+	// ImportRate is how fast a KV cache is imported, in tokens a second.
+	ImportRate float64 `json:"importRate"`
 	// Speedup divides all times.
 	Speedup float64 `json:"speedup"`
 }
@@ -39,6 +41,7 @@
 	MaxSeqs:      48,
 	RoleChange:   4 * time.Second,
 	ReportLag:    time.Second,
+	ImportRate:   80000,
 	Speedup:      1,
 }
 
@@ -49,6 +52,14 @@
 	return d
 }
 
+// importTime is how long the import of a KV cache takes.
+func (t Timing) importTime(tokens int) time.Duration {
+	if t.ImportRate == 0 {
+		return 0
+	}
+	return t.scale(time.Duration(float64(tokens) / t.ImportRate * float64(time.Second)))
+}
+
 func (t Timing) step(decoding, prefilled int) time.Duration {
 	d := t.StepBase + time.Duration(decoding)*t.StepPerSeq
 	if t.PrefillRate > 0 {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,9 +6,17 @@
 cd "$(dirname "$0")/.."
 fleet=${FLEET:-4}
 out=${OUT:-demo-out}
-config=examples/trinacria/configuration.json
+team=trinacria
+[ "${MIX:-}" = rounds ] && team=piimaring
 rm -rf "$out"
 mkdir -p "$out"
+config=$out/configuration.json
+# POLICY replaces the routing policy and PREFILL asks for that many engines in
+# the prefill role, for comparisons.
+sed "s/\"policy\": \"[a-z-]*\"/\"policy\": \"${POLICY:-completion-time}\"/" "examples/$team/configuration.json" >"$config"
+prefill=${PREFILL:-0}
+engines=127.0.1 services=127.0.2 service=flag
+[ $team = trinacria ] || engines=127.0.4 services=127.0.5 service=dispatch
 
 pids=()
 stop() {
@@ -37,10 +45,12 @@
 for i in $(seq 12); do
   fencing=()
   [ $((i % 2)) -eq 0 ] || fencing=(--fencing)
-  start "lm-$i" bin/rockdoor-lab engine --listen "127.0.1.$i:8000" --name "lm-$i" "${fencing[@]}"
+  role=mixed
+  [ "$i" -gt "$prefill" ] || role=prefill
+  start "lm-$i" bin/rockdoor-lab engine --listen "$engines.$i:8000" --name "lm-$i" --role "$role" "${fencing[@]}"
 done
 for i in 1 2 3; do
-  start "flag-$i" bin/rockdoor-lab service --listen "127.0.2.$i:8000" --name "flag-$i"
+  start "$service-$i" bin/rockdoor-lab service --listen "$services.$i:8000" --name "$service-$i"
 done
 await http://127.0.0.9:9000/hosts
 
