Change roles once the present split has lost what a change costs

Cause: the split of roles is the lever for goodput, and a fixed one is wrong as soon as the mix moves.

Ruled out: a threshold on the queue as the policy; it is kept as the baseline to compare with.

Change: package roles with the policies manual, threshold and cost-benefit. Entry processes count the tokens that they admit, heartbeats carry the counters, and the pool's controller adds up what the present split loses against one with one engine more or less in the prefill role. It changes a role when that equals the price of a change in the team's weights, so that a shift that is over sooner causes none. No engine leaves that is the last to run a model under some workspace's rules.

--- a/config/config.go
+++ b/config/config.go
@@ -48,6 +48,7 @@
 
 // Roles says when engines change role.
 type Roles struct {
+	Policy        string         `json:"policy"`
 	GoodputWeight float64        `json:"goodputWeight"`
 	ChangeWeight  float64        `json:"changeWeight"`
 	MinDwell      jsonc.Duration `json:"minDwell"`
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
 	"github.com/rockdoor/rockdoor/orders"
+	"github.com/rockdoor/rockdoor/roles"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -339,6 +340,7 @@
 		ChangeID:  l.head.ChangeID,
 		Members:   states,
 		PeerLoads: l.peerLoads(),
+		Demand:    l.peerDemand(),
 		Reports:   make(map[string]Report, len(l.reports)),
 		Orders:    l.orders,
 		Leaving:   l.leaving,
@@ -384,6 +386,20 @@
 	return loads
 }
 
+// peerDemand returns what each peer that is heard has admitted to each pool.
+func (l *Loop) peerDemand() map[string]map[string]roles.Counter {
+	out := map[string]map[string]roles.Counter{}
+	for name, c := range l.contacts {
+		for _, d := range c.loads.GetDemand() {
+			if out[d.GetPool()] == nil {
+				out[d.GetPool()] = map[string]roles.Counter{}
+			}
+			out[d.GetPool()][name+c.incarnation] = roles.Counter{Prefill: d.GetPrefillTokens(), Decode: d.GetDecodeTokens()}
+		}
+	}
+	return out
+}
+
 // loadFields is how many numbers a heartbeat has for each target.
 const loadFields = 4
 
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -105,6 +105,9 @@
 			b.Loads = append(b.Loads, uint32(i), uint32(l.Requests), uint32(max(l.PrefillTokens, 0)), uint32(max(l.DecodeTokens, 0)))
 		}
 	})
+	h.tracker.Demand.Each(func(pool string, prefill, decode uint64) {
+		b.Demand = append(b.Demand, &peerpb.PoolDemand{Pool: pool, PrefillTokens: prefill, DecodeTokens: decode})
+	})
 	return b
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/orders"
 	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/roles"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -54,6 +55,8 @@
 	// PeerLoads is what other processes have outstanding, by target.
 	PeerLoads map[string]routing.Load
 	Reports   map[string]Report
+	// Demand is what other processes have admitted to each pool.
+	Demand map[string]map[string]roles.Counter // by pool and process
 	// Orders holds the last order to each engine.
 	Orders map[string]orders.Record
 	// Leaving holds the IP numbers of hosts that the platform says are leaving.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,14 +166,15 @@
 
 // controller is a candidate for one pool.
 type controller struct {
-	m      *Manager
-	pool   string
-	lessee *lease.Lessee
-	exec   *orders.Executor
-	logger log.Logger
-	cancel context.CancelFunc
-	done   chan struct{}
-	drain  drainState
+	m       *Manager
+	pool    string
+	lessee  *lease.Lessee
+	exec    *orders.Executor
+	logger  log.Logger
+	cancel  context.CancelFunc
+	done    chan struct{}
+	drain   drainState
+	planner planner
 }
 
 // drainState is what is known about the order record that is being drained for.
@@ -296,6 +297,15 @@
 		}
 		return c.exec.ChangeRole(ctx, c.target(s, e), st.Role, e.Role, "asked for by the configuration")
 	}
+	change := c.plan(ctx, s)
+	if change == nil {
+		return nil
+	}
+	for _, e := range c.engines(s) {
+		if e.Name == change.Engine {
+			return c.exec.ChangeRole(ctx, c.target(s, e), change.From, change.To, change.Reason)
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/controller/planner.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/roles"
+	"github.com/rockdoor/rockdoor/selector"
+)
+
+// planner holds what a pool's role policy remembers.
+type planner struct {
+	name   string
+	policy roles.Policy
+	meter  roles.Meter
+}
+
+// plan returns the change of role that the pool's policy decides on, or nil.
+func (c *controller) plan(ctx context.Context, s *control.Snapshot) *roles.Change {
+	set := s.Config.Pools[c.pool].Roles
+	if c.planner.policy == nil || c.planner.name != set.Policy {
+		p, err := roles.New(set.Policy)
+		if err != nil {
+			p, _ = roles.New(roles.Manual)
+		}
+		c.planner.name, c.planner.policy = set.Policy, p
+	}
+	now := time.Now()
+	in := roles.Input{
+		Now:     now,
+		Demand:  c.planner.meter.Update(now, c.counters(s), c.scale(s)),
+		Engines: c.engineStates(ctx, s),
+		Weights: roles.Weights{Goodput: set.GoodputWeight, Change: set.ChangeWeight},
+	}
+	return c.planner.policy.Decide(in)
+}
+
+// counters returns what each process that is heard, and this one, has admitted.
+func (c *controller) counters(s *control.Snapshot) map[string]roles.Counter {
+	out := map[string]roles.Counter{}
+	for process, n := range s.Demand[c.pool] {
+		out[process] = n
+	}
+	c.m.o.Tracker.Demand.Each(func(pool string, prefill, decode uint64) {
+		if pool == c.pool {
+			out[c.m.o.Self.Name+c.m.o.Self.Incarnation] = roles.Counter{Prefill: prefill, Decode: decode}
+		}
+	})
+	return out
+}
+
+// scale returns how many serving processes each heard one stands for.
+func (c *controller) scale(s *control.Snapshot) float64 {
+	heard := 0
+	for _, m := range s.Members {
+		if m.Self || m.Heard != 0 {
+			heard++
+		}
+	}
+	return max(1, float64(s.Serving)/float64(max(heard, 1)))
+}
+
+// engineStates describes the engines of the pool that requests may use.
+func (c *controller) engineStates(ctx context.Context, s *control.Snapshot) []roles.Engine {
+	var out []roles.Engine
+	set := s.Config.Pools[c.pool].Roles
+	for _, e := range c.engines(s) {
+		if e.State != config.Active {
+			continue
+		}
+		st, err := c.status(ctx, e.Address)
+		if err != nil {
+			continue
+		}
+		last := s.Orders[e.Name]
+		load := s.PeerLoads[e.Name].Add(c.m.o.Tracker.Load(e.Name))
+		out = append(out, roles.Engine{
+			Name: e.Name, Domain: s.Config.Targets[e.Name].Domain, Role: st.Role, Requests: load.Requests, PrefillTokens: load.PrefillTokens,
+			Movable: e.Role == "" && !st.Changing && !last.Open() && time.Since(last.Since) >= set.MinDwell.Std() &&
+				(st.Role == engine.RolePrefill || c.spare(s, e.Name)),
+		})
+	}
+	return out
+}
+
+// spare reports whether an engine may stop to run whole requests: every model of
+// the pool, under the rules of every workspace that can use the engine for it,
+// keeps another engine that does, and some model can use the engine at all.
+func (c *controller) spare(s *control.Snapshot, name string) bool {
+	t := s.Config.Targets[name]
+	useful := false
+	for _, m := range s.Config.Models {
+		if m.Pool != c.pool {
+			continue
+		}
+		for _, rules := range workspaceRules(s.Config) {
+			all := append(m.Rules[:len(m.Rules):len(m.Rules)], rules...)
+			if _, rejected := all.Rejects(t.Labels); rejected {
+				continue
+			}
+			useful = true
+			if !c.another(s, m.Engines, all, name) {
+				return false
+			}
+		}
+	}
+	return useful
+}
+
+// another reports whether an engine besides the named one runs whole requests
+// under the rules.
+func (c *controller) another(s *control.Snapshot, engines []*config.Target, rules selector.All, name string) bool {
+	for _, t := range engines {
+		if t.Name == name || t.State != config.Active || !s.Available(t) || s.Reports[t.Name].Status.Role == engine.RolePrefill {
+			continue
+		}
+		if _, rejected := rules.Rejects(t.Labels); !rejected {
+			return true
+		}
+	}
+	return false
+}
+
+// workspaceRules returns the distinct rules of all workspaces.
+func workspaceRules(c *config.Compiled) []selector.All {
+	seen := map[string]bool{}
+	var out []selector.All
+	for _, w := range c.Workspaces {
+		if !seen[w.Selector] {
+			seen[w.Selector] = true
+			out = append(out, w.Rules)
+		}
+	}
+	return out
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -66,6 +66,7 @@
 	targets    []*config.Target
 	rules      selector.All
 	policy     string
+	pool       string // empty for a call to a plain service
 	idempotent bool
 	priority   config.Priority
 	deadline   time.Time
@@ -174,7 +175,7 @@
 		return fault.Newf(fault.NotFound, "GET /v1/models lists the models", "model %q does not exist", req.Model)
 	}
 	c.completion, c.class = req, m.Name
-	c.targets, c.policy = m.Engines, c.snapshot.Config.Pools[m.Pool].Policy
+	c.targets, c.pool, c.policy = m.Engines, m.Pool, c.snapshot.Config.Pools[m.Pool].Policy
 	c.rules = append(m.Rules[:len(m.Rules):len(m.Rules)], c.workspace.Rules...)
 	c.idempotent, c.priority = m.Idempotent, m.Priority
 	c.cost = routing.Cost{PrefillTokens: req.PromptBytes()/bytesPerToken + 1, DecodeTokens: defaultOutput}
--- a/internal/entry/phases.go
+++ b/internal/entry/phases.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// countDemand counts the work of a completion, by which engines get their roles.
+// Short prompts are not counted, since they are not read apart.
+func (r *run) countDemand() {
+	if r.c.completion == nil {
+		return
+	}
+	prefill := r.c.cost.PrefillTokens
+	if prefill <= openai.MaxDecodePrompt {
+		prefill = 0
+	}
+	r.s.o.Tracker.Demand.Add(r.c.pool, prefill, r.c.cost.DecodeTokens)
+}
+
 // readsInTime reports whether a target reads prompts apart and is not so far
 // behind that the prompt is better read where the call runs.
 func (r *run) readsInTime(t *config.Target) bool {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -74,6 +74,7 @@
 // still owed to the caller, or nil if the answer was passed on.
 func (r *run) do() *reply {
 	r.s.retries.Request()
+	r.countDemand()
 	for {
 		r.readApart()
 		work, rep := r.choose()
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -9,6 +9,8 @@
 // is safe for concurrent use.
 type Tracker struct {
 	targets sync.Map // name to *outstanding
+	// Demand counts what was admitted.
+	Demand DemandCounter
 }
 
 type outstanding struct {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,8 @@
 # POLICY replaces the routing policy and PREFILL asks for that many engines in
 # the prefill role, for comparisons.
 sed "s/\"policy\": \"[a-z-]*\"/\"policy\": \"${POLICY:-completion-time}\"/" "examples/$team/configuration.json" >"$config"
+# ROLES replaces the role policy; DWELL the shortest time between two changes.
+sed -i "s/\"roles\": {/\"roles\": {\"policy\": \"${ROLES:-cost-benefit}\", /; s/\"minDwell\": \"[0-9a-z]*\"/\"minDwell\": \"${DWELL:-10s}\"/" "$config"
 prefill=${PREFILL:-0}
 engines=127.0.1 services=127.0.2 service=flag
 [ $team = trinacria ] || engines=127.0.4 services=127.0.5 service=dispatch
@@ -80,6 +82,7 @@
 echo
 echo "decisions by reason:"
 grep -ho 'msg=decision.*' "$out"/entry-*.log | grep -o ' reason=[a-z-]*' | sort | uniq -c
+echo "role changes: $(cat "$out"/entry-*.log | grep -c 'msg=decision.*kind=role' || true)"
 echo "one of them:"
 grep -h 'msg=decision' "$out"/entry-1.log | grep class=rule-review | head -1 || true
 
