--- a/config/compile.go
+++ b/config/compile.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/rockdoor/rockdoor/jsonc"
 	"github.com/rockdoor/rockdoor/selector"
@@ -71,6 +72,25 @@
 	Routes      []*CompiledRoute // longest path first
 	Workspaces  map[string]*CompiledWorkspace
 	byKey       map[string]*CompiledWorkspace
+	permitted   sync.Map // permitKey to []*Target
+}
+
+type permitKey struct {
+	class string
+	rules uint64
+}
+
+// Permitted returns the targets that find returns for a model or route under
+// rules, and remembers them, since a configuration does not change. Only rules
+// that come from the configuration may be given, of which there are few.
+func (c *Compiled) Permitted(class string, rules selector.All, find func() []*Target) []*Target {
+	key := permitKey{class, rules.Hash()}
+	if v, ok := c.permitted.Load(key); ok {
+		return v.([]*Target)
+	}
+	found := find()
+	c.permitted.Store(key, found)
+	return found
 }
 
 // WorkspaceByKey returns the workspace that owns an API key, given the SHA-256
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,7 +24,7 @@
 
 const (
 	eventQueue     = 1024
-	publishEvery   = 50 * time.Millisecond
+	publishEvery   = 100 * time.Millisecond
 	loadTimeout    = 10 * time.Second
 	loadRetryDelay = 200 * time.Millisecond
 	// loadsKeptFor is how long the loads of a member that is no longer heard
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -62,9 +62,11 @@
 	snapshot  *control.Snapshot
 	workspace *config.CompiledWorkspace
 	// class names the model or route in logs and metrics.
-	class      string
-	targets    []*config.Target
-	rules      selector.All
+	class   string
+	targets []*config.Target
+	rules   selector.All
+	// ownRules is true if the request brings a selector of its own.
+	ownRules   bool
 	policy     string
 	pool       string // empty for a call to a plain service
 	idempotent bool
@@ -164,10 +166,20 @@
 	}
 	if !s.Empty() {
 		c.rules = append(c.rules[:len(c.rules):len(c.rules)], selector.Named{Rule: "request", Selector: s})
+		c.ownRules = true
 	}
 	return nil
 }
 
+// permitted returns the active targets that all rules permit.
+func (c *call) permitted() []*config.Target {
+	find := func() []*config.Target { return routing.Permit(c.targets, c.rules, nil) }
+	if c.ownRules {
+		return find()
+	}
+	return c.snapshot.Config.Permitted(c.class, c.rules, find)
+}
+
 // forModel fills in the call from a completion request.
 func (c *call) forModel(req *openai.Request) error {
 	m := c.snapshot.Config.Models[req.Model]
--- a/internal/entry/phases.go
+++ b/internal/entry/phases.go
@@ -58,8 +58,7 @@
 		return
 	}
 	r.whole = true
-	permitted := routing.Permit(r.c.targets, r.c.rules, nil)
-	work, t, _ := r.pick(permitted, routing.Cost{PrefillTokens: r.c.cost.PrefillTokens}, r.readsInTime, phasePrefill)
+	work, t, _ := r.pick(r.c.permitted(), routing.Cost{PrefillTokens: r.c.cost.PrefillTokens}, r.readsInTime, phasePrefill)
 	if work == nil {
 		return
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -97,7 +97,7 @@
 		return nil, r.given(http.StatusGatewayTimeout, codeDeadline,
 			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
 	}
-	permitted := routing.Permit(r.c.targets, r.c.rules, nil)
+	permitted := r.c.permitted()
 	cost := r.c.cost
 	if r.kv.KV != "" {
 		cost.PrefillTokens = 0
@@ -114,7 +114,10 @@
 // there. It returns no work if there is none, and how many are full.
 func (r *run) pick(permitted []*config.Target, cost routing.Cost, fits func(*config.Target) bool, phase string) (*routing.Work, *config.Target, int) {
 	for {
-		cands, full := r.candidates(permitted, fits)
+		cands, full := r.candidates(routing.Sample(permitted), fits)
+		if len(cands) == 0 && len(permitted) > routing.MaxSample {
+			cands, full = r.candidates(permitted, fits)
+		}
 		d := routing.Choose(r.s.policy(r.c.policy), cost, cands)
 		if d.Chosen == nil {
 			r.logDecision(d, len(permitted), phase)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -145,6 +145,20 @@
 	return ReasonBest
 }
 
+// Sample returns at most MaxSample of the targets, chosen at random, so that the
+// cost of a decision does not grow with the fleet.
+func Sample(targets []*config.Target) []*config.Target {
+	if len(targets) <= MaxSample {
+		return targets
+	}
+	out := make([]*config.Target, MaxSample)
+	start, stride := rand.IntN(len(targets)), len(targets)/MaxSample
+	for i := range out {
+		out[i] = targets[(start+i*stride+rand.IntN(stride))%len(targets)]
+	}
+	return out
+}
+
 // sample moves a random choice of MaxSample candidates to the front, in random
 // order.
 func sample(cands []Candidate) {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -94,18 +94,42 @@
 	require.Equal(t, Load{}, tr.Load("e"))
 }
 
+func TestSampleIsBoundedAndReachesEveryTarget(t *testing.T) {
+	ts := targets(300)
+	seen := map[string]bool{}
+	for range 500 {
+		got := map[string]bool{}
+		for _, s := range Sample(ts) {
+			got[s.Name], seen[s.Name] = true, true
+		}
+		require.Len(t, got, MaxSample, "no target twice")
+	}
+	require.Len(t, seen, 300)
+	require.Len(t, Sample(ts[:5]), 5)
+}
+
+// BenchmarkChoose measures a decision among so many permitted targets, as the
+// entry makes it: the rules are worked out once for a configuration.
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{12, 120, 900, 2700} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			p, _ := New(CompletionTime)
 			ts := targets(n)
-			cs := candidates(ts, func(i int) Load { return Load{i % 7, i % 5 * 100, i % 3 * 100} })
+			var tr Tracker
+			for i, t := range ts {
+				tr.Begin(t.Name, Cost{i % 7 * 100, i % 5 * 10}, 1000)
+			}
 			even, _ := selector.Parse("n=0")
 			rules := selector.All{{Rule: "m", Selector: even}}
+			c := &config.Compiled{}
 			b.ReportAllocs()
 			for b.Loop() {
-				permitted := Permit(ts, rules, nil)
-				Choose(p, Cost{1000, 100}, cs[:len(permitted)])
+				permitted := c.Permitted("m", rules, func() []*config.Target { return Permit(ts, rules, nil) })
+				var cands []Candidate
+				for _, t := range Sample(permitted) {
+					cands = append(cands, Candidate{Target: t, Load: tr.Load(t.Name), Rates: DefaultRates})
+				}
+				Choose(p, Cost{1000, 100}, cands)
 			}
 		})
 	}
