--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -109,30 +109,11 @@
 	slow := engined.Timing{StepBase: 10 * time.Millisecond, RoleChange: 300 * time.Millisecond}
 	f := startFleet(t, options{entries: 3, engines: 2, timing: slow})
 	f.awaitController(-1)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 6 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if r := f.chat(i%3, "review", 40); !r.whole {
-					t.Errorf("cut by a planned change: %+v", r)
-					return
-				}
-			}
-		}()
-	}
+	finish := f.keepSending(6)
 	f.apply(0, f.configuration(map[string]string{"e0": "decode"}))
 	f.await("role change", func() bool { return len(f.roleOrders(0)) == 1 })
 	time.Sleep(time.Second)
-	close(stop)
-	wg.Wait()
+	finish()
 	require.Len(t, f.roleOrders(0), 1)
 	require.Empty(t, f.roleOrders(1))
 	for _, r := range f.engines[0].Runs() {
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -194,6 +194,31 @@
 	return n
 }
 
+// keepSending sends streams from n callers, each of which has to arrive whole,
+// until the returned function is called.
+func (f *fleet) keepSending(n int) (finish func()) {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := f.chat(i%len(f.procs), "review", 40); !r.whole {
+					f.t.Errorf("cut by a planned change: %+v", r)
+					return
+				}
+			}
+		}()
+	}
+	return func() { close(stop); wg.Wait() }
+}
+
 // leaveBy drains an engine, or makes the platform say that its host is leaving.
 var leaveBy = map[string]func(f *fleet){
 	"drain": func(f *fleet) {
@@ -220,30 +245,12 @@
 
 func leavingEngine(t *testing.T, leave func(*fleet)) {
 	f := startFleet(t, options{entries: 3, engines: 2, timing: engined.Timing{StepBase: 5 * time.Millisecond}})
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 6 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if r := f.chat(i%3, "review", 40); !r.whole {
-					t.Errorf("cut by a drain: %+v", r)
-				}
-			}
-		}()
-	}
+	finish := f.keepSending(6)
 	time.Sleep(300 * time.Millisecond)
 	leave(f)
 	accepted := time.Now()
 	time.Sleep(4 * time.Second)
-	close(stop)
-	wg.Wait()
+	finish()
 	last := time.Time{}
 	for _, run := range f.engines[0].Runs() {
 		if run.Start.After(last) {
