Hold a flooding workspace to its share; weigh each further role change apart

Cause: one workspace could fill all engines, so that the next request of another was refused (TestFloodingWorkspaceCannotStarveAnother failed first).

Ruled out: for the shares, a bound per workspace at the entry alone, which is idle when there is room; for the roles, a lower price, which would also follow short swings.

Change: from 80 % of the room at the permitted targets on, a workspace with more than 1.2 times its weighted share of this process's requests in hand is refused at once; one more workspace than there are is counted. The role policy keeps a balance for each number of readers, so that changes that have paid for themselves at the same time follow each other.

Two tests were changed with the behaviour. TestFullTargetsRefuseAtOnce fills the engines from four workspaces, as one alone may no longer.

Figures: policy tests as before; 10 minutes of 12 s swings cause at most 1 change.

Conclusion: the room for the next workspace costs nothing while others use it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -263,11 +263,12 @@
 	f := start(t)
 	f.engineFaults(engined.Faults{Silent: true})
 	var wg sync.WaitGroup
-	for range 12 { // 2 engines, capacity 4, and half as much queued
+	for i := range 12 { // 2 engines, capacity 4, and half as much queued
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			f.chat("review", false, HeaderDeadline, "1s")
+			// One workspace alone may not take the last of the room.
+			f.chat("review", false, HeaderDeadline, "1s", HeaderWorkspace, []string{"w", "flood", "third", "fourth"}[i%4])
 		}()
 	}
 	require.Eventually(t, func() bool { return f.runs() == 12 }, 5*time.Second, time.Millisecond)
@@ -380,3 +381,23 @@
 	require.True(t, done, "a prompt that could not be read apart is read where the request runs")
 	require.Len(t, f.engines[1].Runs(), 2)
 }
+
+func TestFloodingWorkspaceCannotStarveAnother(t *testing.T) {
+	f := start(t)
+	f.engineFaults(engined.Faults{Silent: true})
+	answers := make(chan got, 40)
+	for range 40 {
+		go func() { answers <- f.chat("review", false, HeaderWorkspace, "flood", HeaderDeadline, "1s") }()
+	}
+	require.Eventually(t, func() bool { return f.runs() >= 8 }, 5*time.Second, time.Millisecond)
+	g := f.chat("review", false, HeaderDeadline, "300ms")
+	require.Equal(t, codeUnknown, g.code(t), "it was sent, though the other workspace floods the engines")
+	refused := 0
+	for range 40 {
+		if g := <-answers; g.header.Get(HeaderOutcome) == "not_run" {
+			refused++
+			require.NotEmpty(t, g.header.Get("Retry-After"))
+		}
+	}
+	require.GreaterOrEqual(t, refused, 28, "the engines have room for 12")
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -66,7 +66,7 @@
   ],
   "workspaces": [
     {"name": "w"}, {"name": "d1only", "selector": "domain=d1"}, {"name": "elsewhere", "entrySelector": "host=h1"},
-    {"name": "slow", "requestsPerSecond": 0.01}
+    {"name": "slow", "requestsPerSecond": 0.01}, {"name": "flood"}, {"name": "third"}, {"name": "fourth"}
   ]
 }`
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -102,6 +102,9 @@
 	if r.kv.KV != "" {
 		cost.PrefillTokens = 0
 	}
+	if rep := r.shareOut(permitted); rep != nil {
+		return nil, rep
+	}
 	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
 	if work == nil {
 		return nil, r.noTarget(len(permitted), full)
@@ -110,6 +113,31 @@
 	return work, nil
 }
 
+// shortFrom is the share of the room at the permitted targets in use from which
+// workspaces are held to their shares.
+const shortFrom = 0.8
+
+// shareOut refuses the first attempt of a call of a workspace that is over its
+// share while the permitted targets are short.
+func (r *run) shareOut(permitted []*config.Target) *reply {
+	if r.attempts > 0 {
+		return nil
+	}
+	used, room := 0, 0
+	for _, t := range routing.Sample(permitted) {
+		used += r.s.load(t, r.c).Requests
+		room += r.room(t)
+	}
+	if float64(used) < shortFrom*float64(room) {
+		return nil
+	}
+	if err := r.s.gate.OverShare(&r.c.workspace.Workspace); err != nil {
+		r.fire(charts.Refused)
+		return refusalFor(err)
+	}
+	return nil
+}
+
 // pick chooses among the permitted targets of fitting roles and counts the cost
 // there. It returns no work if there is none, and how many are full.
 func (r *run) pick(permitted []*config.Target, cost routing.Cost, fits func(*config.Target) bool, phase string) (*routing.Work, *config.Target, int) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -52,10 +52,13 @@
 	inHand     int
 	workspaces *lru.Cache[string, *workspace]
 	served     ewma
+	// weights is the sum of the weights of the workspaces with requests in hand.
+	weights float64
 }
 
 type workspace struct {
 	inHand  int
+	weight  float64
 	limiter *rate.Limiter
 }
 
@@ -95,7 +98,10 @@
 		return nil, NewRefusal(fault.New(fault.Exhausted, "workspace "+w.Name+" is over its rate of requests", "slow down, or raise workspaces.requestsPerSecond"), wait)
 	}
 	g.inHand++
-	ws.inHand++
+	if ws.inHand++; ws.inHand == 1 {
+		ws.weight = weightOf(w)
+		g.weights += ws.weight
+	}
 	start := time.Now()
 	return func() { g.release(ws, time.Since(start)) }, nil
 }
@@ -104,10 +110,43 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inHand--
-	ws.inHand--
+	if ws.inHand--; ws.inHand == 0 {
+		g.weights -= ws.weight
+	}
 	g.served.add(took, g.inHand+1)
 }
 
+const (
+	// shareSlack is how far over its share a workspace may go when targets are
+	// short, and freeRequests how many requests it may have in any case.
+	shareSlack   = 1.2
+	freeRequests = 4
+)
+
+// OverShare returns a refusal if a workspace has more than its weighted share of
+// the requests in hand. It is asked only when targets are short, so that a
+// workspace that floods them cannot starve the others. One more workspace than
+// there are is counted, so that there is room for whoever comes next.
+func (g *Gate) OverShare(w *config.Workspace) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ws, ok := g.workspaces.Peek(w.Name)
+	if !ok || ws.inHand <= freeRequests {
+		return nil
+	}
+	if fair := float64(g.inHand) * ws.weight / (g.weights + 1); float64(ws.inHand) <= fair*shareSlack {
+		return nil
+	}
+	return NewRefusal(fault.New(fault.Exhausted, "workspace "+w.Name+" is over its share while targets are short", "wait for earlier requests, or raise workspaces.weight"), g.served.wait(1))
+}
+
+func weightOf(w *config.Workspace) float64 {
+	if w.Weight > 0 {
+		return w.Weight
+	}
+	return 1
+}
+
 func (g *Gate) boundFor(p config.Priority) int {
 	switch p {
 	case config.Urgent:
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -70,3 +70,18 @@
 	}
 	require.LessOrEqual(t, retries, retryBurst+1000/5)
 }
+
+func TestFloodingWorkspaceIsHeldToItsShare(t *testing.T) {
+	g := NewGate(1000, 0.1)
+	flood, small := &config.Workspace{Name: "flood", Weight: 1}, &config.Workspace{Name: "small", Weight: 3}
+	for range 40 {
+		_, err := g.Admit(flood, config.Normal, 1)
+		require.NoError(t, err)
+	}
+	refusalOf(t, g.OverShare(flood)) // also alone, so that there is room for the next
+	release, err := g.Admit(small, config.Normal, 1)
+	require.NoError(t, err)
+	refusalOf(t, g.OverShare(flood))
+	require.NoError(t, g.OverShare(small))
+	release()
+}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/rockdoor/rockdoor/engine"
@@ -128,23 +129,20 @@
 // the better one, equals what the change costs. Whoever waits that long loses at
 // most twice of what somebody loses who knows the future, and a shift that is
 // over sooner causes no change at all.
+//
+// The loss is kept for each number of readers apart, so that several changes
+// that have paid for themselves at the same time follow each other at once.
 type costBenefit struct {
-	toPrefill, toMixed regret
-	last               time.Time
-}
-
-// regret adds up what the present split has lost against another one.
-type regret struct{ lost float64 } // engine-seconds
-
-// add counts the loss of dt and forgets it at the same pace when there is none.
-func (r *regret) add(rate float64, dt time.Duration) {
-	r.lost = max(0, r.lost+rate*dt.Seconds())
+	// balance[r] is what having r instead of r-1 engines in the prefill role
+	// would have gained lately, in engine-seconds; negative if it would have lost.
+	balance []float64
+	last    time.Time
 }
 
 const (
-	// relief is how fast regret fades while the other split would be no better,
-	// in engine-seconds a second.
-	relief = 0.5
+	// fade is how fast a balance goes back to nothing while the split makes no
+	// difference, in engine-seconds a second.
+	fade   = 0.5
 	maxGap = 2 * time.Second
 )
 
@@ -152,45 +150,52 @@
 	dt := min(in.Now.Sub(p.last), maxGap)
 	first := p.last.IsZero()
 	p.last = in.Now
-	if first {
+	if first || len(p.balance) != len(in.Engines)+1 {
+		p.balance = make([]float64, len(in.Engines)+1)
 		return nil
 	}
+	price := changeTime.Seconds()
+	if in.Weights.Goodput > 0 {
+		price += in.Weights.Change / in.Weights.Goodput
+	}
 	readers := 0
 	for _, e := range in.Engines {
 		if e.Role == engine.RolePrefill {
 			readers++
 		}
 	}
-	now := loss(in.Demand, readers, len(in.Engines))
-	more := now - loss(in.Demand, readers+1, len(in.Engines))
-	fewer := now - loss(in.Demand, readers-1, len(in.Engines))
-	p.toPrefill.add(gainOrRelief(more), dt)
-	p.toMixed.add(gainOrRelief(fewer), dt)
-	price := changeTime.Seconds()
-	if in.Weights.Goodput > 0 {
-		price += in.Weights.Change / in.Weights.Goodput
+	for r := 1; r <= len(in.Engines); r++ {
+		gain := loss(in.Demand, r-1, len(in.Engines)) - loss(in.Demand, r, len(in.Engines))
+		p.balance[r] = advance(p.balance[r], gain, dt, price)
 	}
-	why := func(r regret) string {
-		return fmt.Sprintf("lost %.1f engine-seconds, a change costs %.1f; %.0f prompt and %.0f output tokens/s", r.lost, price, in.Demand.Prefill, in.Demand.Decode)
+	why := func(balance float64) string {
+		return fmt.Sprintf("lost %.1f engine-seconds, a change costs %.1f; %.0f prompt and %.0f output tokens/s", math.Abs(balance), price, in.Demand.Prefill, in.Demand.Decode)
 	}
 	var c *Change
+	changed := readers
 	switch {
-	case p.toPrefill.lost >= price:
-		c = move(in.Engines, engine.RoleMixed, engine.RolePrefill, why(p.toPrefill))
-	case p.toMixed.lost >= price && readers > 0:
-		c = move(in.Engines, engine.RolePrefill, engine.RoleMixed, why(p.toMixed))
+	case readers < len(in.Engines) && p.balance[readers+1] >= price:
+		changed = readers + 1
+		c = move(in.Engines, engine.RoleMixed, engine.RolePrefill, why(p.balance[changed]))
+	case readers > 0 && p.balance[readers] <= -price:
+		c = move(in.Engines, engine.RolePrefill, engine.RoleMixed, why(p.balance[changed]))
 	}
 	if c != nil {
-		p.toPrefill, p.toMixed = regret{}, regret{}
+		p.balance[changed] = 0
 	}
 	return c
 }
 
-func gainOrRelief(gain float64) float64 {
-	if gain > 0 {
-		return gain
+// advance moves a balance on by dt. It stays within the price of a change.
+func advance(balance, gain float64, dt time.Duration, price float64) float64 {
+	step := fade * dt.Seconds()
+	switch {
+	case gain != 0:
+		return min(max(balance+gain*dt.Seconds(), -price), price)
+	case balance > 0:
+		return max(0, balance-step)
 	}
-	return -relief
+	return min(0, balance+step)
 }
 
 // loss is how many engines' worth of work a split leaves undone or late.
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -82,16 +82,28 @@
 	require.Equal(t, 3, n)
 }
 
-func TestChangesWeighMoreForPiimaring(t *testing.T) {
-	swings := func(at time.Duration) Demand {
-		if at/(12*time.Second)%2 == 1 {
+// swings alternates between a mix that needs readers and one that needs all
+// engines to generate.
+func swings(period time.Duration) func(time.Duration) Demand {
+	return func(at time.Duration) Demand {
+		if at/period%2 == 1 {
 			return reviews
 		}
 		return Demand{Decode: 14000}
 	}
-	few, _ := simulate(&costBenefit{}, piimaring, 0, 10*time.Minute, swings)
-	more, _ := simulate(&costBenefit{}, trinacria, 0, 10*time.Minute, swings)
+}
+
+func TestChangesWeighMoreForPiimaring(t *testing.T) {
+	few, _ := simulate(&costBenefit{}, piimaring, 0, 10*time.Minute, swings(20*time.Second))
+	more, _ := simulate(&costBenefit{}, trinacria, 0, 10*time.Minute, swings(20*time.Second))
 	require.Less(t, few, more)
+	require.LessOrEqual(t, few, 1)
+}
+
+// A swing that is shorter than two changes cost is not followed back and forth.
+func TestShortSwingsAreNotFollowed(t *testing.T) {
+	n, _ := simulate(&costBenefit{}, trinacria, 0, 10*time.Minute, swings(12*time.Second))
+	require.LessOrEqual(t, n, 1)
 }
 
 func TestOnlyMovableEnginesAndTheLeastToLose(t *testing.T) {
