--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	eventQueue     = 1024
-	publishEvery   = 100 * time.Millisecond
+	eventQueue   = 1024
+	publishEvery = 100 * time.Millisecond
+	// statesEvery is how often the list of members is joined with what is known
+	// about them, unless the list itself changes.
+	statesEvery    = 500 * time.Millisecond
 	loadTimeout    = 10 * time.Second
 	loadRetryDelay = 200 * time.Millisecond
 	// loadsKeptFor is how long the loads of a member that is no longer heard
@@ -57,6 +60,8 @@
 	contacts   map[string]*contact
 	neighbours map[string]bool
 	said       map[string]saidSilent
+	states     []MemberState
+	statesAt   bootclock.Instant
 	reports    map[string]Report
 	cfg        *config.Compiled
 	head       confstore.Head
@@ -260,6 +265,7 @@
 			delete(l.contacts, name)
 		}
 	}
+	l.states = nil
 	l.readState()
 	l.loadNewest(ctx)
 	l.publish()
@@ -332,8 +338,11 @@
 // publish makes the present state visible to the rest of the process.
 func (l *Loop) publish() {
 	l.dirty = false
+	if l.states == nil || bootclock.Since(l.statesAt) >= statesEvery {
+		l.states, l.statesAt = l.memberStates(), bootclock.Now()
+	}
 	silent := l.silent()
-	states := l.memberStates()
+	states := l.states
 	s := &Snapshot{
 		Config:    l.cfg,
 		Revision:  l.head.Revision,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -181,7 +181,7 @@
 }
 
 // forModel fills in the call from a completion request.
-func (c *call) forModel(req *openai.Request) error {
+func (c *call) forModel(req *openai.Request, l *lengths) error {
 	m := c.snapshot.Config.Models[req.Model]
 	if m == nil {
 		return fault.Newf(fault.NotFound, "GET /v1/models lists the models", "model %q does not exist", req.Model)
@@ -190,9 +190,9 @@
 	c.targets, c.pool, c.policy = m.Engines, m.Pool, c.snapshot.Config.Pools[m.Pool].Policy
 	c.rules = append(m.Rules[:len(m.Rules):len(m.Rules)], c.workspace.Rules...)
 	c.idempotent, c.priority = m.Idempotent, m.Priority
-	c.cost = routing.Cost{PrefillTokens: req.PromptBytes()/bytesPerToken + 1, DecodeTokens: defaultOutput}
-	if req.MaxTokens > 0 {
-		c.cost.DecodeTokens = req.MaxTokens
+	c.cost = routing.Cost{PrefillTokens: req.PromptBytes()/bytesPerToken + 1, DecodeTokens: req.MaxTokens}
+	if req.MaxTokens == 0 {
+		c.cost.DecodeTokens = l.expect(c.workspace.Name, m.Name)
 	}
 	return nil
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -401,3 +401,11 @@
 	}
 	require.GreaterOrEqual(t, refused, 28, "the engines have room for 12")
 }
+
+func TestLengthOfAnswersIsLearned(t *testing.T) {
+	f := start(t)
+	require.Equal(t, defaultOutput, f.entry.lengths.expect("w", "notes"))
+	require.Equal(t, 200, f.chat("notes", true).status)
+	require.Equal(t, 7, f.entry.lengths.expect("w", "notes"), "6 pieces and the event that says why it stopped")
+	require.Equal(t, defaultOutput, f.entry.lengths.expect("w", "review"))
+}
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -100,7 +100,7 @@
 	}
 	switch {
 	case q.Model != "":
-		if err := c.forModel(&openai.Request{Model: q.Model, MaxTokens: q.OutputTokens}); err != nil {
+		if err := c.forModel(&openai.Request{Model: q.Model, MaxTokens: q.OutputTokens}, s.lengths); err != nil {
 			return nil, err
 		}
 		c.cost.PrefillTokens = q.PromptTokens
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -103,6 +103,7 @@
 		return nil
 	})
 	if err == nil {
+		r.s.lengths.learn(r.c.workspace.Name, r.c.class, r.delivered)
 		_ = r.event(openai.Done)
 		r.w.Header().Set(HeaderOutcome, string(charts.RequestComplete))
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -53,6 +53,7 @@
 	breakers *breakers
 	retries  *limits.RetryBudget
 	outcomes *outcomes
+	lengths  *lengths
 
 	policyMu sync.Mutex
 	policies map[string]routing.Policy
@@ -67,6 +68,7 @@
 		breakers: newBreakers(),
 		retries:  limits.NewRetryBudget(),
 		outcomes: newOutcomes(),
+		lengths:  newLengths(),
 		policies: map[string]routing.Policy{},
 	}
 	r := mux.NewRouter().SkipClean(true)
@@ -164,7 +166,7 @@
 	}
 	req, err := openai.Parse(c.body, r.URL.Path == pathChat)
 	if err == nil {
-		err = c.forModel(req)
+		err = c.forModel(req, s.lengths)
 	}
 	if err == nil {
 		m := c.snapshot.Config.Models[c.class]
--- a/internal/lab/load/mix.go
+++ b/internal/lab/load/mix.go
@@ -124,6 +124,14 @@
 			{Name: "low again", Duration: 15 * time.Second, Rates: rates(8, 36, 50)},
 		},
 	},
+	{
+		Name: "urgent", Doc: "Trinacria, flag checks alone", Classes: trinacria,
+		Phases: []Phase{{Name: "all", Duration: 10 * time.Second, Rates: rates(0, 0, 100)}},
+	},
+	{
+		Name: "overload", Doc: "Trinacria, the model pool at about twice what it can do beside flag checks", Classes: trinacria,
+		Phases: []Phase{{Name: "all", Duration: 10 * time.Second, Rates: rates(120, 150, 100)}},
+	},
 	{
 		Name: "rounds", Doc: "Piimaring, farm histories in short bursts", Classes: piimaring,
 		Phases: []Phase{
