Place every attempt under the newest configuration

Cause: a request kept the configuration that it arrived under, so a retry or a resumed stream could run at an engine that the operators had closed to it in the meantime, and a body that arrived slowly was placed by an old revision. Callers could also send the headers that rockdoor uses towards engines, such as the phase.

Ruled out: refusing all calls in hand at a change, which would cut them.

Change: before each attempt the call is placed anew if the revision has moved, and staleness and the entry host are checked again; once an attempt may have run the outcome stays unknown. Engine headers of callers are dropped.

Conclusion: place holds for retries and resumes, as of the revision that the process has in force.

--- /dev/null
+++ b/internal/e2e/chaos_test.go
@@ -0,0 +1,127 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/platformd"
+)
+
+// seedVariable adds one more seed to the fixed ones.
+const seedVariable = "ROCKDOOR_E2E_SEED"
+
+// someFault is a fault that is over when its function returns.
+type someFault struct {
+	name string
+	do   func(f *fleet, i int)
+}
+
+var someFaults = []someFault{
+	{"kill", func(f *fleet, i int) {
+		f.procs[i].kill()
+		time.Sleep(time.Second)
+		f.start(i)
+	}},
+	{"pause", func(f *fleet, i int) {
+		f.procs[i].signal(syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		f.procs[i].signal(syscall.SIGCONT)
+	}},
+	{"replace", func(f *fleet, i int) {
+		f.procs[i].signal(syscall.SIGTERM)
+		<-f.procs[i].done
+		f.start(i)
+	}},
+	{"platform down", func(f *fleet, _ int) {
+		f.platform.SetFaults(platformd.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		f.platform.SetFaults(platformd.Faults{})
+	}},
+	{"platform loses answers", func(f *fleet, _ int) {
+		f.platform.SetFaults(platformd.Faults{LoseAnswers: true})
+		time.Sleep(2 * time.Second)
+		f.platform.SetFaults(platformd.Faults{})
+	}},
+	{"platform cut off", func(f *fleet, _ int) {
+		f.store.set(true)
+		time.Sleep(2 * time.Second)
+		f.store.set(false)
+	}},
+	{"engine crash", func(f *fleet, i int) {
+		e := f.engines[i%len(f.engines)]
+		e.SetFaults(engined.Faults{CutBeforeHeaders: true, CrashInOrder: true})
+		time.Sleep(2 * time.Second)
+		e.SetFaults(engined.Faults{})
+	}},
+}
+
+// Two faults at once, chosen by a printed seed, under keyed load, while
+// configurations are applied and a role is changed. Afterwards the fleet must be
+// whole again and every promise kept.
+func TestTwoFaultsAtOnce(t *testing.T) {
+	seeds := []uint64{1, 2, 3, 4}
+	if extra, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
+		seeds = append(seeds, extra)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			twoFaults(t, seed)
+		})
+	}
+}
+
+func twoFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	one, two := rng.IntN(len(someFaults)), rng.IntN(len(someFaults)-1)
+	if two >= one {
+		two++
+	}
+	i := rng.IntN(5)
+	j := (i + 1 + rng.IntN(4)) % 5
+	t.Logf("seed %d: %s at %d, %s at %d", seed, someFaults[one].name, i, someFaults[two].name, j)
+
+	f := startFleet(t, options{entries: 5, engines: 3, timing: quick})
+	f.await("keyed requests", func() bool { return f.chat(0, "review", 5, "Idempotency-Key", "first").whole })
+	holder := f.awaitController(-1)
+	h := &history{answers: map[string][]callResult{}}
+	stop := make(chan struct{})
+	senders := f.senders(4, h, stop)
+	accepted, _ := f.put(holder, f.configuration(map[string]string{"e0": "decode"}))
+	require.Positive(t, accepted.Revision)
+
+	var wg sync.WaitGroup
+	for _, do := range []func(){
+		func() { someFaults[one].do(f, i) },
+		func() { someFaults[two].do(f, j) },
+	} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			do()
+		}()
+	}
+	wg.Wait()
+	for p := range f.procs {
+		f.awaitReady(p)
+	}
+	rev := f.apply(0, f.configuration(map[string]string{"e0": "decode", "e1": "mixed"}))
+	f.awaitRevision(rev, 0, 1, 2, 3, 4)
+	f.await("the ordered role", func() bool { return f.roles(0) == "decode mixed" })
+	close(stop)
+	senders.Wait()
+	h.check(t, f)
+	checkOrders(t, f)
+	f.await("keyed requests again", func() bool {
+		return f.chat(1, "review", 5, "Idempotency-Key", fmt.Sprint("last", time.Now().UnixNano())).whole
+	})
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,8 +65,8 @@
 	class   string
 	targets []*config.Target
 	rules   selector.All
-	// ownRules is true if the request brings a selector of its own.
-	ownRules   bool
+	// own is the selector that the request brings.
+	own        selector.Selector
 	policy     string
 	pool       string // empty for a call to a plain service
 	idempotent bool
@@ -96,6 +96,7 @@
 	"Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", "Expect", "Accept-Encoding",
 	HeaderSelector, HeaderPriority, HeaderDeadline, HeaderIdempotent, HeaderWorkspace,
 	openai.AttemptHeader, openai.PriorityHeader, openai.ResumeHeader,
+	openai.PhaseHeader, openai.KVHeader, openai.KVTokensHeader, openai.NotRunHeader,
 }
 
 func forwarded(h http.Header) http.Header {
@@ -160,21 +161,53 @@
 
 // restrict adds the selector of the request to the rules.
 func (c *call) restrict(text string) error {
-	s, err := selector.Parse(text)
+	own, err := selector.Parse(text)
 	if err != nil {
 		return err
 	}
-	if !s.Empty() {
-		c.rules = append(c.rules[:len(c.rules):len(c.rules)], selector.Named{Rule: "request", Selector: s})
-		c.ownRules = true
+	c.own = own
+	c.addOwnRule()
+	return nil
+}
+
+func (c *call) addOwnRule() {
+	if !c.own.Empty() {
+		c.rules = append(c.rules[:len(c.rules):len(c.rules)], selector.Named{Rule: "request", Selector: c.own})
+	}
+}
+
+// rebase decides the call's place anew under a newer configuration: a retry or a
+// resumed stream must not run where it was permitted only before.
+func (c *call) rebase(s *control.Snapshot) error {
+	older := c.snapshot.Revision
+	c.snapshot = s
+	if s.Revision == older {
+		return nil
+	}
+	if c.workspace = s.Config.Workspaces[c.workspace.Name]; c.workspace == nil {
+		return fault.New(fault.Denied, "workspace has been removed", "none")
+	}
+	if c.completion != nil {
+		m := s.Config.Models[c.class]
+		if m == nil {
+			return fault.New(fault.NotFound, "model has been removed", "GET /v1/models lists the models")
+		}
+		c.placeModel(m)
+	} else {
+		rt := s.Config.RouteFor(c.class)
+		if rt == nil || rt.Path != c.class {
+			return fault.New(fault.NotFound, "route has been removed", "rockdoor config get lists the routes")
+		}
+		c.placeRoute(rt)
 	}
+	c.addOwnRule()
 	return nil
 }
 
 // permitted returns the active targets that all rules permit.
 func (c *call) permitted() []*config.Target {
 	find := func() []*config.Target { return routing.Permit(c.targets, c.rules, nil) }
-	if c.ownRules {
+	if !c.own.Empty() {
 		return find()
 	}
 	return c.snapshot.Config.Permitted(c.class, c.rules, find)
@@ -187,8 +220,7 @@
 		return fault.Newf(fault.NotFound, "GET /v1/models lists the models", "model %q does not exist", req.Model)
 	}
 	c.completion, c.class = req, m.Name
-	c.targets, c.pool, c.policy = m.Engines, m.Pool, c.snapshot.Config.Pools[m.Pool].Policy
-	c.rules = append(m.Rules[:len(m.Rules):len(m.Rules)], c.workspace.Rules...)
+	c.placeModel(m)
 	c.idempotent, c.priority = m.Idempotent, m.Priority
 	c.cost = routing.Cost{PrefillTokens: req.PromptBytes()/bytesPerToken + 1, DecodeTokens: req.MaxTokens}
 	if req.MaxTokens == 0 {
@@ -197,9 +229,19 @@
 	return nil
 }
 
+func (c *call) placeModel(m *config.CompiledModel) {
+	c.targets, c.pool, c.policy = m.Engines, m.Pool, c.snapshot.Config.Pools[m.Pool].Policy
+	c.rules = append(m.Rules[:len(m.Rules):len(m.Rules)], c.workspace.Rules...)
+}
+
 // forRoute fills in the call from a route to a plain service.
 func (c *call) forRoute(rt *config.CompiledRoute) {
-	c.class, c.targets, c.policy = rt.Path, rt.Servers, routing.LeastOutstanding
-	c.rules = append(rt.Rules[:len(rt.Rules):len(rt.Rules)], c.workspace.Rules...)
+	c.class = rt.Path
+	c.placeRoute(rt)
 	c.idempotent, c.priority = rt.Idempotent, rt.Priority
 }
+
+func (c *call) placeRoute(rt *config.CompiledRoute) {
+	c.targets, c.policy = rt.Servers, routing.LeastOutstanding
+	c.rules = append(rt.Rules[:len(rt.Rules):len(rt.Rules)], c.workspace.Rules...)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,12 +17,14 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/claims"
+	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/standin/answer"
 	"github.com/rockdoor/rockdoor/internal/standin/engined"
 	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+	"github.com/rockdoor/rockdoor/routing"
 )
 
 func TestCompletionsArriveWhole(t *testing.T) {
@@ -217,9 +220,7 @@
 	f := start(t)
 	stale := *f.snapshot
 	stale.FreshUntil = bootclock.Now() - 1
-	f.mu.Lock()
-	f.snapshot = &stale
-	f.mu.Unlock()
+	f.set(&stale)
 	g := f.chat("review", false)
 	require.Equal(t, 503, g.status)
 	require.Equal(t, codeStale, g.code(t))
@@ -409,3 +410,36 @@
 	require.Equal(t, 7, f.entry.lengths.expect("w", "notes"), "6 pieces and the event that says why it stopped")
 	require.Equal(t, defaultOutput, f.entry.lengths.expect("w", "review"))
 }
+
+// A stream is cut after the configuration has taken away the only other engine's
+// permission: it must not be resumed there.
+func TestRetryIsPlacedByTheNewestConfiguration(t *testing.T) {
+	f := start(t)
+	f.engines[0].SetFaults(engined.Faults{Silent: true})
+	before := f.current()
+	busy := *before
+	busy.PeerLoads = map[string]routing.Load{"e1": {Requests: 3}}
+	f.set(&busy)
+	answers := make(chan got)
+	go func() { answers <- f.chat("notes", true) }()
+	require.Eventually(t, func() bool { return len(f.engines[0].Runs()) == 1 }, 5*time.Second, time.Millisecond)
+	narrow := *before
+	narrow.Revision++
+	cfg := *before.Config.Config
+	cfg.Models = slices.Clone(cfg.Models)
+	cfg.Models[1].Selector = "domain=d0"
+	var err error
+	narrow.Config, err = config.Compile(&cfg)
+	require.NoError(t, err)
+	f.set(&narrow)
+	f.engines[0].Close() // cuts the request
+	g := <-answers
+	require.Equal(t, codeUnknown, g.code(t))
+	require.Empty(t, f.engines[1].Runs())
+}
+
+func TestCallersCannotSpeakToEnginesBehindTheEntry(t *testing.T) {
+	f := start(t)
+	g := f.chat("review", false, openai.PhaseHeader, openai.PhasePrefill, openai.KVHeader, "x", openai.ResumeHeader, "3", openai.AttemptHeader, "y")
+	require.Contains(t, g.body, answer.Text("hello", 6))
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -132,6 +132,12 @@
 	return f.snapshot
 }
 
+func (f *fleet) set(s *control.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = s
+}
+
 // reply of the entry server to one request.
 type got struct {
 	status  int
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -76,6 +76,9 @@
 	r.s.retries.Request()
 	r.countDemand()
 	for {
+		if rep := r.rebase(); rep != nil {
+			return rep
+		}
 		r.readApart()
 		work, rep := r.choose()
 		if rep != nil {
@@ -89,6 +92,20 @@
 	}
 }
 
+// rebase puts the next attempt under the newest configuration, or returns the
+// reply to give if the call may no longer be carried or run.
+func (r *run) rebase() *reply {
+	err := r.c.rebase(r.s.o.Snapshot())
+	var rep *reply
+	if err != nil {
+		rep = refusalFor(err)
+	} else if rep = r.s.mayCarry(r.c); rep == nil {
+		return nil
+	}
+	r.fire(charts.NoTarget)
+	return r.given(rep.status, rep.code, rep.err, rep.retryAfter)
+}
+
 // choose finds a target and counts the call there, or returns the reply to give
 // if there is none.
 func (r *run) choose() (*routing.Work, *reply) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -130,22 +130,32 @@
 		err := fault.New(fault.Unavailable, "no configuration yet", "ask again, or accept one with: rockdoor config apply")
 		return nil, refusal(http.StatusServiceUnavailable, codeNotReady, err, notReadyWait)
 	}
-	if !snap.Fresh() {
-		err := fault.New(fault.Unavailable, "this entry host is cut off and cannot know where requests may run", "ask again; the balancer leads to another entry host")
-		return nil, refusal(http.StatusServiceUnavailable, codeStale, err, notReadyWait)
-	}
 	c := newCall(r, snap)
 	var err error
 	if c.workspace, err = identify(r, snap.Config); err != nil {
 		return nil, refusalFor(err)
 	}
-	if !c.workspace.Entry.Matches(s.hostLabels(snap)) {
-		err := fault.New(fault.Denied, "this entry host may not carry data of workspace "+c.workspace.Name, "use an entry host that matches the workspace's entrySelector")
-		return nil, refusal(http.StatusMisdirectedRequest, codeWrongEntry, err, 0)
+	if rep := s.mayCarry(c); rep != nil {
+		return nil, rep
 	}
 	return c, nil
 }
 
+// mayCarry refuses a call that this entry host may not carry, as far as it knows
+// or because it cannot know. The caller sets the outcome of the reply if the
+// call has been attempted before.
+func (s *Server) mayCarry(c *call) *reply {
+	if !c.snapshot.Fresh() {
+		err := fault.New(fault.Unavailable, "this entry host is cut off and cannot know where requests may run", "ask again; the balancer leads to another entry host")
+		return refusal(http.StatusServiceUnavailable, codeStale, err, notReadyWait)
+	}
+	if !c.workspace.Entry.Matches(s.hostLabels(c.snapshot)) {
+		err := fault.New(fault.Denied, "this entry host may not carry data of workspace "+c.workspace.Name, "use an entry host that matches the workspace's entrySelector")
+		return refusal(http.StatusMisdirectedRequest, codeWrongEntry, err, 0)
+	}
+	return nil
+}
+
 func (s *Server) hostLabels(snap *control.Snapshot) selector.Labels {
 	if l := snap.Config.HostLabels(s.o.Settings.Host); l != nil {
 		return l
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -177,8 +177,8 @@
 	ctx, life := s.runContext(r.Context())
 	defer func() { s.end(n, pieces, r.Context().Err() != nil, life.Err() != nil) }()
 	if f.Silent {
-		<-r.Context().Done()
-		return
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
 	}
 	q := &sequence{ctx: ctx, priority: priority, prefill: answer.Tokens(prompt) + from, decode: max(total-from, 0)}
 	if phase == openai.PhasePrefill {
