--- a/internal/e2e/chaos_test.go
+++ b/internal/e2e/chaos_test.go
@@ -51,10 +51,19 @@
 		time.Sleep(2 * time.Second)
 		f.platform.SetFaults(platformd.Faults{})
 	}},
-	{"platform cut off", func(f *fleet, _ int) {
-		f.store.set(true)
-		time.Sleep(2 * time.Second)
-		f.store.set(false)
+	{"platform cut off from one", func(f *fleet, i int) {
+		f.stores[i].set(true)
+		time.Sleep(3 * time.Second)
+		f.stores[i].set(false)
+	}},
+	{"platform cut off from half", func(f *fleet, _ int) {
+		for _, c := range f.stores[:len(f.stores)/2+1] {
+			c.set(true)
+		}
+		time.Sleep(3 * time.Second)
+		for _, c := range f.stores {
+			c.set(false)
+		}
 	}},
 	{"engine crash", func(f *fleet, i int) {
 		e := f.engines[i%len(f.engines)]
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -46,6 +46,22 @@
 	f.await("service again", func() bool { return f.call(0, "GET", "/flags/x", "").status == 200 })
 }
 
+func TestProcessesWithoutThePlatformFollowTheirPeers(t *testing.T) {
+	f := startFleet(t, options{entries: 3, engines: 2})
+	f.stores[1].set(true)
+	f.stores[2].set(true)
+	time.Sleep(2500 * time.Millisecond) // past the staleness limit
+	rev := f.apply(0, f.config)
+	f.awaitRevision(rev, 1, 2)
+	for i := range 3 {
+		require.Equal(t, 200, f.call(i, "GET", "/flags/x", "").status)
+	}
+	_, code := f.put(1, f.config)
+	require.Equal(t, 503, code, "a change cannot be accepted without the platform")
+	f.awaitRevision(rev, 0)
+	require.Equal(t, rev, f.status(0).Revision)
+}
+
 func TestPausedProcessDoesNotActOnAnOldConfiguration(t *testing.T) {
 	f := startFleet(t, options{entries: 3, engines: 2})
 	f.procs[1].signal(syscall.SIGSTOP)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -60,7 +60,8 @@
 	dir      string
 	net      string
 	platform *platformd.Server
-	store    *cutter
+	// stores lead to the platform, one for each process.
+	stores []*cutter
 	engines  []*engined.Server
 	services []*serviced.Server
 	config   string
@@ -93,7 +94,10 @@
 
 func newFleet(t *testing.T, o options) *fleet {
 	f := &fleet{t: t, o: o, dir: t.TempDir(), net: subnet(), platform: platformd.New(2)}
-	f.store = newCutter(t, f.listen(f.net+".250:9001", f.platform))
+	f.listen(f.net+".250:9001", f.platform)
+	for range o.entries {
+		f.stores = append(f.stores, newCutter(t, f.net+".250:9001"))
+	}
 	for i := range o.engines {
 		e := engined.New(engined.Options{Name: fmt.Sprintf("e%d", i), Fencing: o.fencing, Timing: o.timing})
 		t.Cleanup(e.Close)
@@ -173,7 +177,7 @@
   "control": {"heartbeat": "100ms", "staleAfter": "2s", "leaseTTL": "1s", "report": "200ms"},
   "platformCalls": {"perSecond": 50},
   "log": {"level": "debug"}
-}`, i, i, domain(i), f.address(i, entryPort), f.address(i, 7001), f.address(i, 7002), f.store.address, strings.Join(seeds, ", "))
+}`, i, i, domain(i), f.address(i, entryPort), f.address(i, 7001), f.address(i, 7002), f.stores[i].address, strings.Join(seeds, ", "))
 	file := filepath.Join(f.dir, fmt.Sprintf("entry-%d.json", i))
 	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
 	p := &process{f: f, i: i, log: &bytes.Buffer{}, done: make(chan struct{})}
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -227,7 +227,8 @@
 		r.Body.Close()
 		require.Equal(f.t, 200, r.StatusCode)
 	},
-	"platform's list": func(f *fleet) {
+	"platform's list, while one process has lost the platform": func(f *fleet) {
+		f.stores[1].set(true)
 		body := fmt.Sprintf(`[{"address": "%s.100", "state": "leaving"}]`, f.net)
 		req, err := http.NewRequest(http.MethodPut, "http://"+f.net+".250:9001/lab/hosts", strings.NewReader(body))
 		require.NoError(f.t, err)
