Change roles in several failure domains at once

Cause: a change takes 9 to 10 s with its drain, and a pool made one at a time, so that a shift of 30 s was over before its engines had changed.

Ruled out: the price of a change, which was reached within 8 s.

Change: one engine per failure domain may change at a time, also when operators ask or orders are recovered; engines that are about to change count as changed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -173,8 +173,14 @@
 	logger  log.Logger
 	cancel  context.CancelFunc
 	done    chan struct{}
-	drain   drainState
 	planner planner
+
+	mu sync.Mutex
+	// busy are the engines that this process is giving orders to.
+	busy map[string]bool
+	// drains is what is known about the engines that are being drained.
+	drains map[string]*drainState
+	giving sync.WaitGroup
 }
 
 // drainState is what is known about the order record that is being drained for.
@@ -189,7 +195,7 @@
 
 func (m *Manager) start(ctx context.Context, pool string) *controller {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &controller{m: m, pool: pool, cancel: cancel, done: make(chan struct{})}
+	c := &controller{m: m, pool: pool, cancel: cancel, done: make(chan struct{}), busy: map[string]bool{}, drains: map[string]*drainState{}}
 	c.logger = log.With(m.o.Logger, "component", "controller", "pool", pool)
 	c.lessee = lease.New(lease.Options{
 		Store: m.o.Store, Shard: "pool/" + pool, Holder: m.o.Self.Name, Incarnation: m.o.Self.Incarnation, Address: m.o.Self.Peer,
@@ -203,7 +209,11 @@
 	wg.Add(2)
 	go func() { defer wg.Done(); c.keepLease(ctx) }()
 	go func() { defer wg.Done(); c.work(ctx) }()
-	go func() { wg.Wait(); close(c.done) }()
+	go func() {
+		wg.Wait()
+		c.giving.Wait()
+		close(c.done)
+	}()
 	return c
 }
 
@@ -260,53 +270,89 @@
 func (c *controller) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		if _, held := c.lessee.Grant(); held {
-			if err := c.round(ctx); err != nil && ctx.Err() == nil {
-				level.Warn(c.logger).Log("msg", "round ended", "err", err)
-			}
+			c.round(ctx)
 		}
 		sleep(ctx, reviewTime)
 	}
 }
 
-// round recovers open orders first and then changes the role of at most one
-// engine.
-func (c *controller) round(ctx context.Context) error {
+// round recovers open orders, then brings engines to the roles that operators
+// ask for, and then follows the pool's policy. At most one engine of a failure
+// domain changes at a time.
+func (c *controller) round(ctx context.Context) {
 	s := c.m.o.Snapshot()
 	if s.Config == nil {
-		return nil
+		return
 	}
 	for _, e := range c.engines(s) {
-		if !s.Orders[e.Name].Open() {
-			continue
-		}
-		if _, err := c.exec.Recover(ctx, c.target(s, e)); err != nil {
-			return err
+		if s.Orders[e.Name].Open() {
+			c.give(ctx, e.Name, func(ctx context.Context) error {
+				_, err := c.exec.Recover(ctx, c.target(s, e))
+				return err
+			})
 		}
 	}
 	for _, e := range c.engines(s) {
 		last := s.Orders[e.Name]
-		if e.Role == "" || e.State == config.Withdrawn || last.Open() {
+		if e.Role == "" || e.State == config.Withdrawn || !c.free(s, e.Name) {
 			continue
 		}
 		if last.State == charts.OrderFailed && time.Since(last.Since) < retryAfter {
 			continue
 		}
 		st, err := c.status(ctx, e.Address)
-		if err != nil || st.Changing || st.Role == e.Role {
-			continue
+		if err == nil && !st.Changing && st.Role != e.Role {
+			c.changeRole(ctx, s, e.Name, st.Role, e.Role, "asked for by the configuration")
 		}
-		return c.exec.ChangeRole(ctx, c.target(s, e), st.Role, e.Role, "asked for by the configuration")
 	}
-	change := c.plan(ctx, s)
-	if change == nil {
-		return nil
+	if change := c.plan(ctx, s); change != nil {
+		c.changeRole(ctx, s, change.Engine, change.From, change.To, change.Reason)
 	}
+}
+
+func (c *controller) changeRole(ctx context.Context, s *control.Snapshot, name string, from, to engine.Role, reason string) {
 	for _, e := range c.engines(s) {
-		if e.Name == change.Engine {
-			return c.exec.ChangeRole(ctx, c.target(s, e), change.From, change.To, change.Reason)
+		if e.Name == name {
+			c.give(ctx, name, func(ctx context.Context) error {
+				return c.exec.ChangeRole(ctx, c.target(s, e), from, to, reason)
+			})
 		}
 	}
-	return nil
+}
+
+// free reports whether no engine of the same failure domain has an open order or
+// is being given one.
+func (c *controller) free(s *control.Snapshot, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	domain := s.Config.Targets[name].Domain
+	for _, e := range c.engines(s) {
+		if s.Config.Targets[e.Name].Domain == domain && (c.busy[e.Name] || s.Orders[e.Name].Open()) {
+			return false
+		}
+	}
+	return true
+}
+
+// give runs an order to an engine unless one is under way.
+func (c *controller) give(ctx context.Context, name string, order func(context.Context) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy[name] {
+		return
+	}
+	c.busy[name] = true
+	c.giving.Add(1)
+	go func() {
+		defer c.giving.Done()
+		if err := order(ctx); err != nil && ctx.Err() == nil {
+			level.Warn(c.logger).Log("msg", "order ended", "engine", name, "err", err)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.busy, name)
+		delete(c.drains, name)
+	}()
 }
 
 func (c *controller) engines(s *control.Snapshot) []config.Engine {
@@ -338,40 +384,51 @@
 // than its reports lag.
 func (c *controller) drained(ctx context.Context, t orders.Target, since time.Time, written platform.Version) bool {
 	s := c.m.o.Snapshot()
-	if c.drain.version != written {
-		c.drain = drainState{version: written, seen: mirror.None}
-	}
-	if !c.spread(s, t.Name, since) {
+	d := c.drainOf(t.Name, written)
+	if !c.spread(s, d, t.Name, since) {
 		return false
 	}
 	st, err := c.status(ctx, t.Address)
 	outstanding := s.PeerLoads[t.Name].Requests + c.m.o.Tracker.Load(t.Name).Requests
 	if err != nil || outstanding > 0 || st.Running+st.Waiting > 0 {
-		c.drain.quiet = time.Time{}
+		d.quiet = time.Time{}
 		return false
 	}
-	if c.drain.quiet.IsZero() {
-		c.drain.quiet = time.Now()
+	if d.quiet.IsZero() {
+		d.quiet = time.Now()
+	}
+	return time.Since(d.quiet) >= reportLag
+}
+
+// drainOf returns what is known about the drain for a record. Only the goroutine
+// that gives the order uses it.
+func (c *controller) drainOf(name string, written platform.Version) *drainState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.drains[name]
+	if d == nil || d.version != written {
+		d = &drainState{version: written, seen: mirror.None}
+		c.drains[name] = d
 	}
-	return time.Since(c.drain.quiet) >= reportLag
+	return d
 }
 
 // spread reports whether every process knows the record: all living members say
 // that they have it, and any other has been cut off for so long that it sends
 // nothing.
-func (c *controller) spread(s *control.Snapshot, name string, since time.Time) bool {
-	if c.drain.spread {
+func (c *controller) spread(s *control.Snapshot, d *drainState, name string, since time.Time) bool {
+	if d.spread {
 		return true
 	}
-	if c.drain.seen == mirror.None {
+	if d.seen == mirror.None {
 		obj, ok := c.m.o.Mirror.Get(orders.KeyPrefix + name)
-		if !ok || obj.Version != c.drain.version {
+		if !ok || obj.Version != d.version {
 			return false
 		}
-		c.drain.seen = c.m.o.Mirror.Revision()
+		d.seen = c.m.o.Mirror.Revision()
 	}
-	c.drain.spread = everywhere(s, c.drain.seen) || time.Since(since) >= c.m.o.StaleAfter+staleMargin
-	return c.drain.spread
+	d.spread = everywhere(s, d.seen) || time.Since(since) >= c.m.o.StaleAfter+staleMargin
+	return d.spread
 }
 
 // everywhere reports whether all members hold a mirror of at least rev.
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -76,10 +76,13 @@
 			continue
 		}
 		last := s.Orders[e.Name]
+		if last.Open() && last.Order.Kind == engine.OrderRole {
+			st.Role = last.Order.Role // counts as changed, so that it is not changed for twice
+		}
 		load := s.PeerLoads[e.Name].Add(c.m.o.Tracker.Load(e.Name))
 		out = append(out, roles.Engine{
 			Name: e.Name, Domain: s.Config.Targets[e.Name].Domain, Role: st.Role, Requests: load.Requests, PrefillTokens: load.PrefillTokens,
-			Movable: e.Role == "" && !st.Changing && !last.Open() && time.Since(last.Since) >= set.MinDwell.Std() &&
+			Movable: e.Role == "" && !st.Changing && c.free(s, e.Name) && time.Since(last.Since) >= set.MinDwell.Std() &&
 				(st.Role == engine.RolePrefill || c.spare(s, e.Name)),
 		})
 	}
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -61,7 +61,7 @@
 	net      string
 	platform *platformd.Server
 	// stores lead to the platform, one for each process.
-	stores []*cutter
+	stores   []*cutter
 	engines  []*engined.Server
 	services []*serviced.Server
 	config   string
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -88,7 +88,8 @@
 	Poll time.Duration
 }
 
-// Executor runs orders. Only one goroutine may use it.
+// Executor runs orders. It is safe for concurrent use, also for several engines at
+// once; the record keeps orders to one engine apart.
 type Executor struct {
 	o      Options
 	logger log.Logger
