Free a key whose withdrawn claim a new holder had copied

Cause: while the holders of a shard change, a claim can be copied to a new holder before its withdrawal reaches the old one; the new holder then calls the key seen for the whole window, and the caller is told unknown although nothing ran. Two such copies blocked the key for good.

Ruled out: a doubled run; the claims were all of requests that had been withdrawn, as their own process knew.

Change: a caller that learns from the claimant's own process that the claim was withdrawn withdraws it at the present holders too and claims again. A holder that copies different claimants keeps all of them, and the key is free when all have withdrawn, instead of blocking it. A withdrawal that either holder knows counts.

Conclusion: at most once holds as before; a key no longer waits for its window after churn.

--- a/claims/holder.go
+++ b/claims/holder.go
@@ -62,8 +62,14 @@
 	claimant, digest, process string
 	abandoned                 bool
 	at                        bootclock.Instant
+	// rivals are other claimants that holders named whose claims were copied.
+	// Nobody here can tell which of them was granted by a majority, so the key
+	// is free only when all have been withdrawn.
+	rivals []rival
 }
 
+type rival struct{ claimant, digest, process string }
+
 // shardState is what a holder knows of one shard.
 type shardState struct {
 	epoch  int64
@@ -183,10 +189,26 @@
 	if st == nil {
 		return
 	}
-	if old, ok := st.claims[c.Key]; ok && old.claimant != c.Claimant {
-		return
+	old, ok := st.claims[c.Key]
+	if !ok {
+		old = record{claimant: c.Claimant, digest: c.Digest, process: c.Process, at: bootclock.Now()}
 	}
-	s.put(st, c.Key, record{claimant: c.Claimant, digest: c.Digest, process: c.Process, abandoned: true, at: bootclock.Now()})
+	s.put(st, c.Key, old.without(c.Claimant))
+}
+
+// without returns the record after a claimant has withdrawn.
+func (r record) without(claimant string) record {
+	r.rivals = slices.DeleteFunc(slices.Clone(r.rivals), func(v rival) bool { return v.claimant == claimant })
+	if r.claimant != claimant {
+		return r
+	}
+	if len(r.rivals) == 0 {
+		r.abandoned = true
+		return r
+	}
+	next := r.rivals[0]
+	r.claimant, r.digest, r.process, r.rivals = next.claimant, next.digest, next.process, r.rivals[1:]
+	return r
 }
 
 func (s *Store) put(st *shardState, key string, r record) {
@@ -259,13 +281,15 @@
 	for _, k := range keys[:min(len(keys), pageSize)] {
 		r := st.claims[k]
 		page = append(page, Record{k, r.claimant, r.digest, r.process, r.abandoned, bootclock.Since(r.at)})
+		for _, v := range r.rivals {
+			page = append(page, Record{k, v.claimant, v.digest, v.process, false, bootclock.Since(r.at)})
+		}
 	}
 	return page, more, true
 }
 
 // Import takes over claims of another holder. Where two holders name different
-// claimants, one of which may have been granted by a majority, the key is
-// blocked for its window, since nobody here can tell which.
+// claimants, both are kept.
 func (s *Store) Import(shard int, epoch int64, page []Record) bool {
 	now := bootclock.Now()
 	s.mu.Lock()
@@ -275,7 +299,7 @@
 		return false
 	}
 	for _, r := range page {
-		in := record{r.Claimant, r.Digest, r.Process, r.Abandoned, now.Add(-r.Age)}
+		in := record{claimant: r.Claimant, digest: r.Digest, process: r.Process, abandoned: r.Abandoned, at: now.Add(-r.Age)}
 		if old, ok := st.claims[r.Key]; ok {
 			in = merge(old, in)
 		}
@@ -284,21 +308,28 @@
 	return true
 }
 
-// merge returns what follows from two holders' records of one key.
+// merge returns what follows from a record and another holder's record of the
+// same key, which has no rivals. A withdrawal that one of them knows is true,
+// since only the claimant's own process withdraws.
 func merge(a, b record) record {
-	later := max(a.at, b.at)
+	a.at = max(a.at, b.at)
 	switch {
+	case a.claimant == b.claimant && b.abandoned:
+		return a.without(b.claimant)
+	case a.claimant == b.claimant, b.abandoned, a.named(b.claimant):
+		return a
 	case a.abandoned:
-		a = b
-	case !b.abandoned && a.claimant != b.claimant:
-		a.claimant, a.process = blocked, ""
+		b.at = a.at
+		return b
 	}
-	a.at = later
+	a.rivals = append(slices.Clone(a.rivals), rival{b.claimant, b.digest, b.process})
 	return a
 }
 
-// blocked is the claimant of a key whose true claimant is not known.
-const blocked = "?"
+// named reports whether a claimant is among the rivals.
+func (r record) named(claimant string) bool {
+	return slices.ContainsFunc(r.rivals, func(v rival) bool { return v.claimant == claimant })
+}
 
 // unsynced returns the epochs of the shards that this store holds without
 // knowing all their claims.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -53,7 +53,7 @@
 // request that holds the key was answered.
 func (r *run) serveClaimed() {
 	claim := claims.Claim{
-		Key: r.c.workspace.Name + "\x00" + r.c.key, Claimant: r.c.id, Digest: r.c.digest(), Process: r.s.o.Process,
+		Key: r.claimKey(), Claimant: r.c.id, Digest: r.c.digest(), Process: r.s.o.Process,
 	}
 	var res claims.Result
 	for range claimTries {
@@ -81,6 +81,9 @@
 		fault.New(fault.Unavailable, "not enough holders of the idempotency key can vouch that it is new", "ask again after the time in Retry-After"), claimWait+rand.N(claimWait)))
 }
 
+// claimKey is the key as the holders know it: each workspace has its own.
+func (r *run) claimKey() string { return r.c.workspace.Name + "\x00" + r.c.key }
+
 // record keeps a copy of the answer for callers that ask again.
 func (r *run) record() { r.w = &recorder{ResponseWriter: r.w} }
 
@@ -107,6 +110,9 @@
 	out := r.askOutcome(res)
 	switch {
 	case out.State == OutcomeWithdrawn:
+		// Its own process says so, but a holder that had copied the claim has not
+		// heard of it.
+		r.s.o.Claims.Abandon(claims.Claim{Key: r.claimKey(), Claimant: res.Claimant})
 		return false
 	case out.State == OutcomeRunning:
 		r.answerDuplicate(&reply{status: http.StatusConflict, code: codeKeyInUse, outcome: charts.RequestUnknown, retryAfter: claimWait,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -348,6 +348,17 @@
 	require.Zero(t, f.runs())
 }
 
+func TestKeyOfAWithdrawnClaimThatAHolderMissedIsFreedAgain(t *testing.T) {
+	f := start(t)
+	stale := claims.Claim{Key: "w\x00k", Claimant: "c", Process: "entry/1", Epoch: 1}
+	body := `{"model": "review", "messages": [{"role": "user", "content": "hi"}]}`
+	stale.Digest = (&call{method: http.MethodPost, uri: pathChat, body: []byte(body)}).digest()
+	require.Equal(t, claims.Granted, f.claims.Claim(stale).Verdict)
+	f.entry.outcomes.withdraw("c")
+	require.Equal(t, 200, f.do(http.MethodPost, pathChat, body, HeaderKey, "k").status)
+	require.Equal(t, 1, f.runs())
+}
+
 func TestKeyedRequestsAtTheSameMomentRunOnce(t *testing.T) {
 	f := start(t)
 	var wg sync.WaitGroup
