One function for rank by hash

Cause: four places worked out by hand which of the members known to all has the highest hash with a key: watchers, controllers, who asks an engine, registrar.

Ruled out: the rendezvous library, which gives the first place only and not the rank that two of the four need.

Conclusion: 8 lines fewer, one place to read.

--- a/internal/control/reporter.go
+++ b/internal/control/reporter.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/members"
 )
 
 const (
@@ -78,17 +78,5 @@
 		names[i] = m.Name
 	}
 	askers := max(1, maxReported*len(names)/engines)
-	return rank(names, r.loop.o.Self.Name, name) < askers
-}
-
-// rank returns how many names have a higher hash with key than self has.
-func rank(names []string, self, key string) int {
-	hash := func(n string) uint64 { return xxhash.Sum64String(n + "\x00" + key) }
-	mine, higher := hash(self), 0
-	for _, n := range names {
-		if n != self && hash(n) > mine {
-			higher++
-		}
-	}
-	return higher
+	return members.Rank(name, r.loop.o.Self.Name, names) < askers
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -135,17 +134,15 @@
 	}
 }
 
-// rank returns how many living members have a higher hash with the pool than
-// self has.
+// rank returns this process's place among those that would control a pool.
 func rank(ms []control.MemberState, self, pool string) int {
-	hash := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + pool) }
-	mine, higher := hash(self), 0
+	var living []string
 	for _, m := range ms {
-		if m.Health.Living() && m.Name != self && hash(m.Name) > mine {
-			higher++
+		if m.Health.Living() {
+			living = append(living, m.Name)
 		}
 	}
-	return higher
+	return members.Rank("pool/"+pool, self, living)
 }
 
 func (m *Manager) stopAll() {
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/fault"
@@ -71,13 +69,11 @@
 	if !c.d.isRegistered() {
 		return false
 	}
-	hash := func(name string) uint64 { return xxhash.Sum64String("registrar\x00" + name) }
+	var names []string
 	for _, m := range c.live() {
-		if m.Name != c.d.self.Name && hash(m.Name) > hash(c.d.self.Name) {
-			return false
-		}
+		names = append(names, m.Name)
 	}
-	return true
+	return members.Rank("registrar", c.d.self.Name, names) == 0
 }
 
 // Outcome implements entry.Claims.
--- a/members/members.go
+++ b/members/members.go
@@ -126,17 +126,28 @@
 	return xxhash.Sum64String(a + "\x00" + b)
 }
 
+// Rank returns how many of the names have a higher hash with key than self has.
+// Processes that know the same names so agree on who does what, without a word.
+func Rank(key, self string, names []string) int {
+	mine, higher := xxhash.Sum64String(key+"\x00"+self), 0
+	for _, n := range names {
+		if n != self && xxhash.Sum64String(key+"\x00"+n) > mine {
+			higher++
+		}
+	}
+	return higher
+}
+
 // IsWatcher reports whether self is one of the watchers of its failure domain,
 // given the members that are believed alive.
 func IsWatcher(alive []Member, self Member) bool {
-	rank := 0
-	mine := xxhash.Sum64String("watch\x00" + self.Name)
+	var near []string
 	for _, m := range alive {
-		if m.Domain == self.Domain && m.Name != self.Name && xxhash.Sum64String("watch\x00"+m.Name) > mine {
-			rank++
+		if m.Domain == self.Domain {
+			near = append(near, m.Name)
 		}
 	}
-	return rank < WatchersPerDomain
+	return Rank("watch", self.Name, near) < WatchersPerDomain
 }
 
 // Health is what a process believes about a member.
