Explain names roles and open orders; the demo stops on SIGTERM

Cause: with KEEP=1 rockdoor explain said that a review would run at an engine that had changed to the prefill role, where it would not; and the demo's script left its processes running when it was ended by SIGTERM.

Ruled out: the placement itself, which left that engine out.

Change: explain gives the role, an open order or a leaving host as the reason. The script exits on SIGTERM and SIGINT, which ends what it started.

Conclusion: explain and placement agree.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -303,6 +303,11 @@
 	require.NoError(t, err)
 	require.Equal(t, "e1", e.Chosen)
 	require.Equal(t, "workspace domain=d1", e.Targets[1].Rule)
+	f.snapshot.Reports = map[string]control.Report{"e1": {Status: engine.Status{Role: engine.RolePrefill}}}
+	e, err = f.entry.Explain(Question{Workspace: "d1only", Model: "review"})
+	require.NoError(t, err)
+	require.Empty(t, e.Chosen)
+	require.Contains(t, e.Targets[0].Rule+e.Targets[1].Rule, "role is prefill")
 	_, err = f.entry.Explain(Question{Workspace: "w"})
 	require.ErrorContains(t, err, "remedy")
 	require.Zero(t, f.runs())
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/rockdoor/rockdoor/config"
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/control"
@@ -57,18 +59,33 @@
 	})
 	p := s.policy(c.policy)
 	for _, t := range permitted {
+		if why := s.unfit(snap, t); why != "" {
+			e.Targets = append(e.Targets, Verdict{Target: t.Name, Domain: t.Domain, Rule: why})
+			continue
+		}
 		cand := routing.Candidate{Target: t, Load: s.load(t, c), Rates: routing.DefaultRates, Broken: s.breakers.broken(t.Name)}
 		e.Targets = append(e.Targets, Verdict{
 			Target: t.Name, Domain: t.Domain, Score: p.Score(c.cost, &cand), Load: cand.Load.Requests, Broken: cand.Broken,
 		})
 	}
 	slices.SortStableFunc(e.Targets, compareVerdicts)
-	if len(permitted) > 0 {
+	if len(e.Targets) > 0 && e.Targets[0].Rule == "" {
 		e.Chosen = e.Targets[0].Target
 	}
 	return e, nil
 }
 
+// unfit says why a permitted target runs no whole requests now, or nothing.
+func (s *Server) unfit(snap *control.Snapshot, t *config.Target) string {
+	switch {
+	case !snap.Available(t):
+		return "an order is open, it is changing, or its host is leaving"
+	case snap.Reports[t.Name].Status.Role == engine.RolePrefill:
+		return "role is prefill: it reads prompts only"
+	}
+	return ""
+}
+
 // compareVerdicts puts the target that would be chosen first and those that are
 // not permitted last.
 func compareVerdicts(a, b Verdict) int {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,6 +26,7 @@
   wait 2>/dev/null || true
 }
 trap stop EXIT
+trap 'exit 143' TERM INT
 
 start() { # start NAME COMMAND...: runs a process with its log in $out/NAME.log
   local name=$1
