--- a/confstore/confstore.go
+++ b/confstore/confstore.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -78,7 +79,7 @@
 		if len(ws) == 0 {
 			continue
 		}
-		slices.SortFunc(ws, func(a, b config.Workspace) int { return compare(a.Name, b.Name) })
+		slices.SortFunc(ws, func(a, b config.Workspace) int { return strings.Compare(a.Name, b.Name) })
 		if err := encodeChunk(chunks, "workspaces-"+strconv.Itoa(i), &config.Config{Workspaces: ws}); err != nil {
 			return nil, err
 		}
@@ -86,16 +87,6 @@
 	return chunks, nil
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func encodeChunk(chunks map[string][]byte, name string, part *config.Config) error {
 	content, err := json.Marshal(part)
 	if err != nil {
@@ -194,7 +185,7 @@
 	for name, content := range chunks {
 		head.Chunks = append(head.Chunks, Ref{Name: name, Digest: Digest(content)})
 	}
-	slices.SortFunc(head.Chunks, func(a, b Ref) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(head.Chunks, func(a, b Ref) int { return strings.Compare(a.Name, b.Name) })
 	raw, err := json.Marshal(head)
 	if err != nil {
 		return Accepted{}, fault.Wrap(err, fault.Internal, "configuration head cannot be encoded", "report this as a defect")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -201,7 +202,7 @@
 		s.noRoute(w, r)
 		return
 	}
-	if !allows(rt.Methods, r.Method) {
+	if !slices.Contains(rt.Methods, r.Method) {
 		s.wrongMethod(w, r)
 		return
 	}
@@ -217,15 +218,6 @@
 	s.serve(w, r, c)
 }
 
-func allows(methods []string, method string) bool {
-	for _, m := range methods {
-		if m == method {
-			return true
-		}
-	}
-	return false
-}
-
 // readBody reads the whole body within the limits on size and time. After a
 // failure the read deadline stays in force and the connection is closed, since
 // the HTTP server would otherwise wait for the rest of the body before it sends
