--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // world is a fleet of claim holders whose calls fail as a property test draws.
@@ -36,7 +36,7 @@
 	store  *Store
 	keeper *Keeper
 	claim  *Claimant
-	seen   platform.Object // the mirror
+	seen   objstore.Object // the mirror
 	down   bool
 }
 
@@ -50,7 +50,7 @@
 	p.claim = NewClaimant(p.store, p)
 	p.keeper = NewKeeper(KeeperOptions{
 		Store: p.store, Peers: p, Objects: p, Logger: log.NewNopLogger(), Live: w.live,
-		Mirrored: func() (platform.Object, bool) { return p.seen, p.seen.Version > 0 },
+		Mirrored: func() (objstore.Object, bool) { return p.seen, p.seen.Version > 0 },
 		// Every process may change the table, which is harder than one.
 		Registrar: func() bool { return true },
 	})
@@ -116,20 +116,20 @@
 }
 
 // The object API, as far as the keeper uses it.
-func (p *proc) Put(ctx context.Context, key string, value []byte, v platform.Version, id string) (platform.Object, error) {
+func (p *proc) Put(ctx context.Context, key string, value []byte, v objstore.Version, id string) (objstore.Object, error) {
 	if !p.w.reach(p.m.Name, "store") {
-		return platform.Object{}, fault.New(fault.Unavailable, "cut", "")
+		return objstore.Object{}, fault.New(fault.Unavailable, "cut", "")
 	}
 	return p.w.objects.Put(ctx, key, value, v, id)
 }
-func (p *proc) Get(ctx context.Context, key string) (platform.Object, error) {
+func (p *proc) Get(ctx context.Context, key string) (objstore.Object, error) {
 	return p.w.objects.Get(ctx, key)
 }
-func (p *proc) List(context.Context, string) ([]platform.Object, platform.Revision, error) {
+func (p *proc) List(context.Context, string) ([]objstore.Object, objstore.Revision, error) {
 	panic("not used")
 }
-func (p *proc) Delete(context.Context, string, platform.Version) error { panic("not used") }
-func (p *proc) Watch(context.Context, string, platform.Revision, time.Duration) ([]platform.Event, platform.Revision, error) {
+func (p *proc) Delete(context.Context, string, objstore.Version) error { panic("not used") }
+func (p *proc) Watch(context.Context, string, objstore.Revision, time.Duration) ([]objstore.Event, objstore.Revision, error) {
 	panic("not used")
 }
 
@@ -361,7 +361,7 @@
 	f.Add(text)
 	f.Add([]byte(`{"shards": [{"epoch": -1}]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		table, err := ParseTable(platform.Object{Value: text})
+		table, err := ParseTable(objstore.Object{Value: text})
 		if err != nil || len(table.Shards) == 0 {
 			return
 		}
--- a/claims/keeper.go
+++ b/claims/keeper.go
@@ -12,7 +12,7 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -29,9 +29,9 @@
 	Store *Store
 	Peers Peers
 	// Objects is the object API, for the table.
-	Objects platform.Store
+	Objects objstore.Store
 	// Mirrored returns the table's object from the mirror.
-	Mirrored func() (platform.Object, bool)
+	Mirrored func() (objstore.Object, bool)
 	// Live returns the members that may hold claims.
 	Live func() []Member
 	// Registrar reports whether this process is the one that changes the
@@ -48,8 +48,8 @@
 	o      KeeperOptions
 	logger log.Logger
 
-	adopted platform.Version
-	object  platform.Object
+	adopted objstore.Version
+	object  objstore.Object
 	short   time.Time // since when a shard has missed too many holders
 	expired time.Time
 	fresh   freshSince
@@ -59,7 +59,7 @@
 }
 
 type settled struct {
-	version platform.Version
+	version objstore.Version
 	live    []Member
 }
 
@@ -236,7 +236,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err = platform.PutSettled(ctx, k.o.Objects, TableKey, value, k.object.Version, ulid.Make().String())
+	_, err = objstore.PutSettled(ctx, k.o.Objects, TableKey, value, k.object.Version, ulid.Make().String())
 	if k.o.Refresh != nil {
 		k.o.Refresh(ctx)
 	}
--- a/claims/table.go
+++ b/claims/table.go
@@ -24,7 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -69,7 +69,7 @@
 }
 
 // ParseTable decodes the object at TableKey.
-func ParseTable(obj platform.Object) (*Table, error) {
+func ParseTable(obj objstore.Object) (*Table, error) {
 	var t Table
 	if err := json.Unmarshal(obj.Value, &t); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "claim table cannot be read", "check who else writes to "+TableKey)
--- a/confstore/confstore.go
+++ b/confstore/confstore.go
@@ -19,7 +19,7 @@
 
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // Keys in the object API. The head is below the mirrored prefix, chunks are not.
@@ -92,8 +92,8 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "configuration cannot be encoded", "report this as a defect")
 	}
-	if len(content) > platform.MaxValueBytes {
-		return fault.Newf(fault.Invalid, "remove what is no longer used", "part %s of the configuration has %d bytes, the limit is %d", name, len(content), platform.MaxValueBytes)
+	if len(content) > objstore.MaxValueBytes {
+		return fault.Newf(fault.Invalid, "remove what is no longer used", "part %s of the configuration has %d bytes, the limit is %d", name, len(content), objstore.MaxValueBytes)
 	}
 	chunks[name] = content
 	return nil
@@ -117,13 +117,13 @@
 // Accepted is a head as it stands in the store.
 type Accepted struct {
 	Head    Head
-	Version platform.Version
+	Version objstore.Version
 	// Raw is the encoded head.
 	Raw []byte
 }
 
 // ParseHead decodes the object at HeadKey.
-func ParseHead(obj platform.Object) (Accepted, error) {
+func ParseHead(obj objstore.Object) (Accepted, error) {
 	a := Accepted{Version: obj.Version, Raw: obj.Value}
 	if err := json.Unmarshal(obj.Value, &a.Head); err != nil {
 		return a, fault.Wrap(err, fault.Internal, "configuration head cannot be read", "check who else writes to "+HeadKey)
@@ -132,7 +132,7 @@
 }
 
 // ReadHead reads the head in force. With none, it returns the zero Accepted.
-func ReadHead(ctx context.Context, s platform.Store) (Accepted, error) {
+func ReadHead(ctx context.Context, s objstore.Store) (Accepted, error) {
 	obj, err := s.Get(ctx, HeadKey)
 	if fault.Is(err, fault.NotFound) {
 		return Accepted{}, nil
@@ -153,12 +153,12 @@
 
 // Writer writes configurations to the object API.
 type Writer struct {
-	store platform.Store
+	store objstore.Store
 	now   func() time.Time
 }
 
 // NewWriter returns a writer to s.
-func NewWriter(s platform.Store) *Writer { return &Writer{store: s, now: time.Now} }
+func NewWriter(s objstore.Store) *Writer { return &Writer{store: s, now: time.Now} }
 
 // Apply makes c the configuration that follows base. The caller has checked c.
 //
@@ -190,7 +190,7 @@
 	if err != nil {
 		return Accepted{}, fault.Wrap(err, fault.Internal, "configuration head cannot be encoded", "report this as a defect")
 	}
-	obj, err := platform.PutSettled(ctx, w.store, HeadKey, raw, base.Version, ch.ID)
+	obj, err := objstore.PutSettled(ctx, w.store, HeadKey, raw, base.Version, ch.ID)
 	if fault.Is(err, fault.Unknown) {
 		return w.settleByHistory(ctx, head, err)
 	}
@@ -242,7 +242,7 @@
 			continue
 		}
 		g.Go(func() error {
-			_, err := platform.PutSettled(ctx, w.store, ChunkPrefix+digest, content, 0, digest)
+			_, err := objstore.PutSettled(ctx, w.store, ChunkPrefix+digest, content, 0, digest)
 			if fault.Is(err, fault.Conflict) {
 				return nil // the same content is there already
 			}
@@ -256,7 +256,7 @@
 }
 
 // History returns up to limit heads, newest first.
-func History(ctx context.Context, s platform.Store, limit int) ([]Head, error) {
+func History(ctx context.Context, s objstore.Store, limit int) ([]Head, error) {
 	w := &Writer{store: s}
 	a, err := ReadHead(ctx, s)
 	if err != nil {
--- a/confstore/confstore_test.go
+++ b/confstore/confstore_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 	"github.com/rockdoor/rockdoor/selector"
 )
 
@@ -29,7 +29,7 @@
 	}
 }
 
-func load(t *testing.T, s platform.Store, l *Loader) (Accepted, *config.Config) {
+func load(t *testing.T, s objstore.Store, l *Loader) (Accepted, *config.Config) {
 	a, err := ReadHead(context.Background(), s)
 	require.NoError(t, err)
 	c, err := l.Load(context.Background(), a.Head)
--- a/confstore/loader.go
+++ b/confstore/loader.go
@@ -9,14 +9,14 @@
 
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // Source returns the chunk with a digest, or an error.
 type Source func(ctx context.Context, digest string) ([]byte, error)
 
 // StoreSource reads chunks from the object API.
-func StoreSource(s platform.Store) Source {
+func StoreSource(s objstore.Store) Source {
 	return func(ctx context.Context, digest string) ([]byte, error) {
 		obj, err := s.Get(ctx, ChunkPrefix+digest)
 		return obj.Value, err
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,178 @@
+// Package fleet holds what one entry process believes about the deployment that
+// it serves: the operator's routes and services, the running instances of each
+// service, and where labels and selectors permit a request to run. All values
+// are immutable once they are published.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/selector"
+)
+
+// Kind says how a route's requests may be handled.
+type Kind string
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// AtMostOnce requests must not run twice.
+	AtMostOnce Kind = "at-most-once"
+	// Streaming requests are answered by a stream of events.
+	Streaming Kind = "streaming"
+)
+
+// Share is a part of a route's traffic.
+type Share struct {
+	Service string
+	// Weight is relative to the other shares of the route.
+	Weight int
+}
+
+// Route leads requests to services.
+type Route struct {
+	Name string
+	// Host is the host name that callers use.
+	Host string
+	// Prefix is the start of the paths, with a slash at both ends.
+	Prefix string
+	Kind   Kind
+	Shares []Share
+	// Timeout is the longest that the operator wants a request held; 0 is no bound.
+	Timeout time.Duration
+	// LatencyTarget is the time within which an answer, or the first event of a
+	// stream, is in time.
+	LatencyTarget time.Duration
+	// GapTarget is the longest pause between events of a stream that is in time.
+	GapTarget time.Duration
+	// MaxAttempts is how many instances one request may be sent to.
+	MaxAttempts int
+	// Rank orders routes by urgency; 0 is the most urgent.
+	Rank int
+	// Affinity is true if requests share parts of prompts, which engines keep.
+	Affinity bool
+	// Resumable streams may go on at another instance after their last event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
+
+// Service is a group of instances that answer the same requests.
+type Service struct {
+	Name string
+	// HealthPath is the path of the health check.
+	HealthPath string
+	// MaxConns bounds the connections to one instance from all callers together;
+	// 0 is no bound.
+	MaxConns int
+	// KVCapacity is the memory of one engine in tokens, 0 for plain services.
+	KVCapacity int
+	// HandleTTL is how long an engine keeps a prompt that was read for another.
+	HandleTTL time.Duration
+	// RoleChange is how long a change of role takes an engine away.
+	RoleChange time.Duration
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	// Version rises with each change.
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Index prepares the configuration for look-ups. It is called once, before the
+// configuration is published.
+func (c *Config) Index() {
+	c.byHost = map[string][]*Route{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Route returns the route with the longest prefix of the path at the host, or
+// nil if there is none.
+func (c *Config) Route(host, path string) *Route {
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick returns the service that a request goes to. The same id goes to the same
+// share, so that a decision can be explained from the id.
+func (r *Route) Pick(id string) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		if len(r.Shares) == 0 {
+			return ""
+		}
+		return r.Shares[0].Service
+	}
+	at := int(xxhash.Sum64String(id) % uint64(total))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return ""
+}
+
+// Instance is one run of an engine or backend server.
+type Instance struct {
+	// ID names this run and no other.
+	ID      string
+	Service string
+	// Address is IP:PORT.
+	Address string
+	Domain  string
+	// Software is the version of the program that runs there.
+	Software string
+	Slots    int
+	// Draining instances finish what they have.
+	Draining bool
+	// Role is empty for plain services.
+	Role engine.Role
+	// Lapsed is true for an instance whose registration went while the store was
+	// away. It is used until it is known whether it comes back.
+	Lapsed bool
+}
+
+// Labels returns the labels that selectors match: those that operators gave the
+// instance's service and domain, and the built-in ones.
+func (i *Instance) Labels(extra selector.Labels) selector.Labels {
+	l := selector.Labels{"service": i.Service, "domain": i.Domain, "software": i.Software}
+	for k, v := range extra {
+		l[k] = v
+	}
+	return l
+}
--- /dev/null
+++ b/fleet/rules.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/selector"
+)
+
+// RuleSpec is the operators' labels and selectors as they are stored. An empty
+// RuleSpec permits everything.
+type RuleSpec struct {
+	// Labels are added to the instances of a domain or service, by
+	// "domain/NAME" or "service/NAME".
+	Labels map[string]selector.Labels `json:"labels,omitempty"`
+	// Selectors say where the requests of a route may run, by the route's name.
+	// The selector at "*" holds for all routes besides their own.
+	Selectors map[string]string `json:"selectors,omitempty"`
+}
+
+// AllRoutes is the name whose selector holds for every route.
+const AllRoutes = "*"
+
+// Rules are checked labels and selectors.
+type Rules struct {
+	spec      RuleSpec
+	selectors map[string]selector.Selector
+}
+
+// ParseRules decodes and checks stored rules. The error is of kind Invalid.
+func ParseRules(text []byte) (*Rules, error) {
+	var spec RuleSpec
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&spec); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "rules cannot be read", `give {"labels": {...}, "selectors": {...}}`)
+	}
+	r := &Rules{spec: spec, selectors: map[string]selector.Selector{}}
+	for route, text := range spec.Selectors {
+		sel, err := selector.Parse(text)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "selector of route "+route, "correct the selector")
+		}
+		r.selectors[route] = sel
+	}
+	return r, nil
+}
+
+// Permits reports whether a request of the route may run at the instance, and
+// otherwise which rule forbids it. A nil Rules permits everything.
+func (r *Rules) Permits(route string, i *Instance) (rule string, ok bool) {
+	if r == nil || len(r.selectors) == 0 {
+		return "", true
+	}
+	var labels selector.Labels
+	for _, name := range []string{AllRoutes, route} {
+		sel, stated := r.selectors[name]
+		if !stated || sel.Empty() {
+			continue
+		}
+		if labels == nil {
+			labels = r.labels(i)
+		}
+		if !sel.Matches(labels) {
+			return name + " " + sel.String(), false
+		}
+	}
+	return "", true
+}
+
+func (r *Rules) labels(i *Instance) selector.Labels {
+	extra := selector.Labels{}
+	for _, key := range []string{"domain/" + i.Domain, "service/" + i.Service} {
+		for k, v := range r.spec.Labels[key] {
+			extra[k] = v
+		}
+	}
+	return i.Labels(extra)
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+)
+
+// Member is one registered process of the product.
+type Member struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	// Peer is where the process listens for the others, IP:PORT.
+	Peer string `json:"peer"`
+	// Incarnation names one run of the process.
+	Incarnation string `json:"incarnation"`
+}
+
+// View is what a process believes at one moment. It is immutable.
+type View struct {
+	// Config is nil until the first configuration is known.
+	Config *Config
+	// ConfigAt and InstancesAt are when the store last confirmed that there was
+	// nothing newer.
+	ConfigAt    bootclock.Instant
+	InstancesAt bootclock.Instant
+	// Listed is true once the registrations have been read for the first time.
+	Listed bool
+	// Instances has every registered instance by its ID.
+	Instances map[string]*Instance
+	Rules     *Rules
+	Members   []Member
+	// StoreUp is false while the store does not answer.
+	StoreUp bool
+
+	usable map[string][]*Instance
+}
+
+// Index prepares the view for look-ups. It is called once, before the view is
+// published.
+func (v *View) Index() {
+	v.usable = map[string][]*Instance{}
+	for _, i := range v.Instances {
+		if !i.Draining {
+			v.usable[i.Service] = append(v.usable[i.Service], i)
+		}
+	}
+	for _, all := range v.usable {
+		slices.SortFunc(all, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// Usable returns the instances of a service that take new requests, in the
+// order of their IDs.
+func (v *View) Usable(service string) []*Instance { return v.usable[service] }
+
+// Permitted returns the usable instances of a service at which the rules permit
+// requests of the route.
+func (v *View) Permitted(route, service string) []*Instance {
+	all := v.usable[service]
+	if v.Rules == nil {
+		return all
+	}
+	out := make([]*Instance, 0, len(all))
+	for _, i := range all {
+		if _, ok := v.Rules.Permits(route, i); ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Takes reports whether an instance still takes new requests of the service.
+func (v *View) Takes(service, id string) bool {
+	i := v.Instances[id]
+	return i != nil && !i.Draining && i.Service == service
+}
+
+// Ready reports whether the view suffices to serve requests.
+func (v *View) Ready() bool { return v.Config != nil && v.Listed }
+
+// ConfigAge returns how long ago the store confirmed the configuration.
+func (v *View) ConfigAge() time.Duration { return bootclock.Since(v.ConfigAt) }
+
+// InstancesAge returns how long ago the store confirmed the registrations.
+func (v *View) InstancesAge() time.Duration { return bootclock.Since(v.InstancesAt) }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,7 +36,7 @@
 	"github.com/rockdoor/rockdoor/internal/entry"
 	"github.com/rockdoor/rockdoor/jsonc"
 	"github.com/rockdoor/rockdoor/members"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // Options of a Server.
 type Options struct {
-	Store    platform.Store
+	Store    objstore.Store
 	Loader   *confstore.Loader
 	Snapshot func() *control.Snapshot
 	// Refresh makes this process see its own writes at once.
@@ -294,7 +294,7 @@
 		err = fault.New(fault.Invalid, "incarnation or by is missing", "give both; rockdoor status -o json shows the incarnations")
 	}
 	if err == nil {
-		_, err = platform.PutSettled(r.Context(), s.o.Store, controller.VouchPrefix+v.Incarnation, []byte(v.By), 0, v.By)
+		_, err = objstore.PutSettled(r.Context(), s.o.Store, controller.VouchPrefix+v.Incarnation, []byte(v.By), 0, v.By)
 	}
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		writeError(w, err)
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -16,10 +16,11 @@
 // metrics writes the registry in the text format that scrapers read.
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	writeMetrics(w, s.o.Metrics)
+	WriteMetrics(w, s.o.Metrics)
 }
 
-func writeMetrics(w io.Writer, reg metrics.Registry) {
+// WriteMetrics writes a registry in the text format that scrapers read.
+func WriteMetrics(w io.Writer, reg metrics.Registry) {
 	var names []string
 	reg.Each(func(name string, _ any) { names = append(names, name) })
 	slices.Sort(names)
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -15,7 +15,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -235,7 +235,7 @@
 // instant. Only answers prove anything about the present: a heartbeat that
 // arrives by itself may have waited while this process was paused.
 func (h *Heart) answered(ctx context.Context, from *peerpb.Identity, beat *peerpb.Heartbeat, address string, sent bootclock.Instant) {
-	remote := platform.Revision(beat.GetMirrorRevision())
+	remote := objstore.Revision(beat.GetMirrorRevision())
 	if age := ageOf(beat.GetMirrorAgeMs()); age != mirror.Never {
 		h.mirror.Confirm(remote, age+bootclock.Since(sent))
 	}
@@ -247,7 +247,7 @@
 
 // fetch brings the mirror forward from the process at address. News that
 // arrives while a fetch is under way is fetched right after it.
-func (h *Heart) fetch(ctx context.Context, address string, revision platform.Revision) {
+func (h *Heart) fetch(ctx context.Context, address string, revision objstore.Revision) {
 	for {
 		wanted := h.wanted.Load()
 		if int64(revision) <= wanted || h.wanted.CompareAndSwap(wanted, int64(revision)) {
@@ -299,13 +299,13 @@
 	switch b := req.Body.(type) {
 	case *peerpb.Request_Heartbeat:
 		address := h.addressOf(req.GetFrom().GetName())
-		if remote := platform.Revision(b.Heartbeat.GetMirrorRevision()); address != "" && remote > h.mirror.Revision() {
+		if remote := objstore.Revision(b.Heartbeat.GetMirrorRevision()); address != "" && remote > h.mirror.Revision() {
 			go h.fetch(context.Background(), address, remote)
 		}
 		h.loop.heartbeatArrived(req.GetFrom(), b.Heartbeat)
 		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: h.answerBeat()}}
 	case *peerpb.Request_FetchMirror:
-		d := h.mirror.Since(platform.Revision(b.FetchMirror.GetAfter()))
+		d := h.mirror.Since(objstore.Revision(b.FetchMirror.GetAfter()))
 		return &peerpb.Response{Body: &peerpb.Response_Mirror{Mirror: encodeDelta(d)}}
 	case *peerpb.Request_FetchChunk:
 		content, _ := h.loop.o.Loader.Chunk(b.FetchChunk.GetDigest())
@@ -347,15 +347,15 @@
 
 func decodeDelta(base int64, d *peerpb.MirrorDelta) mirror.Delta {
 	out := mirror.Delta{
-		Base: platform.Revision(base), Revision: platform.Revision(d.GetRevision()),
+		Base: objstore.Revision(base), Revision: objstore.Revision(d.GetRevision()),
 		Age: ageOf(d.GetAgeMs()), Full: d.GetFull(),
 	}
 	for _, o := range d.GetObjects() {
-		out.Events = append(out.Events, platform.Event{
-			Object: platform.Object{
-				Key: o.GetKey(), Value: o.GetValue(), Version: platform.Version(o.GetVersion()), WriteID: o.GetWriteId(),
+		out.Events = append(out.Events, objstore.Event{
+			Object: objstore.Object{
+				Key: o.GetKey(), Value: o.GetValue(), Version: objstore.Version(o.GetVersion()), WriteID: o.GetWriteId(),
 			},
-			Deleted: o.GetDeleted(), Revision: platform.Revision(o.GetRevision()),
+			Deleted: o.GetDeleted(), Revision: objstore.Revision(o.GetRevision()),
 		})
 	}
 	return out
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -14,8 +14,8 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/orders"
-	"github.com/rockdoor/rockdoor/platform"
 	"github.com/rockdoor/rockdoor/roles"
 	"github.com/rockdoor/rockdoor/routing"
 )
@@ -29,7 +29,7 @@
 	// ConfigRevision is the configuration in force there when last heard.
 	ConfigRevision int64 `json:"configRevision"`
 	// MirrorRevision is how far its copy of the object API was when last heard.
-	MirrorRevision platform.Revision `json:"mirrorRevision"`
+	MirrorRevision objstore.Revision `json:"mirrorRevision"`
 	Self           bool              `json:"self"`
 }
 
@@ -87,7 +87,7 @@
 const LeavingKey = "state/leaving"
 
 // ParseLeaving reads the list at LeavingKey; what cannot be read is empty.
-func ParseLeaving(obj platform.Object) []string {
+func ParseLeaving(obj objstore.Object) []string {
 	leaving := []string{}
 	_ = json.Unmarshal(obj.Value, &leaving)
 	return leaving
@@ -152,7 +152,7 @@
 	if c != nil && c.incarnation == m.Incarnation && c.beat != nil {
 		st.Heard = c.heard
 		st.ConfigRevision = c.beat.GetConfigRevision()
-		st.MirrorRevision = platform.Revision(c.beat.GetMirrorRevision())
+		st.MirrorRevision = objstore.Revision(c.beat.GetMirrorRevision())
 		st.Health = members.HealthAt(true, bootclock.Since(c.heard), l.o.Heartbeat, c.leaving())
 	}
 	if said, ok := l.said[m.Name]; ok && said.incarnation == m.Incarnation && st.Health != members.Alive && st.Health != members.Leaving {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,8 +20,8 @@
 	"github.com/rockdoor/rockdoor/lease"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/orders"
-	"github.com/rockdoor/rockdoor/platform"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -39,7 +39,7 @@
 
 // Options of a Manager.
 type Options struct {
-	Store    platform.Store
+	Store    objstore.Store
 	Engines  engine.Controller
 	Giver    orders.Giver
 	Snapshot func() *control.Snapshot
@@ -182,9 +182,9 @@
 
 // drainState is what is known about the order record that is being drained for.
 type drainState struct {
-	version platform.Version
+	version objstore.Version
 	// seen is the revision of the mirror when it first held the record.
-	seen   platform.Revision
+	seen   objstore.Revision
 	spread bool
 	// quiet is since when the engine has reported no requests.
 	quiet time.Time
@@ -379,7 +379,7 @@
 // record is known to every process that may send requests, no process has one
 // outstanding, and since then the engine itself has reported none for longer
 // than its reports lag.
-func (c *controller) drained(ctx context.Context, t orders.Target, since time.Time, written platform.Version) bool {
+func (c *controller) drained(ctx context.Context, t orders.Target, since time.Time, written objstore.Version) bool {
 	s := c.m.o.Snapshot()
 	d := c.drainOf(t.Name, written)
 	if !c.spread(s, d, t.Name, since) {
@@ -399,7 +399,7 @@
 
 // drainOf returns what is known about the drain for a record. Only the goroutine
 // that gives the order uses it.
-func (c *controller) drainOf(name string, written platform.Version) *drainState {
+func (c *controller) drainOf(name string, written objstore.Version) *drainState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := c.drains[name]
@@ -429,7 +429,7 @@
 }
 
 // everywhere reports whether all members hold a mirror of at least rev.
-func everywhere(s *control.Snapshot, rev platform.Revision) bool {
+func everywhere(s *control.Snapshot, rev objstore.Revision) bool {
 	for _, m := range s.Members {
 		if !m.Self && (m.MirrorRevision < rev || m.Health == members.Suspected || m.Health == members.Unheard) {
 			return false
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -12,7 +12,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -39,7 +39,7 @@
 	c.Claimant = claims.NewClaimant(c.store, peers)
 	c.keeper = claims.NewKeeper(claims.KeeperOptions{
 		Store: c.store, Peers: peers, Objects: d.store, Live: c.live, Registrar: c.registrar, Refresh: d.refresh, Logger: d.logger,
-		Mirrored: func() (platform.Object, bool) { return d.mirror.Get(claims.TableKey) },
+		Mirrored: func() (objstore.Object, bool) { return d.mirror.Get(claims.TableKey) },
 	})
 	return c
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,9 +29,9 @@
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/httpapi"
 	"github.com/rockdoor/rockdoor/orders"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/httpapi"
 	"github.com/rockdoor/rockdoor/routing"
 	"github.com/rockdoor/rockdoor/statechart"
 )
@@ -53,7 +53,7 @@
 	self   members.Member
 	chart  *statechart.Instance
 
-	store     *platform.Limited
+	store     *objstore.Limited
 	client    *httpapi.Client
 	mirror    *mirror.Mirror
 	keeper    *mirror.Keeper
@@ -87,7 +87,7 @@
 		},
 	}
 	d.client = httpapi.New(set.Platform)
-	d.store = platform.NewLimited(d.client, platform.Budget{
+	d.store = objstore.NewLimited(d.client, objstore.Budget{
 		CallsPerSecond: set.PlatformCalls.PerSecond, Burst: set.PlatformCalls.Burst, CallTimeout: set.PlatformCalls.Timeout.Std(),
 	}, d.reg)
 	d.buildControl()
--- a/internal/daemon/warden.go
+++ b/internal/daemon/warden.go
@@ -13,7 +13,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/members"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -47,7 +47,7 @@
 
 // copyLeaving writes the addresses of leaving hosts where they are mirrored.
 func (d *Daemon) copyLeaving(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, platform.DefaultCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, objstore.DefaultCallTimeout)
 	defer cancel()
 	hosts, err := d.client.Hosts(ctx)
 	if err != nil {
@@ -55,7 +55,7 @@
 	}
 	leaving := []string{}
 	for _, h := range hosts {
-		if h.State == platform.HostLeaving {
+		if h.State == objstore.HostLeaving {
 			leaving = append(leaving, h.Address)
 		}
 	}
@@ -68,7 +68,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "list of leaving hosts cannot be encoded", "report this as a defect")
 	}
-	if _, err := platform.PutSettled(ctx, d.store, control.LeavingKey, value, obj.Version, ulid.Make().String()); err != nil {
+	if _, err := objstore.PutSettled(ctx, d.store, control.LeavingKey, value, obj.Version, ulid.Make().String()); err != nil {
 		return err
 	}
 	level.Info(d.logger).Log("msg", "leaving hosts", "addresses", string(value))
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,353 @@
+// Package discovery keeps a process's view of the deployment up to date from
+// the object store. One goroutine owns the state and publishes immutable views;
+// followers only fetch.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// Feeds that are followed.
+const (
+	feedConfig    feed = "config"
+	feedInstances feed = "instances"
+	feedRules     feed = "rules"
+	feedMembers   feed = "members"
+)
+
+// Prefixes are where the feeds are in the store.
+type Prefixes struct{ Config, Instances, Rules, Members string }
+
+// Options of a Discovery.
+type Options struct {
+	Store    objstore.Store
+	Prefixes Prefixes
+	// DecodeConfig and DecodeInstance decode stored objects.
+	DecodeConfig   func(objstore.Object) (*fleet.Config, error)
+	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
+	// Apply is within what time a change must be in force.
+	Apply time.Duration
+	// LapseKept is how long an instance is used whose registration went while the
+	// store was away, counted from the store's return.
+	LapseKept time.Duration
+	Metrics   metrics.Registry
+	Logger    log.Logger
+}
+
+const (
+	eventQueue = 256
+	// slowFactor is how much longer the watches of rules and members wait than
+	// those of the configuration and the instances: they change rarely.
+	slowFactor = 3
+	// awayRecent is how long after a failed call a registration that goes counts
+	// as lapsed. It covers the pause between two calls.
+	awayRecent = time.Second
+	// lapseTick is how often lapsed instances are reviewed.
+	lapseTick = 100 * time.Millisecond
+)
+
+// Discovery owns what a process believes about the deployment.
+type Discovery struct {
+	o      Options
+	logger log.Logger
+	events chan any
+	view   atomic.Pointer[fleet.View]
+	ready  chan struct{}
+
+	// The rest belongs to the goroutine of Run.
+	cur       fleet.View
+	instances map[string]*fleet.Instance
+	members   map[string]fleet.Member
+	down      map[feed]bool
+	// failedAt is when a call of the instances' feed failed last, and backAt when
+	// it succeeded for the first time after that.
+	failedAt bootclock.Instant
+	backAt   bootclock.Instant
+}
+
+// New returns a discovery that has to be run.
+func New(o Options) *Discovery {
+	d := &Discovery{
+		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueue), ready: make(chan struct{}),
+		instances: map[string]*fleet.Instance{}, members: map[string]fleet.Member{}, down: map[feed]bool{},
+	}
+	d.cur.StoreUp = true
+	d.publish()
+	return d
+}
+
+// View returns the latest view. It never blocks.
+func (d *Discovery) View() *fleet.View { return d.view.Load() }
+
+// Ready is closed once the view suffices to serve requests.
+func (d *Discovery) Ready() <-chan struct{} { return d.ready }
+
+// Run follows the store until ctx ends.
+func (d *Discovery) Run(ctx context.Context) error {
+	wait := d.o.Apply / 2
+	for _, f := range []follower{
+		{feed: feedConfig, prefix: d.o.Prefixes.Config, wait: wait},
+		{feed: feedInstances, prefix: d.o.Prefixes.Instances, wait: wait},
+		{feed: feedRules, prefix: d.o.Prefixes.Rules, wait: wait * slowFactor},
+		{feed: feedMembers, prefix: d.o.Prefixes.Members, wait: wait * slowFactor},
+	} {
+		f.store, f.events, f.logger, f.answerWithin = d.o.Store, d.events, d.logger, d.o.Apply/3
+		go f.run(ctx)
+	}
+	tick := time.NewTicker(lapseTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-d.events:
+			d.handle(e)
+		case <-tick.C:
+			d.dropLapsed()
+		}
+	}
+}
+
+func (d *Discovery) handle(e any) {
+	switch e := e.(type) {
+	case lostStore:
+		d.lost(e)
+	case changed:
+		d.answered(e.feed)
+		d.apply(e)
+	}
+	d.publish()
+}
+
+// lost records that the store does not answer.
+func (d *Discovery) lost(e lostStore) {
+	if !d.down[e.feed] {
+		level.Warn(d.logger).Log("msg", "store lost", "feed", e.feed, "err", e.err)
+	}
+	d.count("store_errors")
+	d.down[e.feed] = true
+	if e.feed == feedInstances {
+		d.failedAt = bootclock.Now()
+	}
+	d.cur.StoreUp = false
+}
+
+// answered records that the store answers.
+func (d *Discovery) answered(f feed) {
+	now := bootclock.Now()
+	if d.down[f] {
+		level.Info(d.logger).Log("msg", "store regained", "feed", f)
+		delete(d.down, f)
+		if f == feedInstances {
+			d.backAt = now
+		}
+	}
+	d.cur.StoreUp = len(d.down) == 0
+	switch f {
+	case feedConfig:
+		d.cur.ConfigAt = now
+	case feedInstances:
+		d.cur.InstancesAt = now
+	}
+}
+
+func (d *Discovery) apply(c changed) {
+	switch c.feed {
+	case feedConfig:
+		d.applyConfig(c)
+	case feedInstances:
+		d.applyInstances(c)
+	case feedRules:
+		d.applyRules(c)
+	case feedMembers:
+		d.applyMembers(c)
+	}
+}
+
+// applyConfig adopts a newer configuration. One that cannot be decoded leaves
+// the last good one in force.
+func (d *Discovery) applyConfig(c changed) {
+	for _, obj := range c.objects {
+		cfg, err := d.o.DecodeConfig(obj)
+		if err != nil {
+			level.Error(d.logger).Log("msg", "configuration left out", "key", obj.Key, "revision", obj.Version, "err", err)
+			d.count("configs_rejected")
+			continue
+		}
+		if d.cur.Config != nil && cfg.Version <= d.cur.Config.Version {
+			continue
+		}
+		d.cur.Config = cfg
+		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "routes", len(cfg.Routes))
+	}
+}
+
+func (d *Discovery) applyInstances(c changed) {
+	if c.reset {
+		d.cur.Listed = true
+		listed := map[string]bool{}
+		for _, obj := range c.objects {
+			listed[nameOf(obj.Key)] = true
+		}
+		for id := range d.instances {
+			if !listed[id] {
+				d.removeInstance(id)
+			}
+		}
+	}
+	for _, obj := range c.objects {
+		d.putInstance(obj)
+	}
+	for _, key := range c.deleted {
+		d.removeInstance(nameOf(key))
+	}
+}
+
+func (d *Discovery) putInstance(obj objstore.Object) {
+	i, err := d.o.DecodeInstance(obj)
+	if err != nil {
+		level.Error(d.logger).Log("msg", "registration left out", "key", obj.Key, "revision", obj.Version, "err", err)
+		d.count("registrations_rejected")
+		return
+	}
+	old := d.instances[i.ID]
+	if old != nil && *old == *i {
+		return
+	}
+	d.instances[i.ID] = i
+	level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "role", i.Role,
+		"draining", i.Draining, "known", old != nil, "revision", obj.Version)
+}
+
+// removeInstance takes an instance out whose registration is gone. If it went
+// while the store was away it is kept for a while, since the platform then drops
+// registrations of instances that still run. One that was draining goes at once.
+func (d *Discovery) removeInstance(id string) {
+	i := d.instances[id]
+	if i == nil || i.Lapsed {
+		return
+	}
+	if !i.Draining && d.storeWasAway() {
+		kept := *i
+		kept.Lapsed = true
+		d.instances[id] = &kept
+		level.Info(d.logger).Log("msg", "instance lapsed", "id", id, "service", i.Service, "address", i.Address)
+		return
+	}
+	delete(d.instances, id)
+	level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address)
+}
+
+// storeWasAway reports whether a registration that goes now may have lapsed
+// because the store was away.
+func (d *Discovery) storeWasAway() bool {
+	if d.failedAt == 0 {
+		return false
+	}
+	return bootclock.Since(d.failedAt) < awayRecent || bootclock.Since(d.backAt) < d.o.LapseKept
+}
+
+// dropLapsed removes lapsed instances that did not come back in time.
+func (d *Discovery) dropLapsed() {
+	if d.down[feedInstances] || bootclock.Since(d.backAt) < d.o.LapseKept {
+		return
+	}
+	dropped := false
+	for id, i := range d.instances {
+		if i.Lapsed {
+			delete(d.instances, id)
+			dropped = true
+			level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address, "reason", "lapsed and not back")
+		}
+	}
+	if dropped {
+		d.publish()
+	}
+}
+
+// rulesName is the object that holds the labels and selectors.
+const rulesName = "main"
+
+func (d *Discovery) applyRules(c changed) {
+	if c.reset && len(c.objects) == 0 {
+		d.cur.Rules = nil
+	}
+	for _, obj := range c.objects {
+		if nameOf(obj.Key) != rulesName {
+			continue
+		}
+		rules, err := fleet.ParseRules(obj.Value)
+		if err != nil {
+			level.Error(d.logger).Log("msg", "rules left out", "revision", obj.Version, "err", err)
+			continue
+		}
+		d.cur.Rules = rules
+		level.Info(d.logger).Log("msg", "rules in force", "revision", obj.Version)
+	}
+	for _, key := range c.deleted {
+		if nameOf(key) == rulesName {
+			d.cur.Rules = nil
+			level.Info(d.logger).Log("msg", "rules removed")
+		}
+	}
+}
+
+func (d *Discovery) applyMembers(c changed) {
+	if c.reset {
+		d.members = map[string]fleet.Member{}
+	}
+	for _, obj := range c.objects {
+		var m fleet.Member
+		if err := json.Unmarshal(obj.Value, &m); err != nil {
+			level.Error(d.logger).Log("msg", "member left out", "key", obj.Key, "err", err)
+			continue
+		}
+		if d.members[m.Name] != m {
+			level.Info(d.logger).Log("msg", "member", "name", m.Name, "peer", m.Peer, "incarnation", m.Incarnation)
+		}
+		d.members[m.Name] = m
+	}
+	for _, key := range c.deleted {
+		delete(d.members, nameOf(key))
+	}
+}
+
+// publish makes the present state visible.
+func (d *Discovery) publish() {
+	v := d.cur
+	v.Instances = make(map[string]*fleet.Instance, len(d.instances))
+	for id, i := range d.instances {
+		v.Instances[id] = i
+	}
+	v.Members = make([]fleet.Member, 0, len(d.members))
+	for _, m := range d.members {
+		v.Members = append(v.Members, m)
+	}
+	v.Index()
+	d.view.Store(&v)
+	if v.Ready() {
+		select {
+		case <-d.ready:
+		default:
+			close(d.ready)
+		}
+	}
+}
+
+func (d *Discovery) count(name string) {
+	metrics.GetOrRegisterCounter("discovery."+name, d.o.Metrics).Inc(1)
+}
+
+func nameOf(key string) string { return key[strings.IndexByte(key, '/')+1:] }
--- /dev/null
+++ b/internal/discovery/follow.go
@@ -0,0 +1,124 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// feed names one kind of objects that is followed.
+type feed string
+
+// changed is what a follower learned from one answer of the store.
+type changed struct {
+	feed feed
+	// reset is true if objects holds everything that exists.
+	reset   bool
+	objects []objstore.Object
+	deleted []string
+}
+
+// lostStore says that a call of a feed failed.
+type lostStore struct {
+	feed feed
+	err  error
+}
+
+// follower keeps one kind of objects up to date through short watches. A watch
+// that is cut silently is noticed when its time is up.
+type follower struct {
+	feed   feed
+	prefix string
+	store  objstore.Store
+	wait   time.Duration
+	// answerWithin is how long an answer may take beyond the wait.
+	answerWithin time.Duration
+	events       chan<- any
+	logger       log.Logger
+}
+
+const (
+	// retryFirst and retryMost bound the pause between failed calls. The store's
+	// return has to be seen well within the time that a configuration has.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
+	rev, listed := objstore.Revision(0), false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			rev, err = f.watch(ctx, rev)
+		} else {
+			rev, err = f.list(ctx)
+		}
+		switch {
+		case err == nil:
+			listed = true
+			pause.Reset()
+			continue
+		case errors.Is(err, objstore.ErrWatchGap):
+			level.Info(f.logger).Log("msg", "watch has a gap, listing again", "feed", f.feed, "revision", rev)
+			listed = false
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		f.send(ctx, lostStore{f.feed, err})
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+func (f *follower) list(ctx context.Context) (objstore.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.answerWithin)
+	defer cancel()
+	objects, rev, err := f.store.List(ctx, f.prefix)
+	if fault.Is(err, fault.NotFound) {
+		err = nil // a kind without objects
+	}
+	if err != nil {
+		return rev, err
+	}
+	f.send(ctx, changed{feed: f.feed, reset: true, objects: objects})
+	return rev, nil
+}
+
+func (f *follower) watch(ctx context.Context, after objstore.Revision) (objstore.Revision, error) {
+	wctx, cancel := context.WithTimeout(ctx, f.wait+f.answerWithin)
+	defer cancel()
+	events, rev, err := f.store.Watch(wctx, f.prefix, after, f.wait)
+	if err != nil {
+		return after, err
+	}
+	c := changed{feed: f.feed}
+	for _, e := range events {
+		if e.Deleted {
+			c.deleted = append(c.deleted, e.Object.Key)
+			continue
+		}
+		c.objects = append(c.objects, e.Object)
+	}
+	f.send(ctx, c)
+	return max(rev, after), nil
+}
+
+func (f *follower) send(ctx context.Context, event any) {
+	select {
+	case f.events <- event:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// budgetSlots is into how many parts the window of a budget is cut.
+const budgetSlots = 20
+
+// BudgetBounds bound the sends beyond the first of each request, for all
+// processes together, in any window.
+type BudgetBounds struct {
+	// Ratio is the share of the requests, Slack a number that is always allowed.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+const (
+	// budgetUse is the part of the bounds that is used: the rest covers windows
+	// that begin between two slots, and requests that other processes saw.
+	budgetUse = 0.7
+	// slackShares is by how many processes the slack is divided at the least, so
+	// that a fleet that is growing stays inside it.
+	slackShares = 16
+)
+
+// budget counts the requests and the sends beyond the first, by service. It is
+// safe for concurrent use.
+type budget struct {
+	bounds BudgetBounds
+
+	mu       sync.Mutex
+	services map[string]*budgetWindow
+}
+
+type budgetWindow struct {
+	slots [budgetSlots]struct{ requests, extras float64 }
+	// at is the number of the slot that was used last, since the epoch.
+	at int64
+}
+
+func newBudget(b BudgetBounds) *budget {
+	return &budget{bounds: b, services: map[string]*budgetWindow{}}
+}
+
+func (b *budget) window(service string, now time.Time) *budgetWindow {
+	w := b.services[service]
+	at := now.UnixNano() / int64(b.bounds.Window/budgetSlots)
+	if w == nil {
+		w = &budgetWindow{at: at}
+		b.services[service] = w
+	}
+	for n := 0; w.at < at && n < budgetSlots; n++ {
+		w.at++
+		w.slots[w.at%budgetSlots] = struct{ requests, extras float64 }{}
+	}
+	w.at = max(w.at, at)
+	return w
+}
+
+// request counts a request for a service.
+func (b *budget) request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, time.Now())
+	w.slots[w.at%budgetSlots].requests++
+}
+
+// extra takes one send beyond the first from the budget, if there is room.
+func (b *budget) extra(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, time.Now())
+	requests, extras := 0.0, 0.0
+	for _, s := range w.slots {
+		requests += s.requests
+		extras += s.extras
+	}
+	if extras+1 > budgetUse*(b.bounds.Ratio*requests+b.bounds.Slack/slackShares) {
+		return false
+	}
+	w.slots[w.at%budgetSlots].extras++
+	return true
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,374 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+const (
+	// maxSends bounds how often one request is sent, counting rejections.
+	maxSends = 4
+	// minLeft is the least time for which a request is sent again: less than this
+	// an instance cannot use.
+	minLeft = 20 * time.Millisecond
+	// unknownRetry is when to come back if no instance is known.
+	unknownRetry = 500 * time.Millisecond
+	// maxReadResult bounds the answer of an engine that read a prompt.
+	maxReadResult = 64 << 10
+	// freeTimeout bounds the call that frees a prompt that is not wanted.
+	freeTimeout = time.Second
+)
+
+// request is the work on one request of a caller. It belongs to one goroutine.
+type request struct {
+	s        *Server
+	w        http.ResponseWriter
+	http     *http.Request
+	ctx      context.Context
+	call     *engine.Call
+	route    *fleet.Route
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+
+	service string
+	// sends counts sends to runners, runs those that may have begun there.
+	sends, runs int
+	avoid       map[string]bool
+	// begun is true once the caller has got a part of the answer.
+	begun bool
+	// lastEvent is the id of the last event that the caller got.
+	lastEvent string
+	events    int
+	// mayHaveRun is true if some instance may have begun the request.
+	mayHaveRun bool
+	// paid is true if the next send has been taken from the budget.
+	paid    bool
+	version int64
+	plan    placement.Plan
+	readFor time.Duration
+}
+
+// result is what became of one attempt.
+type result int
+
+const (
+	// delivered: the caller has got the whole answer.
+	delivered result = iota
+	// notRun: the instance certainly did not run the request.
+	notRun
+	// lost: the instance may have run the request and the answer is not whole.
+	lost
+	// callerGone: the caller cannot be reached any more.
+	callerGone
+)
+
+// serve attempts the request until it has an answer.
+func (q *request) serve() {
+	for {
+		rep := q.rebase()
+		if rep == nil {
+			var done bool
+			if rep, done = q.attempt(); done {
+				q.log("ok", nil)
+				return
+			}
+		}
+		if rep != nil {
+			q.finish(rep)
+			return
+		}
+	}
+}
+
+// rebase decides under the newest configuration which service runs the next
+// attempt, or returns the reply to give.
+func (q *request) rebase() *reply {
+	view := q.s.o.View()
+	route := view.Config.Route(hostOnly(q.http.Host), q.http.URL.Path)
+	if route == nil {
+		return q.given("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), unknownRetry)
+	}
+	first := q.service == ""
+	q.route, q.version = route, view.Config.Version
+	q.service = route.Pick(q.call.ID)
+	if first {
+		q.s.budget.request(q.service)
+	}
+	return nil
+}
+
+// attempt makes one attempt. It returns a reply if no other is to be made, and
+// true if the answer was delivered or nobody waits for it.
+func (q *request) attempt() (*reply, bool) {
+	view := q.s.o.View()
+	left := time.Until(q.deadline)
+	if left < minLeft || q.ctx.Err() != nil {
+		return q.expired()
+	}
+	plan, ticket := q.s.o.Placer.Place(&placement.Job{
+		Route: q.route, Service: view.Config.Services[q.service], Call: q.call, Left: left,
+		Permitted: view.Permitted(q.route.Name, q.service), Avoid: q.avoid, Resumed: q.begun,
+	})
+	q.plan = plan
+	q.decision(view)
+	if ticket == nil {
+		retry := plan.RetryAfter
+		if retry == 0 {
+			retry = unknownRetry
+		}
+		return q.given(string(plan.Reason), fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(plan.Reason), "ask again after the time in Retry-After"), retry), false
+	}
+	defer ticket.Cancel()
+	res, err := q.send(&plan, ticket)
+	switch res {
+	case delivered, callerGone:
+		return nil, true
+	case lost:
+		q.mayHaveRun = true
+	}
+	if q.ctx.Err() != nil {
+		return q.expired()
+	}
+	return q.again(res, err), false
+}
+
+// again decides whether another attempt is made. It returns the reply to give
+// if not.
+func (q *request) again(res result, err error) *reply {
+	if res == lost && (!q.route.Repeatable() || q.runs >= q.route.MaxAttempts) {
+		return q.given("lost", err, 0)
+	}
+	if q.sends >= maxSends {
+		return q.given("attempts-used", err, unknownRetry)
+	}
+	if !q.paid && !q.s.budget.extra(q.service) {
+		q.s.count("budget_empty")
+		return q.given("budget-empty", err, unknownRetry)
+	}
+	q.paid = false
+	level.Info(q.s.o.Logger).Log("msg", "attempt again", "request", q.call.ID, "sends", q.sends, "runs", q.runs, "err", err)
+	return nil
+}
+
+// expired ends a request whose time is up or whose caller has left.
+func (q *request) expired() (*reply, bool) {
+	if q.http.Context().Err() != nil {
+		q.log("caller-gone", q.http.Context().Err())
+		return nil, true
+	}
+	return q.given("deadline", fault.New(fault.Exhausted, "time is up", "allow more time"), 0), false
+}
+
+// given returns a reply whose status says truly whether the request may have run.
+func (q *request) given(code string, err error, retryAfter time.Duration) *reply {
+	status := http.StatusServiceUnavailable
+	switch {
+	case q.mayHaveRun && code == "deadline":
+		status = http.StatusGatewayTimeout
+	case q.mayHaveRun:
+		status = http.StatusBadGateway
+	}
+	return refusal(status, code, err, retryAfter)
+}
+
+// send carries out a plan.
+func (q *request) send(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+	var source *engine.KVSource
+	if plan.Reader != nil {
+		handle, res, err := q.read(plan, ticket)
+		if err != nil {
+			return res, err
+		}
+		source = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}
+	}
+	view := q.s.o.View()
+	if !view.Takes(q.service, plan.Runner.ID) {
+		q.free(plan.Reader, source)
+		return notRun, fault.New(fault.Unavailable, "runner has left since it was chosen", "another one is tried")
+	}
+	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
+		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: source, ResumeAfter: q.resumeAfter(),
+	}))
+	q.sends++
+	if err != nil {
+		ticket.Run(q.ctx.Err() != nil)
+		q.avoid[plan.Runner.ID] = true
+		if fault.Is(err, fault.Unavailable) {
+			q.free(plan.Reader, source)
+			return notRun, err
+		}
+		q.runs++
+		q.mayHaveRun = true
+		return lost, err
+	}
+	return q.receive(a, plan, ticket, source)
+}
+
+// receive judges the head of an answer and passes the answer on.
+func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket, source *engine.KVSource) (result, error) {
+	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
+	if verdict.NotRun {
+		a.Close(skipBody(a) == nil)
+		ticket.Run(false)
+		q.avoid[plan.Runner.ID] = true
+		q.free(plan.Reader, source)
+		return notRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
+	}
+	q.runs++
+	q.mayHaveRun = true
+	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
+		a.Close(false)
+		ticket.Run(false)
+		q.avoid[plan.Runner.ID] = true
+		return lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
+	}
+	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
+		a.Close(skipBody(a) == nil)
+		ticket.Run(false)
+		q.avoid[plan.Runner.ID] = true
+		return lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
+	}
+	res, err := q.relay(a)
+	ticket.Run(res != lost)
+	if res == lost {
+		q.avoid[plan.Runner.ID] = true
+	}
+	return res, err
+}
+
+// mayRepeat reports whether a failure that an instance answered is better asked
+// for again than passed on, and takes the send from the budget if so.
+func (q *request) mayRepeat() bool {
+	if !q.route.Repeatable() || q.runs >= q.route.MaxAttempts || q.sends >= maxSends || time.Until(q.deadline) < minLeft {
+		return false
+	}
+	q.paid = q.s.budget.extra(q.service)
+	return q.paid
+}
+
+func (q *request) resumeAfter() string {
+	if q.lastEvent != "" {
+		return q.lastEvent
+	}
+	return q.call.LastEvent
+}
+
+func (q *request) upstream(i *fleet.Instance, s engine.Send) upstream.Request {
+	return upstream.Request{
+		Address: i.Address, Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
+		Header:  q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
+		Matches: func(h http.Header) bool { return q.s.o.Protocol.Matches(q.call.ID, h) },
+	}
+}
+
+// read has the prompt read by the planned engine. The request does not run there.
+func (q *request) read(plan *placement.Plan, ticket *placement.Ticket) (string, result, error) {
+	begun := time.Now()
+	fetch := ""
+	if plan.FetchFrom != nil {
+		fetch = plan.FetchFrom.Address
+	}
+	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
+		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, ReadOnly: true, FetchFrom: fetch,
+	}))
+	fail := func(err error) (string, result, error) {
+		ticket.Read(q.ctx.Err() != nil) // a caller that left says nothing of the engine
+		q.avoid[plan.Reader.ID] = true
+		return "", notRun, err
+	}
+	if err != nil {
+		return fail(err)
+	}
+	body, err := readAll(a, maxReadResult)
+	if err != nil {
+		return fail(err)
+	}
+	if a.Status != http.StatusOK {
+		return fail(fault.Newf(fault.Unavailable, "another engine is tried", "engine %s answered %d to reading", plan.Reader.ID, a.Status))
+	}
+	handle, err := q.s.o.Protocol.ReadResult(body)
+	if err != nil {
+		return fail(err)
+	}
+	ticket.Read(true)
+	q.readFor = time.Since(begun)
+	q.s.time("read", q.readFor)
+	return handle, delivered, nil
+}
+
+// free tells an engine that a prompt that it read is not wanted. Nobody waits
+// for it: the engine drops the prompt by itself after a while.
+func (q *request) free(reader *fleet.Instance, source *engine.KVSource) {
+	if reader == nil || source == nil {
+		return
+	}
+	method, uri := q.s.o.Protocol.FreeHandle(source.Handle)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		a, err := q.s.o.Client.Do(ctx, upstream.Request{Address: reader.Address, Method: method, URI: uri, Host: reader.Address, Header: http.Header{}})
+		if err != nil {
+			level.Info(q.s.o.Logger).Log("msg", "handle not freed", "request", q.call.ID, "engine", reader.ID, "err", err)
+			return
+		}
+		a.Close(skipBody(a) == nil)
+	}()
+}
+
+// decision writes the line that says why an attempt goes where it goes.
+func (q *request) decision(v *fleet.View) {
+	p := &q.plan
+	kv := []any{
+		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
+		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
+		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
+	}
+	if p.Reader != nil {
+		kv = append(kv, "reader", p.Reader.ID)
+	}
+	if p.Runner != nil {
+		kv = append(kv, "runner", p.Runner.ID)
+	}
+	level.Debug(q.s.o.Logger).Log(kv...)
+}
+
+// finish gives the caller a reply of the gateway's own. If a part of an answer
+// has been passed on, the connection is broken off, so that the caller sees that
+// the answer is not whole.
+func (q *request) finish(rep *reply) {
+	q.log(rep.code, rep.err)
+	if q.begun {
+		panic(http.ErrAbortHandler)
+	}
+	rep.write(q.w)
+}
+
+// log writes the line that tells the outcome.
+func (q *request) log(outcome string, err error) {
+	took := time.Since(q.arrived)
+	q.s.count("outcome." + outcome)
+	q.s.time("duration", took)
+	kv := []any{
+		"msg", "request", "request", q.call.ID, "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
+		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.mayHaveRun,
+		"read", q.readFor.Round(time.Millisecond), "took", took.Round(time.Millisecond),
+	}
+	if q.plan.Runner != nil {
+		kv = append(kv, "runner", q.plan.Runner.ID)
+	}
+	if err == nil {
+		level.Debug(q.s.o.Logger).Log(kv...)
+		return
+	}
+	level.Warn(q.s.o.Logger).Log(append(kv, "err", err)...)
+}
--- /dev/null
+++ b/internal/gatewayd/gatewayd.go
@@ -0,0 +1,247 @@
+// Package gatewayd wires the parts of one gateway process and runs its life:
+// start, serve, reload, and a stop that cuts no request.
+package gatewayd
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+const (
+	// headerTimeout, headerBytes and idleTimeout bound connections of callers;
+	// they are wider than any limit that an operator states, which callers keep.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	idleTimeout   = 2 * time.Minute
+	// exitMargin is kept from the end of the grace period for ending the process.
+	exitMargin = 500 * time.Millisecond
+	// memoryShare is the part of the memory at which the collector works harder.
+	memoryShare = 0.7
+	// housekeeping is how often what is kept of instances that left is dropped.
+	housekeeping = 5 * time.Second
+	// lapseMargin is kept from the time in which an instance that left must get
+	// nothing new, for requests that are on their way.
+	lapseMargin = 300 * time.Millisecond
+)
+
+// Daemon is one gateway process.
+type Daemon struct {
+	set    *settings.Gateway
+	file   string
+	logger log.Logger
+	reg    metrics.Registry
+	run    string
+
+	store     *platform.Store
+	discovery *discovery.Discovery
+	client    *upstream.Client
+	placer    *placement.Placer
+	gateway   *gateway.Server
+	stopping  atomic.Bool
+
+	callers, readiness, operators *http.Server
+}
+
+// New builds a process that has to be run. file is where the settings came from.
+func New(set *settings.Gateway, file string, logger log.Logger) *Daemon {
+	d := &Daemon{set: set, file: file, reg: metrics.NewRegistry(), run: ulid.Make().String()}
+	d.logger = log.With(logger, "process", set.Name)
+	d.store = platform.NewStore(set.Store)
+	d.discovery = discovery.New(discovery.Options{
+		Store: d.store,
+		Prefixes: discovery.Prefixes{
+			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
+		},
+		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		Apply: set.Bounds.Apply.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
+	})
+	d.client = upstream.New(d.reg)
+	d.placer = placement.New(set.Domain, nil)
+	d.gateway = gateway.New(gateway.Options{
+		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Placer: d.placer,
+		Budget: gateway.BudgetBounds{
+			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
+		},
+		Metrics: d.reg, Logger: d.logger,
+	})
+	d.buildServers()
+	return d
+}
+
+func (d *Daemon) buildServers() {
+	d.callers = httpServer(d.gateway)
+	ready := mux.NewRouter()
+	ready.HandleFunc("/readyz", d.ready).Methods(http.MethodGet)
+	d.readiness = httpServer(ready)
+	operators := mux.NewRouter()
+	operators.HandleFunc("/readyz", d.ready).Methods(http.MethodGet)
+	operators.HandleFunc("/metrics", d.metrics).Methods(http.MethodGet)
+	d.operators = httpServer(operators)
+}
+
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout,
+		ErrorLog: stdlog.New(io.Discard, "", 0), // callers can provoke these lines at will; the metrics count
+	}
+}
+
+// ready answers the balancer.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || !d.discovery.View().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) metrics(w http.ResponseWriter, _ *http.Request) {
+	v := d.discovery.View()
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, d.reg).Update(value) }
+	gauge("view.config_age_ms", v.ConfigAge().Milliseconds())
+	gauge("view.instances_age_ms", v.InstancesAge().Milliseconds())
+	gauge("view.instances", int64(len(v.Instances)))
+	gauge("gateway.in_hand", d.gateway.InHand())
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	admin.WriteMetrics(w, d.reg)
+}
+
+// Run serves until ctx ends, then stops without cutting a request. Each value
+// of reload makes the process read its settings again.
+func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
+	level.Info(d.logger).Log("msg", "start", "run", d.run, "listen", d.set.Listen, "store", d.set.Store, "domain", d.set.Domain)
+	if d.set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(d.set.MemoryMB * memoryShare * (1 << 20)))
+	}
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	var g run.Group
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{d.callers, d.set.Listen}, {d.readiness, d.set.Readiness}, {d.operators, d.set.Metrics}} {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fault.Wrap(err, fault.Invalid, "cannot listen on "+s.address, "check the addresses in the settings and that no other process uses them")
+		}
+		g.Add(func() error { return serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
+	}
+	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
+	err := g.Run()
+	d.store.Close()
+	level.Info(d.logger).Log("msg", "stop", "run", d.run, "in_hand", d.gateway.InHand())
+	return err
+}
+
+// serve serves until ctx ends. A server that is shut down stops to accept at
+// once but is not done before its process is.
+func serve(ctx context.Context, s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// live is the life of the process. It returns when the process may exit.
+func (d *Daemon) live(ctx context.Context, reload <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			d.stop()
+			return nil
+		case <-d.discovery.Ready():
+			level.Info(d.logger).Log("msg", "ready", "config", d.discovery.View().Config.Version)
+			return d.untilStopped(ctx, reload)
+		case <-reload:
+			d.reload()
+		}
+	}
+}
+
+func (d *Daemon) untilStopped(ctx context.Context, reload <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			d.stop()
+			return nil
+		case <-reload:
+			d.reload()
+		}
+	}
+}
+
+// reload reads the settings again. What a running process cannot change takes
+// effect at its next start.
+func (d *Daemon) reload() {
+	set, err := settings.LoadGateway(d.file)
+	if err != nil {
+		level.Error(d.logger).Log("msg", "settings not reloaded", "file", d.file, "err", err)
+		return
+	}
+	level.Info(d.logger).Log("msg", "reload", "changed", *set != *d.set)
+}
+
+// stop ends the service: not ready first, then no new connections, then all
+// requests in hand are finished.
+func (d *Daemon) stop() {
+	begun := time.Now()
+	d.stopping.Store(true)
+	d.gateway.Stop()
+	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InHand())
+	time.Sleep(d.set.Bounds.Notice.Std())
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.set.Bounds.Grace.Std()-exitMargin))
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		level.Warn(d.logger).Log("msg", "requests were still in hand at the end of the grace period", "in_hand", d.gateway.InHand(), "err", err)
+	}
+}
+
+// keepHouse drops what is kept of instances that left.
+func (d *Daemon) keepHouse(ctx context.Context) error {
+	tick := time.NewTicker(housekeeping)
+	defer tick.Stop()
+	var before map[string]*fleet.Instance
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		v := d.discovery.View()
+		d.placer.Retain(func(id string) bool { return v.Instances[id] != nil })
+		for id, i := range before {
+			if v.Instances[id] == nil {
+				d.client.Forget(i.Address)
+			}
+		}
+		before = v.Instances
+	}
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	_ "embed"
+
+	"github.com/rockdoor/rockdoor/jsonc"
+)
+
+//go:embed gateway.json
+var gatewayText []byte
+
+var gatewaySchema = jsonc.MustCompile("gateway.json", gatewayText)
+
+// GatewaySchemaText returns the JSON schema of the settings of a gateway.
+func GatewaySchemaText() []byte { return gatewayText }
+
+// Gateway holds the settings of one gateway process. The schema in gateway.json
+// states each field's meaning, unit, range and default.
+type Gateway struct {
+	Name      string     `json:"name"`
+	Domain    string     `json:"domain"`
+	Listen    string     `json:"listen"`
+	Readiness string     `json:"readiness"`
+	Metrics   string     `json:"metrics"`
+	Peer      string     `json:"peer"`
+	Store     string     `json:"store"`
+	MemoryMB  float64    `json:"memoryMB"`
+	Bounds    Bounds     `json:"bounds"`
+	Log       GatewayLog `json:"log"`
+}
+
+// Bounds are what the deployment demands.
+type Bounds struct {
+	Apply       jsonc.Duration `json:"apply"`
+	Drain       jsonc.Duration `json:"drain"`
+	Grace       jsonc.Duration `json:"grace"`
+	Notice      jsonc.Duration `json:"notice"`
+	RetryRatio  float64        `json:"retryRatio"`
+	RetrySlack  float64        `json:"retrySlack"`
+	RetryWindow jsonc.Duration `json:"retryWindow"`
+	Lease       jsonc.Duration `json:"lease"`
+}
+
+// GatewayLog says what a gateway logs.
+type GatewayLog struct {
+	Level          string `json:"level"`
+	LinesPerSecond int    `json:"linesPerSecond"`
+}
+
+// ParseGateway reads the settings of a gateway from text.
+func ParseGateway(file string, text []byte) (*Gateway, error) {
+	var g Gateway
+	if _, err := jsonc.Decode(file, text, gatewaySchema, &g); err != nil {
+		return nil, err
+	}
+	return &g, nil
+}
+
+// LoadGateway reads the settings of a gateway from a file.
+func LoadGateway(file string) (*Gateway, error) {
+	text, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseGateway(file, text)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,15 @@
 
 // Load reads settings from a file.
 func Load(file string) (*Settings, error) {
+	text, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, text)
+}
+
+// read returns the text of a settings file of a sensible size.
+func read(file string) ([]byte, error) {
 	info, err := os.Stat(file)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.NotFound, "settings cannot be read", "give the path of a settings file with --settings")
@@ -95,5 +104,5 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.NotFound, "settings cannot be read", "check the file's permissions")
 	}
-	return Parse(file, text)
+	return text, nil
 }
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -16,9 +16,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/httpapi"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/httpapi"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // Faults says how the stand-in misbehaves.
@@ -39,7 +39,7 @@
 
 	mu     sync.Mutex
 	faults Faults
-	hosts  []platform.Host
+	hosts  []objstore.Host
 }
 
 // New returns an empty stand-in whose weight store serves weightLoads loads a second.
@@ -119,7 +119,7 @@
 }
 
 func statusOf(err error) int {
-	if err == error(platform.ErrWatchGap) {
+	if err == error(objstore.ErrWatchGap) {
 		return http.StatusGone
 	}
 	switch fault.KindOf(err) {
@@ -139,17 +139,17 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objstore.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, "value was cut", http.StatusBadRequest)
 		return
 	}
-	obj, err := s.store.Put(r.Context(), key(r), value, platform.Version(intParam(r, "ifVersion")), r.URL.Query().Get("writeID"))
+	obj, err := s.store.Put(r.Context(), key(r), value, objstore.Version(intParam(r, "ifVersion")), r.URL.Query().Get("writeID"))
 	reply(w, obj, err)
 }
 
 func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
-	reply(w, struct{}{}, s.store.Delete(r.Context(), key(r), platform.Version(intParam(r, "ifVersion"))))
+	reply(w, struct{}{}, s.store.Delete(r.Context(), key(r), objstore.Version(intParam(r, "ifVersion"))))
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
@@ -159,7 +159,7 @@
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	events, rev, err := s.store.Watch(r.Context(), r.URL.Query().Get("prefix"), platform.Revision(intParam(r, "after")), wait)
+	events, rev, err := s.store.Watch(r.Context(), r.URL.Query().Get("prefix"), objstore.Revision(intParam(r, "after")), wait)
 	reply(w, httpapi.WatchResponse{Events: events, Revision: rev}, err)
 }
 
@@ -193,7 +193,7 @@
 }
 
 func (s *Server) setHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts []platform.Host
+	var hosts []objstore.Host
 	if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,292 @@
+// Package upstream sends one request to one instance over HTTP/1.1 and tells
+// exactly what is known of it afterwards: that no byte of it left, or that the
+// instance may have begun. Answers are matched to requests by id, so that an
+// answer that arrives late or twice on a kept connection is never taken for
+// another request's.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+const (
+	// idleDefault is how long a connection is reused if the instance does not say
+	// how long it keeps it. The platform rounds to whole seconds, so an instance
+	// that says nothing may keep it for less than one.
+	idleDefault = 700 * time.Millisecond
+	// idleMargin is kept from the time that an instance states.
+	idleMargin = 400 * time.Millisecond
+	// maxStrayAnswers bounds how many answers to other requests are skipped.
+	maxStrayAnswers = 4
+	maxStrayBytes   = 1 << 20
+	// inlineBody is the largest body that is written before the answer is read.
+	// A larger one is written beside it, as an instance may answer early.
+	inlineBody = 2 << 10
+	// maxIdle bounds the kept connections to one instance.
+	maxIdle = 64
+)
+
+// Request is what is sent.
+type Request struct {
+	Address string
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Matches reports whether the head of an answer belongs to this request.
+	Matches func(http.Header) bool
+	// Fresh asks for a new connection. A request that must not run twice gets one
+	// if the kept ones have rested for long.
+	Fresh bool
+}
+
+// Client keeps connections to instances. It is safe for concurrent use.
+type Client struct {
+	reg metrics.Registry
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+}
+
+// New returns a client that counts in reg.
+func New(reg metrics.Registry) *Client {
+	return &Client{reg: reg, idle: map[string][]*conn{}, open: map[string]int{}}
+}
+
+// Open returns the number of connections to an address.
+func (c *Client) Open(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[address]
+}
+
+// Answer is the head of an answer with its body to be read. It has to be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF only if it arrived whole.
+	Body io.Reader
+	// Length is the body's length in bytes, -1 if it is not known beforehand.
+	Length int64
+
+	client  *Client
+	address string
+	conn    *conn
+	resp    *http.Response
+	// written is closed once the request has been written or given up.
+	written chan struct{}
+	werr    error
+	stop    func() bool
+	tainted bool
+	once    sync.Once
+}
+
+// Do sends a request and waits for the head of its answer. An error is of kind
+// Unavailable if no byte left, and of kind Unknown if the instance may have
+// begun. When ctx ends the connection is closed, which tells the instance to
+// stop.
+func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
+	cn, err := c.get(ctx, r.Address, r.Fresh)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "instance cannot be reached", "another instance is tried")
+	}
+	a := &Answer{client: c, address: r.Address, conn: cn, written: make(chan struct{})}
+	a.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	req := r.build()
+	if len(r.Body) <= inlineBody {
+		a.write(req)
+	} else {
+		go a.write(req)
+	}
+	if err := a.readHead(req, r.Matches); err != nil {
+		began := cn.wrote.Load()
+		a.discard()
+		if !began {
+			return nil, fault.Wrap(err, fault.Unavailable, "request was not sent", "another instance is tried")
+		}
+		return nil, fault.Wrap(err, fault.Unknown, "connection broke before the answer", "the request may have run")
+	}
+	return a, nil
+}
+
+func (r *Request) build() *http.Request {
+	req := &http.Request{
+		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: r.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
+	}
+	if len(r.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // keeps the library from adding its own
+	}
+	return req
+}
+
+func (a *Answer) write(req *http.Request) {
+	a.werr = req.Write(a.conn)
+	close(a.written)
+}
+
+// readHead reads answers until one belongs to the request.
+func (a *Answer) readHead(req *http.Request, matches func(http.Header) bool) error {
+	for range maxStrayAnswers {
+		resp, err := http.ReadResponse(a.conn.reader, req)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if matches == nil || matches(resp.Header) {
+			a.resp, a.Status, a.Header, a.Body, a.Length = resp, resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
+			return nil
+		}
+		a.tainted = true
+		a.client.count("stray_answers")
+		if resp.Close {
+			return errors.New("answer belongs to another request")
+		}
+		if err := skip(resp.Body, maxStrayBytes); err != nil {
+			return err
+		}
+	}
+	return errors.New("answers belong to other requests")
+}
+
+// Close ends the exchange. The connection is kept if the whole answer has been
+// read and nothing is wrong with it; otherwise it is closed, which tells the
+// instance to stop.
+func (a *Answer) Close(whole bool) {
+	a.once.Do(func() {
+		if !whole || !a.reusable() || !a.stop() {
+			a.discardConn()
+			return
+		}
+		a.conn.idleFor = idleTime(a.Header)
+		a.client.put(a.address, a.conn)
+	})
+}
+
+func (a *Answer) discard() { a.once.Do(a.discardConn) }
+
+func (a *Answer) discardConn() {
+	a.stop()
+	a.client.drop(a.address, a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	select {
+	case <-a.written:
+	default:
+		return false // the answer came before the request was read
+	}
+	return a.werr == nil && !a.tainted && !a.resp.Close && a.conn.reader.Buffered() == 0
+}
+
+// idleTime returns how long a connection may be reused after an answer.
+func idleTime(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		if s, err := strconv.Atoi(text); err == nil {
+			return max(time.Duration(s)*time.Second-idleMargin, 0)
+		}
+	}
+	return idleDefault
+}
+
+// get returns a kept connection, or a new one.
+func (c *Client) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+	for !fresh {
+		cn := c.pop(address)
+		if cn == nil {
+			break
+		}
+		if cn.usable(time.Now()) {
+			cn.wrote.Store(false)
+			cn.reused = true
+			return cn, nil
+		}
+		c.drop(address, cn)
+	}
+	cn, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.count("connections")
+	c.mu.Lock()
+	c.open[address]++
+	c.mu.Unlock()
+	return cn, nil
+}
+
+// pop returns the connection that was used last: the others get old and are
+// dropped when their time is up.
+func (c *Client) pop(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.idle[address]
+	if len(all) == 0 {
+		return nil
+	}
+	cn := all[len(all)-1]
+	c.idle[address] = all[:len(all)-1]
+	return cn
+}
+
+func (c *Client) put(address string, cn *conn) {
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	var old []*conn
+	all := append(c.idle[address], cn)
+	for len(all) > 0 && (len(all) > maxIdle || cn.idleSince.Sub(all[0].idleSince) > all[0].idleFor) {
+		old, all = append(old, all[0]), all[1:]
+	}
+	c.idle[address] = all
+	c.mu.Unlock()
+	for _, o := range old {
+		c.drop(address, o)
+	}
+}
+
+// Forget closes the kept connections to an address that is no longer used.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	all := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, cn := range all {
+		c.drop(address, cn)
+	}
+}
+
+func (c *Client) drop(address string, cn *conn) {
+	_ = cn.Close() // the connection is given up; nothing is left to lose
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[address]--; c.open[address] <= 0 {
+		delete(c.open, address)
+	}
+}
+
+func (c *Client) count(name string) {
+	metrics.GetOrRegisterCounter("upstream."+name, c.reg).Inc(1)
+}
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/rockdoor/rockdoor/lease"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 func Example() {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -21,7 +21,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/jsonc"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // KeyPrefix is where leases are kept. It is not mirrored, since renewals are
@@ -66,7 +66,7 @@
 
 // Options of a Lessee.
 type Options struct {
-	Store platform.Store
+	Store objstore.Store
 	// Shard names what the lease is about.
 	Shard       string
 	Holder      string
@@ -86,10 +86,10 @@
 
 	mu      sync.Mutex
 	grant   Grant
-	version platform.Version
+	version objstore.Version
 	record  Record
 	// seen is the last version of another holder's record, since seenAt.
-	seen    platform.Version
+	seen    objstore.Version
 	seenAt  bootclock.Instant
 	waiting string
 }
@@ -152,7 +152,7 @@
 }
 
 // free reports whether the lease of another holder may be taken over now.
-func (l *Lessee) free(v platform.Version, rec Record, at bootclock.Instant) bool {
+func (l *Lessee) free(v objstore.Version, rec Record, at bootclock.Instant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if rec.Released {
@@ -191,13 +191,13 @@
 
 // take writes a record and, if that succeeds, holds the lease from before the
 // write was sent.
-func (l *Lessee) take(ctx context.Context, v platform.Version, rec Record) error {
+func (l *Lessee) take(ctx context.Context, v objstore.Version, rec Record) error {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
 	}
 	sent := bootclock.Now()
-	obj, err := platform.PutSettled(ctx, l.o.Store, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
+	obj, err := objstore.PutSettled(ctx, l.o.Store, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/bootclock"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 func lessee(s *memstore.Store, name string, ttl time.Duration) *Lessee {
--- a/members/example_test.go
+++ b/members/example_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/rockdoor/rockdoor/members"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 func Example() {
--- a/members/members.go
+++ b/members/members.go
@@ -16,7 +16,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // KeyPrefix is where members register.
@@ -50,7 +50,7 @@
 
 // Parse reads registrations from objects below KeyPrefix, ordered by name.
 // Objects that cannot be read are skipped.
-func Parse(objs []platform.Object) []Member {
+func Parse(objs []objstore.Object) []Member {
 	var ms []Member
 	for _, o := range objs {
 		var m Member
@@ -64,7 +64,7 @@
 
 // Register writes self to the store. It replaces an earlier incarnation and
 // fails with Conflict if a later one is registered.
-func Register(ctx context.Context, s platform.Store, self Member) error {
+func Register(ctx context.Context, s objstore.Store, self Member) error {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "member cannot be encoded", "report this as a defect")
@@ -84,12 +84,12 @@
 				"a later process named %s is registered from %s", self.Name, old.Peer)
 		}
 	}
-	_, err = platform.PutSettled(ctx, s, key, value, obj.Version, self.Incarnation)
+	_, err = objstore.PutSettled(ctx, s, key, value, obj.Version, self.Incarnation)
 	return err
 }
 
 // Unregister removes the registration of m if it is still the one in force.
-func Unregister(ctx context.Context, s platform.Store, m Member) error {
+func Unregister(ctx context.Context, s objstore.Store, m Member) error {
 	obj, err := s.Get(ctx, KeyPrefix+m.Name)
 	if fault.Is(err, fault.NotFound) {
 		return nil
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 func fleet(n, domains int) []Member {
--- a/mirror/example_test.go
+++ b/mirror/example_test.go
@@ -7,7 +7,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/rockdoor/rockdoor/mirror"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // One copy reads the store, a second one copies from the first.
--- a/mirror/keeper.go
+++ b/mirror/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/bootclock"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // Timing of a Keeper.
@@ -30,14 +30,14 @@
 // Keeper moves a mirror forward from the store.
 type Keeper struct {
 	mirror *Mirror
-	store  platform.Store
+	store  objstore.Store
 	logger log.Logger
 	// isWatcher says whether this process is one of the few that watch.
 	isWatcher func() bool
 }
 
 // NewKeeper returns a keeper of m. isWatcher must be safe for concurrent use.
-func NewKeeper(m *Mirror, store platform.Store, isWatcher func() bool, logger log.Logger) *Keeper {
+func NewKeeper(m *Mirror, store objstore.Store, isWatcher func() bool, logger log.Logger) *Keeper {
 	return &Keeper{mirror: m, store: store, isWatcher: isWatcher, logger: log.With(logger, "component", "mirror")}
 }
 
@@ -86,7 +86,7 @@
 		return k.relist(ctx)
 	}
 	events, newest, err := k.store.Watch(ctx, k.mirror.prefix, rev, wait)
-	if errors.Is(err, platform.ErrWatchGap) {
+	if errors.Is(err, objstore.ErrWatchGap) {
 		return k.relist(ctx)
 	}
 	if err != nil {
@@ -102,9 +102,9 @@
 	if err != nil {
 		return err
 	}
-	events := make([]platform.Event, len(objs))
+	events := make([]objstore.Event, len(objs))
 	for i, o := range objs {
-		events[i] = platform.Event{Object: o, Revision: rev}
+		events[i] = objstore.Event{Object: o, Revision: rev}
 	}
 	k.mirror.Apply(Delta{Revision: rev, Age: bootclock.Since(before), Full: true, Events: events})
 	return nil
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,14 +15,14 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/bootclock"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // logLength is how many recent events are kept to serve deltas.
 const logLength = 1024
 
 // None is the revision of a mirror that has no copy yet.
-const None platform.Revision = -1
+const None objstore.Revision = -1
 
 // Never is the age of a copy that was never proven.
 const Never = time.Duration(1<<63 - 1)
@@ -30,14 +30,14 @@
 // Delta carries a copy, or what changed in it, from one process to another.
 type Delta struct {
 	// Base is the revision that the events follow on. It is ignored if Full.
-	Base platform.Revision
+	Base objstore.Revision
 	// Revision is the revision up to which the delta is complete.
-	Revision platform.Revision
+	Revision objstore.Revision
 	// Age is the age of the sender's proof.
 	Age time.Duration
 	// Full is true if Events hold the whole copy.
 	Full   bool
-	Events []platform.Event
+	Events []objstore.Event
 }
 
 // Mirror is the copy. It is safe for concurrent use.
@@ -45,10 +45,10 @@
 	prefix string
 
 	mu       sync.RWMutex
-	rev      platform.Revision
-	objects  map[string]platform.Object
-	log      []platform.Event
-	logBase  platform.Revision // the log holds all events after it
+	rev      objstore.Revision
+	objects  map[string]objstore.Object
+	log      []objstore.Event
+	logBase  objstore.Revision // the log holds all events after it
 	proven   bool
 	provenAt bootclock.Instant
 	changed  chan struct{} // closed and replaced at each change
@@ -56,14 +56,14 @@
 
 // New returns an empty mirror of the keys below prefix.
 func New(prefix string) *Mirror {
-	return &Mirror{prefix: prefix, objects: map[string]platform.Object{}, rev: None, logBase: None, changed: make(chan struct{})}
+	return &Mirror{prefix: prefix, objects: map[string]objstore.Object{}, rev: None, logBase: None, changed: make(chan struct{})}
 }
 
 // Prefix returns the prefix of the mirrored keys.
 func (m *Mirror) Prefix() string { return m.prefix }
 
 // Revision returns the revision of the copy, or None.
-func (m *Mirror) Revision() platform.Revision {
+func (m *Mirror) Revision() objstore.Revision {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.rev
@@ -91,7 +91,7 @@
 }
 
 // Get returns one object of the copy.
-func (m *Mirror) Get(key string) (platform.Object, bool) {
+func (m *Mirror) Get(key string) (objstore.Object, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	o, ok := m.objects[key]
@@ -99,21 +99,21 @@
 }
 
 // List returns the objects whose key starts with prefix, ordered by key.
-func (m *Mirror) List(prefix string) []platform.Object {
+func (m *Mirror) List(prefix string) []objstore.Object {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	var out []platform.Object
+	var out []objstore.Object
 	for k, o := range m.objects {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, o)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b objstore.Object) int { return strings.Compare(a.Key, b.Key) })
 	return out
 }
 
 // Since returns what a copy at revision after lacks.
-func (m *Mirror) Since(after platform.Revision) Delta {
+func (m *Mirror) Since(after objstore.Revision) Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	d := Delta{Base: after, Revision: m.rev, Age: m.age()}
@@ -127,7 +127,7 @@
 	}
 	d.Full = true
 	for _, k := range slices.Sorted(maps.Keys(m.objects)) {
-		d.Events = append(d.Events, platform.Event{Object: m.objects[k], Revision: m.rev})
+		d.Events = append(d.Events, objstore.Event{Object: m.objects[k], Revision: m.rev})
 	}
 	return d
 }
@@ -157,7 +157,7 @@
 }
 
 // Confirm records that a copy of the same revision elsewhere has the given age.
-func (m *Mirror) Confirm(rev platform.Revision, age time.Duration) {
+func (m *Mirror) Confirm(rev objstore.Revision, age time.Duration) {
 	now := bootclock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -178,7 +178,7 @@
 }
 
 func (m *Mirror) replace(d Delta) {
-	m.objects = make(map[string]platform.Object, len(d.Events))
+	m.objects = make(map[string]objstore.Object, len(d.Events))
 	for _, e := range d.Events {
 		m.objects[e.Object.Key] = e.Object
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/rockdoor/rockdoor/bootclock"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // Copies that follow the store or each other, in any order and with gaps, never
@@ -21,7 +21,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
 		store := memstore.New()
-		truth := map[platform.Revision]string{0: "[]"}
+		truth := map[objstore.Revision]string{0: "[]"}
 		mirrors := []*Mirror{New("s/"), New("s/"), New("s/")}
 		keepers := make([]*Keeper, len(mirrors))
 		for i, m := range mirrors {
@@ -36,7 +36,7 @@
 				old, _ := store.Get(ctx, key)
 				obj, err := store.Put(ctx, key, []byte(fmt.Sprint(len(truth))), old.Version, "")
 				require.NoError(t, err)
-				truth[platform.Revision(obj.Version)] = contents(store)
+				truth[objstore.Revision(obj.Version)] = contents(store)
 			case "delete":
 				if objs, rev, _ := store.List(ctx, "s/"); len(objs) > 0 {
 					require.NoError(t, store.Delete(ctx, objs[0].Key, objs[0].Version))
@@ -49,7 +49,7 @@
 				mirrors[i].Apply(from.Since(before))
 			case "stale copy":
 				from := mirrors[rapid.IntRange(0, 2).Draw(t, "from")]
-				mirrors[i].Apply(from.Since(platform.Revision(rapid.IntRange(-1, 5).Draw(t, "after"))))
+				mirrors[i].Apply(from.Since(objstore.Revision(rapid.IntRange(-1, 5).Draw(t, "after"))))
 			}
 			if now := mirrors[i].Revision(); now < before {
 				t.Fatalf("revision went back from %d to %d", before, now)
@@ -65,7 +65,7 @@
 	return fmt.Sprint(values(objs))
 }
 
-func values(objs []platform.Object) []string {
+func values(objs []objstore.Object) []string {
 	out := []string{}
 	for _, o := range objs {
 		out = append(out, o.Key+"="+string(o.Value))
@@ -94,7 +94,7 @@
 	m := New("s/")
 	k := NewKeeper(m, store, func() bool { return true }, log.NewNopLogger())
 	require.NoError(t, k.Refresh(ctx, 0))
-	v := platform.Version(0)
+	v := objstore.Version(0)
 	for range 5000 {
 		obj, err := store.Put(ctx, "s/a", nil, v, "")
 		require.NoError(t, err)
--- a/platform/httpapi/httpapi.go
+++ b/objstore/httpapi/httpapi.go
@@ -21,21 +21,21 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const maxResponseBytes = 64 << 20
 
 // ListResponse is the body of a list call.
 type ListResponse struct {
-	Objects  []platform.Object `json:"objects"`
-	Revision platform.Revision `json:"revision"`
+	Objects  []objstore.Object `json:"objects"`
+	Revision objstore.Revision `json:"revision"`
 }
 
 // WatchResponse is the body of a watch call.
 type WatchResponse struct {
-	Events   []platform.Event  `json:"events"`
-	Revision platform.Revision `json:"revision"`
+	Events   []objstore.Event  `json:"events"`
+	Revision objstore.Revision `json:"revision"`
 }
 
 // Client talks to the object API at one base URL.
@@ -45,8 +45,8 @@
 }
 
 var (
-	_ platform.Store      = (*Client)(nil)
-	_ platform.HostLister = (*Client)(nil)
+	_ objstore.Store      = (*Client)(nil)
+	_ objstore.HostLister = (*Client)(nil)
 )
 
 // New returns a client for the API at base, such as http://127.0.0.2:9000.
@@ -58,39 +58,39 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
-	var obj platform.Object
+// Get implements objstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (objstore.Object, error) {
+	var obj objstore.Object
 	err := c.do(ctx, http.MethodGet, "/objects/"+url.PathEscape(key), nil, nil, &obj)
 	return obj, err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, platform.Revision, error) {
+// List implements objstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]objstore.Object, objstore.Revision, error) {
 	var out ListResponse
 	err := c.do(ctx, http.MethodGet, "/objects", url.Values{"prefix": {prefix}}, nil, &out)
 	return out.Objects, out.Revision, err
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion platform.Version, writeID string) (platform.Object, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, fault.Newf(fault.Invalid, "split it", "value of %s has %d bytes, the limit is %d", key, len(value), platform.MaxValueBytes)
+// Put implements objstore.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion objstore.Version, writeID string) (objstore.Object, error) {
+	if len(value) > objstore.MaxValueBytes {
+		return objstore.Object{}, fault.Newf(fault.Invalid, "split it", "value of %s has %d bytes, the limit is %d", key, len(value), objstore.MaxValueBytes)
 	}
 	q := url.Values{"ifVersion": {formatInt(int64(ifVersion))}, "writeID": {writeID}}
-	var obj platform.Object
+	var obj objstore.Object
 	err := c.do(ctx, http.MethodPut, "/objects/"+url.PathEscape(key), q, value, &obj)
 	return obj, err
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, ifVersion platform.Version) error {
+// Delete implements objstore.Store.
+func (c *Client) Delete(ctx context.Context, key string, ifVersion objstore.Version) error {
 	q := url.Values{"ifVersion": {formatInt(int64(ifVersion))}}
 	return c.do(ctx, http.MethodDelete, "/objects/"+url.PathEscape(key), q, nil, nil)
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+// Watch implements objstore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after objstore.Revision, wait time.Duration) ([]objstore.Event, objstore.Revision, error) {
 	q := url.Values{
 		"prefix": {prefix},
 		"after":  {formatInt(int64(after))},
@@ -101,9 +101,9 @@
 	return out.Events, out.Revision, err
 }
 
-// Hosts implements platform.HostLister.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
-	var hosts []platform.Host
+// Hosts implements objstore.HostLister.
+func (c *Client) Hosts(ctx context.Context) ([]objstore.Host, error) {
+	var hosts []objstore.Host
 	err := c.do(ctx, http.MethodGet, "/hosts", nil, nil, &hosts)
 	return hosts, err
 }
@@ -171,7 +171,7 @@
 	case code == http.StatusConflict:
 		return fault.Newf(fault.Conflict, "read it again and repeat the change", "%s was changed by another writer", path)
 	case code == http.StatusGone:
-		return platform.ErrWatchGap
+		return objstore.ErrWatchGap
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
 		return fault.Newf(fault.Unavailable, "wait and repeat the call", "platform store refused %s %s: %d %s", method, path, code, text)
 	case code >= 500 && method != http.MethodGet:
--- a/platform/memstore/memstore.go
+++ b/objstore/memstore/memstore.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // historyLength is how many events a watch can go back.
@@ -46,19 +46,19 @@
 // Store is the object API. It is safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	events  []platform.Event
-	rev     platform.Revision
+	objects map[string]objstore.Object
+	events  []objstore.Event
+	rev     objstore.Revision
 	wake    chan struct{}
 	fail    func(op Op, key string) Failure
 	calls   map[Op]int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objstore.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: map[string]platform.Object{}, wake: make(chan struct{}), calls: map[Op]int{}}
+	return &Store{objects: map[string]objstore.Object{}, wake: make(chan struct{}), calls: map[Op]int{}}
 }
 
 // FailWith makes f decide how each call fails; nil ends all failures. f must
@@ -111,64 +111,64 @@
 	s.wake = make(chan struct{})
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements objstore.Store.
+func (s *Store) Get(_ context.Context, key string) (objstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.begin(OpGet, key) != Works {
-		return platform.Object{}, refused()
+		return objstore.Object{}, refused()
 	}
 	obj, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, fault.New(fault.NotFound, key+" does not exist", "check the name")
+		return objstore.Object{}, fault.New(fault.NotFound, key+" does not exist", "check the name")
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Object, platform.Revision, error) {
+// List implements objstore.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]objstore.Object, objstore.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.begin(OpList, prefix) != Works {
 		return nil, 0, refused()
 	}
-	out := []platform.Object{}
+	out := []objstore.Object{}
 	for k, obj := range s.objects {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, obj)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b objstore.Object) int { return strings.Compare(a.Key, b.Key) })
 	return out, s.rev, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(_ context.Context, key string, value []byte, ifVersion platform.Version, writeID string) (platform.Object, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, fault.New(fault.Invalid, "value of "+key+" is too large", "split it")
+// Put implements objstore.Store.
+func (s *Store) Put(_ context.Context, key string, value []byte, ifVersion objstore.Version, writeID string) (objstore.Object, error) {
+	if len(value) > objstore.MaxValueBytes {
+		return objstore.Object{}, fault.New(fault.Invalid, "value of "+key+" is too large", "split it")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch s.begin(OpPut, key) {
 	case Refuses:
-		return platform.Object{}, refused()
+		return objstore.Object{}, refused()
 	case LosesRequest:
-		return platform.Object{}, lost()
+		return objstore.Object{}, lost()
 	case LosesAnswer:
 		_, _ = s.put(key, value, ifVersion, writeID)
-		return platform.Object{}, lost()
+		return objstore.Object{}, lost()
 	}
 	return s.put(key, value, ifVersion, writeID)
 }
 
-func (s *Store) put(key string, value []byte, ifVersion platform.Version, writeID string) (platform.Object, error) {
+func (s *Store) put(key string, value []byte, ifVersion objstore.Version, writeID string) (objstore.Object, error) {
 	if s.objects[key].Version != ifVersion {
-		return platform.Object{}, conflict(key)
+		return objstore.Object{}, conflict(key)
 	}
 	s.rev++
-	obj := platform.Object{Key: key, Value: slices.Clone(value), Version: platform.Version(s.rev), WriteID: writeID}
+	obj := objstore.Object{Key: key, Value: slices.Clone(value), Version: objstore.Version(s.rev), WriteID: writeID}
 	s.objects[key] = obj
-	s.record(platform.Event{Object: obj, Revision: s.rev})
+	s.record(objstore.Event{Object: obj, Revision: s.rev})
 	return obj, nil
 }
 
@@ -177,7 +177,7 @@
 }
 
 // record keeps an event and wakes the watches. The caller holds s.mu.
-func (s *Store) record(ev platform.Event) {
+func (s *Store) record(ev objstore.Event) {
 	s.events = append(s.events, ev)
 	if drop := len(s.events) - historyLength; drop > 0 {
 		s.events = s.events[drop:]
@@ -185,8 +185,8 @@
 	s.broadcast()
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, key string, ifVersion platform.Version) error {
+// Delete implements objstore.Store.
+func (s *Store) Delete(_ context.Context, key string, ifVersion objstore.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch s.begin(OpDelete, key) {
@@ -201,7 +201,7 @@
 	return s.delete(key, ifVersion)
 }
 
-func (s *Store) delete(key string, ifVersion platform.Version) error {
+func (s *Store) delete(key string, ifVersion objstore.Version) error {
 	obj, ok := s.objects[key]
 	if !ok {
 		return fault.New(fault.NotFound, key+" does not exist", "check the name")
@@ -211,12 +211,12 @@
 	}
 	s.rev++
 	delete(s.objects, key)
-	s.record(platform.Event{Object: obj, Deleted: true, Revision: s.rev})
+	s.record(objstore.Event{Object: obj, Deleted: true, Revision: s.rev})
 	return nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+// Watch implements objstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after objstore.Revision, wait time.Duration) ([]objstore.Event, objstore.Revision, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	s.mu.Lock()
@@ -237,16 +237,16 @@
 	}
 }
 
-func (s *Store) changes(prefix string, after platform.Revision) ([]platform.Event, platform.Revision, chan struct{}, error) {
+func (s *Store) changes(prefix string, after objstore.Revision) ([]objstore.Event, objstore.Revision, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failure(OpWatch, prefix) != Works {
 		return nil, after, nil, refused()
 	}
 	if len(s.events) == historyLength && s.events[0].Revision > after+1 {
-		return nil, after, nil, platform.ErrWatchGap
+		return nil, after, nil, objstore.ErrWatchGap
 	}
-	var events []platform.Event
+	var events []objstore.Event
 	for _, ev := range s.events {
 		if ev.Revision > after && strings.HasPrefix(ev.Object.Key, prefix) {
 			events = append(events, ev)
--- a/platform/settle.go
+++ b/objstore/settle.go
@@ -1,4 +1,4 @@
-package platform
+package objstore
 
 import (
 	"bytes"
--- a/platform/settle_test.go
+++ b/objstore/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objstore_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // failOnce makes the first call of an operation fail.
@@ -30,7 +30,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := memstore.New()
 			s.FailWith(failOnce(memstore.OpPut, how))
-			obj, err := platform.PutSettled(context.Background(), s, "k", []byte("v"), 0, "w1")
+			obj, err := objstore.PutSettled(context.Background(), s, "k", []byte("v"), 0, "w1")
 			require.NoError(t, err)
 			require.Equal(t, "w1", obj.WriteID)
 			got, err := s.Get(context.Background(), "k")
@@ -51,14 +51,14 @@
 		return memstore.Works
 	})
 	other := overwriter{s}
-	_, err := platform.PutSettled(context.Background(), other, "k", []byte("v"), 0, "w1")
+	_, err := objstore.PutSettled(context.Background(), other, "k", []byte("v"), 0, "w1")
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 }
 
 // overwriter lets another writer in after each lost answer.
 type overwriter struct{ *memstore.Store }
 
-func (o overwriter) Put(ctx context.Context, key string, value []byte, v platform.Version, id string) (platform.Object, error) {
+func (o overwriter) Put(ctx context.Context, key string, value []byte, v objstore.Version, id string) (objstore.Object, error) {
 	obj, err := o.Store.Put(ctx, key, value, v, id)
 	if fault.Is(err, fault.Unknown) {
 		now, _ := o.Get(ctx, key)
@@ -71,7 +71,7 @@
 	s := memstore.New()
 	_, err := s.Put(context.Background(), "k", []byte("old"), 0, "w0")
 	require.NoError(t, err)
-	_, err = platform.PutSettled(context.Background(), s, "k", []byte("v"), 0, "w1")
+	_, err = objstore.PutSettled(context.Background(), s, "k", []byte("v"), 0, "w1")
 	require.True(t, fault.Is(err, fault.Conflict))
 }
 
@@ -86,14 +86,14 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := platform.PutSettled(ctx, s, "k", []byte("v"), 0, "w1")
+	_, err := objstore.PutSettled(ctx, s, "k", []byte("v"), 0, "w1")
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 }
 
 func TestLimitedStopsCallingAStoreThatFails(t *testing.T) {
 	s := memstore.New()
 	s.FailWith(memstore.Down)
-	l := platform.NewLimited(s, platform.Budget{CallsPerSecond: 1000, Burst: 100, CallTimeout: time.Second}, metrics.NewRegistry())
+	l := objstore.NewLimited(s, objstore.Budget{CallsPerSecond: 1000, Burst: 100, CallTimeout: time.Second}, metrics.NewRegistry())
 	for range 20 {
 		_, err := l.Get(context.Background(), "k")
 		require.True(t, fault.Is(err, fault.Unavailable))
@@ -104,7 +104,7 @@
 
 func TestLimitedKeepsToItsBudget(t *testing.T) {
 	s := memstore.New()
-	l := platform.NewLimited(s, platform.Budget{CallsPerSecond: 0.001, Burst: 3, CallTimeout: time.Second}, metrics.NewRegistry())
+	l := objstore.NewLimited(s, objstore.Budget{CallsPerSecond: 0.001, Burst: 3, CallTimeout: time.Second}, metrics.NewRegistry())
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	for range 10 {
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -20,7 +20,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/lease"
-	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/statechart"
 )
 
@@ -47,7 +47,7 @@
 }
 
 // ParseRecord decodes a record.
-func ParseRecord(obj platform.Object) (Record, error) {
+func ParseRecord(obj objstore.Object) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(obj.Value, &r); err != nil {
 		return r, fault.Wrap(err, fault.Internal, "order record "+obj.Key+" cannot be read", "check who else writes to it")
@@ -74,7 +74,7 @@
 
 // Options of an Executor.
 type Options struct {
-	Store   platform.Store
+	Store   objstore.Store
 	Engines engine.Controller
 	Giver   Giver
 	// Grant returns the authority in force.
@@ -82,7 +82,7 @@
 	Holder string
 	// Drained reports whether no request of any process can be at the engine any
 	// more, given when its record was written.
-	Drained func(ctx context.Context, t Target, since time.Time, written platform.Version) bool
+	Drained func(ctx context.Context, t Target, since time.Time, written objstore.Version) bool
 	Logger  log.Logger
 	// Poll is how often the state of an engine is looked at.
 	Poll time.Duration
@@ -108,7 +108,7 @@
 	e       *Executor
 	t       Target
 	rec     Record
-	version platform.Version
+	version objstore.Version
 	chart   *statechart.Instance
 	// entered is when the present state was entered, by this process's clock.
 	entered time.Time
@@ -167,10 +167,10 @@
 }
 
 // read returns the record's object, or the zero object.
-func (e *Executor) read(ctx context.Context, name string) (platform.Object, error) {
+func (e *Executor) read(ctx context.Context, name string) (objstore.Object, error) {
 	obj, err := e.o.Store.Get(ctx, KeyPrefix+name)
 	if fault.Is(err, fault.NotFound) {
-		return platform.Object{}, nil
+		return objstore.Object{}, nil
 	}
 	return obj, err
 }
@@ -332,7 +332,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "order record cannot be encoded", "report this as a defect")
 	}
-	obj, err := platform.PutSettled(ctx, r.e.o.Store, KeyPrefix+r.t.Name, value, r.version, ulid.Make().String())
+	obj, err := objstore.PutSettled(ctx, r.e.o.Store, KeyPrefix+r.t.Name, value, r.version, ulid.Make().String())
 	if err != nil {
 		return err
 	}
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -15,8 +15,8 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/lease"
-	"github.com/rockdoor/rockdoor/platform"
-	"github.com/rockdoor/rockdoor/platform/memstore"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
 )
 
 // fakeEngine keeps a record of the orders that took effect. How Give fails is
@@ -80,12 +80,12 @@
 	}
 }
 
-func executor(s platform.Store, e *fakeEngine, token int64) *Executor {
+func executor(s objstore.Store, e *fakeEngine, token int64) *Executor {
 	g := lease.Grant{Token: token, Until: bootclock.Now().Add(time.Hour)}
 	return New(Options{
 		Store: s, Engines: statusOnly{e}, Giver: e, Holder: fmt.Sprint(token), Logger: log.NewNopLogger(), Poll: time.Millisecond,
 		Grant:   func() (lease.Grant, bool) { return g, true },
-		Drained: func(context.Context, Target, time.Time, platform.Version) bool { return true },
+		Drained: func(context.Context, Target, time.Time, objstore.Version) bool { return true },
 	})
 }
 
