Gateways share their loads; a fitted model of reading; late requests at the lowest rank

Change: internal/loadshare exchanges digests (protobuf over yamux, one call a pair and 50 ms), placement fits read time = base + tokens/rate, estimates what is ahead.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -6,18 +6,9 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/members"
 )
 
-// Member is one registered process of the product.
-type Member struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	// Peer is where the process listens for the others, IP:PORT.
-	Peer string `json:"peer"`
-	// Incarnation names one run of the process.
-	Incarnation string `json:"incarnation"`
-}
-
 // View is what a process believes at one moment. It is immutable.
 type View struct {
 	// Config is nil until the first configuration is known.
@@ -31,7 +22,8 @@
 	// Instances has every registered instance by its ID.
 	Instances map[string]*Instance
 	Rules     *Rules
-	Members   []Member
+	// Members are the registered processes of the product, ordered by name.
+	Members []members.Member
 	// StoreUp is false while the store does not answer.
 	StoreUp bool
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -284,7 +284,7 @@
 		if err := d.keeper.Refresh(ctx, 0); err != nil {
 			level.Warn(d.logger).Log("msg", "platform store not read at start", "err", err)
 		}
-		if err := members.Register(ctx, d.store, d.self); err != nil {
+		if err := members.Register(ctx, d.store, members.KeyPrefix, d.self); err != nil {
 			level.Warn(d.logger).Log("msg", "not registered", "err", err)
 		}
 		d.refresh(ctx)
@@ -312,7 +312,7 @@
 	for {
 		wait := d.set.Control.StaleAfter.Std() / 4
 		if !d.isRegistered() {
-			if err := members.Register(ctx, d.store, d.self); err != nil {
+			if err := members.Register(ctx, d.store, members.KeyPrefix, d.self); err != nil {
 				level.Warn(d.logger).Log("msg", "not registered", "err", err)
 				wait = retry.NextBackOff()
 			} else {
@@ -369,7 +369,7 @@
 	}
 	uctx, ucancel := context.WithTimeout(background, unregisterTime)
 	defer ucancel()
-	if err := members.Unregister(uctx, d.store, d.self); err != nil {
+	if err := members.Unregister(uctx, d.store, members.KeyPrefix, d.self); err != nil {
 		level.Warn(d.logger).Log("msg", "registration not removed", "err", err)
 	}
 	d.fire(charts.AllFinished)
--- a/internal/daemon/warden.go
+++ b/internal/daemon/warden.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, unregisterTime)
-		err := members.Unregister(cctx, d.store, m.Member)
+		err := members.Unregister(cctx, d.store, members.KeyPrefix, m.Member)
 		cancel()
 		level.Info(d.logger).Log("msg", "silent member removed", "member", m.Name, "incarnation", m.Incarnation, "err", err)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
@@ -69,7 +71,7 @@
 	// The rest belongs to the goroutine of Run.
 	cur       fleet.View
 	instances map[string]*fleet.Instance
-	members   map[string]fleet.Member
+	members   map[string]objstore.Object
 	down      map[feed]bool
 	// failedAt is when a call of the instances' feed failed last, and backAt when
 	// it succeeded for the first time after that.
@@ -81,7 +83,7 @@
 func New(o Options) *Discovery {
 	d := &Discovery{
 		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueue), ready: make(chan struct{}),
-		instances: map[string]*fleet.Instance{}, members: map[string]fleet.Member{}, down: map[feed]bool{},
+		instances: map[string]*fleet.Instance{}, members: map[string]objstore.Object{}, down: map[feed]bool{},
 	}
 	d.cur.StoreUp = true
 	d.publish()
@@ -306,21 +308,17 @@
 
 func (d *Discovery) applyMembers(c changed) {
 	if c.reset {
-		d.members = map[string]fleet.Member{}
+		d.members = map[string]objstore.Object{}
 	}
 	for _, obj := range c.objects {
-		var m fleet.Member
-		if err := json.Unmarshal(obj.Value, &m); err != nil {
-			level.Error(d.logger).Log("msg", "member left out", "key", obj.Key, "err", err)
-			continue
-		}
-		if d.members[m.Name] != m {
-			level.Info(d.logger).Log("msg", "member", "name", m.Name, "peer", m.Peer, "incarnation", m.Incarnation)
-		}
-		d.members[m.Name] = m
+		d.members[obj.Key] = obj
 	}
 	for _, key := range c.deleted {
-		delete(d.members, nameOf(key))
+		delete(d.members, key)
+	}
+	d.cur.Members = members.Parse(slices.Collect(maps.Values(d.members)))
+	if c.reset || len(c.objects)+len(c.deleted) > 0 {
+		level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
 	}
 }
 
@@ -331,10 +329,6 @@
 	for id, i := range d.instances {
 		v.Instances[id] = i
 	}
-	v.Members = make([]fleet.Member, 0, len(d.members))
-	for _, m := range d.members {
-		v.Members = append(v.Members, m)
-	}
 	v.Index()
 	d.view.Store(&v)
 	if v.Ready() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -136,6 +136,7 @@
 	q.begun = true
 	q.head(a)
 	q.w.WriteHeader(a.Status)
+	q.ticket.FirstEvent()
 	q.s.time("first_event", time.Since(q.arrived))
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,6 +55,7 @@
 	paid    bool
 	version int64
 	plan    placement.Plan
+	ticket  *placement.Ticket
 	readFor time.Duration
 }
 
@@ -116,7 +117,7 @@
 		return q.expired()
 	}
 	plan, ticket := q.s.o.Placer.Place(&placement.Job{
-		Route: q.route, Service: view.Config.Services[q.service], Call: q.call, Left: left,
+		Route: q.route, Service: view.Config.Services[q.service], Call: q.call, Left: left, Spent: time.Since(q.arrived),
 		Permitted: view.Permitted(q.route.Name, q.service), Avoid: q.avoid, Resumed: q.begun,
 	})
 	q.plan = plan
@@ -197,11 +198,11 @@
 		return notRun, fault.New(fault.Unavailable, "runner has left since it was chosen", "another one is tried")
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
-		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: source, ResumeAfter: q.resumeAfter(),
+		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), Source: source, ResumeAfter: q.resumeAfter(),
 	}))
 	q.sends++
 	if err != nil {
-		ticket.Run(q.ctx.Err() != nil)
+		ticket.Run(q.ctx.Err() == nil)
 		q.avoid[plan.Runner.ID] = true
 		if fault.Is(err, fault.Unavailable) {
 			q.free(plan.Reader, source)
@@ -219,7 +220,7 @@
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
 		a.Close(skipBody(a) == nil)
-		ticket.Run(false)
+		ticket.Run(true)
 		q.avoid[plan.Runner.ID] = true
 		q.free(plan.Reader, source)
 		return notRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
@@ -228,18 +229,19 @@
 	q.mayHaveRun = true
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
-		ticket.Run(false)
+		ticket.Run(true)
 		q.avoid[plan.Runner.ID] = true
 		return lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
 	}
 	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
 		a.Close(skipBody(a) == nil)
-		ticket.Run(false)
+		ticket.Run(true)
 		q.avoid[plan.Runner.ID] = true
 		return lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
 	}
+	q.ticket = ticket
 	res, err := q.relay(a)
-	ticket.Run(res != lost)
+	ticket.Run(res == lost)
 	if res == lost {
 		q.avoid[plan.Runner.ID] = true
 	}
@@ -256,6 +258,17 @@
 	return q.paid
 }
 
+// lateRank is the rank at an engine of requests that are not expected in time:
+// they run when nothing else waits.
+const lateRank = 9
+
+func (q *request) rank(plan *placement.Plan) int {
+	if plan.Late {
+		return lateRank
+	}
+	return q.route.Rank
+}
+
 func (q *request) resumeAfter() string {
 	if q.lastEvent != "" {
 		return q.lastEvent
@@ -279,10 +292,10 @@
 		fetch = plan.FetchFrom.Address
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
-		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, ReadOnly: true, FetchFrom: fetch,
+		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: fetch,
 	}))
 	fail := func(err error) (string, result, error) {
-		ticket.Read(q.ctx.Err() != nil) // a caller that left says nothing of the engine
+		ticket.Read(false, q.ctx.Err() == nil) // a caller that left says nothing of the engine
 		q.avoid[plan.Reader.ID] = true
 		return "", notRun, err
 	}
@@ -300,7 +313,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	ticket.Read(true)
+	ticket.Read(true, false)
 	q.readFor = time.Since(begun)
 	q.s.time("read", q.readFor)
 	return handle, delivered, nil
@@ -331,7 +344,7 @@
 	kv := []any{
 		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
 		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
-		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
+		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
 	}
 	if p.Reader != nil {
 		kv = append(kv, "reader", p.Reader.ID)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -25,8 +25,12 @@
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/loadshare"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
 )
@@ -60,6 +64,8 @@
 	discovery *discovery.Discovery
 	client    *upstream.Client
 	placer    *placement.Placer
+	transport *peer.Transport
+	share     *loadshare.Sharer
 	gateway   *gateway.Server
 	stopping  atomic.Bool
 
@@ -80,7 +86,8 @@
 		Apply: set.Bounds.Apply.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
-	d.placer = placement.New(set.Domain, nil)
+	d.placer = placement.New(set.Domain, d.peerLoad)
+	d.buildShare()
 	d.gateway = gateway.New(gateway.Options{
 		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Placer: d.placer,
 		Budget: gateway.BudgetBounds{
@@ -92,6 +99,26 @@
 	return d
 }
 
+// buildShare builds what exchanges loads with the other gateways.
+func (d *Daemon) buildShare() {
+	self := members.Member{
+		Name: d.set.Name, Incarnation: members.NewIncarnation(), Host: d.set.Name, Domain: d.set.Domain,
+		Peer: d.set.Peer, Admin: d.set.Metrics, Listen: d.set.Listen,
+	}
+	d.transport = peer.NewTransport(&peerpb.Identity{Name: self.Name, Incarnation: self.Incarnation}, d, d.reg, d.logger)
+	d.share = loadshare.New(loadshare.Options{
+		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Own: d.placer.Own,
+		Members: func() []members.Member { return d.discovery.View().Members }, Logger: d.logger,
+	})
+}
+
+func (d *Daemon) peerLoad(instance string) placement.Load { return d.share.Load(instance) }
+
+// HandlePeer implements peer.Handler.
+func (d *Daemon) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	return d.share.HandlePeer(ctx, req)
+}
+
 func (d *Daemon) buildServers() {
 	d.callers = httpServer(d.gateway)
 	ready := mux.NewRouter()
@@ -150,10 +177,16 @@
 		}
 		g.Add(func() error { return serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
 	}
+	peers, err := net.Listen("tcp", d.set.Peer)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "cannot listen on "+d.set.Peer, "check the address peer in the settings")
+	}
+	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
+	g.Add(func() error { return d.share.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
-	err := g.Run()
+	err = g.Run()
 	d.store.Close()
 	level.Info(d.logger).Log("msg", "stop", "run", d.run, "in_hand", d.gateway.InHand())
 	return err
@@ -217,6 +250,7 @@
 	d.gateway.Stop()
 	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InHand())
 	time.Sleep(d.set.Bounds.Notice.Std())
+	go d.leave()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.set.Bounds.Grace.Std()-exitMargin))
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
@@ -224,6 +258,13 @@
 	}
 }
 
+// leave removes the registration, within the time that a stop has anyway.
+func (d *Daemon) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.Bounds.Notice.Std())
+	defer cancel()
+	d.share.Leave(ctx)
+}
+
 // keepHouse drops what is kept of instances that left.
 func (d *Daemon) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(housekeeping)
--- /dev/null
+++ b/internal/loadshare/loadshare.go
@@ -0,0 +1,247 @@
+// Package loadshare tells the gateways of a deployment what each of them has in
+// hand at each instance, so that together they act on nearly the whole load.
+// Each works alone with its own figures when it hears from nobody.
+package loadshare
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+const (
+	// minInterval is how often digests are exchanged in a small fleet: a few times
+	// in the life of a queue of prompts.
+	minInterval = 50 * time.Millisecond
+	// perPeer stretches the interval with the number of peers, so that a process
+	// makes at most some 120 exchanges a second.
+	perPeer = 8 * time.Millisecond
+	// callTimeout bounds one exchange.
+	callTimeout = 500 * time.Millisecond
+	// keptIntervals is for how many intervals a digest counts.
+	keptIntervals = 6
+	// retryFirst and retryMost bound the pause before a silent peer is called again.
+	retryFirst = 250 * time.Millisecond
+	retryMost  = 4 * time.Second
+	// registerRetry is how often a failed registration is tried again.
+	registerRetry = time.Second
+	// registerTimeout bounds one try.
+	registerTimeout = 2 * time.Second
+)
+
+// Options of a Sharer.
+type Options struct {
+	Self  members.Member
+	Store objstore.Store
+	// Prefix is where the gateways register.
+	Prefix    string
+	Transport *peer.Transport
+	// Own returns what this process has in hand at each instance.
+	Own func() map[string]placement.Load
+	// Members returns the registered gateways.
+	Members func() []members.Member
+	Logger  log.Logger
+}
+
+// Sharer exchanges digests with the other gateways.
+type Sharer struct {
+	o      Options
+	logger log.Logger
+
+	mu      sync.Mutex
+	digests map[string]digest // by peer
+	silent  map[string]*silence
+	sum     map[string]placement.Load
+}
+
+type digest struct {
+	at    time.Time
+	loads []*peerpb.InstanceLoad
+}
+
+// silence is a peer that does not answer.
+type silence struct {
+	until time.Time
+	pause *backoff.ExponentialBackOff
+}
+
+// New returns a sharer that has to be run.
+func New(o Options) *Sharer {
+	return &Sharer{
+		o: o, logger: log.With(o.Logger, "component", "loadshare"),
+		digests: map[string]digest{}, silent: map[string]*silence{}, sum: map[string]placement.Load{},
+	}
+}
+
+// Load returns what the other gateways have in hand at an instance.
+func (s *Sharer) Load(instance string) placement.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sum[instance]
+}
+
+// Heard returns how many other gateways are heard.
+func (s *Sharer) Heard() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.digests)
+}
+
+// Run registers this process and exchanges digests until ctx ends.
+func (s *Sharer) Run(ctx context.Context) error {
+	go s.stayRegistered(ctx)
+	for {
+		peers := s.peers()
+		interval := max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
+		for _, p := range peers {
+			go s.exchange(ctx, p)
+		}
+		s.expire(interval * keptIntervals)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
+}
+
+// peers returns the members that this process calls: of each pair the one with
+// the lesser name calls, and the answer carries the other's digest.
+func (s *Sharer) peers() []members.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var out []members.Member
+	for _, m := range s.o.Members() {
+		if m.Name <= s.o.Self.Name {
+			continue
+		}
+		if q := s.silent[m.Name]; q != nil && now.Before(q.until) {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (s *Sharer) exchange(ctx context.Context, p members.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req := &peerpb.Request{Body: &peerpb.Request_Loads{Loads: s.digest()}}
+	resp, err := s.o.Transport.Call(ctx, p.Peer, req)
+	if err != nil {
+		s.fail(p, err)
+		return
+	}
+	s.hear(p.Name, resp.GetLoads())
+}
+
+// HandlePeer implements peer.Handler.
+func (s *Sharer) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
+	loads := req.GetLoads()
+	if loads == nil {
+		return &peerpb.Response{Error: "call is not known"}
+	}
+	s.hear(req.GetFrom().GetName(), loads)
+	return &peerpb.Response{Body: &peerpb.Response_Loads{Loads: s.digest()}}
+}
+
+func (s *Sharer) digest() *peerpb.LoadDigest {
+	d := &peerpb.LoadDigest{}
+	for id, l := range s.o.Own() {
+		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
+			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
+		})
+	}
+	return d
+}
+
+func (s *Sharer) hear(name string, d *peerpb.LoadDigest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.digests[name]; !known {
+		level.Info(s.logger).Log("msg", "peer heard", "peer", name)
+	}
+	s.digests[name] = digest{time.Now(), d.GetInstances()}
+	delete(s.silent, name)
+	s.addUp()
+}
+
+// addUp sums the digests. The caller holds the lock.
+func (s *Sharer) addUp() {
+	sum := map[string]placement.Load{}
+	for _, d := range s.digests {
+		for _, l := range d.loads {
+			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
+				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
+			})
+		}
+	}
+	s.sum = sum
+}
+
+// expire drops the digests of peers that have not been heard for a while.
+func (s *Sharer) expire(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped := false
+	for name, d := range s.digests {
+		if time.Since(d.at) > after {
+			delete(s.digests, name)
+			dropped = true
+			level.Info(s.logger).Log("msg", "peer silent", "peer", name, "age", time.Since(d.at).Round(time.Millisecond))
+		}
+	}
+	if dropped {
+		s.addUp()
+	}
+}
+
+// fail makes the next call to a peer wait.
+func (s *Sharer) fail(p members.Member, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.silent[p.Name]
+	if q == nil {
+		level.Info(s.logger).Log("msg", "peer does not answer", "peer", p.Name, "address", p.Peer, "err", err)
+		q = &silence{pause: backoff.NewExponentialBackOff()}
+		q.pause.InitialInterval, q.pause.MaxInterval = retryFirst, retryMost
+		s.silent[p.Name] = q
+	}
+	q.until = time.Now().Add(q.pause.NextBackOff())
+}
+
+// stayRegistered registers this process until it has succeeded.
+func (s *Sharer) stayRegistered(ctx context.Context) {
+	for {
+		rctx, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := members.Register(rctx, s.o.Store, s.o.Prefix, s.o.Self)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		level.Warn(s.logger).Log("msg", "not registered", "err", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+// Leave removes the registration of this process.
+func (s *Sharer) Leave(ctx context.Context) {
+	if err := members.Unregister(ctx, s.o.Store, s.o.Prefix, s.o.Self); err != nil {
+		level.Warn(s.logger).Log("msg", "registration not removed", "err", err)
+	}
+}
--- a/members/example_test.go
+++ b/members/example_test.go
@@ -12,7 +12,7 @@
 	ctx := context.Background()
 	store := memstore.New()
 	self := members.Member{Name: "entry-1", Incarnation: members.NewIncarnation(), Domain: "a", Peer: "127.0.0.1:7002"}
-	if err := members.Register(ctx, store, self); err != nil {
+	if err := members.Register(ctx, store, members.KeyPrefix, self); err != nil {
 		fmt.Println(err)
 		return
 	}
--- a/members/members.go
+++ b/members/members.go
@@ -19,7 +19,7 @@
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
-// KeyPrefix is where members register.
+// KeyPrefix is where the members of the completion service register.
 const KeyPrefix = "state/members/"
 
 const (
@@ -48,13 +48,14 @@
 // hosts whose clocks agree to the millisecond.
 func NewIncarnation() string { return ulid.Make().String() }
 
-// Parse reads registrations from objects below KeyPrefix, ordered by name.
+// Parse reads registrations from objects whose keys end in their names, ordered
+// by name.
 // Objects that cannot be read are skipped.
 func Parse(objs []objstore.Object) []Member {
 	var ms []Member
 	for _, o := range objs {
 		var m Member
-		if json.Unmarshal(o.Value, &m) == nil && KeyPrefix+m.Name == o.Key {
+		if json.Unmarshal(o.Value, &m) == nil && strings.HasSuffix(o.Key, "/"+m.Name) {
 			ms = append(ms, m)
 		}
 	}
@@ -62,14 +63,14 @@
 	return ms
 }
 
-// Register writes self to the store. It replaces an earlier incarnation and
+// Register writes self to the store, below prefix. It replaces an earlier incarnation and
 // fails with Conflict if a later one is registered.
-func Register(ctx context.Context, s objstore.Store, self Member) error {
+func Register(ctx context.Context, s objstore.Store, prefix string, self Member) error {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "member cannot be encoded", "report this as a defect")
 	}
-	key := KeyPrefix + self.Name
+	key := prefix + self.Name
 	obj, err := s.Get(ctx, key)
 	if err != nil && !fault.Is(err, fault.NotFound) {
 		return err
@@ -88,9 +89,10 @@
 	return err
 }
 
-// Unregister removes the registration of m if it is still the one in force.
-func Unregister(ctx context.Context, s objstore.Store, m Member) error {
-	obj, err := s.Get(ctx, KeyPrefix+m.Name)
+// Unregister removes the registration of m below prefix if it is still the one
+// in force.
+func Unregister(ctx context.Context, s objstore.Store, prefix string, m Member) error {
+	obj, err := s.Get(ctx, prefix+m.Name)
 	if fault.Is(err, fault.NotFound) {
 		return nil
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,6 +44,8 @@
 	Call    *engine.Call
 	// Left is how long the caller still waits.
 	Left time.Duration
+	// Spent is how long the request has been here.
+	Spent time.Duration
 	// Permitted are the instances that may run it, in the order of their IDs.
 	Permitted []*fleet.Instance
 	// Avoid holds the IDs of instances that failed this request.
@@ -68,6 +70,8 @@
 	Ahead time.Duration
 	// Read is the estimate of how long its own prompt takes.
 	Read time.Duration
+	// Late is true if the answer is not expected within the latency target.
+	Late bool
 	// RetryAfter is when to come back, if the request is refused.
 	RetryAfter time.Duration
 }
@@ -87,24 +91,18 @@
 
 	mu        sync.Mutex
 	instances map[string]*state
+	models    map[string]*Model // by service
 	// Peers returns what the other processes have in hand at an instance.
 	peers func(id string) Load
 }
 
-// Load is work in hand at an instance.
-type Load struct {
-	Requests int
-	// Reading is the number of prompt tokens that are still to be read.
-	Reading int
-}
-
 // New returns a placer for a process in the failure domain. peers tells what the
 // other processes have in hand at an instance; it may be nil.
 func New(domain string, peers func(id string) Load) *Placer {
 	if peers == nil {
 		peers = func(string) Load { return Load{} }
 	}
-	return &Placer{domain: domain, instances: map[string]*state{}, peers: peers}
+	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers}
 }
 
 // Place decides where a job runs and counts it there. The ticket is nil if the
@@ -129,6 +127,9 @@
 	}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.Resumed {
 		p.chooseReader(&plan, j, readers)
+		if plan.Reader == nil {
+			return plan, nil
+		}
 	}
 	p.chooseRunner(&plan, j, runners)
 	if plan.Runner == nil {
@@ -137,35 +138,59 @@
 	return plan, p.begin(j, &plan)
 }
 
+// model returns the model of a service. The caller holds the lock.
+func (p *Placer) model(service string) *Model {
+	m := p.models[service]
+	if m == nil {
+		m = NewModel()
+		p.models[service] = m
+	}
+	return m
+}
+
 // chooseReader picks the engine that is expected to have read the prompt first.
 func (p *Placer) chooseReader(plan *Plan, j *Job, readers []*fleet.Instance) {
 	home := Home(j.Call.Subject(), readers)
+	model := p.model(j.Service.Name)
+	own := j.Call.PromptTokens - j.Call.SharedTokens()
 	best := math.Inf(1)
 	for _, r := range readers {
 		st := p.state(r)
-		uncached := j.Call.PromptTokens
-		if r == home || st.keeps(j.Call.Subject()) {
-			uncached -= j.Call.SharedTokens()
+		uncached := own
+		if r != home && !st.keeps(j.Call.Subject()) {
+			uncached += int(fetchCost * float64(j.Call.SharedTokens()))
 		}
-		ahead := float64(p.load(st).Reading) / st.rate
-		score := (ahead + float64(uncached)/st.rate) * st.penalty()
-		if score < best {
+		ahead := model.Busy(p.load(st)) * st.pace
+		read := model.Read(uncached) * st.pace
+		if score := (ahead + read) * st.penalty(); score < best {
 			best = score
-			plan.Reader, plan.Uncached = r, uncached
-			plan.Ahead = millis(ahead)
-			plan.Read = millis(float64(uncached) / st.rate)
+			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, uncached, millis(ahead), millis(read)
 		}
 	}
-	plan.Reason = ReasonSpill
-	if plan.Reader == home {
-		plan.Reason = ReasonHome
-	} else if p.state(plan.Reader).keeps(j.Call.Subject()) {
-		return
-	} else {
-		plan.FetchFrom = home
+	plan.Reason = ReasonHome
+	if plan.Reader != home {
+		plan.Reason = ReasonSpill
+		if !p.state(plan.Reader).keeps(j.Call.Subject()) {
+			plan.FetchFrom = home
+		}
+	}
+	estimate := plan.Ahead + plan.Read + millis(model.after)
+	plan.Late = j.Route.LatencyTarget > 0 && estimate > j.Route.LatencyTarget-j.Spent
+	if estimate > j.Left {
+		plan.Reader = nil
+		plan.Reason = ReasonLate
+		plan.RetryAfter = min(max(estimate-j.Route.LatencyTarget, minRetry), j.Left/3)
 	}
 }
 
+const (
+	// fetchCost is the part of the shared tokens that is expected to be read again
+	// at an engine that takes them from the home, which may not keep them.
+	fetchCost = 0.3
+	// minRetry is the least time to come back: shorter, and nothing has changed.
+	minRetry = 100 * time.Millisecond
+)
+
 // chooseRunner picks the instance with the least work, in the own failure domain
 // if that makes no great difference.
 func (p *Placer) chooseRunner(plan *Plan, j *Job, runners []*fleet.Instance) {
--- a/placement/state.go
+++ b/placement/state.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// firstRate is the speed of reading, in tokens a millisecond, that is assumed
-	// until it has been measured.
-	firstRate = 200.0
-	// rateStep is the weight of a new measurement of the speed.
-	rateStep = 0.05
+	// paceStep is the weight of a new measurement of an engine's pace.
+	paceStep = 0.1
+	// minPace and maxPace bound the pace against single odd measurements.
+	minPace = 0.5
+	maxPace = 12.0
 	// keptSubjects bounds the subjects that one engine is believed to keep.
 	keptSubjects = 2048
 	// failureStep is the weight of one outcome in the share of failures.
@@ -25,13 +25,27 @@
 	failurePenalty = 30.0
 )
 
+// Load is work in hand at an instance.
+type Load struct {
+	Requests int
+	// Prompts are the prompts that are still to be read, PromptTokens their tokens
+	// that are not believed to be kept.
+	Prompts      int
+	PromptTokens int
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(m Load) Load {
+	return Load{l.Requests + m.Requests, l.Prompts + m.Prompts, l.PromptTokens + m.PromptTokens}
+}
+
 // state is what is known about one instance.
 type state struct {
 	id string
 	// own is what this process has in hand there.
 	own Load
-	// rate is the speed of reading in tokens a millisecond.
-	rate float64
+	// pace is how much longer the engine takes than the model says.
+	pace float64
 	kept *lru.Cache[string, struct{}]
 	// failures is the share of recent requests that failed, as of failedAt.
 	failures float64
@@ -45,17 +59,14 @@
 		if err != nil {
 			panic(err) // only for a size that is not positive
 		}
-		st = &state{id: i.ID, rate: firstRate, kept: kept}
+		st = &state{id: i.ID, pace: 1, kept: kept}
 		p.instances[i.ID] = st
 	}
 	return st
 }
 
 // load returns what all processes have in hand.
-func (p *Placer) load(st *state) Load {
-	peers := p.peers(st.id)
-	return Load{Requests: st.own.Requests + peers.Requests, Reading: st.own.Reading + peers.Reading}
-}
+func (p *Placer) load(st *state) Load { return st.own.Add(p.peers(st.id)) }
 
 func (s *state) keeps(subject string) bool { return subject != "" && s.kept.Contains(subject) }
 
@@ -79,6 +90,15 @@
 	}
 }
 
+// measure takes in how long a read took against what was expected.
+func (s *state) measure(took, expected float64) {
+	if expected <= 0 {
+		return
+	}
+	ratio := min(max(took/expected, minPace), maxPace)
+	s.pace += (ratio - s.pace) * paceStep
+}
+
 // Own returns what this process has in hand at each instance where it has any.
 func (p *Placer) Own() map[string]Load {
 	p.mu.Lock()
@@ -102,76 +122,3 @@
 		}
 	}
 }
-
-// Ticket is a placed job. Its methods may be called once each.
-type Ticket struct {
-	p       *Placer
-	subject string
-	reader  *state
-	runner  *state
-	reading int
-	begun   time.Time
-	ahead   int
-}
-
-func (p *Placer) begin(j *Job, plan *Plan) *Ticket {
-	t := &Ticket{p: p, subject: j.Call.Subject(), runner: p.state(plan.Runner), begun: time.Now()}
-	t.runner.own.Requests++
-	if plan.Reader != nil {
-		t.reader = p.state(plan.Reader)
-		t.ahead = p.load(t.reader).Reading
-		t.reading = plan.Uncached
-		t.reader.own.Requests++
-		t.reader.own.Reading += t.reading
-	}
-	return t
-}
-
-// Read records how reading apart ended.
-func (t *Ticket) Read(ok bool) {
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	r := t.reader
-	if r == nil {
-		return
-	}
-	t.reader = nil
-	r.own.Requests--
-	r.own.Reading -= t.reading
-	r.outcome(!ok)
-	if !ok {
-		return
-	}
-	r.kept.Add(t.subject, struct{}{})
-	ms := float64(time.Since(t.begun)) / float64(time.Millisecond)
-	if measured := float64(t.ahead+t.reading) / ms; measured > 0 {
-		r.rate += (measured - r.rate) * rateStep
-	}
-}
-
-// Run records how the request ended at the runner.
-func (t *Ticket) Run(ok bool) {
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	if t.runner == nil {
-		return
-	}
-	t.runner.own.Requests--
-	t.runner.outcome(!ok)
-	t.runner = nil
-}
-
-// Cancel takes the job back without a verdict on the instances.
-func (t *Ticket) Cancel() {
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	if t.reader != nil {
-		t.reader.own.Requests--
-		t.reader.own.Reading -= t.reading
-		t.reader = nil
-	}
-	if t.runner != nil {
-		t.runner.own.Requests--
-		t.runner = nil
-	}
-}
--- /dev/null
+++ b/placement/ticket.go
@@ -0,0 +1,102 @@
+package placement
+
+import "time"
+
+// Ticket is a placed job. It belongs to the goroutine of the request.
+type Ticket struct {
+	p       *Placer
+	model   *Model
+	subject string
+	reader  *state
+	runner  *state
+	// reading is what the job adds to the reader's load.
+	reading Load
+	begun   time.Time
+	readAt  time.Time
+	// idle is true if nothing was ahead at the reader.
+	idle bool
+	// expected is the estimate of the read in ms, without the engine's pace.
+	expected float64
+}
+
+// begin counts a planned job. The caller holds the lock.
+func (p *Placer) begin(j *Job, plan *Plan) *Ticket {
+	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), runner: p.state(plan.Runner), begun: time.Now()}
+	t.runner.own.Requests++
+	if plan.Reader == nil {
+		return t
+	}
+	t.reader = p.state(plan.Reader)
+	ahead := p.load(t.reader)
+	t.idle = ahead.Prompts == 0
+	t.expected = t.model.Busy(ahead) + t.model.Read(plan.Uncached)
+	t.reading = Load{Requests: 1, Prompts: 1, PromptTokens: plan.Uncached}
+	t.reader.own = t.reader.own.Add(t.reading)
+	return t
+}
+
+// Read records how reading apart ended. failed is true if the engine is to blame.
+func (t *Ticket) Read(ok, failed bool) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	r := t.reader
+	if r == nil {
+		return
+	}
+	t.leaveReader()
+	r.outcome(failed)
+	if !ok {
+		return
+	}
+	r.kept.Add(t.subject, struct{}{})
+	t.readAt = time.Now()
+	took := t.readAt.Sub(t.begun)
+	r.measure(toMillis(took), t.expected)
+	if t.idle {
+		t.model.Observe(t.reading.PromptTokens, took)
+	}
+}
+
+// FirstEvent records that the answer begins.
+func (t *Ticket) FirstEvent() {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if !t.readAt.IsZero() {
+		t.model.ObserveAfter(time.Since(t.readAt))
+		t.readAt = time.Time{}
+	}
+}
+
+// leaveReader takes the job off its reader. The caller holds the lock.
+func (t *Ticket) leaveReader() {
+	t.reader.own.Requests -= t.reading.Requests
+	t.reader.own.Prompts -= t.reading.Prompts
+	t.reader.own.PromptTokens -= t.reading.PromptTokens
+	t.reader = nil
+}
+
+// Run records how the request ended at the runner. failed is true if the
+// instance is to blame.
+func (t *Ticket) Run(failed bool) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.runner == nil {
+		return
+	}
+	t.runner.own.Requests--
+	t.runner.outcome(failed)
+	t.runner = nil
+}
+
+// Cancel takes the job back without a verdict on the instances.
+func (t *Ticket) Cancel() {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.reader != nil {
+		t.leaveReader()
+	}
+	if t.runner != nil {
+		t.runner.own.Requests--
+		t.runner = nil
+	}
+}
