Late requests are not ahead of urgent ones; none is refused for being late

Ruled out: the ranks themselves; engines do admit urgent ones first. Change: loads carry urgent and late prompts apart; a late request goes to the engine with the least of both at the lowest rank, and runs at its route's rank.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -198,7 +198,7 @@
 		return notRun, fault.New(fault.Unavailable, "runner has left since it was chosen", "another one is tried")
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
-		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), Source: source, ResumeAfter: q.resumeAfter(),
+		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: source, ResumeAfter: q.resumeAfter(),
 	}))
 	q.sends++
 	if err != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,7 +33,8 @@
 	ReasonNone Reason = "none-permitted"
 	// ReasonFull means that all permitted instances have as much as they take.
 	ReasonFull Reason = "all-full"
-	// ReasonLate means that no instance can answer in time.
+	// ReasonLate is the engine that has the least to read in all: no engine is
+	// expected to answer in time.
 	ReasonLate Reason = "too-late"
 )
 
@@ -127,9 +128,6 @@
 	}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.Resumed {
 		p.chooseReader(&plan, j, readers)
-		if plan.Reader == nil {
-			return plan, nil
-		}
 	}
 	p.chooseRunner(&plan, j, runners)
 	if plan.Runner == nil {
@@ -176,10 +174,39 @@
 	}
 	estimate := plan.Ahead + plan.Read + millis(model.after)
 	plan.Late = j.Route.LatencyTarget > 0 && estimate > j.Route.LatencyTarget-j.Spent
-	if estimate > j.Left {
-		plan.Reader = nil
-		plan.Reason = ReasonLate
-		plan.RetryAfter = min(max(estimate-j.Route.LatencyTarget, minRetry), j.Left/3)
+	if !plan.Late {
+		return
+	}
+	// A late one goes where the fewest wait with it.
+	p.chooseLateReader(plan, j, readers)
+}
+
+// chooseLateReader picks the engine that has the least to read, also of late
+// requests.
+func (p *Placer) chooseLateReader(plan *Plan, j *Job, readers []*fleet.Instance) {
+	model := p.model(j.Service.Name)
+	home := Home(j.Call.Subject(), readers)
+	best := math.Inf(1)
+	for _, r := range readers {
+		st := p.state(r)
+		load := p.load(st)
+		load.Prompts += load.LatePrompts
+		load.PromptTokens += load.LateTokens
+		uncached := j.Call.PromptTokens - j.Call.SharedTokens()
+		if r != home && !st.keeps(j.Call.Subject()) {
+			uncached += int(fetchCost * float64(j.Call.SharedTokens()))
+		}
+		ahead := model.Busy(load) * st.pace
+		read := model.Read(uncached) * st.pace
+		if score := (ahead + read) * st.penalty(); score < best {
+			best = score
+			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, uncached, millis(ahead), millis(read)
+		}
+	}
+	plan.Reason = ReasonLate
+	plan.FetchFrom = nil
+	if plan.Reader != home {
+		plan.FetchFrom = home
 	}
 }
 
@@ -187,8 +214,6 @@
 	// fetchCost is the part of the shared tokens that is expected to be read again
 	// at an engine that takes them from the home, which may not keep them.
 	fetchCost = 0.3
-	// minRetry is the least time to come back: shorter, and nothing has changed.
-	minRetry = 100 * time.Millisecond
 )
 
 // chooseRunner picks the instance with the least work, in the own failure domain
--- a/placement/state.go
+++ b/placement/state.go
@@ -32,11 +32,22 @@
 	// that are not believed to be kept.
 	Prompts      int
 	PromptTokens int
+	// LatePrompts and LateTokens are those of requests that are late anyway. They
+	// are read when no others wait, so they are not ahead of anything.
+	LatePrompts int
+	LateTokens  int
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(m Load) Load {
-	return Load{l.Requests + m.Requests, l.Prompts + m.Prompts, l.PromptTokens + m.PromptTokens}
+	return Load{
+		l.Requests + m.Requests, l.Prompts + m.Prompts, l.PromptTokens + m.PromptTokens,
+		l.LatePrompts + m.LatePrompts, l.LateTokens + m.LateTokens,
+	}
+}
+
+func (l Load) sub(m Load) Load {
+	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens})
 }
 
 // state is what is known about one instance.
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -17,6 +17,7 @@
 	idle bool
 	// expected is the estimate of the read in ms, without the engine's pace.
 	expected float64
+	late     bool
 }
 
 // begin counts a planned job. The caller holds the lock.
@@ -28,9 +29,13 @@
 	}
 	t.reader = p.state(plan.Reader)
 	ahead := p.load(t.reader)
-	t.idle = ahead.Prompts == 0
+	t.idle = ahead.Prompts+ahead.LatePrompts == 0
+	t.late = plan.Late
 	t.expected = t.model.Busy(ahead) + t.model.Read(plan.Uncached)
 	t.reading = Load{Requests: 1, Prompts: 1, PromptTokens: plan.Uncached}
+	if plan.Late {
+		t.reading = Load{Requests: 1, LatePrompts: 1, LateTokens: plan.Uncached}
+	}
 	t.reader.own = t.reader.own.Add(t.reading)
 	return t
 }
@@ -51,9 +56,11 @@
 	r.kept.Add(t.subject, struct{}{})
 	t.readAt = time.Now()
 	took := t.readAt.Sub(t.begun)
-	r.measure(toMillis(took), t.expected)
+	if !t.late {
+		r.measure(toMillis(took), t.expected)
+	}
 	if t.idle {
-		t.model.Observe(t.reading.PromptTokens, took)
+		t.model.Observe(t.reading.PromptTokens+t.reading.LateTokens, took)
 	}
 }
 
@@ -69,9 +76,7 @@
 
 // leaveReader takes the job off its reader. The caller holds the lock.
 func (t *Ticket) leaveReader() {
-	t.reader.own.Requests -= t.reading.Requests
-	t.reader.own.Prompts -= t.reading.Prompts
-	t.reader.own.PromptTokens -= t.reading.PromptTokens
+	t.reader.own = t.reader.own.sub(t.reading)
 	t.reader = nil
 }
 
