Role keeper: one lease holder has engines change their roles; packing policy

Cause: four of twelve engines read, whatever the mix; long prompts queue for seconds at the peaks while generating engines are a quarter full.

--- a/engine/serving.go
+++ b/engine/serving.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -96,3 +97,36 @@
 	// FreeHandle returns the request that frees a prompt that is not wanted.
 	FreeHandle(handle string) (method, uri string)
 }
+
+// Report is what an engine says of itself. It lags.
+type Report struct {
+	Role Role
+	// Changing is true while an order is under way.
+	Changing bool
+	// Orders is how many orders the engine has taken since it started.
+	Orders int64
+}
+
+// RoleOrder asks an engine to change its role.
+type RoleOrder struct {
+	// Instance is the run of the engine that the order is for; any other refuses.
+	Instance string
+	Role     Role
+	Holder   string
+	// Token is the fencing token of the holder's lease.
+	Token int64
+	// Orders is how many orders the engine must have taken when this one is
+	// carried out.
+	Orders int64
+	// Check is called as the last step before the order is written. The order is
+	// not sent if it fails.
+	Check func() error
+}
+
+// Keeper reads engines' reports and gives them orders. Errors of RoleOrder are of
+// kind Conflict if the engine refused it, Unavailable if it was not sent, and
+// Unknown if it may be carried out, also much later.
+type Keeper interface {
+	Report(ctx context.Context, address string) (Report, error)
+	Order(ctx context.Context, address string, o RoleOrder) error
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -116,21 +116,14 @@
 	if left < minLeft || q.ctx.Err() != nil {
 		return q.expired()
 	}
-	plan, ticket := q.s.o.Placer.Place(&placement.Job{
-		Route: q.route, Service: view.Config.Services[q.service], Call: q.call, Left: left, Spent: time.Since(q.arrived),
-		Permitted: view.Permitted(q.route.Name, q.service), Avoid: q.avoid, Resumed: q.begun,
-	})
-	q.plan = plan
+	var ticket *placement.Ticket
+	q.plan, ticket = q.s.o.Placer.Place(q.job(view))
 	q.decision(view)
 	if ticket == nil {
-		retry := plan.RetryAfter
-		if retry == 0 {
-			retry = unknownRetry
-		}
-		return q.given(string(plan.Reason), fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(plan.Reason), "ask again after the time in Retry-After"), retry), false
+		return q.unplaced(), false
 	}
 	defer ticket.Cancel()
-	res, err := q.send(&plan, ticket)
+	res, err := q.send(ticket)
 	switch res {
 	case delivered, callerGone:
 		return nil, true
@@ -140,9 +133,30 @@
 	if q.ctx.Err() != nil {
 		return q.expired()
 	}
+	if q.plan.Runner == nil && err == nil {
+		return q.unplaced(), false
+	}
 	return q.again(res, err), false
 }
 
+// job describes the request to the placer.
+func (q *request) job(v *fleet.View) *placement.Job {
+	return &placement.Job{
+		Route: q.route, Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.deadline), Spent: time.Since(q.arrived),
+		Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, Resumed: q.begun,
+	}
+}
+
+// unplaced returns the reply to a request for which there is no instance.
+func (q *request) unplaced() *reply {
+	retry := q.plan.RetryAfter
+	if retry == 0 {
+		retry = unknownRetry
+	}
+	err := fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(q.plan.Reason), "ask again after the time in Retry-After")
+	return q.given(string(q.plan.Reason), err, retry)
+}
+
 // again decides whether another attempt is made. It returns the reply to give
 // if not.
 func (q *request) again(res result, err error) *reply {
@@ -182,8 +196,10 @@
 	return refusal(status, code, err, retryAfter)
 }
 
-// send carries out a plan.
-func (q *request) send(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+// send carries out the plan. If there is no runner after the prompt was read, it
+// returns notRun without an error.
+func (q *request) send(ticket *placement.Ticket) (result, error) {
+	plan := &q.plan
 	var source *engine.KVSource
 	if plan.Reader != nil {
 		handle, res, err := q.read(plan, ticket)
@@ -191,11 +207,12 @@
 			return res, err
 		}
 		source = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}
-	}
-	view := q.s.o.View()
-	if !view.Takes(q.service, plan.Runner.ID) {
-		q.free(plan.Reader, source)
-		return notRun, fault.New(fault.Unavailable, "runner has left since it was chosen", "another one is tried")
+		view := q.s.o.View()
+		if !q.s.o.Placer.PlaceRead(q.job(view), plan, ticket) {
+			q.free(plan.Reader, source)
+			return notRun, nil
+		}
+		q.decision(view)
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
 		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: source, ResumeAfter: q.resumeAfter(),
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -28,6 +28,7 @@
 	"github.com/rockdoor/rockdoor/internal/loadshare"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/rolekeeper"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/members"
@@ -47,6 +48,9 @@
 	memoryShare = 0.7
 	// housekeeping is how often what is kept of instances that left is dropped.
 	housekeeping = 5 * time.Second
+	// apartMargin is added to the time between the orders of two holders, for the
+	// way of an order to its engine.
+	apartMargin = 500 * time.Millisecond
 	// lapseMargin is kept from the time in which an instance that left must get
 	// nothing new, for requests that are on their way.
 	lapseMargin = 300 * time.Millisecond
@@ -66,6 +70,7 @@
 	placer    *placement.Placer
 	transport *peer.Transport
 	share     *loadshare.Sharer
+	roles     *rolekeeper.Keeper
 	gateway   *gateway.Server
 	stopping  atomic.Bool
 
@@ -86,7 +91,7 @@
 		Apply: set.Bounds.Apply.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
-	d.placer = placement.New(set.Domain, d.peerLoad)
+	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
 	d.buildShare()
 	d.gateway = gateway.New(gateway.Options{
 		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Placer: d.placer,
@@ -106,12 +111,21 @@
 		Peer: d.set.Peer, Admin: d.set.Metrics, Listen: d.set.Listen,
 	}
 	d.transport = peer.NewTransport(&peerpb.Identity{Name: self.Name, Incarnation: self.Incarnation}, d, d.reg, d.logger)
+	d.roles = rolekeeper.New(rolekeeper.Options{
+		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin,
+		Engines: platform.NewKeeper(d.client), Placer: d.placer, View: d.discovery.View,
+		Heard: func() []string { return d.share.Heard() }, Metrics: d.reg, Logger: d.logger,
+	})
 	d.share = loadshare.New(loadshare.Options{
-		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Own: d.placer.Own,
+		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Own: d.placer.Own, Changing: d.roles.Changing,
 		Members: func() []members.Member { return d.discovery.View().Members }, Logger: d.logger,
 	})
 }
 
+func (d *Daemon) isChanging(instance string) bool {
+	return d.roles.IsChanging(instance) || d.share.Changing(instance)
+}
+
 func (d *Daemon) peerLoad(instance string) placement.Load { return d.share.Load(instance) }
 
 // HandlePeer implements peer.Handler.
@@ -185,6 +199,7 @@
 	g.Add(func() error { return d.share.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.keepRoles(ctx, background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
 	err = g.Run()
 	d.store.Close()
@@ -258,6 +273,14 @@
 	}
 }
 
+// keepRoles keeps roles until the process is asked to stop. It returns when the
+// process may exit, since the end of one part ends all.
+func (d *Daemon) keepRoles(ctx, background context.Context) error {
+	err := d.roles.Run(ctx)
+	<-background.Done()
+	return err
+}
+
 // leave removes the registration, within the time that a stop has anyway.
 func (d *Daemon) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Bounds.Notice.Std())
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,8 @@
 	Transport *peer.Transport
 	// Own returns what this process has in hand at each instance.
 	Own func() map[string]placement.Load
+	// Changing returns the engines that this process is having change their role.
+	Changing func() []string
 	// Members returns the registered gateways.
 	Members func() []members.Member
 	Logger  log.Logger
@@ -62,11 +66,14 @@
 	digests map[string]digest // by peer
 	silent  map[string]*silence
 	sum     map[string]placement.Load
+	// changing are engines that some other gateway is having change their role.
+	changing map[string]bool
 }
 
 type digest struct {
-	at    time.Time
-	loads []*peerpb.InstanceLoad
+	at       time.Time
+	loads    []*peerpb.InstanceLoad
+	changing []string
 }
 
 // silence is a peer that does not answer.
@@ -90,11 +97,18 @@
 	return s.sum[instance]
 }
 
-// Heard returns how many other gateways are heard.
-func (s *Sharer) Heard() int {
+// Changing reports whether another gateway is having an engine change its role.
+func (s *Sharer) Changing(instance string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.digests)
+	return s.changing[instance]
+}
+
+// Heard returns the names of the other gateways that are heard.
+func (s *Sharer) Heard() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.digests))
 }
 
 // Run registers this process and exchanges digests until ctx ends.
@@ -157,7 +171,7 @@
 }
 
 func (s *Sharer) digest() *peerpb.LoadDigest {
-	d := &peerpb.LoadDigest{}
+	d := &peerpb.LoadDigest{Changing: s.o.Changing()}
 	for id, l := range s.o.Own() {
 		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
 			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
@@ -173,15 +187,18 @@
 	if _, known := s.digests[name]; !known {
 		level.Info(s.logger).Log("msg", "peer heard", "peer", name)
 	}
-	s.digests[name] = digest{time.Now(), d.GetInstances()}
+	s.digests[name] = digest{time.Now(), d.GetInstances(), d.GetChanging()}
 	delete(s.silent, name)
 	s.addUp()
 }
 
 // addUp sums the digests. The caller holds the lock.
 func (s *Sharer) addUp() {
-	sum := map[string]placement.Load{}
+	sum, changing := map[string]placement.Load{}, map[string]bool{}
 	for _, d := range s.digests {
+		for _, id := range d.changing {
+			changing[id] = true
+		}
 		for _, l := range d.loads {
 			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
 				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
@@ -189,7 +206,7 @@
 			})
 		}
 	}
-	s.sum = sum
+	s.sum, s.changing = sum, changing
 }
 
 // expire drops the digests of peers that have not been heard for a while.
--- /dev/null
+++ b/internal/rolekeeper/rolekeeper.go
@@ -0,0 +1,365 @@
+// Package rolekeeper has engines change their roles. One gateway holds the lease
+// for it; the next holder gives no order before every order of the one before it
+// is too old to conflict with its own.
+package rolekeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/lease"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/roles"
+)
+
+const (
+	// candidates is how many gateways want the lease.
+	candidates = 2
+	// planEvery is how often roles are reviewed.
+	planEvery = 200 * time.Millisecond
+	// stepTimeout bounds one use of the store for the lease.
+	stepTimeout = time.Second
+	// orderTimeout bounds an order and the report that is read before it.
+	orderTimeout = 800 * time.Millisecond
+	// orderMargin is how long before the end of its grant a holder gives its last
+	// order.
+	orderMargin = 300 * time.Millisecond
+	// spreadTime is how long an engine is announced as changing before it gets the
+	// order, so that the other gateways send it nothing more.
+	spreadTime = 150 * time.Millisecond
+	// settleTime is how long an engine is left alone after an order without an
+	// answer, which may be carried out up to 12 s later.
+	settleTime = 13 * time.Second
+	// changeSlack is how long beyond the stated time a change may take; requests
+	// that run are finished first.
+	changeSlack = 12 * time.Second
+	// dwell is how long a role is kept at the least, unless engines are lost.
+	dwell = 5 * time.Second
+	// atOnce is how many engines of a service may change at a time.
+	atOnce = 4
+	// shard is the name of the lease.
+	shard = "roles"
+)
+
+// Options of a Keeper.
+type Options struct {
+	Store  objstore.Store
+	Prefix string
+	Self   members.Member
+	// TTL is the life of the lease, Apart the time that must pass between the
+	// orders of two holders.
+	TTL, Apart time.Duration
+	Engines    engine.Keeper
+	Placer     *placement.Placer
+	View       func() *fleet.View
+	// Heard returns the other gateways that are heard.
+	Heard   func() []string
+	Metrics metrics.Registry
+	Logger  log.Logger
+}
+
+// Keeper keeps the roles of all services' engines.
+type Keeper struct {
+	o      Options
+	logger log.Logger
+	lessee *lease.Lessee
+
+	// token and since are the grant under which this process gives orders and when
+	// it first saw that it had it. They belong to the goroutine of Run.
+	token    int64
+	since    time.Time
+	policies map[string]roles.Policy
+	changed  map[string]time.Time
+
+	mu      sync.Mutex
+	pending map[string]*change
+	giving  sync.WaitGroup
+}
+
+// change is an order to one engine that is not settled.
+type change struct {
+	to roles.Change
+	// announced engines get no requests.
+	announced bool
+	// until is when the order is given up on.
+	until time.Time
+}
+
+// New returns a keeper that has to be run.
+func New(o Options) *Keeper {
+	return &Keeper{
+		o: o, logger: log.With(o.Logger, "component", "roles"),
+		lessee: lease.New(lease.Options{
+			Store: o.Store, Prefix: o.Prefix, Shard: shard, Holder: o.Self.Name, Incarnation: o.Self.Incarnation, Address: o.Self.Peer,
+			TTL: o.TTL, Logger: o.Logger,
+		}),
+		policies: map[string]roles.Policy{}, changed: map[string]time.Time{}, pending: map[string]*change{},
+	}
+}
+
+// Changing returns the engines that this process is having change their role.
+func (k *Keeper) Changing() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []string
+	for id, c := range k.pending {
+		if c.announced {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// IsChanging reports whether this process is having an engine change its role.
+func (k *Keeper) IsChanging(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.pending[id]
+	return c != nil && c.announced
+}
+
+// Run keeps the lease and the roles until ctx ends, then gives the lease up.
+func (k *Keeper) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.keepLease(ctx)
+	}()
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+			k.review(ctx)
+		}
+	}
+	<-done
+	k.giving.Wait()
+	rctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	if err := k.lessee.Release(rctx); err != nil {
+		level.Warn(k.logger).Log("msg", "lease not released", "err", err)
+	}
+	return nil
+}
+
+// keepLease wants the lease while this process is one of the candidates.
+func (k *Keeper) keepLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, held := k.lessee.Grant()
+		if held || k.candidate() {
+			sctx, cancel := context.WithTimeout(ctx, stepTimeout)
+			if err := k.lessee.Step(sctx); err != nil && !fault.Is(err, fault.Conflict) {
+				level.Info(k.logger).Log("msg", "lease not stepped", "held", held, "err", err)
+			}
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(k.lessee.Interval()):
+		}
+	}
+}
+
+func (k *Keeper) candidate() bool {
+	return members.Rank(shard, k.o.Self.Name, k.o.Heard()) < candidates
+}
+
+// review settles the orders in hand and gives those that the policies want.
+func (k *Keeper) review(ctx context.Context) {
+	v := k.o.View()
+	k.settle(v)
+	g, held := k.lessee.Grant()
+	if !held {
+		if k.token != 0 {
+			level.Info(k.logger).Log("msg", "authority over roles lost", "token", k.token)
+		}
+		k.token = 0
+		return
+	}
+	if g.Token != k.token {
+		k.token, k.since = g.Token, time.Now()
+		level.Info(k.logger).Log("msg", "authority over roles", "token", g.Token, "orders_after", k.o.Apart)
+	}
+	if !v.Ready() {
+		return
+	}
+	for name, service := range v.Config.Services {
+		if service.KVCapacity == 0 {
+			continue
+		}
+		k.plan(ctx, v, name, time.Since(k.since) >= k.o.Apart)
+	}
+}
+
+// plan asks a service's policy for changes. Without mayOrder the policy only
+// observes.
+func (k *Keeper) plan(ctx context.Context, v *fleet.View, service string, mayOrder bool) {
+	p := k.policies[service]
+	if p == nil {
+		var err error
+		if p, err = roles.New(roles.Packing); err != nil {
+			level.Error(k.logger).Log("msg", "no policy", "err", err)
+			return
+		}
+		k.policies[service] = p
+	}
+	for range atOnce {
+		in := k.input(v, service)
+		c := p.Decide(in)
+		if c == nil || !mayOrder || k.inHand() >= atOnce {
+			return
+		}
+		level.Info(k.logger).Log("msg", "role decision", "service", service, "engine", c.Engine, "from", c.From, "to", c.To, "reason", c.Reason, "token", k.token)
+		metrics.GetOrRegisterCounter("roles.decisions", k.o.Metrics).Inc(1)
+		k.begin(ctx, v.Instances[c.Engine], c, v.Config.Services[service].RoleChange)
+	}
+}
+
+// input describes a service's engines to its policy. An engine that is changing
+// counts as changed.
+func (k *Keeper) input(v *fleet.View, service string) roles.Input {
+	in := roles.Input{Now: time.Now()}
+	var queue time.Duration
+	reading := 0
+	for _, i := range v.Usable(service) {
+		load := k.o.Placer.Load(i)
+		role, movable := i.Role, time.Since(k.changed[i.ID]) > dwell
+		if c := k.change(i.ID); c != nil {
+			role, movable = c.to.To, false
+		}
+		if i.Role == engine.RolePrefill {
+			reading++
+			queue += k.o.Placer.Queue(service, load)
+		}
+		in.Engines = append(in.Engines, roles.Engine{
+			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.Requests, Slots: i.Slots,
+		})
+	}
+	in.Queue = queue / time.Duration(max(reading, 1))
+	return in
+}
+
+func (k *Keeper) change(id string) *change {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pending[id]
+}
+
+func (k *Keeper) inHand() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, c := range k.pending {
+		if c.announced {
+			n++
+		}
+	}
+	return n
+}
+
+// begin gives an order in a goroutine of its own.
+func (k *Keeper) begin(ctx context.Context, i *fleet.Instance, c *roles.Change, takes time.Duration) {
+	k.mu.Lock()
+	k.pending[i.ID] = &change{to: *c, announced: true, until: time.Now().Add(takes + changeSlack)}
+	k.mu.Unlock()
+	k.changed[i.ID] = time.Now()
+	k.giving.Add(1)
+	go func() {
+		defer k.giving.Done()
+		k.give(ctx, i, c)
+	}()
+}
+
+func (k *Keeper) give(ctx context.Context, i *fleet.Instance, c *roles.Change) {
+	select {
+	case <-ctx.Done():
+		k.forget(i.ID)
+		return
+	case <-time.After(spreadTime):
+	}
+	octx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	report, err := k.o.Engines.Report(octx, i.Address)
+	if err == nil && (report.Changing || report.Role != c.From) {
+		err = fault.Newf(fault.Conflict, "its registration is waited for", "engine is changing=%t in role %s", report.Changing, report.Role)
+	}
+	if err != nil {
+		k.forget(i.ID)
+		level.Warn(k.logger).Log("msg", "order not given", "engine", i.ID, "err", err)
+		return
+	}
+	g, _ := k.lessee.Grant()
+	err = k.o.Engines.Order(octx, i.Address, engine.RoleOrder{
+		Instance: i.ID, Role: c.To, Holder: k.o.Self.Name, Token: g.Token, Orders: report.Orders,
+		Check: func() error { return k.check(g) },
+	})
+	level.Info(k.logger).Log("msg", "order", "engine", i.ID, "to", c.To, "token", g.Token, "orders", report.Orders, "err", err)
+	switch {
+	case err == nil:
+	case fault.Is(err, fault.Unknown):
+		k.unanswered(i.ID)
+	default:
+		k.forget(i.ID)
+	}
+}
+
+// check is the last step before an order is written.
+func (k *Keeper) check(g lease.Grant) error {
+	if !g.Valid(orderMargin) {
+		return fault.New(fault.Unavailable, "authority ends too soon for this order", "the next holder of the lease carries on")
+	}
+	return nil
+}
+
+// unanswered makes an engine take requests again whose order may or may not be
+// carried out. It gets no other order until that is settled.
+func (k *Keeper) unanswered(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c := k.pending[id]; c != nil {
+		c.announced, c.until = false, time.Now().Add(settleTime)
+	}
+}
+
+func (k *Keeper) forget(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.pending, id)
+}
+
+// settle drops the orders whose engines have changed, have left, or do not change.
+func (k *Keeper) settle(v *fleet.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, c := range k.pending {
+		i := v.Instances[id]
+		switch {
+		case i == nil:
+			level.Info(k.logger).Log("msg", "order ended", "engine", id, "reason", "engine has left")
+		case i.Role == c.to.To:
+			level.Info(k.logger).Log("msg", "order ended", "engine", id, "role", i.Role)
+		case time.Now().After(c.until):
+			level.Warn(k.logger).Log("msg", "order ended", "engine", id, "role", i.Role, "reason", "engine did not change")
+		default:
+			continue
+		}
+		delete(k.pending, id)
+	}
+	for id := range k.changed {
+		if v.Instances[id] == nil {
+			delete(k.changed, id)
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,6 +49,9 @@
 	Body    []byte
 	// Matches reports whether the head of an answer belongs to this request.
 	Matches func(http.Header) bool
+	// Check is called as the last step before the request is written. The request
+	// is not sent if it fails.
+	Check func() error
 	// Fresh asks for a new connection. A request that must not run twice gets one
 	// if the kept ones have rested for long.
 	Fresh bool
@@ -105,6 +108,12 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "instance cannot be reached", "another instance is tried")
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			c.drop(r.Address, cn)
+			return nil, err
+		}
+	}
 	a := &Answer{client: c, address: r.Address, conn: cn, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	req := r.build()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -67,6 +67,8 @@
 // Options of a Lessee.
 type Options struct {
 	Store objstore.Store
+	// Prefix is where the lease is kept; KeyPrefix if it is empty.
+	Prefix string
 	// Shard names what the lease is about.
 	Shard       string
 	Holder      string
@@ -96,6 +98,9 @@
 
 // New returns a Lessee that does not hold the lease yet.
 func New(o Options) *Lessee {
+	if o.Prefix == "" {
+		o.Prefix = KeyPrefix
+	}
 	return &Lessee{o: o, logger: log.With(o.Logger, "component", "lease", "shard", o.Shard)}
 }
 
@@ -131,7 +136,7 @@
 }
 
 func (l *Lessee) acquire(ctx context.Context) error {
-	obj, err := l.o.Store.Get(ctx, KeyPrefix+l.o.Shard)
+	obj, err := l.o.Store.Get(ctx, l.o.Prefix+l.o.Shard)
 	if err != nil && !fault.Is(err, fault.NotFound) {
 		l.wait("the platform store")
 		return err
@@ -197,7 +202,7 @@
 		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
 	}
 	sent := bootclock.Now()
-	obj, err := objstore.PutSettled(ctx, l.o.Store, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
+	obj, err := objstore.PutSettled(ctx, l.o.Store, l.o.Prefix+l.o.Shard, value, v, l.o.Holder+"/"+ulid.Make().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -237,6 +242,6 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
 	}
-	_, err = l.o.Store.Put(ctx, KeyPrefix+l.o.Shard, value, v, ulid.Make().String())
+	_, err = l.o.Store.Put(ctx, l.o.Prefix+l.o.Shard, value, v, l.o.Holder+"/"+ulid.Make().String())
 	return err
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,47 +93,93 @@
 	mu        sync.Mutex
 	instances map[string]*state
 	models    map[string]*Model // by service
-	// Peers returns what the other processes have in hand at an instance.
-	peers func(id string) Load
+	peers     func(id string) Load
+	changing  func(id string) bool
 }
 
 // New returns a placer for a process in the failure domain. peers tells what the
-// other processes have in hand at an instance; it may be nil.
-func New(domain string, peers func(id string) Load) *Placer {
+// other processes have in hand at an instance, changing whether an engine is
+// about to change its role; either may be nil.
+func New(domain string, peers func(id string) Load, changing func(id string) bool) *Placer {
 	if peers == nil {
 		peers = func(string) Load { return Load{} }
 	}
-	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers}
+	if changing == nil {
+		changing = func(string) bool { return false }
+	}
+	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers, changing: changing}
+}
+
+// Load returns what all processes have in hand at an instance.
+func (p *Placer) Load(i *fleet.Instance) Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.load(p.state(i))
 }
 
-// Place decides where a job runs and counts it there. The ticket is nil if the
-// job is refused.
+// Queue returns how long the prompts in hand, also the late ones, keep an engine
+// of the service busy.
+func (p *Placer) Queue(service string, l Load) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.Prompts += l.LatePrompts
+	l.PromptTokens += l.LateTokens
+	return millis(p.model(service).Busy(l))
+}
+
+// Place decides where a job is read, or where it runs if it is not read apart,
+// and counts it there. The ticket is nil if the job is refused.
 func (p *Placer) Place(j *Job) (Plan, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var readers, runners []*fleet.Instance
-	for _, i := range j.Permitted {
-		switch {
-		case j.Avoid[i.ID]:
-		case i.Role == engine.RolePrefill:
-			readers = append(readers, i)
-		default:
-			runners = append(runners, i)
-		}
-	}
-	plan := Plan{Uncached: j.Call.PromptTokens}
+	readers, runners := p.split(j)
+	plan := Plan{Uncached: j.Call.PromptTokens, Reason: ReasonNone}
 	if len(runners) == 0 {
-		plan.Reason = ReasonNone
 		return plan, nil
 	}
+	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), begun: time.Now()}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.Resumed {
 		p.chooseReader(&plan, j, readers)
+		t.read(&plan)
+		return plan, t
 	}
-	p.chooseRunner(&plan, j, runners)
-	if plan.Runner == nil {
+	if p.chooseRunner(&plan, runners); plan.Runner == nil {
 		return plan, nil
 	}
-	return plan, p.begin(j, &plan)
+	t.run(plan.Runner)
+	return plan, t
+}
+
+// PlaceRead decides where a job runs whose prompt has been read, and counts it
+// there. It reports false if there is no runner; the plan then says why.
+func (p *Placer) PlaceRead(j *Job, plan *Plan, t *Ticket) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reason := plan.Reason
+	plan.Reason = ReasonNone
+	if _, runners := p.split(j); len(runners) > 0 {
+		p.chooseRunner(plan, runners)
+	}
+	if plan.Runner == nil {
+		return false
+	}
+	plan.Reason = reason
+	t.run(plan.Runner)
+	return true
+}
+
+// split parts the permitted instances by what they do.
+func (p *Placer) split(j *Job) (readers, runners []*fleet.Instance) {
+	for _, i := range j.Permitted {
+		switch {
+		case j.Avoid[i.ID] || p.changing(i.ID):
+		case i.Role == engine.RolePrefill:
+			readers = append(readers, i)
+		default:
+			runners = append(runners, i)
+		}
+	}
+	return readers, runners
 }
 
 // model returns the model of a service. The caller holds the lock.
@@ -218,16 +264,14 @@
 
 // chooseRunner picks the instance with the least work, in the own failure domain
 // if that makes no great difference.
-func (p *Placer) chooseRunner(plan *Plan, j *Job, runners []*fleet.Instance) {
+func (p *Placer) chooseRunner(plan *Plan, runners []*fleet.Instance) {
 	best := math.Inf(1)
-	full := true
 	for _, r := range runners {
 		st := p.state(r)
 		load := p.load(st)
 		if r.Slots > 0 && float64(load.Requests) >= queueFactor*float64(r.Slots) {
 			continue
 		}
-		full = false
 		score := (float64(load.Requests) + 1) * st.penalty()
 		if r.Domain != p.domain {
 			score += farPenalty
@@ -237,12 +281,9 @@
 			plan.Runner = r
 		}
 	}
-	if full {
-		plan.Reason = ReasonFull
-		plan.RetryAfter = fullRetry
-		return
-	}
-	if plan.Reader == nil {
+	if plan.Runner == nil {
+		plan.Reason, plan.RetryAfter = ReasonFull, fullRetry
+	} else if plan.Reader == nil {
 		plan.Reason = ReasonLeast
 	}
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/rockdoor/rockdoor/fleet"
+)
 
 // Ticket is a placed job. It belongs to the goroutine of the request.
 type Ticket struct {
@@ -20,15 +24,10 @@
 	late     bool
 }
 
-// begin counts a planned job. The caller holds the lock.
-func (p *Placer) begin(j *Job, plan *Plan) *Ticket {
-	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), runner: p.state(plan.Runner), begun: time.Now()}
-	t.runner.own.Requests++
-	if plan.Reader == nil {
-		return t
-	}
-	t.reader = p.state(plan.Reader)
-	ahead := p.load(t.reader)
+// read counts the job at its reader. The caller holds the placer's lock.
+func (t *Ticket) read(plan *Plan) {
+	t.reader = t.p.state(plan.Reader)
+	ahead := t.p.load(t.reader)
 	t.idle = ahead.Prompts+ahead.LatePrompts == 0
 	t.late = plan.Late
 	t.expected = t.model.Busy(ahead) + t.model.Read(plan.Uncached)
@@ -37,7 +36,12 @@
 		t.reading = Load{Requests: 1, LatePrompts: 1, LateTokens: plan.Uncached}
 	}
 	t.reader.own = t.reader.own.Add(t.reading)
-	return t
+}
+
+// run counts the job at its runner. The caller holds the placer's lock.
+func (t *Ticket) run(runner *fleet.Instance) {
+	t.runner = t.p.state(runner)
+	t.runner.own.Requests++
 }
 
 // Read records how reading apart ended. failed is true if the engine is to blame.
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -19,6 +19,7 @@
 	Manual      = "manual"
 	Threshold   = "threshold"
 	CostBenefit = "cost-benefit"
+	Packing     = "packing"
 )
 
 // Engine is one engine of a pool as the policies see it.
@@ -34,6 +35,8 @@
 	Requests int
 	// PrefillTokens are outstanding there.
 	PrefillTokens int
+	// Slots is how many requests it works on at once, 0 if that is not known.
+	Slots int
 }
 
 // Demand is the work that arrives at a pool.
@@ -58,6 +61,9 @@
 	Engines []Engine
 	Demand  Demand
 	Weights Weights
+	// Queue is how long the prompts in hand keep an engine that reads busy, on
+	// average.
+	Queue time.Duration
 }
 
 // Change is a decision.
@@ -83,8 +89,10 @@
 		return threshold{}, nil
 	case CostBenefit:
 		return &costBenefit{}, nil
+	case Packing:
+		return &packing{}, nil
 	}
-	return nil, fault.Newf(fault.Invalid, "use one of manual, threshold, cost-benefit", "role policy %q is not known", name)
+	return nil, fault.Newf(fault.Invalid, "use one of manual, threshold, cost-benefit, packing", "role policy %q is not known", name)
 }
 
 // Speeds of an engine that are assumed until they are learned.
