Packing policy follows the smoothed load and reads first

Change: smoothed load with half-life 4 s, spare factors, at most 0.6 of the engines read in the first 8 s of traffic.

--- a/roles/packing.go
+++ b/roles/packing.go
@@ -13,36 +13,44 @@
 // they are full, so packing them costs nothing, while each engine that reads
 // shortens the queue of prompts.
 type packing struct {
-	last time.Time
-	// peak is the number of requests that were being generated lately, falling
-	// slowly.
-	peak float64
+	first, last time.Time
+	// running is the smoothed number of requests that are being generated.
+	running float64
 	// queue is the smoothed queue of prompts in ms.
 	queue float64
-	// waited is since when prompts have waited, zero if they do not.
-	waited time.Time
+	// waited and crowded are since when prompts have waited and generating engines
+	// have been too few, zero if they do not.
+	waited, crowded time.Time
 }
 
 const (
-	// fill is the part of the slots of generating engines that is planned for; the
-	// rest takes up bursts for as long as a change of role takes.
-	fill = 0.7
-	// peakHalf is the time in which the remembered peak halves: longer than bursts
-	// that alternate every few seconds, shorter than a shift of the mix.
-	peakHalf = 8 * time.Second
+	// spareRead is how much more than the smoothed load the generating engines must
+	// still hold after one of them starts to read: bursts that alternate every few
+	// seconds are not followed.
+	spareRead = 1.5
+	// spareGenerate is how much more they must hold at the least.
+	spareGenerate = 1.15
+	// runningHalf is the half-life of the smoothed load: shorter than a shift of
+	// the mix, longer than bursts that alternate.
+	runningHalf = 4 * time.Second
 	// queueTime smooths the queue.
 	queueTime = 500 * time.Millisecond
-	// queueLimit is the queue from which another engine is worth having.
-	queueLimit = 40 * time.Millisecond
-	// waitFor is how long prompts must have waited before a role changes.
-	waitFor = 700 * time.Millisecond
+	// queueLimit is the queue, in ms, from which another reader is worth having.
+	queueLimit = 40.0
+	// waitFor and crowdedFor are how long prompts must have waited, or generating
+	// engines been too few, before a role changes.
+	waitFor    = 700 * time.Millisecond
+	crowdedFor = 700 * time.Millisecond
+	// learnTime is how long the load is watched before more than learnShare of the
+	// engines may read: requests that generate last for seconds.
+	learnTime  = 8 * time.Second
+	learnShare = 0.6
 	// minGenerating engines are kept, so that the loss of one stops nothing.
 	minGenerating = 2
 	minReading    = 1
 )
 
 func (p *packing) Decide(in Input) *Change {
-	p.observe(in)
 	generating, reading, slots := 0, 0, 0
 	for _, e := range in.Engines {
 		if e.Role == engine.RolePrefill {
@@ -55,18 +63,29 @@
 	if slots == 0 {
 		return nil
 	}
-	need := max(minGenerating, int(math.Ceil(p.peak/(fill*float64(slots)))))
-	reason := fmt.Sprintf("%.0f requests generating at the peak, %d slots each, %.0f ms of prompts queued", p.peak, slots, p.queue)
+	p.observe(in, generating*slots)
+	reason := fmt.Sprintf("%.0f requests generating, %d engines with %d slots each, %.0f ms of prompts queued", p.running, generating, slots, p.queue)
 	switch {
-	case generating < need && reading > minReading:
+	case due(p.crowded, in.Now, crowdedFor) && reading > minReading:
+		p.crowded = in.Now
 		return move(in.Engines, engine.RolePrefill, engine.RoleMixed, reason)
-	case generating > need && !p.waited.IsZero() && in.Now.Sub(p.waited) >= waitFor:
+	case due(p.waited, in.Now, waitFor) && p.maySpare(in, generating, reading, slots):
 		return move(in.Engines, engine.RoleMixed, engine.RolePrefill, reason)
 	}
 	return nil
 }
 
-func (p *packing) observe(in Input) {
+// maySpare reports whether the load leaves a generating engine to spare.
+func (p *packing) maySpare(in Input, generating, reading, slots int) bool {
+	if generating <= minGenerating || p.running*spareRead > float64((generating-1)*slots) {
+		return false
+	}
+	return in.Now.Sub(p.first) >= learnTime || float64(reading+1) <= learnShare*float64(reading+generating)
+}
+
+func due(since, now time.Time, after time.Duration) bool { return !since.IsZero() && now.Sub(since) >= after }
+
+func (p *packing) observe(in Input, room int) {
 	dt := in.Now.Sub(p.last)
 	if p.last.IsZero() || dt < 0 {
 		dt = 0
@@ -78,13 +97,22 @@
 			running += e.Requests
 		}
 	}
-	p.peak = max(float64(running), p.peak*math.Exp2(-dt.Seconds()/peakHalf.Seconds()))
-	weight := 1 - math.Exp(-dt.Seconds()/queueTime.Seconds())
-	p.queue += (float64(in.Queue)/float64(time.Millisecond) - p.queue) * weight
+	if p.first.IsZero() && running > 0 {
+		p.first = in.Now
+	}
+	p.running += (float64(running) - p.running) * (1 - math.Exp2(-dt.Seconds()/runningHalf.Seconds()))
+	p.queue += (in.Queue.Seconds()*1000 - p.queue) * (1 - math.Exp(-dt.Seconds()/queueTime.Seconds()))
+	p.waited = since(p.waited, in.Now, p.queue > queueLimit)
+	p.crowded = since(p.crowded, in.Now, p.running*spareGenerate > float64(room))
+}
+
+// since returns from when on a condition has held, zero if it does not.
+func since(old, now time.Time, holds bool) time.Time {
 	switch {
-	case p.queue < float64(queueLimit/time.Millisecond):
-		p.waited = time.Time{}
-	case p.waited.IsZero():
-		p.waited = in.Now
+	case !holds:
+		return time.Time{}
+	case old.IsZero():
+		return now
 	}
+	return old
 }
