Floor of generating engines; requests that have not begun count; vain connections are free

Change: at least 0.3 of the engines generate; a request whose answer has not begun weighs as four; a connection that could not be made costs no retry budget and marks the instance; one that lost its address is left out; queues at runners up to 2.5 times the slots.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -219,10 +219,11 @@
 	}))
 	q.sends++
 	if err != nil {
-		ticket.Run(q.ctx.Err() == nil)
+		ticket.Run(q.blame(err))
 		q.avoid[plan.Runner.ID] = true
 		if fault.Is(err, fault.Unavailable) {
 			q.free(plan.Reader, source)
+			q.paid = true // nothing arrived at the instance
 			return notRun, err
 		}
 		q.runs++
@@ -237,7 +238,11 @@
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
 		a.Close(skipBody(a) == nil)
-		ticket.Run(true)
+		outcome := placement.Failed
+		if verdict.Replaced {
+			outcome = placement.Replaced
+		}
+		ticket.Run(outcome)
 		q.avoid[plan.Runner.ID] = true
 		q.free(plan.Reader, source)
 		return notRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
@@ -246,25 +251,44 @@
 	q.mayHaveRun = true
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
-		ticket.Run(true)
+		ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
 		return lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
 	}
 	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
 		a.Close(skipBody(a) == nil)
-		ticket.Run(true)
+		ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
 		return lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
 	}
 	q.ticket = ticket
 	res, err := q.relay(a)
-	ticket.Run(res == lost)
+	ticket.Run(outcomeOf(res))
 	if res == lost {
 		q.avoid[plan.Runner.ID] = true
 	}
 	return res, err
 }
 
+// blame says what an attempt that failed tells of the instance. A caller that
+// left says nothing of it.
+func (q *request) blame(err error) placement.Outcome {
+	switch {
+	case q.ctx.Err() != nil:
+		return placement.Sound
+	case fault.Is(err, fault.Unavailable):
+		return placement.Unreachable
+	}
+	return placement.Failed
+}
+
+func outcomeOf(r result) placement.Outcome {
+	if r == lost {
+		return placement.Failed
+	}
+	return placement.Sound
+}
+
 // mayRepeat reports whether a failure that an instance answered is better asked
 // for again than passed on, and takes the send from the budget if so.
 func (q *request) mayRepeat() bool {
@@ -312,13 +336,19 @@
 		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: fetch,
 	}))
 	fail := func(err error) (string, result, error) {
-		ticket.Read(false, q.ctx.Err() == nil) // a caller that left says nothing of the engine
+		ticket.Read(false, q.blame(err))
 		q.avoid[plan.Reader.ID] = true
 		return "", notRun, err
 	}
 	if err != nil {
+		q.paid = fault.Is(err, fault.Unavailable) // nothing arrived at the engine
 		return fail(err)
 	}
+	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
+		a.Close(skipBody(a) == nil)
+		ticket.Read(false, placement.Replaced)
+		return fail(fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
+	}
 	body, err := readAll(a, maxReadResult)
 	if err != nil {
 		return fail(err)
@@ -330,7 +360,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	ticket.Read(true, false)
+	ticket.Read(true, placement.Sound)
 	q.readFor = time.Since(begun)
 	q.s.time("read", q.readFor)
 	return handle, delivered, nil
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -175,7 +175,7 @@
 	for id, l := range s.o.Own() {
 		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
 			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
-			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens),
+			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting),
 		})
 	}
 	return d
@@ -202,7 +202,7 @@
 		for _, l := range d.loads {
 			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
 				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
-				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()),
+				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()), Starting: int(l.GetStarting()),
 			})
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,7 +83,10 @@
 	// about as long as an engine takes to read this many.
 	longPrompt = 1024
 	// queueFactor is how many times its slots an instance may have in hand.
-	queueFactor = 1.5
+	queueFactor = 2.5
+	// startingWeight is how many running requests one counts for whose answer has
+	// not begun: it waits for a move of memory or in a queue, as the next one will.
+	startingWeight = 4.0
 )
 
 // Placer places requests. It is safe for concurrent use.
@@ -172,7 +175,7 @@
 func (p *Placer) split(j *Job) (readers, runners []*fleet.Instance) {
 	for _, i := range j.Permitted {
 		switch {
-		case j.Avoid[i.ID] || p.changing(i.ID):
+		case j.Avoid[i.ID] || p.changing(i.ID) || p.state(i).replaced:
 		case i.Role == engine.RolePrefill:
 			readers = append(readers, i)
 		default:
@@ -272,7 +275,7 @@
 		if r.Slots > 0 && float64(load.Requests) >= queueFactor*float64(r.Slots) {
 			continue
 		}
-		score := (float64(load.Requests) + 1) * st.penalty()
+		score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
 		if r.Domain != p.domain {
 			score += farPenalty
 		}
--- a/placement/state.go
+++ b/placement/state.go
@@ -23,6 +23,9 @@
 	failureFade = 2 * time.Second
 	// failurePenalty is how much worse an instance that always fails looks.
 	failurePenalty = 30.0
+	// unreachableShare is the share of failures that one vain connection counts
+	// for: whatever listened there is most likely gone.
+	unreachableShare = 0.8
 )
 
 // Load is work in hand at an instance.
@@ -36,18 +39,21 @@
 	// are read when no others wait, so they are not ahead of anything.
 	LatePrompts int
 	LateTokens  int
+	// Starting are the requests that were sent to generate and whose answers have
+	// not begun.
+	Starting int
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(m Load) Load {
 	return Load{
 		l.Requests + m.Requests, l.Prompts + m.Prompts, l.PromptTokens + m.PromptTokens,
-		l.LatePrompts + m.LatePrompts, l.LateTokens + m.LateTokens,
+		l.LatePrompts + m.LatePrompts, l.LateTokens + m.LateTokens, l.Starting + m.Starting,
 	}
 }
 
 func (l Load) sub(m Load) Load {
-	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens})
+	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens, -m.Starting})
 }
 
 // state is what is known about one instance.
@@ -61,6 +67,8 @@
 	// failures is the share of recent requests that failed, as of failedAt.
 	failures float64
 	failedAt time.Time
+	// replaced instances have lost their address to another.
+	replaced bool
 }
 
 func (p *Placer) state(i *fleet.Instance) *state {
@@ -101,6 +109,11 @@
 	}
 }
 
+// unreachable records that the instance could not be connected to.
+func (s *state) unreachable() {
+	s.failures, s.failedAt = max(s.failures, unreachableShare), time.Now()
+}
+
 // measure takes in how long a read took against what was expected.
 func (s *state) measure(took, expected float64) {
 	if expected <= 0 {
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -22,6 +22,7 @@
 	// expected is the estimate of the read in ms, without the engine's pace.
 	expected float64
 	late     bool
+	starting bool
 }
 
 // read counts the job at its reader. The caller holds the placer's lock.
@@ -42,10 +43,12 @@
 func (t *Ticket) run(runner *fleet.Instance) {
 	t.runner = t.p.state(runner)
 	t.runner.own.Requests++
+	t.runner.own.Starting++
+	t.starting = true
 }
 
-// Read records how reading apart ended. failed is true if the engine is to blame.
-func (t *Ticket) Read(ok, failed bool) {
+// Read records how reading apart ended; read is true if the prompt was read.
+func (t *Ticket) Read(read bool, o Outcome) {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	r := t.reader
@@ -53,8 +56,8 @@
 		return
 	}
 	t.leaveReader()
-	r.outcome(failed)
-	if !ok {
+	r.judge(o)
+	if !read {
 		return
 	}
 	r.kept.Add(t.subject, struct{}{})
@@ -72,6 +75,7 @@
 func (t *Ticket) FirstEvent() {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
+	t.started()
 	if !t.readAt.IsZero() {
 		t.model.ObserveAfter(time.Since(t.readAt))
 		t.readAt = time.Time{}
@@ -84,17 +88,56 @@
 	t.reader = nil
 }
 
-// Run records how the request ended at the runner. failed is true if the
-// instance is to blame.
-func (t *Ticket) Run(failed bool) {
+// started takes the job off those that have not begun. The caller holds the lock.
+func (t *Ticket) started() {
+	if t.starting && t.runner != nil {
+		t.runner.own.Starting--
+	}
+	t.starting = false
+}
+
+// leaveRunner takes the job off its runner. The caller holds the lock.
+func (t *Ticket) leaveRunner() {
+	t.started()
+	t.runner.own.Requests--
+	t.runner = nil
+}
+
+// Outcome says what an attempt tells of the instance where it was made.
+type Outcome int
+
+// Outcomes.
+const (
+	// Sound: the instance did what it should, or is not to blame.
+	Sound Outcome = iota
+	// Failed: the instance refused, broke off or answered wrongly.
+	Failed
+	// Unreachable: nothing could be sent.
+	Unreachable
+	// Replaced: another instance has its address.
+	Replaced
+)
+
+func (s *state) judge(o Outcome) {
+	switch o {
+	case Unreachable:
+		s.unreachable()
+	case Replaced:
+		s.replaced = true
+	default:
+		s.outcome(o == Failed)
+	}
+}
+
+// Run records how the request ended at the runner.
+func (t *Ticket) Run(o Outcome) {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	if t.runner == nil {
 		return
 	}
-	t.runner.own.Requests--
-	t.runner.outcome(failed)
-	t.runner = nil
+	t.runner.judge(o)
+	t.leaveRunner()
 }
 
 // Cancel takes the job back without a verdict on the instances.
@@ -105,7 +148,6 @@
 		t.leaveReader()
 	}
 	if t.runner != nil {
-		t.runner.own.Requests--
-		t.runner = nil
+		t.leaveRunner()
 	}
 }
--- a/roles/packing.go
+++ b/roles/packing.go
@@ -27,7 +27,7 @@
 	// spareRead is how much more than the smoothed load the generating engines must
 	// still hold after one of them starts to read: bursts that alternate every few
 	// seconds are not followed.
-	spareRead = 1.5
+	spareRead = 1.7
 	// spareGenerate is how much more they must hold at the least.
 	spareGenerate = 1.15
 	// runningHalf is the half-life of the smoothed load: shorter than a shift of
@@ -45,9 +45,12 @@
 	// engines may read: requests that generate last for seconds.
 	learnTime  = 8 * time.Second
 	learnShare = 0.6
-	// minGenerating engines are kept, so that the loss of one stops nothing.
-	minGenerating = 2
-	minReading    = 1
+	// minGenerating engines, and the share minGeneratingShare of all, are kept, so
+	// that the loss of one, or of a slow link, stops nothing: each takes over the
+	// memory of prompts one after the other.
+	minGenerating      = 2
+	minGeneratingShare = 0.3
+	minReading         = 1
 )
 
 func (p *packing) Decide(in Input) *Change {
@@ -77,13 +80,16 @@
 
 // maySpare reports whether the load leaves a generating engine to spare.
 func (p *packing) maySpare(in Input, generating, reading, slots int) bool {
-	if generating <= minGenerating || p.running*spareRead > float64((generating-1)*slots) {
+	least := max(minGenerating, int(math.Ceil(minGeneratingShare*float64(generating+reading))))
+	if generating <= least || p.running*spareRead > float64((generating-1)*slots) {
 		return false
 	}
 	return in.Now.Sub(p.first) >= learnTime || float64(reading+1) <= learnShare*float64(reading+generating)
 }
 
-func due(since, now time.Time, after time.Duration) bool { return !since.IsZero() && now.Sub(since) >= after }
+func due(since, now time.Time, after time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) >= after
+}
 
 func (p *packing) observe(in Input, room int) {
 	dt := in.Now.Sub(p.last)
