Offer a read prompt to a second runner; a prompt read again costs retry budget

Cause: a runner's refusal freed the handle, so the next attempt read the prompt anew: two sends beyond the first for one taken from the budget. Ruled out: vain connections (they arrive nowhere), peers spending each other's part. Change: the handle is kept and offered to another runner, given up after two; reading again takes a send of its own from the budget; what is left is freed at the end.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,6 +24,9 @@
 	unknownRetry = 500 * time.Millisecond
 	// maxReadResult bounds the answer of an engine that read a prompt.
 	maxReadResult = 64 << 10
+	// maxSourceUses is how many runners a prompt that was read is offered to before
+	// it is taken for the reason of their refusals.
+	maxSourceUses = 2
 	// freeTimeout bounds the call that frees a prompt that is not wanted.
 	freeTimeout = time.Second
 )
@@ -52,7 +55,14 @@
 	// mayHaveRun is true if some instance may have begun the request.
 	mayHaveRun bool
 	// paid is true if the next send has been taken from the budget.
-	paid    bool
+	paid bool
+	// source is a prompt that was read and has not been used, sourceReader the
+	// engine that keeps it and sourceUses how often it was offered to a runner.
+	source       *engine.KVSource
+	sourceReader *fleet.Instance
+	sourceUses   int
+	// read is true once an engine has taken the prompt up.
+	read    bool
 	version int64
 	plan    placement.Plan
 	ticket  *placement.Ticket
@@ -75,6 +85,7 @@
 
 // serve attempts the request until it has an answer.
 func (q *request) serve() {
+	defer q.free()
 	for {
 		rep := q.rebase()
 		if rep == nil {
@@ -143,7 +154,7 @@
 func (q *request) job(v *fleet.View) *placement.Job {
 	return &placement.Job{
 		Route: q.route, Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.deadline), Spent: time.Since(q.arrived),
-		Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, Resumed: q.begun,
+		Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, NoRead: q.begun || q.source != nil,
 	}
 }
 
@@ -200,29 +211,25 @@
 // returns notRun without an error.
 func (q *request) send(ticket *placement.Ticket) (result, error) {
 	plan := &q.plan
-	var source *engine.KVSource
 	if plan.Reader != nil {
-		handle, res, err := q.read(plan, ticket)
-		if err != nil {
+		if res, err := q.readPrompt(plan, ticket); err != nil {
 			return res, err
 		}
-		source = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}
 		view := q.s.o.View()
 		if !q.s.o.Placer.PlaceRead(q.job(view), plan, ticket) {
-			q.free(plan.Reader, source)
 			return notRun, nil
 		}
 		q.decision(view)
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
-		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: source, ResumeAfter: q.resumeAfter(),
+		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: q.source, ResumeAfter: q.resumeAfter(),
 	}))
 	q.sends++
+	q.sourceUses++
 	if err != nil {
 		ticket.Run(q.blame(err))
 		q.avoid[plan.Runner.ID] = true
 		if fault.Is(err, fault.Unavailable) {
-			q.free(plan.Reader, source)
 			q.paid = true // nothing arrived at the instance
 			return notRun, err
 		}
@@ -230,11 +237,11 @@
 		q.mayHaveRun = true
 		return lost, err
 	}
-	return q.receive(a, plan, ticket, source)
+	return q.receive(a, plan, ticket)
 }
 
 // receive judges the head of an answer and passes the answer on.
-func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket, source *engine.KVSource) (result, error) {
+func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket) (result, error) {
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
 		a.Close(skipBody(a) == nil)
@@ -244,11 +251,14 @@
 		}
 		ticket.Run(outcome)
 		q.avoid[plan.Runner.ID] = true
-		q.free(plan.Reader, source)
+		if q.sourceUses >= maxSourceUses {
+			q.free() // the prompt may be what the instances refuse
+		}
 		return notRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
 	}
 	q.runs++
 	q.mayHaveRun = true
+	q.source = nil // taken by the runner
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
 		ticket.Run(placement.Failed)
@@ -325,54 +335,70 @@
 	}
 }
 
-// read has the prompt read by the planned engine. The request does not run there.
-func (q *request) read(plan *placement.Plan, ticket *placement.Ticket) (string, result, error) {
-	begun := time.Now()
-	fetch := ""
-	if plan.FetchFrom != nil {
-		fetch = plan.FetchFrom.Address
+// readPrompt has the prompt read by the planned engine. The request does not run
+// there. A prompt that is read again costs a send beyond the first.
+func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+	if q.read && !q.s.budget.extra(q.service) {
+		q.paid = false
+		return notRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
 	}
+	begun := time.Now()
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
-		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: fetch,
+		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: addressOf(plan.FetchFrom),
 	}))
-	fail := func(err error) (string, result, error) {
-		ticket.Read(false, q.blame(err))
-		q.avoid[plan.Reader.ID] = true
-		return "", notRun, err
-	}
 	if err != nil {
 		q.paid = fault.Is(err, fault.Unavailable) // nothing arrived at the engine
-		return fail(err)
+		return q.unread(plan, ticket, q.blame(err), err)
 	}
 	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
 		a.Close(skipBody(a) == nil)
-		ticket.Read(false, placement.Replaced)
-		return fail(fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
+		return q.unread(plan, ticket, placement.Replaced, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
 	}
 	body, err := readAll(a, maxReadResult)
 	if err != nil {
-		return fail(err)
+		return q.unread(plan, ticket, q.blame(err), err)
 	}
 	if a.Status != http.StatusOK {
-		return fail(fault.Newf(fault.Unavailable, "another engine is tried", "engine %s answered %d to reading", plan.Reader.ID, a.Status))
+		return q.unread(plan, ticket, placement.Failed, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s answered %d to reading", plan.Reader.ID, a.Status))
 	}
 	handle, err := q.s.o.Protocol.ReadResult(body)
 	if err != nil {
-		return fail(err)
+		return q.unread(plan, ticket, placement.Failed, err)
 	}
 	ticket.Read(true, placement.Sound)
+	q.read = true
+	q.source, q.sourceReader, q.sourceUses = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}, plan.Reader, 0
 	q.readFor = time.Since(begun)
 	q.s.time("read", q.readFor)
-	return handle, delivered, nil
+	return delivered, nil
+}
+
+// unread records that an engine did not read the prompt.
+func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (result, error) {
+	if q.ctx.Err() != nil {
+		o = placement.Sound // a caller that left says nothing of the engine
+	}
+	ticket.Read(false, o)
+	q.avoid[plan.Reader.ID] = true
+	return notRun, err
+}
+
+func addressOf(i *fleet.Instance) string {
+	if i == nil {
+		return ""
+	}
+	return i.Address
 }
 
 // free tells an engine that a prompt that it read is not wanted. Nobody waits
 // for it: the engine drops the prompt by itself after a while.
-func (q *request) free(reader *fleet.Instance, source *engine.KVSource) {
-	if reader == nil || source == nil {
+func (q *request) free() {
+	if q.source == nil {
 		return
 	}
-	method, uri := q.s.o.Protocol.FreeHandle(source.Handle)
+	reader := q.sourceReader
+	method, uri := q.s.o.Protocol.FreeHandle(q.source.Handle)
+	q.source = nil
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,8 +51,9 @@
 	Permitted []*fleet.Instance
 	// Avoid holds the IDs of instances that failed this request.
 	Avoid map[string]bool
-	// Resumed requests go on after events that were delivered.
-	Resumed bool
+	// NoRead is true if the prompt is not to be read apart: it has been read, or
+	// the request goes on after events that were delivered.
+	NoRead bool
 }
 
 // Plan is a decision.
@@ -141,7 +142,7 @@
 		return plan, nil
 	}
 	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), begun: time.Now()}
-	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.Resumed {
+	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.NoRead {
 		p.chooseReader(&plan, j, readers)
 		t.read(&plan)
 		return plan, t
