--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,157 @@
+package discovery_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+const (
+	apply     = 200 * time.Millisecond
+	lapseKept = 300 * time.Millisecond
+	soon      = 2 * time.Second
+	tick      = 5 * time.Millisecond
+)
+
+func start(t *testing.T) (*fleetstore.Server, func() *fleet.View) {
+	t.Helper()
+	fake := fleetstore.New()
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.Close)
+	store := platform.NewStore(server.Listener.Addr().String())
+	d := discovery.New(discovery.Options{
+		Store: store,
+		Prefixes: discovery.Prefixes{
+			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
+		},
+		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		Apply: apply, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+		store.Close()
+		server.CloseClientConnections()
+	})
+	return fake, d.View
+}
+
+func setConfig(fake *fleetstore.Server, version int) {
+	fake.Set("config", "main", map[string]any{"version": version})
+}
+
+func setInstance(fake *fleetstore.Server, id, phase string) {
+	fake.Set("servers", id, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": phase, "slots": 4})
+}
+
+func version(v *fleet.View) int64 {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	require.Eventually(t, holds, soon, tick)
+}
+
+func TestConfigurationOnlyMovesUp(t *testing.T) {
+	fake, view := start(t)
+	setConfig(fake, 5)
+	eventually(t, func() bool { return version(view()) == 5 })
+	setConfig(fake, 4)
+	fake.Set("config", "main", "not a configuration")
+	time.Sleep(apply)
+	require.EqualValues(t, 5, version(view()), "an older or unreadable one leaves the last good one in force")
+	setConfig(fake, 9)
+	eventually(t, func() bool { return version(view()) == 9 })
+}
+
+func TestHistoryThatIsGoneIsListedAgain(t *testing.T) {
+	fake, view := start(t)
+	setConfig(fake, 1)
+	eventually(t, func() bool { return version(view()) == 1 })
+	fake.SetFaults(fleetstore.Faults{DeafWatches: true})
+	setConfig(fake, 2)
+	time.Sleep(apply / 4)
+	fake.Forget()
+	fake.SetFaults(fleetstore.Faults{})
+	eventually(t, func() bool { return version(view()) == 2 })
+}
+
+// TestSilentStore checks that a watch that is cut silently is noticed, and that
+// a change made meanwhile is in force soon after the store's return.
+func TestSilentStore(t *testing.T) {
+	fake, view := start(t)
+	setConfig(fake, 1)
+	setInstance(fake, "i-1", "ready")
+	eventually(t, func() bool { return version(view()) == 1 && len(view().Usable("s")) == 1 })
+	fake.SetFaults(fleetstore.Faults{Silent: true})
+	eventually(t, func() bool { return !view().StoreUp })
+	require.Len(t, view().Usable("s"), 1, "the last known list stands")
+	setConfig(fake, 2)
+	fake.SetFaults(fleetstore.Faults{})
+	eventually(t, func() bool { return version(view()) == 2 && view().StoreUp })
+}
+
+func TestDrainingAndGone(t *testing.T) {
+	fake, view := start(t)
+	setInstance(fake, "i-1", "ready")
+	setInstance(fake, "i-2", "ready")
+	eventually(t, func() bool { return len(view().Usable("s")) == 2 })
+	setInstance(fake, "i-1", "draining")
+	eventually(t, func() bool { return len(view().Usable("s")) == 1 })
+	require.False(t, view().Takes("s", "i-1"))
+	fake.Remove("servers", "i-2")
+	eventually(t, func() bool { return len(view().Usable("s")) == 0 })
+}
+
+// TestLapsedWhileTheStoreWasAway checks that registrations that lapse in an
+// outage are kept until it is known which of them come back.
+func TestLapsedWhileTheStoreWasAway(t *testing.T) {
+	fake, view := start(t)
+	setInstance(fake, "i-1", "ready")
+	setInstance(fake, "i-2", "ready")
+	setInstance(fake, "i-3", "draining")
+	eventually(t, func() bool { return len(view().Instances) == 3 })
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	eventually(t, func() bool { return !view().StoreUp })
+	fake.Remove("servers", "i-1")
+	fake.Remove("servers", "i-2")
+	fake.Remove("servers", "i-3")
+	fake.SetFaults(fleetstore.Faults{})
+	eventually(t, func() bool { return view().StoreUp })
+	time.Sleep(lapseKept / 4)
+	require.Len(t, view().Usable("s"), 2, "both may come back")
+	require.Nil(t, view().Instances["i-3"], "one that was draining does not")
+	setInstance(fake, "i-1", "ready")
+	eventually(t, func() bool { return len(view().Usable("s")) == 1 })
+	require.True(t, view().Takes("s", "i-1"))
+	time.Sleep(lapseKept)
+	require.True(t, view().Takes("s", "i-1"))
+}
+
+func TestRules(t *testing.T) {
+	fake, view := start(t)
+	rules := map[string]any{"selectors": map[string]string{"*": "domain=a"}}
+	fake.Set("rockdoor-rules", "main", map[string]any{"write": "w", "value": rules})
+	eventually(t, func() bool { return view().Rules != nil })
+	_, ok := view().Rules.Permits("r", &fleet.Instance{Domain: "b"})
+	require.False(t, ok)
+	fake.Remove("rockdoor-rules", "main")
+	eventually(t, func() bool { return view().Rules == nil })
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,197 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+// serve answers each connection with f and returns the address.
+func serve(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(n, c, bufio.NewReader(c))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) (id, body string, err error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", err
+	}
+	b, err := io.ReadAll(req.Body)
+	return req.Header.Get("Id"), string(b), err
+}
+
+func write(c net.Conn, id, text string, more ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(text), strings.Join(more, ""), text)
+}
+
+func request(address, id string, body string) Request {
+	return Request{
+		Address: address, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func get(t *testing.T, c *Client, r Request) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, r)
+	require.NoError(t, err)
+	text, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	a.Close(true)
+	return string(text)
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, body, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			write(c, id, fmt.Sprint(n, body))
+		}
+	})
+	c := New(metrics.NewRegistry())
+	for range 3 {
+		require.Equal(t, "1 hello", get(t, c, request(address, "a", " hello")))
+	}
+	require.Equal(t, 1, c.Open(address))
+	fresh := request(address, "a", "")
+	fresh.Fresh = true
+	require.Equal(t, "2", get(t, c, fresh))
+	c.Forget(address)
+	require.Zero(t, c.Open(address))
+}
+
+// TestLateAnswerOfAnEarlierRequest checks that an answer in excess is never
+// taken for the next request's, whether it is there before or comes after.
+func TestLateAnswerOfAnEarlierRequest(t *testing.T) {
+	t.Run("before the next request", func(t *testing.T) {
+		address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+			id, _, _ := readRequest(r)
+			write(c, id, fmt.Sprint(n))
+			write(c, id, "again")
+		})
+		c := New(metrics.NewRegistry())
+		require.Equal(t, "1", get(t, c, request(address, "a", "")))
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, "2", get(t, c, request(address, "b", "")))
+	})
+	t.Run("in the place of the next answer", func(t *testing.T) {
+		address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+			first, _, _ := readRequest(r)
+			write(c, first, fmt.Sprint(n))
+			second, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			write(c, first, "again")
+			write(c, second, "right")
+		})
+		c := New(metrics.NewRegistry())
+		require.Equal(t, "1", get(t, c, request(address, "a", "")))
+		require.Equal(t, "right", get(t, c, request(address, "b", "")))
+		require.Zero(t, c.Open(address), "the connection is not used again")
+	})
+}
+
+func TestWhatIsKnownAfterAFailure(t *testing.T) {
+	c := New(metrics.NewRegistry())
+	_, err := c.Do(context.Background(), request("127.0.0.1:1", "a", ""))
+	require.True(t, fault.Is(err, fault.Unavailable), "nothing was sent")
+
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		c.Close()
+	})
+	_, err = c.Do(context.Background(), request(address, "a", ""))
+	require.True(t, fault.Is(err, fault.Unknown), "it may have begun")
+
+	r := request(address, "a", "")
+	r.Check = func() error { return fault.New(fault.Unavailable, "too late", "none") }
+	_, err = c.Do(context.Background(), r)
+	require.True(t, fault.Is(err, fault.Unavailable))
+	require.Zero(t, c.Open(address))
+}
+
+func TestCutBodyIsNotWhole(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id, _, _ := readRequest(r)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nhalf", id)
+		c.Close()
+	})
+	a, err := New(metrics.NewRegistry()).Do(context.Background(), request(address, "a", ""))
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.Error(t, err)
+	a.Close(false)
+}
+
+// TestAnswerBeforeTheBodyWasRead checks that a connection is not reused on which
+// an instance may still read the rest of a body.
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		write(c, req.Header.Get("Id"), fmt.Sprint(n))
+		time.Sleep(100 * time.Millisecond)
+	})
+	c := New(metrics.NewRegistry())
+	large := strings.Repeat("x", 32<<20)
+	require.Equal(t, "1", get(t, c, request(address, "a", large)))
+	require.Zero(t, c.Open(address))
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := New(metrics.NewRegistry()).Do(ctx, request(address, "a", ""))
+	require.True(t, fault.Is(err, fault.Unknown))
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the instance was not told to stop")
+	}
+}
+
+func TestIdleTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": idleDefault, "timeout=5": 5*time.Second - idleMargin, "max=3, timeout=1": time.Second - idleMargin, "timeout=0": 0, "odd": idleDefault,
+	} {
+		require.Equal(t, want, idleTime(http.Header{"Keep-Alive": {text}}), text)
+	}
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
+)
+
+func fleetOf(readers, runners int) []*fleet.Instance {
+	var out []*fleet.Instance
+	for n := range readers {
+		out = append(out, &fleet.Instance{ID: fmt.Sprintf("p-%d", n), Role: engine.RolePrefill, Slots: 8, Domain: "a"})
+	}
+	for n := range runners {
+		out = append(out, &fleet.Instance{ID: fmt.Sprintf("d-%d", n), Role: engine.RoleMixed, Slots: 8, Domain: "a"})
+	}
+	return out
+}
+
+func job(all []*fleet.Instance, subject string, tokens int) *Job {
+	return &Job{
+		Route: &fleet.Route{Name: "r", LatencyTarget: 200 * time.Millisecond}, Service: fleet.Service{Name: "s"},
+		Call: &engine.Call{PromptTokens: tokens, Parts: []engine.Part{{ID: subject, Tokens: tokens * 2 / 3}, {ID: "own", Tokens: tokens / 3}}},
+		Left: 2 * time.Second, Permitted: all,
+	}
+}
+
+func TestASubjectHasOneHome(t *testing.T) {
+	all := fleetOf(6, 2)
+	spread := map[string]int{}
+	for n := range 600 {
+		subject := fmt.Sprint("subject-", n)
+		plan, ticket := New("a", nil, nil).Place(job(all, subject, 9000))
+		require.Equal(t, ReasonHome, plan.Reason)
+		require.Equal(t, Home(subject, all[:6]), plan.Reader)
+		spread[plan.Reader.ID]++
+		ticket.Cancel()
+	}
+	for id, n := range spread {
+		require.InDelta(t, 100, n, 45, id)
+	}
+	moved := 0
+	for n := range 600 {
+		subject := fmt.Sprint("subject-", n)
+		if Home(subject, all[:6]) != Home(subject, all[:5]) {
+			moved++
+		}
+	}
+	require.InDelta(t, 100, moved, 45, "only the lost engine's subjects move")
+}
+
+func TestBusyHomeSpillsAndFetchesFromHome(t *testing.T) {
+	all := fleetOf(3, 1)
+	home := Home("s", all[:3])
+	p := New("a", func(id string) Load {
+		if id == home.ID {
+			return Load{Prompts: 5, PromptTokens: 20000}
+		}
+		return Load{}
+	}, nil)
+	plan, _ := p.Place(job(all, "s", 9000))
+	require.Equal(t, ReasonSpill, plan.Reason)
+	require.NotEqual(t, home, plan.Reader)
+	require.Equal(t, home, plan.FetchFrom)
+}
+
+// TestLateOnesAreNotAhead is the collapse of quiet-1: once one request was late,
+// each after it was counted as late too.
+func TestLateOnesAreNotAhead(t *testing.T) {
+	late := Load{LatePrompts: 50, LateTokens: 400000}
+	plan, _ := New("a", func(string) Load { return late }, nil).Place(job(fleetOf(2, 1), "s", 6000))
+	require.False(t, plan.Late)
+	urgent := Load{Prompts: 50, PromptTokens: 400000}
+	plan, _ = New("a", func(string) Load { return urgent }, nil).Place(job(fleetOf(2, 1), "s", 6000))
+	require.True(t, plan.Late)
+	require.Equal(t, ReasonLate, plan.Reason)
+	require.NotNil(t, plan.Reader, "it is offered to an engine all the same")
+}
+
+func TestLoadIsCountedAndTakenBack(t *testing.T) {
+	all := fleetOf(1, 1)
+	p := New("a", nil, nil)
+	j := job(all, "s", 9000)
+	plan, ticket := p.Place(j)
+	require.Equal(t, Load{Requests: 1, Prompts: 1, PromptTokens: 3000}, p.Load(plan.Reader))
+	ticket.Read(true, Sound)
+	require.True(t, p.PlaceRead(j, &plan, ticket))
+	require.Equal(t, Load{Requests: 1, Starting: 1}, p.Load(plan.Runner))
+	ticket.FirstEvent()
+	require.Equal(t, Load{Requests: 1}, p.Load(plan.Runner))
+	ticket.Run(Sound)
+	ticket.Cancel()
+	require.Empty(t, p.Own())
+}
+
+func TestRunners(t *testing.T) {
+	t.Run("one that starts nothing is avoided", func(t *testing.T) {
+		all := fleetOf(0, 2)
+		p := New("a", func(id string) Load {
+			if id == "d-0" {
+				return Load{Requests: 4, Starting: 4}
+			}
+			return Load{Requests: 6}
+		}, nil)
+		plan, _ := p.Place(job(all, "s", 100))
+		require.Equal(t, "d-1", plan.Runner.ID)
+	})
+	t.Run("full ones refuse with a time to come back", func(t *testing.T) {
+		p := New("a", func(string) Load { return Load{Requests: 20} }, nil)
+		plan, ticket := p.Place(job(fleetOf(0, 2), "s", 100))
+		require.Nil(t, ticket)
+		require.Equal(t, ReasonFull, plan.Reason)
+		require.Positive(t, plan.RetryAfter)
+	})
+	t.Run("changing, avoided and replaced ones get nothing", func(t *testing.T) {
+		all := fleetOf(0, 4)
+		p := New("a", nil, func(id string) bool { return id == "d-0" })
+		j := job(all, "s", 100)
+		j.Avoid = map[string]bool{"d-1": true}
+		p.state(all[2]).replaced = true
+		for range 20 {
+			plan, _ := p.Place(j)
+			require.Equal(t, "d-3", plan.Runner.ID)
+		}
+	})
+	t.Run("one that cannot be reached is left for a while", func(t *testing.T) {
+		all := fleetOf(0, 2)
+		p := New("a", nil, nil)
+		first, ticket := p.Place(job(all, "s", 100))
+		ticket.Run(Unreachable)
+		second, _ := p.Place(job(all, "s", 100))
+		require.NotEqual(t, first.Runner, second.Runner)
+	})
+}
+
+func TestModelLearnsTheSpeed(t *testing.T) {
+	m := NewModel()
+	for n := range 400 {
+		tokens := 500 + n%20*500
+		m.Observe(tokens, millis(5+float64(tokens)/300))
+	}
+	require.InDelta(t, 300, m.rate(), 30)
+	require.InDelta(t, 5, m.base(), 2)
+	require.InDelta(t, 5+3000/300.0, m.Read(3000), 3)
+}
+
+func TestSlowEngineIsAvoided(t *testing.T) {
+	all := fleetOf(2, 1)
+	p := New("a", nil, nil)
+	slow := p.state(all[0])
+	for range 50 {
+		slow.measure(500, 50)
+	}
+	home := 0
+	for n := range 100 {
+		plan, ticket := p.Place(job(all, fmt.Sprint(n), 9000))
+		if plan.Reader == all[0] {
+			home++
+		}
+		ticket.Cancel()
+	}
+	require.Less(t, home, 10)
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{12, 120, 2700} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := fleetOf(n*2/3, n/3)
+			p := New("a", nil, nil)
+			j := job(all, "s", 9000)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, ticket := p.Place(j)
+				ticket.Cancel()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/roles/packing_test.go
@@ -0,0 +1,94 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+)
+
+// shift is a pool whose load changes with time.
+type shift struct {
+	engines []Engine
+	now     time.Time
+	changes int
+}
+
+func newShift(readers, generating int) *shift {
+	s := &shift{now: time.Unix(0, 0)}
+	for n := range readers + generating {
+		role := engine.RoleMixed
+		if n < readers {
+			role = engine.RolePrefill
+		}
+		s.engines = append(s.engines, Engine{Name: fmt.Sprint(n), Domain: fmt.Sprint(n % 3), Role: role, Movable: true, Slots: 48})
+	}
+	return s
+}
+
+func (s *shift) readers() int {
+	n := 0
+	for _, e := range s.engines {
+		if e.Role == engine.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
+// play lets the policy decide every 200 ms.
+func (s *shift) play(p Policy, d time.Duration, load func(at time.Duration) (running int, queue time.Duration)) {
+	for at := time.Duration(0); at < d; at += 200 * time.Millisecond {
+		running, queue := load(at)
+		for i := range s.engines {
+			if s.engines[i].Requests = 0; s.engines[i].Role != engine.RolePrefill {
+				s.engines[i].Requests = running / max(1, len(s.engines)-s.readers())
+			}
+		}
+		if c := p.Decide(Input{Now: s.now, Engines: s.engines, Queue: queue}); c != nil {
+			s.changes++
+			for i := range s.engines {
+				if s.engines[i].Name == c.Engine {
+					s.engines[i].Role = c.To
+				}
+			}
+		}
+		s.now = s.now.Add(200 * time.Millisecond)
+	}
+}
+
+func TestPackingReadsWhenPromptsWait(t *testing.T) {
+	s := newShift(4, 8)
+	s.play(&packing{}, 6*time.Second, func(time.Duration) (int, time.Duration) { return 40, 300 * time.Millisecond })
+	require.Equal(t, 7, s.readers(), "no more than learnShare before the load is known")
+	s.play(&packing{}, 30*time.Second, func(time.Duration) (int, time.Duration) { return 40, 300 * time.Millisecond })
+	require.Equal(t, 8, s.readers(), "minGeneratingShare is kept")
+}
+
+func TestPackingLeavesACalmPoolAlone(t *testing.T) {
+	s := newShift(4, 8)
+	s.play(&packing{}, time.Minute, func(time.Duration) (int, time.Duration) { return 100, 5 * time.Millisecond })
+	require.Zero(t, s.changes)
+}
+
+// TestPackingDoesNotFollowBursts covers bursts that alternate every 2.8 s, by
+// which an earlier version changed 16 roles a day.
+func TestPackingDoesNotFollowBursts(t *testing.T) {
+	s := newShift(7, 5)
+	s.play(&packing{}, time.Minute, func(at time.Duration) (int, time.Duration) {
+		if int(at.Seconds()/2.8)%2 == 0 {
+			return 180, 10 * time.Millisecond
+		}
+		return 90, 300 * time.Millisecond
+	})
+	require.LessOrEqual(t, s.changes, 1)
+}
+
+func TestPackingGivesBackWhenGeneratingIsCrowded(t *testing.T) {
+	s := newShift(8, 4)
+	s.play(&packing{}, 20*time.Second, func(time.Duration) (int, time.Duration) { return 230, 300 * time.Millisecond })
+	require.Equal(t, 6, s.readers())
+}
