Take a subject from the engine that read it last

Change: digests carry the hash of each subject read and its engine; any reader takes the shared part from there (Kv-Fetch), which costs about a millisecond; the home is for subjects that nobody has read lately.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -420,7 +420,10 @@
 		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
 	}
 	if p.Reader != nil {
-		kv = append(kv, "reader", p.Reader.ID)
+		kv = append(kv, "subject", q.call.Subject(), "reader", p.Reader.ID)
+	}
+	if p.FetchFrom != nil {
+		kv = append(kv, "fetch_from", p.FetchFrom.ID)
 	}
 	if p.Runner != nil {
 		kv = append(kv, "runner", p.Runner.ID)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -117,7 +117,7 @@
 		Heard: func() []string { return d.share.Heard() }, Metrics: d.reg, Logger: d.logger,
 	})
 	d.share = loadshare.New(loadshare.Options{
-		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Own: d.placer.Own, Changing: d.roles.Changing,
+		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
 		Members: func() []members.Member { return d.discovery.View().Members }, Logger: d.logger,
 	})
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -32,6 +32,9 @@
 	callTimeout = 500 * time.Millisecond
 	// keptIntervals is for how many intervals a digest counts.
 	keptIntervals = 6
+	// readIntervals is for how many intervals a read is told, so that a lost
+	// exchange loses nothing.
+	readIntervals = 3
 	// retryFirst and retryMost bound the pause before a silent peer is called again.
 	retryFirst = 250 * time.Millisecond
 	retryMost  = 4 * time.Second
@@ -48,8 +51,8 @@
 	// Prefix is where the gateways register.
 	Prefix    string
 	Transport *peer.Transport
-	// Own returns what this process has in hand at each instance.
-	Own func() map[string]placement.Load
+	// Placer knows what this process has in hand and learns what others had read.
+	Placer *placement.Placer
 	// Changing returns the engines that this process is having change their role.
 	Changing func() []string
 	// Members returns the registered gateways.
@@ -116,7 +119,7 @@
 	go s.stayRegistered(ctx)
 	for {
 		peers := s.peers()
-		interval := max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
+		interval := s.interval()
 		for _, p := range peers {
 			go s.exchange(ctx, p)
 		}
@@ -172,16 +175,27 @@
 
 func (s *Sharer) digest() *peerpb.LoadDigest {
 	d := &peerpb.LoadDigest{Changing: s.o.Changing()}
-	for id, l := range s.o.Own() {
+	for id, l := range s.o.Placer.Own() {
 		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
 			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
 			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting),
 		})
 	}
+	for _, r := range s.o.Placer.RecentReads(s.interval() * readIntervals) {
+		d.Reads = append(d.Reads, &peerpb.SubjectRead{Subject: r.Subject, Instance: r.Instance})
+	}
 	return d
 }
 
+// interval returns how often digests are exchanged.
+func (s *Sharer) interval() time.Duration {
+	return max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
+}
+
 func (s *Sharer) hear(name string, d *peerpb.LoadDigest) {
+	for _, r := range d.GetReads() {
+		s.o.Placer.Learn(placement.Read{Subject: r.GetSubject(), Instance: r.GetInstance()})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.digests[name]; !known {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +11,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
@@ -23,9 +24,9 @@
 // node is one gateway's part.
 type node struct {
 	*Sharer
-	self members.Member
-	own  atomic.Pointer[map[string]placement.Load]
-	stop func()
+	self   members.Member
+	placer *placement.Placer
+	stop   func()
 }
 
 // HandlePeer implements peer.Handler.
@@ -37,12 +38,11 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	n := &node{self: members.Member{Name: name, Incarnation: name + "-1", Peer: l.Addr().String()}}
-	n.own.Store(&map[string]placement.Load{})
+	n := &node{self: members.Member{Name: name, Incarnation: name + "-1", Peer: l.Addr().String()}, placer: placement.New("a", nil, nil)}
 	transport := peer.NewTransport(&peerpb.Identity{Name: name, Incarnation: "1"}, n, metrics.NewRegistry(), log.NewNopLogger())
 	n.Sharer = New(Options{
 		Self: n.self, Store: platform.NewStore(store), Prefix: platform.MemberPrefix, Transport: transport,
-		Own: func() map[string]placement.Load { return *n.own.Load() }, Changing: func() []string { return []string{"by-" + name} },
+		Placer: n.placer, Changing: func() []string { return []string{"by-" + name} },
 		Members: func() []members.Member { return *all }, Logger: log.NewNopLogger(),
 	})
 	go func() { _ = transport.Serve(l) }()
@@ -53,6 +53,22 @@
 	return n
 }
 
+// job is a request with a long prompt before one reader, i, and one runner.
+func job() *placement.Job {
+	return &placement.Job{
+		Route: &fleet.Route{}, Left: time.Second, Permitted: []*fleet.Instance{{ID: "i", Role: engine.RolePrefill}, {ID: "r", Role: engine.RoleMixed}},
+		Call: &engine.Call{PromptTokens: 5000, Parts: []engine.Part{{ID: "s", Tokens: 4000}, {ID: "own", Tokens: 1000}}},
+	}
+}
+
+// place counts a job at i.
+func (n *node) place(t *testing.T) *placement.Ticket {
+	t.Helper()
+	_, ticket := n.placer.Place(job())
+	require.NotNil(t, ticket)
+	return ticket
+}
+
 func TestLoadsAreShared(t *testing.T) {
 	fake := fleetstore.New()
 	server := httptest.NewServer(fake)
@@ -65,10 +81,16 @@
 		all[i] = n.self
 		nodes = append(nodes, n)
 	}
-	want := placement.Load{Requests: 1, Prompts: 2, PromptTokens: 3, LatePrompts: 4, LateTokens: 5, Starting: 6}
-	nodes[1].own.Store(&map[string]placement.Load{"i": want})
-	nodes[2].own.Store(&map[string]placement.Load{"i": want})
+	nodes[1].place(t)
+	nodes[2].place(t)
+	want := placement.Load{Requests: 1, Prompts: 1, PromptTokens: 3000}
 	require.Eventually(t, func() bool { return nodes[0].Load("i") == want.Add(want) && nodes[1].Load("i") == want }, 3*time.Second, 5*time.Millisecond)
+	nodes[2].place(t).Read(true, placement.Sound)
+	require.Eventually(t, func() bool {
+		plan, ticket := nodes[0].placer.Place(job())
+		ticket.Cancel()
+		return plan.Reason == placement.ReasonHolder
+	}, 3*time.Second, 5*time.Millisecond, "the engine that read a subject is known to the others")
 	require.True(t, nodes[0].Changing("by-c"))
 	require.False(t, nodes[0].Changing("by-a"))
 	require.Len(t, nodes[0].Heard(), 2)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,10 +5,8 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +21,11 @@
 
 // Reasons of plans.
 const (
-	// ReasonHome is the home engine of the prompt's subject.
+	// ReasonHolder is the engine that read the prompt's subject last.
+	ReasonHolder Reason = "holder"
+	// ReasonFetch is another engine, which takes what the holder keeps.
+	ReasonFetch Reason = "fetch"
+	// ReasonHome is the home of a subject that nobody has read lately.
 	ReasonHome Reason = "home"
 	// ReasonSpill is another engine, because the home is too busy.
 	ReasonSpill Reason = "spill"
@@ -97,6 +99,7 @@
 	mu        sync.Mutex
 	instances map[string]*state
 	models    map[string]*Model // by service
+	subjects  *subjects
 	peers     func(id string) Load
 	changing  func(id string) bool
 }
@@ -111,7 +114,7 @@
 	if changing == nil {
 		changing = func(string) bool { return false }
 	}
-	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers, changing: changing}
+	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, subjects: newSubjects(), peers: peers, changing: changing}
 }
 
 // Load returns what all processes have in hand at an instance.
@@ -126,9 +129,7 @@
 func (p *Placer) Queue(service string, l Load) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.Prompts += l.LatePrompts
-	l.PromptTokens += l.LateTokens
-	return millis(p.model(service).Busy(l))
+	return millis(p.model(service).Busy(l.withLate()))
 }
 
 // Place decides where a job is read, or where it runs if it is not read apart,
@@ -197,73 +198,67 @@
 }
 
 // chooseReader picks the engine that is expected to have read the prompt first.
+// A request that no engine is expected to read in time goes where the least waits
+// in all, since it is read when nothing else is.
 func (p *Placer) chooseReader(plan *Plan, j *Job, readers []*fleet.Instance) {
-	home := Home(j.Call.Subject(), readers)
-	model := p.model(j.Service.Name)
-	own := j.Call.PromptTokens - j.Call.SharedTokens()
-	best := math.Inf(1)
-	for _, r := range readers {
-		st := p.state(r)
-		uncached := own
-		if r != home && !st.keeps(j.Call.Subject()) {
-			uncached += int(fetchCost * float64(j.Call.SharedTokens()))
-		}
-		ahead := model.Busy(p.load(st)) * st.pace
-		read := model.Read(uncached) * st.pace
-		if score := (ahead + read) * st.penalty(); score < best {
-			best = score
-			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, uncached, millis(ahead), millis(read)
-		}
-	}
-	plan.Reason = ReasonHome
-	if plan.Reader != home {
-		plan.Reason = ReasonSpill
-		if !p.state(plan.Reader).keeps(j.Call.Subject()) {
-			plan.FetchFrom = home
-		}
-	}
-	estimate := plan.Ahead + plan.Read + millis(model.after)
+	p.chooseLeast(plan, j, readers, func(l Load) Load { return l })
+	estimate := plan.Ahead + plan.Read + millis(p.model(j.Service.Name).after)
 	plan.Late = j.Route.LatencyTarget > 0 && estimate > j.Route.LatencyTarget-j.Spent
 	if !plan.Late {
 		return
 	}
-	// A late one goes where the fewest wait with it.
-	p.chooseLateReader(plan, j, readers)
+	p.chooseLeast(plan, j, readers, Load.withLate)
+	plan.Reason = ReasonLate
 }
 
-// chooseLateReader picks the engine that has the least to read, also of late
-// requests.
-func (p *Placer) chooseLateReader(plan *Plan, j *Job, readers []*fleet.Instance) {
-	model := p.model(j.Service.Name)
+// chooseLeast picks the reader with the shortest time until the prompt is read,
+// counting the part of its load that counted returns.
+func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, counted func(Load) Load) {
 	home := Home(j.Call.Subject(), readers)
+	holder := p.holder(j.Call.Subject(), j.Permitted)
+	model := p.model(j.Service.Name)
+	shared := float64(j.Call.SharedTokens())
 	best := math.Inf(1)
 	for _, r := range readers {
 		st := p.state(r)
-		load := p.load(st)
-		load.Prompts += load.LatePrompts
-		load.PromptTokens += load.LateTokens
 		uncached := j.Call.PromptTokens - j.Call.SharedTokens()
-		if r != home && !st.keeps(j.Call.Subject()) {
-			uncached += int(fetchCost * float64(j.Call.SharedTokens()))
+		switch {
+		case r == holder:
+		case holder != nil:
+			uncached += int(fetchedCost * shared)
+		case r == home:
+			uncached += int(homeCost * shared)
+		default:
+			uncached += int(strangerCost * shared)
 		}
-		ahead := model.Busy(load) * st.pace
+		ahead := model.Busy(counted(p.load(st))) * st.pace
 		read := model.Read(uncached) * st.pace
 		if score := (ahead + read) * st.penalty(); score < best {
 			best = score
 			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, uncached, millis(ahead), millis(read)
 		}
 	}
-	plan.Reason = ReasonLate
 	plan.FetchFrom = nil
-	if plan.Reader != home {
-		plan.FetchFrom = home
+	switch {
+	case plan.Reader == holder:
+		plan.Reason = ReasonHolder
+	case holder != nil:
+		plan.Reason, plan.FetchFrom = ReasonFetch, holder
+	case plan.Reader == home:
+		plan.Reason = ReasonHome
+	default:
+		plan.Reason, plan.FetchFrom = ReasonSpill, home
 	}
 }
 
 const (
-	// fetchCost is the part of the shared tokens that is expected to be read again
-	// at an engine that takes them from the home, which may not keep them.
-	fetchCost = 0.3
+	// fetchedCost is the part of the shared tokens that is expected to be read at
+	// an engine that takes them from the one that read them last: the move costs
+	// little, but they may have given way there.
+	fetchedCost = 0.15
+	// homeCost and strangerCost are for subjects that nobody has read lately.
+	homeCost     = 0.5
+	strangerCost = 0.6
 )
 
 // chooseRunner picks the instance with the least work, in the own failure domain
@@ -305,15 +300,17 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// Home returns the engine that keeps a subject, by rendezvous hashing, so that
-// all processes name the same one and a change of engines moves few subjects.
+// Home returns the engine that first reads a subject, by rendezvous hashing, so
+// that all processes name the same one and a change of engines moves few subjects.
 func Home(subject string, engines []*fleet.Instance) *fleet.Instance {
-	if len(engines) == 0 {
-		return nil
+	var home *fleet.Instance
+	var most uint64
+	for _, e := range engines {
+		if w := weight(subject, e.ID); home == nil || w > most {
+			home, most = e, w
+		}
 	}
-	return slices.MaxFunc(engines, func(a, b *fleet.Instance) int {
-		return cmp.Compare(weight(subject, a.ID), weight(subject, b.ID))
-	})
+	return home
 }
 
 func weight(subject, id string) uint64 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -69,6 +69,40 @@
 	require.Equal(t, home, plan.FetchFrom)
 }
 
+// TestSubjectsAreTakenFromTheirHolder checks that the engine that read a subject
+// last is preferred while it is free, and fetched from while it is not, whoever
+// had it read.
+func TestSubjectsAreTakenFromTheirHolder(t *testing.T) {
+	all := fleetOf(3, 1)
+	holder := all[0]
+	if Home("s", all[:3]) == holder {
+		holder = all[1]
+	}
+	busy := ""
+	p := New("a", func(id string) Load {
+		if id == busy {
+			return Load{Prompts: 5, PromptTokens: 20000}
+		}
+		return Load{}
+	}, nil)
+	p.Learn(Read{Subject: hashOf("s"), Instance: holder.ID})
+	plan, ticket := p.Place(job(all, "s", 9000))
+	require.Equal(t, ReasonHolder, plan.Reason)
+	require.Equal(t, holder, plan.Reader)
+	require.Nil(t, plan.FetchFrom)
+	ticket.Cancel()
+	busy = holder.ID
+	plan, ticket = p.Place(job(all, "s", 9000))
+	require.Equal(t, ReasonFetch, plan.Reason)
+	require.NotEqual(t, holder, plan.Reader)
+	require.Equal(t, holder, plan.FetchFrom)
+	ticket.Read(true, Sound)
+	require.Equal(t, []Read{{hashOf("s"), plan.Reader.ID}}, p.RecentReads(time.Second))
+	busy = ""
+	next, _ := p.Place(job(all, "s", 9000))
+	require.Equal(t, plan.Reader, next.Reader, "it holds the subject now")
+}
+
 // TestLateOnesAreNotAhead is the collapse of quiet-1: once one request was late,
 // each after it was counted as late too.
 func TestLateOnesAreNotAhead(t *testing.T) {
@@ -87,7 +121,8 @@
 	p := New("a", nil, nil)
 	j := job(all, "s", 9000)
 	plan, ticket := p.Place(j)
-	require.Equal(t, Load{Requests: 1, Prompts: 1, PromptTokens: 3000}, p.Load(plan.Reader))
+	require.Equal(t, 6000, plan.Uncached, "the own part, and half of the shared one that nobody has read")
+	require.Equal(t, Load{Requests: 1, Prompts: 1, PromptTokens: 6000}, p.Load(plan.Reader))
 	ticket.Read(true, Sound)
 	require.True(t, p.PlaceRead(j, &plan, ticket))
 	require.Equal(t, Load{Requests: 1, Starting: 1}, p.Load(plan.Runner))
--- a/placement/state.go
+++ b/placement/state.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"github.com/rockdoor/rockdoor/fleet"
 )
 
@@ -14,8 +12,6 @@
 	// minPace and maxPace bound the pace against single odd measurements.
 	minPace = 0.5
 	maxPace = 12.0
-	// keptSubjects bounds the subjects that one engine is believed to keep.
-	keptSubjects = 2048
 	// failureStep is the weight of one outcome in the share of failures.
 	failureStep = 0.2
 	// failureFade is the time in which an old share of failures halves, so that
@@ -52,6 +48,13 @@
 	}
 }
 
+// withLate returns the load with the late prompts among the others.
+func (l Load) withLate() Load {
+	l.Prompts += l.LatePrompts
+	l.PromptTokens += l.LateTokens
+	return l
+}
+
 func (l Load) sub(m Load) Load {
 	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens, -m.Starting})
 }
@@ -63,7 +66,6 @@
 	own Load
 	// pace is how much longer the engine takes than the model says.
 	pace float64
-	kept *lru.Cache[string, struct{}]
 	// failures is the share of recent requests that failed, as of failedAt.
 	failures float64
 	failedAt time.Time
@@ -74,11 +76,7 @@
 func (p *Placer) state(i *fleet.Instance) *state {
 	st := p.instances[i.ID]
 	if st == nil {
-		kept, err := lru.New[string, struct{}](keptSubjects)
-		if err != nil {
-			panic(err) // only for a size that is not positive
-		}
-		st = &state{id: i.ID, pace: 1, kept: kept}
+		st = &state{id: i.ID, pace: 1}
 		p.instances[i.ID] = st
 	}
 	return st
@@ -87,8 +85,6 @@
 // load returns what all processes have in hand.
 func (p *Placer) load(st *state) Load { return st.own.Add(p.peers(st.id)) }
 
-func (s *state) keeps(subject string) bool { return subject != "" && s.kept.Contains(subject) }
-
 // penalty is the factor by which an instance looks worse for its failures.
 func (s *state) penalty() float64 {
 	if s.failures == 0 {
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -9,8 +9,8 @@
 // Ticket is a placed job. It belongs to the goroutine of the request.
 type Ticket struct {
 	p       *Placer
-	model   *Model
 	subject string
+	model   *Model
 	reader  *state
 	runner  *state
 	// reading is what the job adds to the reader's load.
@@ -60,7 +60,9 @@
 	if !read {
 		return
 	}
-	r.kept.Add(t.subject, struct{}{})
+	if t.subject != "" {
+		t.p.subjects.add(hashOf(t.subject), r.id)
+	}
 	t.readAt = time.Now()
 	took := t.readAt.Sub(t.begun)
 	if !t.late {
