Keep the order of a watch's events; look for the store's return often

Ruled out: the time that lapsed instances are kept; they had come back. TestGoneAndBackInOneAnswer fails on the version before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -181,7 +181,11 @@
 // applyConfig adopts a newer configuration. One that cannot be decoded leaves
 // the last good one in force.
 func (d *Discovery) applyConfig(c changed) {
-	for _, obj := range c.objects {
+	for _, e := range c.events {
+		obj := e.Object
+		if e.Deleted {
+			continue // the last one stays in force
+		}
 		cfg, err := d.o.DecodeConfig(obj)
 		if err != nil {
 			level.Error(d.logger).Log("msg", "configuration left out", "key", obj.Key, "revision", obj.Version, "err", err)
@@ -200,8 +204,8 @@
 	if c.reset {
 		d.cur.Listed = true
 		listed := map[string]bool{}
-		for _, obj := range c.objects {
-			listed[nameOf(obj.Key)] = true
+		for _, e := range c.events {
+			listed[nameOf(e.Object.Key)] = true
 		}
 		for id := range d.instances {
 			if !listed[id] {
@@ -209,11 +213,12 @@
 			}
 		}
 	}
-	for _, obj := range c.objects {
-		d.putInstance(obj)
-	}
-	for _, key := range c.deleted {
-		d.removeInstance(nameOf(key))
+	for _, e := range c.events {
+		if e.Deleted {
+			d.removeInstance(nameOf(e.Object.Key))
+			continue
+		}
+		d.putInstance(e.Object)
 	}
 }
 
@@ -283,11 +288,18 @@
 const rulesName = "main"
 
 func (d *Discovery) applyRules(c changed) {
-	if c.reset && len(c.objects) == 0 {
+	isRules := func(e objstore.Event) bool { return nameOf(e.Object.Key) == rulesName }
+	if c.reset && !slices.ContainsFunc(c.events, isRules) {
 		d.cur.Rules = nil
 	}
-	for _, obj := range c.objects {
-		if nameOf(obj.Key) != rulesName {
+	for _, e := range c.events {
+		obj := e.Object
+		if !isRules(e) {
+			continue
+		}
+		if e.Deleted {
+			d.cur.Rules = nil
+			level.Info(d.logger).Log("msg", "rules removed", "revision", obj.Version)
 			continue
 		}
 		rules, err := fleet.ParseRules(obj.Value)
@@ -298,26 +310,21 @@
 		d.cur.Rules = rules
 		level.Info(d.logger).Log("msg", "rules in force", "revision", obj.Version)
 	}
-	for _, key := range c.deleted {
-		if nameOf(key) == rulesName {
-			d.cur.Rules = nil
-			level.Info(d.logger).Log("msg", "rules removed")
-		}
-	}
 }
 
 func (d *Discovery) applyMembers(c changed) {
 	if c.reset {
 		d.members = map[string]objstore.Object{}
 	}
-	for _, obj := range c.objects {
-		d.members[obj.Key] = obj
-	}
-	for _, key := range c.deleted {
-		delete(d.members, key)
+	for _, e := range c.events {
+		if e.Deleted {
+			delete(d.members, e.Object.Key)
+			continue
+		}
+		d.members[e.Object.Key] = e.Object
 	}
 	d.cur.Members = members.Parse(slices.Collect(maps.Values(d.members)))
-	if c.reset || len(c.objects)+len(c.deleted) > 0 {
+	if c.reset || len(c.events) > 0 {
 		level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -155,3 +155,20 @@
 	fake.Remove("rockdoor-rules", "main")
 	eventually(t, func() bool { return view().Rules == nil })
 }
+
+// TestGoneAndBackInOneAnswer is the fault that lost every engine for the rest of
+// an own day: registrations that lapsed in an outage and came back before the
+// store was reached again are deleted and created in one answer of a watch.
+func TestGoneAndBackInOneAnswer(t *testing.T) {
+	fake, view := start(t)
+	setInstance(fake, "i-1", "ready")
+	eventually(t, func() bool { return len(view().Usable("s")) == 1 })
+	fake.SetFaults(fleetstore.Faults{Silent: true})
+	eventually(t, func() bool { return !view().StoreUp })
+	fake.Remove("servers", "i-1")
+	setInstance(fake, "i-1", "ready")
+	fake.SetFaults(fleetstore.Faults{})
+	eventually(t, func() bool { return view().StoreUp })
+	time.Sleep(lapseKept + apply)
+	require.True(t, view().Takes("s", "i-1"))
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -19,10 +19,11 @@
 // changed is what a follower learned from one answer of the store.
 type changed struct {
 	feed feed
-	// reset is true if objects holds everything that exists.
-	reset   bool
-	objects []objstore.Object
-	deleted []string
+	// reset is true if events holds everything that exists.
+	reset bool
+	// events are in the order in which they happened: an object may go and come
+	// back in one answer.
+	events []objstore.Event
 }
 
 // lostStore says that a call of a feed failed.
@@ -48,24 +49,27 @@
 	// retryFirst and retryMost bound the pause between failed calls. The store's
 	// return has to be seen well within the time that a configuration has.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// probeWait is how long a watch waits after a failed one, so that the store's
+	// return is seen soon.
+	probeWait = 50 * time.Millisecond
 )
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
-	rev, listed := objstore.Revision(0), false
+	rev, listed, failed := objstore.Revision(0), false, false
 	for ctx.Err() == nil {
 		var err error
 		if listed {
-			rev, err = f.watch(ctx, rev)
+			rev, err = f.watch(ctx, rev, failed)
 		} else {
 			rev, err = f.list(ctx)
 		}
 		switch {
 		case err == nil:
-			listed = true
+			listed, failed = true, false
 			pause.Reset()
 			continue
 		case errors.Is(err, objstore.ErrWatchGap):
@@ -75,6 +79,7 @@
 		case ctx.Err() != nil:
 			return
 		}
+		failed = true
 		f.send(ctx, lostStore{f.feed, err})
 		select {
 		case <-ctx.Done():
@@ -93,26 +98,26 @@
 	if err != nil {
 		return rev, err
 	}
-	f.send(ctx, changed{feed: f.feed, reset: true, objects: objects})
+	c := changed{feed: f.feed, reset: true}
+	for _, obj := range objects {
+		c.events = append(c.events, objstore.Event{Object: obj})
+	}
+	f.send(ctx, c)
 	return rev, nil
 }
 
-func (f *follower) watch(ctx context.Context, after objstore.Revision) (objstore.Revision, error) {
-	wctx, cancel := context.WithTimeout(ctx, f.wait+f.answerWithin)
+func (f *follower) watch(ctx context.Context, after objstore.Revision, failed bool) (objstore.Revision, error) {
+	wait := f.wait
+	if failed {
+		wait = probeWait
+	}
+	wctx, cancel := context.WithTimeout(ctx, wait+f.answerWithin)
 	defer cancel()
-	events, rev, err := f.store.Watch(wctx, f.prefix, after, f.wait)
+	events, rev, err := f.store.Watch(wctx, f.prefix, after, wait)
 	if err != nil {
 		return after, err
 	}
-	c := changed{feed: f.feed}
-	for _, e := range events {
-		if e.Deleted {
-			c.deleted = append(c.deleted, e.Object.Key)
-			continue
-		}
-		c.objects = append(c.objects, e.Object)
-	}
-	f.send(ctx, c)
+	f.send(ctx, changed{feed: f.feed, events: events})
 	return max(rev, after), nil
 }
 
