--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -34,8 +34,8 @@
 // configuration, in Markdown.
 func WriteReference(w io.Writer) error {
 	fmt.Fprint(w, "# Configuration reference\n\nMade from the schemas that check the files; do not edit. "+
-		"Both files are JSON with comments and trailing commas. `rockdoor config schema` prints the schema for editors.\n")
-	for _, text := range [][]byte{settings.SchemaText(), config.SchemaText()} {
+		"All files are JSON with comments and trailing commas. `rockdoor config schema` prints the schema for editors.\n")
+	for _, text := range [][]byte{settings.SchemaText(), settings.GatewaySchemaText(), config.SchemaText()} {
 		var root schemaNode
 		if err := json.Unmarshal(text, &root); err != nil {
 			return err
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,18 +2,27 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/urfave/cli/v2"
 
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/gatewayd"
 	"github.com/rockdoor/rockdoor/internal/logsink"
 	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/trace"
 )
 
 // logCloseTime is how long a process that ends waits for its last log lines.
@@ -21,10 +30,17 @@
 
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "gateway",
-		Usage: "run one gateway process on the users' platform until SIGTERM or SIGINT",
+		Name: "gateway", Usage: "run and look at gateways on the users' platform",
+		Subcommands: []*cli.Command{gatewayServe(), gatewayCheck(), gatewayStatus(), gatewayExplain()},
+	}
+}
+
+func gatewayServe() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one gateway process until SIGTERM or SIGINT",
 		Description: example("Serves callers under the configuration and in front of the instances that the platform's store names.\n"+
-			"SIGTERM stops the process without cutting a request; SIGHUP reads the settings again.", "rockdoor gateway --settings gateway.json"),
+			"SIGTERM stops the process without cutting a request; SIGHUP reads the settings again.", "rockdoor gateway serve --settings gateway.json"),
 		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE`, JSON with comments", Required: true}},
 		Action: func(c *cli.Context) error {
 			file := c.String("settings")
@@ -38,9 +54,153 @@
 			logger = level.NewFilter(logger, level.Allow(level.ParseDefault(set.Log.Level, level.DebugValue())))
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return gatewayd.New(set, file, logger).Run(ctx, hangups())
+			return gatewayd.New(set, file, logger, sink.Dropped).Run(ctx, hangups())
+		},
+	}
+}
+
+func gatewayCheck() *cli.Command {
+	return &cli.Command{
+		Name: "check-settings", Usage: "check a settings file without starting", ArgsUsage: "FILE",
+		Description: example("Reports all problems at once, with the key and the remedy, and prints the settings with their defaults.",
+			"rockdoor gateway check-settings gateway.json"),
+		Action: func(c *cli.Context) error {
+			if c.NArg() != 1 {
+				return fault.New(fault.Invalid, "no file given", "name one settings file")
+			}
+			set, err := settings.LoadGateway(c.Args().First())
+			if err != nil {
+				return err
+			}
+			return writeIndented(c, set)
+		},
+	}
+}
+
+func writeIndented(c *cli.Context, v any) error {
+	enc := json.NewEncoder(c.App.Writer)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func gatewayStatus() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show what a running gateway believes",
+		Description: example("Shows readiness, the version in force and its age, the other gateways that are heard, and each instance with its load.",
+			"rockdoor gateway status --admin 10.1.0.22:9464"),
+		Flags: []cli.Flag{adminFlag()},
+		Action: func(c *cli.Context) error {
+			var st gatewayd.Status
+			if _, err := call(c, http.MethodGet, "/status", nil, nil, &st); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.App.Writer, "%s  ready %t  in hand %d  configuration %d (%d ms old)  instances %d ms old  store up %t  %d of %d gateways heard\n\n",
+				st.Name, st.Ready, st.InHand, st.Config, st.ConfigAgeMs, st.InstancesAgeMs, st.StoreUp, len(st.Heard)+1, st.Members)
+			t := newTable(c, "INSTANCE", "SERVICE", "DOMAIN", "ROLE", "STATE", "REQUESTS", "STARTING", "PROMPTS", "LATE")
+			for _, i := range st.Instances {
+				t.AppendRow([]any{i.ID, i.Service, i.Domain, i.Role, instanceState(i), i.Load.Requests, i.Load.Starting, i.Load.Prompts, i.Load.LatePrompts})
+			}
+			t.SortBy([]table.SortBy{{Name: "SERVICE"}, {Name: "INSTANCE"}})
+			t.Render()
+			return nil
+		},
+	}
+}
+
+func instanceState(i gatewayd.InstanceStatus) string {
+	switch {
+	case i.Draining:
+		return "draining"
+	case i.Lapsed:
+		return "lapsed"
+	case i.Changing:
+		return "changing role"
+	}
+	return "ready"
+}
+
+func gatewayExplain() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "show where a request would run now and why not elsewhere",
+		Description: example("Gives, for each instance, its load, the estimates and the score (the least of a role wins), or the rule that forbids it.",
+			"rockdoor gateway explain --admin 10.1.0.22:9464 --host shop.example --path /review/ --prompt 9000 --shared 6300"),
+		Flags: []cli.Flag{
+			adminFlag(),
+			&cli.StringFlag{Name: "host", Usage: "host `NAME` of the request", Required: true},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request", Required: true},
+			&cli.StringFlag{Name: "id", Usage: "request `ID`, which decides the service of a split route"},
+			&cli.StringFlag{Name: "subject", Usage: "`ID` of the last shared part of the prompt"},
+			&cli.IntFlag{Name: "prompt", Usage: "`TOKENS` of the prompt"},
+			&cli.IntFlag{Name: "shared", Usage: "`TOKENS` of it in parts that other requests share"},
 		},
+		Action: func(c *cli.Context) error {
+			q := url.Values{}
+			for _, name := range []string{"host", "path", "id", "subject"} {
+				q.Set(name, c.String(name))
+			}
+			for _, name := range []string{"prompt", "shared"} {
+				q.Set(name, strconv.Itoa(c.Int(name)))
+			}
+			var e gateway.Explanation
+			if _, err := call(c, http.MethodGet, "/explain", q, nil, &e); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.App.Writer, "route %s, service %s, configuration %d (%d ms old), instances %d ms old\n\n", e.Route, e.Service, e.Config, e.ConfigAgeMs, e.InstancesAgeMs)
+			t := newTable(c, "INSTANCE", "DOMAIN", "ROLE", "SCORE", "AHEAD MS", "READ MS", "UNCACHED", "REQUESTS", "PACE", "FAILURES", "WHY NOT")
+			for _, i := range e.Considered {
+				t.AppendRow([]any{i.Instance, i.Domain, i.Role, short(i.Score), short(i.AheadMs), short(i.ReadMs), i.Uncached, i.Load.Requests, short(i.Pace), short(i.Failures), i.Why})
+			}
+			for _, r := range e.Rejected {
+				t.AppendRow([]any{r.Instance, "", "", "", "", "", "", "", "", "", "forbidden by " + r.Rule})
+			}
+			for _, id := range e.Draining {
+				t.AppendRow([]any{id, "", "", "", "", "", "", "", "", "", "draining"})
+			}
+			t.Render()
+			return nil
+		},
+	}
+}
+
+func short(v float64) string { return strconv.FormatFloat(v, 'f', 2, 64) }
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name: "trace", Usage: "tell the story of one request from logs", ArgsUsage: "ID FILE...",
+		Description: example("Reads the logs of several gateways and prints, in order, what touched the request and what its process came to believe,\n"+
+			"then the cause and the remedy. A FILE of - is standard input.", "rockdoor trace 9c41d07be2a35f68 edge-*.log"),
+		Action: func(c *cli.Context) error {
+			if c.NArg() < 2 {
+				return fault.New(fault.Invalid, "too few arguments", "give a request's id and log files")
+			}
+			id := c.Args().First()
+			var lines []trace.Line
+			for _, file := range c.Args().Tail() {
+				more, err := readLog(file, id)
+				if err != nil {
+					return err
+				}
+				lines = append(lines, more...)
+			}
+			story, err := trace.Tell(lines, id)
+			if err != nil {
+				return err
+			}
+			return story.Write(c.App.Writer)
+		},
+	}
+}
+
+func readLog(file, id string) ([]trace.Line, error) {
+	if file == "-" {
+		return trace.Read(os.Stdin, id)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotFound, "log cannot be read", "give the path of a log file")
 	}
+	defer f.Close()
+	return trace.Read(f, id)
 }
 
 // hangups returns a channel that has a value after each SIGHUP.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -17,12 +17,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
 	"github.com/oklog/run"
-	"github.com/oklog/ulid/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
-	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/loadshare"
@@ -63,6 +61,8 @@
 	logger log.Logger
 	reg    metrics.Registry
 	run    string
+	// dropped returns how many log lines were dropped.
+	dropped func() int64
 
 	store     *platform.Store
 	discovery *discovery.Discovery
@@ -77,9 +77,10 @@
 	callers, readiness, operators *http.Server
 }
 
-// New builds a process that has to be run. file is where the settings came from.
-func New(set *settings.Gateway, file string, logger log.Logger) *Daemon {
-	d := &Daemon{set: set, file: file, reg: metrics.NewRegistry(), run: ulid.Make().String()}
+// New builds a process that has to be run. file is where the settings came from,
+// dropped returns how many log lines were dropped.
+func New(set *settings.Gateway, file string, logger log.Logger, dropped func() int64) *Daemon {
+	d := &Daemon{set: set, file: file, dropped: dropped, reg: metrics.NewRegistry(), run: members.NewIncarnation()}
 	d.logger = log.With(logger, "process", set.Name)
 	d.store = platform.NewStore(set.Store)
 	d.discovery = discovery.New(discovery.Options{
@@ -141,6 +142,8 @@
 	operators := mux.NewRouter()
 	operators.HandleFunc("/readyz", d.ready).Methods(http.MethodGet)
 	operators.HandleFunc("/metrics", d.metrics).Methods(http.MethodGet)
+	operators.HandleFunc("/status", d.status).Methods(http.MethodGet)
+	operators.HandleFunc("/explain", d.explain).Methods(http.MethodGet)
 	d.operators = httpServer(operators)
 }
 
@@ -151,26 +154,6 @@
 	}
 }
 
-// ready answers the balancer.
-func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || !d.discovery.View().Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-func (d *Daemon) metrics(w http.ResponseWriter, _ *http.Request) {
-	v := d.discovery.View()
-	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, d.reg).Update(value) }
-	gauge("view.config_age_ms", v.ConfigAge().Milliseconds())
-	gauge("view.instances_age_ms", v.InstancesAge().Milliseconds())
-	gauge("view.instances", int64(len(v.Instances)))
-	gauge("gateway.in_hand", d.gateway.InHand())
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	admin.WriteMetrics(w, d.reg)
-}
-
 // Run serves until ctx ends, then stops without cutting a request. Each value
 // of reload makes the process read its settings again.
 func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
--- /dev/null
+++ b/internal/gatewayd/gatewayd_test.go
@@ -0,0 +1,258 @@
+package gatewayd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+)
+
+// deployment is a store and engines with gateways before them.
+type deployment struct {
+	t       *testing.T
+	store   *fleetstore.Server
+	address string
+	engines []*fleetengine.Engine
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: fleetstore.New()}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	d.address = server.Listener.Addr().String()
+	for n, stage := range []string{"", "", "prefill", "decode"} {
+		e := fleetengine.New(fmt.Sprint("i-", n), stage)
+		s := httptest.NewServer(e)
+		t.Cleanup(s.Close)
+		service := "app"
+		if stage != "" {
+			service, e.Events = "llm", 3
+		}
+		d.engines = append(d.engines, e)
+		d.store.Set("servers", e.ID, map[string]any{"service": service, "address": s.Listener.Addr().String(), "zone": "a", "slots": 8, "phase": "ready", "stage": stage})
+	}
+	d.configure(1, "/app/")
+	return d
+}
+
+func (d *deployment) configure(version int, prefix string) {
+	d.store.Set("config", "main", map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "r-app", "hostname": "h", "path_prefix": prefix, "type": "unsafe", "service": "app", "timeout_ms": 3000, "max_attempts": 1},
+			{"name": "r-llm", "hostname": "h", "path_prefix": "/llm/", "type": "streaming", "service": "llm", "timeout_ms": 3000, "target_latency_ms": 200, "max_attempts": 2, "resumable": true},
+		},
+		"services": []map[string]any{{"name": "app"}, {"name": "llm", "engine": map[string]any{"kv_capacity_tokens": 1000, "reconfigure_s": 0.1}}},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// process is one running gateway.
+type process struct {
+	set  *settings.Gateway
+	stop context.CancelFunc
+	done chan error
+	log  *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func (d *deployment) gateway(name string) *process {
+	d.t.Helper()
+	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "store": %q,
+		"bounds": {"apply": "600ms", "drain": "600ms", "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
+		name, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.address)
+	file := filepath.Join(d.t.TempDir(), "settings.json")
+	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
+	set, err := settings.LoadGateway(file)
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{set: set, stop: cancel, done: make(chan error, 1), log: &syncBuffer{}}
+	daemon := New(set, file, log.NewLogfmtLogger(p.log), func() int64 { return 0 })
+	go func() { p.done <- daemon.Run(ctx, nil) }()
+	d.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-p.done:
+			require.NoError(d.t, err)
+		case <-time.After(10 * time.Second):
+			d.t.Error("gateway did not stop")
+		}
+	})
+	require.Eventually(d.t, func() bool { return p.status(p.set.Readiness, "/readyz") == http.StatusOK }, 5*time.Second, 10*time.Millisecond)
+	return p
+}
+
+func (p *process) status(address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (p *process) send(path, id string, header http.Header) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.set.Listen+path, strings.NewReader("x"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "h"
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("X-Request-Id", id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+func (p *process) get(t *testing.T, path string, out any) {
+	t.Helper()
+	resp, err := http.Get("http://" + p.set.Metrics + path)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(out))
+}
+
+var longPrompt = http.Header{"X-Model": {"m"}, "X-Token-Count": {"9000,2"}, "X-Prompt-Prefix": {"aa:2500,bb:3800,ff:2700"}}
+
+func TestWholePath(t *testing.T) {
+	d := newDeployment(t)
+	a, b := d.gateway("a"), d.gateway("b")
+	for _, p := range []*process{a, b} {
+		status, body := p.send("/app/x", "1", nil)
+		require.Equal(t, http.StatusOK, status, body)
+		status, body = p.send("/llm/x", "2", longPrompt)
+		require.Equal(t, http.StatusOK, status, body)
+		require.Equal(t, 3, strings.Count(body, "data: 2-"))
+	}
+	require.Len(t, d.engines[2].Reads(), 2)
+	require.Len(t, d.engines[3].Runs(), 2)
+
+	var st Status
+	require.Eventually(t, func() bool { a.get(t, "/status", &st); return len(st.Heard) == 1 && st.Members == 2 }, 5*time.Second, 20*time.Millisecond)
+	require.True(t, st.Ready)
+	require.Len(t, st.Instances, 4)
+	var e gateway.Explanation
+	a.get(t, "/explain?host=h&path=/llm/&prompt=9000&shared=6300&subject=bb", &e)
+	require.Equal(t, "r-llm", e.Route)
+	require.Len(t, e.Considered, 2)
+	require.Contains(t, a.log.String(), "msg=decision request=2")
+	require.Contains(t, a.log.String(), "outcome=ok")
+	require.Equal(t, http.StatusOK, a.status(a.set.Metrics, "/metrics"))
+}
+
+func TestConfigurationChanges(t *testing.T) {
+	d := newDeployment(t)
+	p := d.gateway("a")
+	d.configure(2, "/new/")
+	require.Eventually(t, func() bool { status, _ := p.send("/new/x", "1", nil); return status == http.StatusOK }, 2*time.Second, 20*time.Millisecond)
+	status, _ := p.send("/app/x", "2", nil)
+	require.Equal(t, http.StatusNotFound, status)
+}
+
+// TestStopCutsNoRequest stops a gateway while requests keep coming on kept
+// connections: each is answered, or its connection was closed before it was sent.
+func TestStopCutsNoRequest(t *testing.T) {
+	d := newDeployment(t)
+	p := d.gateway("a")
+	stopped := make(chan struct{})
+	var cut atomic.Int64
+	var wg sync.WaitGroup
+	for n := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				status, body := p.send("/llm/x", fmt.Sprintf("%d-%d", n, i), nil)
+				if status != http.StatusOK && !strings.Contains(body, "refused") && !strings.Contains(body, "reset") && !strings.Contains(body, "EOF") {
+					cut.Add(1)
+				}
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	p.stop()
+	require.Eventually(t, func() bool { return p.status(p.set.Readiness, "/readyz") == http.StatusServiceUnavailable }, time.Second, 5*time.Millisecond)
+	status, _ := p.send("/app/x", "late", nil)
+	require.Equal(t, http.StatusOK, status, "it serves until the balancer has noticed")
+	err := <-p.done
+	p.done <- err
+	close(stopped)
+	wg.Wait()
+	require.Zero(t, cut.Load())
+	runs := 0
+	for _, e := range d.engines {
+		runs += len(e.Runs())
+	}
+	require.Equal(t, runs, strings.Count(p.log.String(), "outcome=ok"), "every request that ran was answered whole")
+}
+
+func TestStartWithoutStore(t *testing.T) {
+	d := newDeployment(t)
+	d.store.SetFaults(fleetstore.Faults{Down: true})
+	done := make(chan *process, 1)
+	go func() { done <- d.gateway("a") }()
+	time.Sleep(500 * time.Millisecond)
+	d.store.SetFaults(fleetstore.Faults{})
+	p := <-done
+	status, _ := p.send("/app/x", "1", nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, p.log.String(), "store lost")
+	require.Contains(t, p.log.String(), "store regained")
+}
--- /dev/null
+++ b/internal/gatewayd/operators.go
@@ -0,0 +1,113 @@
+package gatewayd
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+// Status is what a gateway tells operators of itself.
+type Status struct {
+	Name     string `json:"name"`
+	Run      string `json:"run"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	InHand   int64  `json:"inHand"`
+	// Config is the version in force, 0 if there is none.
+	Config         int64            `json:"config"`
+	ConfigAgeMs    int64            `json:"configAgeMs"`
+	InstancesAgeMs int64            `json:"instancesAgeMs"`
+	StoreUp        bool             `json:"storeUp"`
+	Members        int              `json:"members"`
+	Heard          []string         `json:"heard"`
+	Instances      []InstanceStatus `json:"instances"`
+}
+
+// InstanceStatus is what a gateway believes of an instance.
+type InstanceStatus struct {
+	ID       string         `json:"id"`
+	Service  string         `json:"service"`
+	Address  string         `json:"address"`
+	Domain   string         `json:"domain"`
+	Role     engine.Role    `json:"role,omitempty"`
+	Draining bool           `json:"draining"`
+	Lapsed   bool           `json:"lapsed"`
+	Changing bool           `json:"changing"`
+	Load     placement.Load `json:"load"`
+}
+
+// ready answers the balancer.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || !d.discovery.View().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) metrics(w http.ResponseWriter, _ *http.Request) {
+	v := d.discovery.View()
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, d.reg).Update(value) }
+	gauge("view.config_age_ms", v.ConfigAge().Milliseconds())
+	gauge("view.instances_age_ms", v.InstancesAge().Milliseconds())
+	gauge("view.instances", int64(len(v.Instances)))
+	gauge("gateway.in_hand", d.gateway.InHand())
+	gauge("log.lines_dropped", d.dropped())
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	admin.WriteMetrics(w, d.reg)
+}
+
+func (d *Daemon) status(w http.ResponseWriter, _ *http.Request) {
+	v := d.discovery.View()
+	st := Status{
+		Name: d.set.Name, Run: d.run, Ready: v.Ready(), Stopping: d.stopping.Load(), InHand: d.gateway.InHand(),
+		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(), StoreUp: v.StoreUp,
+		Members: len(v.Members), Heard: d.share.Heard(), Instances: []InstanceStatus{},
+	}
+	if v.Config != nil {
+		st.Config = v.Config.Version
+	}
+	for id, i := range v.Instances {
+		st.Instances = append(st.Instances, InstanceStatus{
+			ID: id, Service: i.Service, Address: i.Address, Domain: i.Domain, Role: i.Role, Draining: i.Draining, Lapsed: i.Lapsed,
+			Changing: d.isChanging(id), Load: d.placer.Load(i),
+		})
+	}
+	d.answer(w, http.StatusOK, st)
+}
+
+func (d *Daemon) explain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	number := func(name string) int { n, _ := strconv.Atoi(q.Get(name)); return n } // what is no number counts as none
+	e, err := d.gateway.Explain(gateway.Question{
+		Host: q.Get("host"), Path: q.Get("path"), ID: q.Get("id"), Subject: q.Get("subject"),
+		PromptTokens: number("prompt"), SharedTokens: number("shared"),
+	})
+	switch {
+	case fault.Is(err, fault.NotFound):
+		d.answer(w, http.StatusNotFound, admin.ErrorBody{Kind: fault.NotFound, Message: err.Error()})
+	case err != nil:
+		d.answer(w, http.StatusServiceUnavailable, admin.ErrorBody{Kind: fault.KindOf(err), Message: err.Error()})
+	default:
+		d.answer(w, http.StatusOK, e)
+	}
+}
+
+func (d *Daemon) answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		level.Info(d.logger).Log("msg", "operator is gone", "err", err)
+	}
+}
--- /dev/null
+++ b/placement/explain.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
+)
+
+// Considered says how one permitted instance looks for a job.
+type Considered struct {
+	Instance string      `json:"instance"`
+	Domain   string      `json:"domain"`
+	Role     engine.Role `json:"role,omitempty"`
+	// Load is what all processes have in hand there.
+	Load Load `json:"load"`
+	// Uncached, AheadMs and ReadMs are the estimates for an engine that reads.
+	Uncached int     `json:"uncached,omitempty"`
+	AheadMs  float64 `json:"aheadMs,omitempty"`
+	ReadMs   float64 `json:"readMs,omitempty"`
+	// Score is compared among instances of the same role; the least wins.
+	Score float64 `json:"score"`
+	// Pace is how much longer an engine takes to read than the model says.
+	Pace float64 `json:"pace"`
+	// Failures is the share of recent requests that failed.
+	Failures float64 `json:"failures"`
+	// Why says why the instance gets nothing now, empty if it may.
+	Why string `json:"why,omitempty"`
+}
+
+// Explain returns how each permitted instance looks for a job, without placing it.
+func (p *Placer) Explain(j *Job) []Considered {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	readers, _ := p.split(j)
+	keepers := p.keepers(j, readers)
+	var out []Considered
+	for _, i := range j.Permitted {
+		st := p.state(i)
+		c := Considered{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Pace: st.pace, Failures: st.failures, Why: p.why(i, st)}
+		if i.Role == engine.RolePrefill {
+			e := p.estimate(j, i, keepers, func(l Load) Load { return l })
+			c.Uncached, c.AheadMs, c.ReadMs, c.Score = e.uncached, e.ahead, e.read, e.score
+		} else {
+			c.Score = p.runnerScore(i, st)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// why says why an instance gets no request now.
+func (p *Placer) why(i *fleet.Instance, st *state) string {
+	switch {
+	case p.changing(i.ID):
+		return "is changing its role"
+	case st.replaced:
+		return "has lost its address to another"
+	case i.Role != engine.RolePrefill && p.full(i, st):
+		return "is full"
+	}
+	return ""
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -214,43 +214,72 @@
 // chooseLeast picks the reader with the shortest time until the prompt is read,
 // counting the part of its load that counted returns.
 func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, counted func(Load) Load) {
-	home := Home(j.Call.Subject(), readers)
-	holder := p.holder(j.Call.Subject(), j.Permitted)
-	model := p.model(j.Service.Name)
-	shared := float64(j.Call.SharedTokens())
+	keepers := p.keepers(j, readers)
 	best := math.Inf(1)
 	for _, r := range readers {
-		st := p.state(r)
-		uncached := j.Call.PromptTokens - j.Call.SharedTokens()
-		switch {
-		case r == holder:
-		case holder != nil:
-			uncached += int(fetchedCost * shared)
-		case r == home:
-			uncached += int(homeCost * shared)
-		default:
-			uncached += int(strangerCost * shared)
-		}
-		ahead := model.Busy(counted(p.load(st))) * st.pace
-		read := model.Read(uncached) * st.pace
-		if score := (ahead + read) * st.penalty(); score < best {
-			best = score
-			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, uncached, millis(ahead), millis(read)
+		e := p.estimate(j, r, keepers, counted)
+		if e.score < best {
+			best = e.score
+			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, e.uncached, millis(e.ahead), millis(e.read)
 		}
 	}
 	plan.FetchFrom = nil
 	switch {
-	case plan.Reader == holder:
+	case plan.Reader == keepers.holder:
 		plan.Reason = ReasonHolder
-	case holder != nil:
-		plan.Reason, plan.FetchFrom = ReasonFetch, holder
-	case plan.Reader == home:
+	case keepers.holder != nil:
+		plan.Reason, plan.FetchFrom = ReasonFetch, keepers.holder
+	case plan.Reader == keepers.home:
 		plan.Reason = ReasonHome
 	default:
-		plan.Reason, plan.FetchFrom = ReasonSpill, home
+		plan.Reason, plan.FetchFrom = ReasonSpill, keepers.home
 	}
 }
 
+// keepers are the engines that are expected to keep a subject.
+type keepers struct {
+	// home is where a subject is read first, holder where it was read last, nil if
+	// that is not known.
+	home, holder *fleet.Instance
+}
+
+func (p *Placer) keepers(j *Job, readers []*fleet.Instance) keepers {
+	subject := j.Call.Subject()
+	return keepers{home: Home(subject, readers), holder: p.holder(subject, j.Permitted)}
+}
+
+// uncached returns how many tokens of a job's prompt a reader is expected to read.
+func (k keepers) uncached(j *Job, r *fleet.Instance) int {
+	shared := j.Call.SharedTokens()
+	part := strangerCost
+	switch {
+	case r == k.holder:
+		part = 0
+	case k.holder != nil:
+		part = fetchedCost
+	case r == k.home:
+		part = homeCost
+	}
+	return j.Call.PromptTokens - shared + int(part*float64(shared))
+}
+
+// estimate is what a reader is expected to take for a job, in ms.
+type estimate struct {
+	uncached    int
+	ahead, read float64
+	score       float64
+}
+
+func (p *Placer) estimate(j *Job, r *fleet.Instance, k keepers, counted func(Load) Load) estimate {
+	st := p.state(r)
+	model := p.model(j.Service.Name)
+	e := estimate{uncached: k.uncached(j, r)}
+	e.ahead = model.Busy(counted(p.load(st))) * st.pace
+	e.read = model.Read(e.uncached) * st.pace
+	e.score = (e.ahead + e.read) * st.penalty()
+	return e
+}
+
 const (
 	// fetchedCost is the part of the shared tokens that is expected to be read at
 	// an engine that takes them from the one that read them last: the move costs
@@ -267,15 +296,10 @@
 	best := math.Inf(1)
 	for _, r := range runners {
 		st := p.state(r)
-		load := p.load(st)
-		if r.Slots > 0 && float64(load.Requests) >= queueFactor*float64(r.Slots) {
+		if p.full(r, st) {
 			continue
 		}
-		score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
-		if r.Domain != p.domain {
-			score += farPenalty
-		}
-		if score += rand.Float64() * tieBreak; score < best {
+		if score := p.runnerScore(r, st) + rand.Float64()*tieBreak; score < best {
 			best = score
 			plan.Runner = r
 		}
@@ -287,6 +311,21 @@
 	}
 }
 
+// full reports whether a runner has as much in hand as it takes.
+func (p *Placer) full(r *fleet.Instance, st *state) bool {
+	return r.Slots > 0 && float64(p.load(st).Requests) >= queueFactor*float64(r.Slots)
+}
+
+// runnerScore grows with how unfit a runner is.
+func (p *Placer) runnerScore(r *fleet.Instance, st *state) float64 {
+	load := p.load(st)
+	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
+	if r.Domain != p.domain {
+		score += farPenalty
+	}
+	return score
+}
+
 const (
 	// farPenalty is how many requests more an instance of the own failure domain
 	// may have than one elsewhere.
--- a/placement/state.go
+++ b/placement/state.go
@@ -26,18 +26,18 @@
 
 // Load is work in hand at an instance.
 type Load struct {
-	Requests int
+	Requests int `json:"requests"`
 	// Prompts are the prompts that are still to be read, PromptTokens their tokens
 	// that are not believed to be kept.
-	Prompts      int
-	PromptTokens int
+	Prompts      int `json:"prompts"`
+	PromptTokens int `json:"promptTokens"`
 	// LatePrompts and LateTokens are those of requests that are late anyway. They
 	// are read when no others wait, so they are not ahead of anything.
-	LatePrompts int
-	LateTokens  int
+	LatePrompts int `json:"latePrompts"`
+	LateTokens  int `json:"lateTokens"`
 	// Starting are the requests that were sent to generate and whose answers have
 	// not begun.
-	Starting int
+	Starting int `json:"starting"`
 }
 
 // Add returns the sum of two loads.
