--- a/placement/placement.go
+++ b/placement/placement.go
@@ -277,6 +277,9 @@
 	e.ahead = model.Busy(counted(p.load(st))) * st.pace
 	e.read = model.Read(e.uncached) * st.pace
 	e.score = (e.ahead + e.read) * st.penalty()
+	if r.Domain != p.domain {
+		e.score += farRead
+	}
 	return e
 }
 
@@ -329,7 +332,10 @@
 const (
 	// farPenalty is how many requests more an instance of the own failure domain
 	// may have than one elsewhere.
-	farPenalty = 1.0
+	farPenalty = 4.0
+	// farRead is how much longer, in ms, a reader of the own failure domain may
+	// take than one elsewhere.
+	farRead = 6.0
 	// tieBreak spreads the choices of processes that see the same loads.
 	tieBreak = 0.5
 	// fullRetry is when to ask again while everything is full: about as long as
