--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,13 @@
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, rep *reply) {
 	call, _ := s.o.Protocol.Read(r.Header) // only for the id, which is empty if it cannot be read
 	s.count("outcome." + rep.code)
-	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", r.Host, "path", r.URL.Path, "status", rep.status, "outcome", rep.code, "err", rep.err)
+	v := s.o.View()
+	version := int64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", r.Host, "path", r.URL.Path, "status", rep.status, "outcome", rep.code,
+		"config", version, "config_age", v.ConfigAge().Round(time.Millisecond), "err", rep.err)
 	rep.write(w)
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -33,7 +33,7 @@
 
 // rig is a gateway in front of stand-ins.
 type rig struct {
-	t    *testing.T
+	t    testing.TB
 	view atomic.Pointer[fleet.View]
 	url  string
 	log  *strings.Builder
@@ -45,7 +45,7 @@
 	model  []*fleetengine.Engine
 }
 
-func newRig(t *testing.T, o rigOptions) *rig {
+func newRig(t testing.TB, o rigOptions) *rig {
 	t.Helper()
 	if o.budget == (gateway.BudgetBounds{}) {
 		o.budget = gateway.BudgetBounds{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -127,14 +127,15 @@
 		return nil, fault.Newf(fault.NotFound, "give the logs of all gateways of that time", "no line is about request %s", id)
 	}
 	slices.SortStableFunc(own, func(a, b Line) int { return a.At.Compare(b.At) })
-	s := &Story{Lines: own}
+	last := own[len(own)-1]
+	s := &Story{Lines: slices.Clone(own)}
 	for _, l := range lines {
 		if explains(l, own, engines) {
 			s.Lines = append(s.Lines, l)
 		}
 	}
 	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
-	s.judge(own[len(own)-1])
+	s.judge(last)
 	return s, nil
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -41,6 +41,20 @@
 	require.True(t, fault.Is(err, fault.NotFound))
 }
 
+// TestManyBeliefs covers a story whose lines of beliefs came between the request's
+// own and once took their place when the outcome was looked up.
+func TestManyBeliefs(t *testing.T) {
+	text := sample
+	for range 50 {
+		text += "ts=2026-10-23T20:56:51.700Z level=info process=a msg=\"store lost\" feed=rules\n"
+	}
+	lines, err := Read(strings.NewReader(text), "r1")
+	require.NoError(t, err)
+	s, err := Tell(lines, "r1")
+	require.NoError(t, err)
+	require.Equal(t, "lost", s.Outcome)
+}
+
 func TestLogThatEndsBeforeTheRequest(t *testing.T) {
 	lines, err := Read(strings.NewReader(sample), "r2")
 	require.NoError(t, err)
