Refuse at once what no engine is expected to read in time

Cause: a long prompt for which the queues were longer than its caller's time was sent all the same and waited in an engine's queue until its deadline; the caller heard of it only then. The users ask for the final answer at once with when to come back. Change: if all prompts ahead, the late ones too, take longer than the caller waits, the answer is 503 with the time until the queue is expected to be short.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,6 +35,9 @@
 	ReasonNone Reason = "none-permitted"
 	// ReasonFull means that all permitted instances have as much as they take.
 	ReasonFull Reason = "all-full"
+	// ReasonHopeless means that no engine is expected to read the prompt before the
+	// caller's time is up.
+	ReasonHopeless Reason = "hopeless"
 	// ReasonLate is the engine that has the least to read in all: no engine is
 	// expected to answer in time.
 	ReasonLate Reason = "too-late"
@@ -144,7 +147,9 @@
 	}
 	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), begun: time.Now()}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.NoRead {
-		p.chooseReader(&plan, j, readers)
+		if p.chooseReader(&plan, j, readers); plan.Reader == nil {
+			return plan, nil
+		}
 		t.read(&plan)
 		return plan, t
 	}
@@ -209,6 +214,10 @@
 	}
 	p.chooseLeast(plan, j, readers, Load.withLate)
 	plan.Reason = ReasonLate
+	if all := plan.Ahead + plan.Read; all > j.Left {
+		plan.Reader, plan.Reason = nil, ReasonHopeless
+		plan.RetryAfter = max(all-j.Route.LatencyTarget, minRetry)
+	}
 }
 
 // chooseLeast picks the reader with the shortest time until the prompt is read,
@@ -283,6 +292,9 @@
 	return e
 }
 
+// minRetry is the least time to come back: sooner, and nothing has changed.
+const minRetry = 100 * time.Millisecond
+
 const (
 	// fetchedCost is the part of the shared tokens that is expected to be read at
 	// an engine that takes them from the one that read them last: the move costs
