A stopping gateway ends when nothing is in hand; role policy is a setting

Cause: every stop took the whole grace period less a margin: the server's shutdown waits up to 5 s for connections that callers opened and did not use. Change: the requests in hand are waited for, 200 ms of none end the process; rolePolicy packing, threshold or manual.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -36,7 +36,6 @@
 	t    testing.TB
 	view atomic.Pointer[fleet.View]
 	url  string
-	log  *strings.Builder
 }
 
 type rigOptions struct {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -42,6 +42,11 @@
 	idleTimeout   = 2 * time.Minute
 	// exitMargin is kept from the end of the grace period for ending the process.
 	exitMargin = 500 * time.Millisecond
+	// emptyTick and emptyTicks say for how long no request must have been in hand
+	// before a process that stops ends: the time in which a request that was sent
+	// before its connection was closed arrives.
+	emptyTick  = 50 * time.Millisecond
+	emptyTicks = 4
 	// memoryShare is the part of the memory at which the collector works harder.
 	memoryShare = 0.7
 	// housekeeping is how often what is kept of instances that left is dropped.
@@ -113,7 +118,7 @@
 	}
 	d.transport = peer.NewTransport(&peerpb.Identity{Name: self.Name, Incarnation: self.Incarnation}, d, d.reg, d.logger)
 	d.roles = rolekeeper.New(rolekeeper.Options{
-		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin,
+		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin, Policy: d.set.RolePolicy,
 		Engines: platform.NewKeeper(d.client), Placer: d.placer, View: d.discovery.View,
 		Heard: func() []string { return d.share.Heard() }, Metrics: d.reg, Logger: d.logger,
 	})
@@ -251,11 +256,30 @@
 	go d.leave()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.set.Bounds.Grace.Std()-exitMargin))
 	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
-		level.Warn(d.logger).Log("msg", "requests were still in hand at the end of the grace period", "in_hand", d.gateway.InHand(), "err", err)
+	go func() { _ = d.callers.Shutdown(ctx) }() // the requests in hand are what is waited for
+	if !d.emptied(ctx) {
+		level.Warn(d.logger).Log("msg", "requests were still in hand at the end of the grace period", "in_hand", d.gateway.InHand())
 	}
 }
 
+// emptied waits until no request has been in hand for a moment. Connections that
+// carry none are not waited for: callers may keep them open unused for seconds.
+func (d *Daemon) emptied(ctx context.Context) bool {
+	tick := time.NewTicker(emptyTick)
+	defer tick.Stop()
+	for empty := 0; empty < emptyTicks; {
+		select {
+		case <-ctx.Done():
+			return d.gateway.InHand() == 0
+		case <-tick.C:
+		}
+		if empty++; d.gateway.InHand() > 0 {
+			empty = 0
+		}
+	}
+	return true
+}
+
 // keepRoles keeps roles until the process is asked to stop. It returns when the
 // process may exit, since the end of one part ends all.
 func (d *Daemon) keepRoles(ctx, background context.Context) error {
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -59,9 +59,11 @@
 	// TTL is the life of the lease, Apart the time that must pass between the
 	// orders of two holders.
 	TTL, Apart time.Duration
-	Engines    engine.Keeper
-	Placer     *placement.Placer
-	View       func() *fleet.View
+	// Policy is a name of package roles.
+	Policy  string
+	Engines engine.Keeper
+	Placer  *placement.Placer
+	View    func() *fleet.View
 	// Heard returns the other gateways that are heard.
 	Heard   func() []string
 	Metrics metrics.Registry
@@ -209,7 +211,7 @@
 	p := k.policies[service]
 	if p == nil {
 		var err error
-		if p, err = roles.New(roles.Packing); err != nil {
+		if p, err = roles.New(k.o.Policy); err != nil {
 			level.Error(k.logger).Log("msg", "no policy", "err", err)
 			return
 		}
@@ -245,6 +247,7 @@
 		}
 		in.Engines = append(in.Engines, roles.Engine{
 			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.Requests, Slots: i.Slots,
+			PrefillTokens: load.PromptTokens + load.LateTokens,
 		})
 	}
 	in.Queue = queue / time.Duration(max(reading, 1))
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -22,6 +22,7 @@
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/roles"
 )
 
 const (
@@ -93,7 +94,7 @@
 	p.t.Helper()
 	store := platform.NewStore(p.address)
 	k := New(Options{
-		Store: store, Prefix: platform.LeasePrefix, Self: members.Member{Name: name, Incarnation: name + "-1"}, TTL: testTTL, Apart: testApart,
+		Store: store, Prefix: platform.LeasePrefix, Self: members.Member{Name: name, Incarnation: name + "-1"}, TTL: testTTL, Apart: testApart, Policy: roles.Packing,
 		Engines: platform.NewKeeper(upstream.New(metrics.NewRegistry())), Placer: placement.New("a", p.load, nil),
 		View: p.view.Load, Heard: func() []string { return nil }, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,16 +17,18 @@
 // Gateway holds the settings of one gateway process. The schema in gateway.json
 // states each field's meaning, unit, range and default.
 type Gateway struct {
-	Name      string     `json:"name"`
-	Domain    string     `json:"domain"`
-	Listen    string     `json:"listen"`
-	Readiness string     `json:"readiness"`
-	Metrics   string     `json:"metrics"`
-	Peer      string     `json:"peer"`
-	Store     string     `json:"store"`
-	MemoryMB  float64    `json:"memoryMB"`
-	Bounds    Bounds     `json:"bounds"`
-	Log       GatewayLog `json:"log"`
+	Name      string `json:"name"`
+	Domain    string `json:"domain"`
+	Listen    string `json:"listen"`
+	Readiness string `json:"readiness"`
+	Metrics   string `json:"metrics"`
+	Peer      string `json:"peer"`
+	Store     string `json:"store"`
+	// RolePolicy is a name of package roles.
+	RolePolicy string     `json:"rolePolicy"`
+	MemoryMB   float64    `json:"memoryMB"`
+	Bounds     Bounds     `json:"bounds"`
+	Log        GatewayLog `json:"log"`
 }
 
 // Bounds are what the deployment demands.
