One copy of store calls and of serving; a demonstration of gateways without the kit

Cause: the call of a store and its errors stood in two clients, the serving of HTTP in two daemons; nothing showed a gateway without the kit. Change: objstore/httpcall, internal/httpserve; internal/gateway/request.go split by job; rockdoor-lab fleet and make demo-gateway; routes compare the path as it was sent, and host names without case.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # make demo   builds, runs a fleet with stand-ins, checks a short workload
+# make demo-gateway   the same for gateways on the users' platform
 # make test   the tests, with the race detector
 # make check  formatter and linters
 # make bench  benchmarks, apart from the tests
 GO ?= go
 export CGO_ENABLED = 1
 
-.PHONY: build demo test check bench proto docs
+.PHONY: build demo demo-gateway test check bench proto docs
 
 build:
 	$(GO) build -o bin/rockdoor ./cmd/rockdoor
@@ -14,6 +15,9 @@
 demo: build
 	KEEP=$(KEEP) scripts/demo.sh
 
+demo-gateway: build
+	KEEP=$(KEEP) scripts/demo-gateway.sh
+
 test: build
 	$(GO) test -race ./...
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,7 +106,8 @@
 	c.byHost = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
 	}
 	for _, routes := range c.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -114,9 +115,9 @@
 }
 
 // Route returns the route with the longest prefix of the path at the host, or
-// nil if there is none.
+// nil if there is none. The path is compared as it was sent, without decoding.
 func (c *Config) Route(host, path string) *Route {
-	for _, r := range c.byHost[host] {
+	for _, r := range c.byHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
@@ -24,6 +23,7 @@
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/controller"
 	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/settings"
@@ -197,8 +197,8 @@
 	add(d.claims.keeper.Run)
 	add(d.ward)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
-	g.Add(func() error { return serve(background, d.operators, listeners.admin) }, func(error) { stopBackground(); closeServer(d.operators) })
-	g.Add(func() error { return serve(background, d.callers, listeners.callers) }, func(error) { stopBackground(); closeServer(d.callers) })
+	g.Add(func() error { return httpserve.Serve(background, d.operators, listeners.admin) }, func(error) { stopBackground(); closeServer(d.operators) })
+	g.Add(func() error { return httpserve.Serve(background, d.callers, listeners.callers) }, func(error) { stopBackground(); closeServer(d.callers) })
 	g.Add(func() error { return d.live(ctx, background) }, func(error) { stopBackground() })
 	err = g.Run()
 	d.entry.Close()
@@ -206,17 +206,6 @@
 	return err
 }
 
-// serve serves until ctx ends. A server that is shut down stops to accept at
-// once but is not done before its process is.
-func serve(ctx context.Context, s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 func closeServer(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, refusal(http.StatusBadRequest, "bad-request", err, 0)
 	}
-	route := view.Config.Route(hostOnly(r.Host), r.URL.Path)
+	route := view.Config.Route(hostOnly(r.Host), r.URL.EscapedPath())
 	if route == nil {
 		return nil, refusal(http.StatusNotFound, "no-route",
 			fault.New(fault.NotFound, "no route for "+r.Host+r.URL.Path, "check the host name and the path"), 0)
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/fleet"
+)
+
+// decision writes the line that says why an attempt goes where it goes.
+func (q *request) decision(v *fleet.View) {
+	p := &q.plan
+	kv := []any{
+		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
+		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
+		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
+	}
+	if p.Reader != nil {
+		kv = append(kv, "subject", q.call.Subject(), "reader", p.Reader.ID)
+	}
+	if p.FetchFrom != nil {
+		kv = append(kv, "fetch_from", p.FetchFrom.ID)
+	}
+	if p.Runner != nil {
+		kv = append(kv, "runner", p.Runner.ID)
+	}
+	level.Debug(q.s.o.Logger).Log(kv...)
+}
+
+// log writes the line that tells the outcome.
+func (q *request) log(outcome string, err error) {
+	took := time.Since(q.arrived)
+	q.s.count("outcome." + outcome)
+	q.s.time("duration", took)
+	kv := []any{
+		"msg", "request", "request", q.call.ID, "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
+		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.mayHaveRun,
+		"read", q.readFor.Round(time.Millisecond), "took", took.Round(time.Millisecond),
+	}
+	if q.plan.Runner != nil {
+		kv = append(kv, "runner", q.plan.Runner.ID)
+	}
+	if err == nil {
+		level.Debug(q.s.o.Logger).Log(kv...)
+		return
+	}
+	level.Warn(q.s.o.Logger).Log(append(kv, "err", err)...)
+}
--- /dev/null
+++ b/internal/gateway/read.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+// readPrompt has the prompt read by the planned engine. The request does not run
+// there. A prompt that is read again costs a send beyond the first.
+func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+	if q.read && !q.s.budget.extra(q.service) {
+		q.paid = false
+		return notRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
+	}
+	begun := time.Now()
+	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
+		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: addressOf(plan.FetchFrom),
+	}))
+	if err != nil {
+		q.paid = fault.Is(err, fault.Unavailable) // nothing arrived at the engine
+		return q.unread(plan, ticket, q.blame(err), err)
+	}
+	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
+		a.Close(skipBody(a) == nil)
+		return q.unread(plan, ticket, placement.Replaced, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
+	}
+	body, err := readAll(a, maxReadResult)
+	if err != nil {
+		return q.unread(plan, ticket, q.blame(err), err)
+	}
+	if a.Status != http.StatusOK {
+		return q.unread(plan, ticket, placement.Failed, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s answered %d to reading", plan.Reader.ID, a.Status))
+	}
+	handle, err := q.s.o.Protocol.ReadResult(body)
+	if err != nil {
+		return q.unread(plan, ticket, placement.Failed, err)
+	}
+	ticket.Read(true, placement.Sound)
+	q.read = true
+	q.source, q.sourceReader, q.sourceUses = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}, plan.Reader, 0
+	q.readFor = time.Since(begun)
+	q.s.time("read", q.readFor)
+	return delivered, nil
+}
+
+// unread records that an engine did not read the prompt.
+func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (result, error) {
+	if q.ctx.Err() != nil {
+		o = placement.Sound // a caller that left says nothing of the engine
+	}
+	ticket.Read(false, o)
+	q.avoid[plan.Reader.ID] = true
+	return notRun, err
+}
+
+func addressOf(i *fleet.Instance) string {
+	if i == nil {
+		return ""
+	}
+	return i.Address
+}
+
+// free tells an engine that a prompt that it read is not wanted. Nobody waits
+// for it: the engine drops the prompt by itself after a while.
+func (q *request) free() {
+	if q.source == nil {
+		return
+	}
+	reader := q.sourceReader
+	method, uri := q.s.o.Protocol.FreeHandle(q.source.Handle)
+	q.source = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		a, err := q.s.o.Client.Do(ctx, upstream.Request{Address: reader.Address, Method: method, URI: uri, Host: reader.Address, Header: http.Header{}})
+		if err != nil {
+			level.Info(q.s.o.Logger).Log("msg", "handle not freed", "request", q.call.ID, "engine", reader.ID, "err", err)
+			return
+		}
+		a.Close(skipBody(a) == nil)
+	}()
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -106,7 +106,7 @@
 // attempt, or returns the reply to give.
 func (q *request) rebase() *reply {
 	view := q.s.o.View()
-	route := view.Config.Route(hostOnly(q.http.Host), q.http.URL.Path)
+	route := view.Config.Route(hostOnly(q.http.Host), q.http.URL.EscapedPath())
 	if route == nil {
 		return q.given("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), unknownRetry)
 	}
@@ -335,102 +335,6 @@
 	}
 }
 
-// readPrompt has the prompt read by the planned engine. The request does not run
-// there. A prompt that is read again costs a send beyond the first.
-func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
-	if q.read && !q.s.budget.extra(q.service) {
-		q.paid = false
-		return notRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
-	}
-	begun := time.Now()
-	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
-		Instance: plan.Reader.ID, Left: time.Until(q.deadline), Rank: q.rank(plan), ReadOnly: true, FetchFrom: addressOf(plan.FetchFrom),
-	}))
-	if err != nil {
-		q.paid = fault.Is(err, fault.Unavailable) // nothing arrived at the engine
-		return q.unread(plan, ticket, q.blame(err), err)
-	}
-	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
-		a.Close(skipBody(a) == nil)
-		return q.unread(plan, ticket, placement.Replaced, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
-	}
-	body, err := readAll(a, maxReadResult)
-	if err != nil {
-		return q.unread(plan, ticket, q.blame(err), err)
-	}
-	if a.Status != http.StatusOK {
-		return q.unread(plan, ticket, placement.Failed, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s answered %d to reading", plan.Reader.ID, a.Status))
-	}
-	handle, err := q.s.o.Protocol.ReadResult(body)
-	if err != nil {
-		return q.unread(plan, ticket, placement.Failed, err)
-	}
-	ticket.Read(true, placement.Sound)
-	q.read = true
-	q.source, q.sourceReader, q.sourceUses = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}, plan.Reader, 0
-	q.readFor = time.Since(begun)
-	q.s.time("read", q.readFor)
-	return delivered, nil
-}
-
-// unread records that an engine did not read the prompt.
-func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (result, error) {
-	if q.ctx.Err() != nil {
-		o = placement.Sound // a caller that left says nothing of the engine
-	}
-	ticket.Read(false, o)
-	q.avoid[plan.Reader.ID] = true
-	return notRun, err
-}
-
-func addressOf(i *fleet.Instance) string {
-	if i == nil {
-		return ""
-	}
-	return i.Address
-}
-
-// free tells an engine that a prompt that it read is not wanted. Nobody waits
-// for it: the engine drops the prompt by itself after a while.
-func (q *request) free() {
-	if q.source == nil {
-		return
-	}
-	reader := q.sourceReader
-	method, uri := q.s.o.Protocol.FreeHandle(q.source.Handle)
-	q.source = nil
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		a, err := q.s.o.Client.Do(ctx, upstream.Request{Address: reader.Address, Method: method, URI: uri, Host: reader.Address, Header: http.Header{}})
-		if err != nil {
-			level.Info(q.s.o.Logger).Log("msg", "handle not freed", "request", q.call.ID, "engine", reader.ID, "err", err)
-			return
-		}
-		a.Close(skipBody(a) == nil)
-	}()
-}
-
-// decision writes the line that says why an attempt goes where it goes.
-func (q *request) decision(v *fleet.View) {
-	p := &q.plan
-	kv := []any{
-		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
-		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
-		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
-	}
-	if p.Reader != nil {
-		kv = append(kv, "subject", q.call.Subject(), "reader", p.Reader.ID)
-	}
-	if p.FetchFrom != nil {
-		kv = append(kv, "fetch_from", p.FetchFrom.ID)
-	}
-	if p.Runner != nil {
-		kv = append(kv, "runner", p.Runner.ID)
-	}
-	level.Debug(q.s.o.Logger).Log(kv...)
-}
-
 // finish gives the caller a reply of the gateway's own. If a part of an answer
 // has been passed on, the connection is broken off, so that the caller sees that
 // the answer is not whole.
@@ -441,23 +345,3 @@
 	}
 	rep.write(q.w)
 }
-
-// log writes the line that tells the outcome.
-func (q *request) log(outcome string, err error) {
-	took := time.Since(q.arrived)
-	q.s.count("outcome." + outcome)
-	q.s.time("duration", took)
-	kv := []any{
-		"msg", "request", "request", q.call.ID, "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
-		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.mayHaveRun,
-		"read", q.readFor.Round(time.Millisecond), "took", took.Round(time.Millisecond),
-	}
-	if q.plan.Runner != nil {
-		kv = append(kv, "runner", q.plan.Runner.ID)
-	}
-	if err == nil {
-		level.Debug(q.s.o.Logger).Log(kv...)
-		return
-	}
-	level.Warn(q.s.o.Logger).Log(append(kv, "err", err)...)
-}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
@@ -23,6 +22,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/loadshare"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
@@ -177,7 +177,7 @@
 		if err != nil {
 			return fault.Wrap(err, fault.Invalid, "cannot listen on "+s.address, "check the addresses in the settings and that no other process uses them")
 		}
-		g.Add(func() error { return serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
+		g.Add(func() error { return httpserve.Serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
 	}
 	peers, err := net.Listen("tcp", d.set.Peer)
 	if err != nil {
@@ -195,17 +195,6 @@
 	return err
 }
 
-// serve serves until ctx ends. A server that is shut down stops to accept at
-// once but is not done before its process is.
-func serve(ctx context.Context, s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 // live is the life of the process. It returns when the process may exit.
 func (d *Daemon) live(ctx context.Context, reload <-chan struct{}) error {
 	for {
--- a/objstore/httpapi/httpapi.go
+++ b/objstore/httpapi/httpapi.go
@@ -9,23 +9,17 @@
 package httpapi
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/httpcall"
 )
 
-const maxResponseBytes = 64 << 20
-
 // ListResponse is the body of a list call.
 type ListResponse struct {
 	Objects  []objstore.Object `json:"objects"`
@@ -110,75 +104,11 @@
 
 func formatInt(i int64) string { return strconv.FormatInt(i, 10) }
 
-// do sends one call and decodes its answer into out. The body has no GetBody,
-// so that the transport never repeats a write by itself.
+// do sends one call and decodes its answer into out.
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body []byte, out any) error {
 	u := c.base + path
 	if len(q) > 0 {
 		u += "?" + q.Encode()
 	}
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, method, u, nil)
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "platform call cannot be built", "check the platform address in the settings")
-	}
-	if body != nil {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		req.ContentLength = int64(len(body))
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return lost(err, method, sent.Load())
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return lost(err, method, true)
-	}
-	if err := statusError(resp.StatusCode, method, path, data); err != nil {
-		return err
-	}
-	if out == nil {
-		return nil
-	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return lost(err, method, true)
-	}
-	return nil
-}
-
-// lost classifies a call whose answer did not arrive.
-func lost(err error, method string, sent bool) error {
-	if sent && method != http.MethodGet {
-		return fault.Wrap(err, fault.Unknown, "answer of the platform store was lost", "read the object back before writing again")
-	}
-	return fault.Wrap(err, fault.Unavailable, "platform store did not answer", "check the platform address; the call may be repeated")
-}
-
-func statusError(code int, method, path string, body []byte) error {
-	if len(body) > 200 {
-		body = body[:200]
-	}
-	text := string(bytes.TrimSpace(body))
-	switch {
-	case code < 300:
-		return nil
-	case code == http.StatusNotFound:
-		return fault.Newf(fault.NotFound, "check the name", "%s does not exist", path)
-	case code == http.StatusConflict:
-		return fault.Newf(fault.Conflict, "read it again and repeat the change", "%s was changed by another writer", path)
-	case code == http.StatusGone:
-		return objstore.ErrWatchGap
-	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
-		return fault.Newf(fault.Unavailable, "wait and repeat the call", "platform store refused %s %s: %d %s", method, path, code, text)
-	case code >= 500 && method != http.MethodGet:
-		return fault.Newf(fault.Unknown, "read the object back before writing again", "platform store failed on %s %s: %d %s", method, path, code, text)
-	case code >= 500:
-		return fault.Newf(fault.Unavailable, "wait and repeat the call", "platform store failed on %s %s: %d %s", method, path, code, text)
-	default:
-		return fault.Newf(fault.Invalid, "correct the call", "platform store rejected %s %s: %d %s", method, path, code, text)
-	}
+	return httpcall.Do(ctx, c.http, method, u, body, out)
 }
