One outcome a request in logs and metrics

Cause: a caller that left was logged as caller-gone and then as ok, found by reading. Change: the attempt logs its end; TestOneOutcomeARequest.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/fleet"
@@ -271,3 +273,22 @@
 		require.Equal(t, http.StatusOK, r.send(http.MethodPost, pathOnce, "id", "x", nil).status)
 	}
 }
+
+// TestOneOutcomeARequest checks that a caller that leaves is counted once and not
+// among those that were answered.
+func TestOneOutcomeARequest(t *testing.T) {
+	all := engines("", "i-1")
+	r := newRig(t, rigOptions{plain: all})
+	all[0].Fail(fleetengine.Hang, -1)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+pathSafe, nil)
+	require.NoError(t, err)
+	req.Host = testHost
+	req.Header.Set("X-Request-Id", "id-1")
+	_, err = http.DefaultTransport.RoundTrip(req)
+	require.Error(t, err)
+	counter := func(code string) int64 { return metrics.GetOrRegisterCounter("gateway.outcome."+code, r.reg).Count() }
+	require.Eventually(t, func() bool { return counter("caller-gone") == 1 }, time.Second, 5*time.Millisecond)
+	require.Zero(t, counter("ok"))
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -36,6 +36,7 @@
 	t    testing.TB
 	view atomic.Pointer[fleet.View]
 	url  string
+	reg  metrics.Registry
 }
 
 type rigOptions struct {
@@ -68,6 +69,7 @@
 	v.Index()
 	r.view.Store(v)
 	reg := metrics.NewRegistry()
+	r.reg = reg
 	g := gateway.New(gateway.Options{
 		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placement.New("a", nil, nil),
 		Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -88,14 +88,14 @@
 	defer q.free()
 	for {
 		rep := q.rebase()
+		done := false
 		if rep == nil {
-			var done bool
-			if rep, done = q.attempt(); done {
-				q.log("ok", nil)
-				return
-			}
+			rep, done = q.attempt()
 		}
-		if rep != nil {
+		switch {
+		case done:
+			return
+		case rep != nil:
 			q.finish(rep)
 			return
 		}
@@ -120,7 +120,7 @@
 }
 
 // attempt makes one attempt. It returns a reply if no other is to be made, and
-// true if the answer was delivered or nobody waits for it.
+// true if the answer was delivered or nobody waits for it, which it has logged.
 func (q *request) attempt() (*reply, bool) {
 	view := q.s.o.View()
 	left := time.Until(q.deadline)
@@ -136,7 +136,11 @@
 	defer ticket.Cancel()
 	res, err := q.send(ticket)
 	switch res {
-	case delivered, callerGone:
+	case delivered:
+		q.log("ok", nil)
+		return nil, true
+	case callerGone:
+		q.log("caller-gone", err)
 		return nil, true
 	case lost:
 		q.mayHaveRun = true
