A prompt that one service read is not offered to another

Cause: found by reading: a handle that is kept after a runner's refusal was offered to whatever service the route led to under a newer configuration. Change: the handle is freed when the service changes; the test fails without it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
@@ -292,3 +295,33 @@
 	require.Eventually(t, func() bool { return counter("caller-gone") == 1 }, time.Second, 5*time.Millisecond)
 	require.Zero(t, counter("ok"))
 }
+
+// TestPromptIsNotUsedByAnotherService moves a route to another service between two
+// attempts: what the first service read stays there.
+func TestPromptIsNotUsedByAnotherService(t *testing.T) {
+	readers, other := engines("prefill", "p-1"), engines("decode", "d-1")
+	r := newRig(t, rigOptions{model: readers, plain: other})
+	moved := *r.view.Load()
+	moved.Config = config()
+	for i := range moved.Config.Routes {
+		moved.Config.Routes[i].Shares = []fleet.Share{{Service: "plain", Weight: 1}}
+	}
+	moved.Config.Version++
+	moved.Config.Index()
+	shedding := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		r.view.Store(&moved)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer shedding.Close()
+	v := *r.view.Load()
+	v.Instances = maps.Clone(v.Instances)
+	v.Instances["d-0"] = &fleet.Instance{ID: "d-0", Service: "model", Address: shedding.Listener.Addr().String(), Domain: "a", Role: engine.RoleMixed, Slots: 8}
+	v.Index()
+	moved.Instances = v.Instances
+	moved.Index()
+	r.view.Store(&v)
+	require.Equal(t, http.StatusOK, r.send(http.MethodPost, pathModel, "id", "x", prompt("bb")).status)
+	require.Empty(t, other[0].Runs()[0].Header.Get("X-Kv-Source"))
+	require.Eventually(t, func() bool { return len(readers[0].Freed()) == 1 }, time.Second, 5*time.Millisecond)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -112,7 +112,11 @@
 	}
 	first := q.service == ""
 	q.route, q.version = route, view.Config.Version
-	q.service = route.Pick(q.call.ID)
+	service := route.Pick(q.call.ID)
+	if service != q.service {
+		q.free() // what one service read is not for another
+	}
+	q.service = service
 	if first {
 		q.s.budget.request(q.service)
 	}
