Near instances by share of slots, longer watches, policies that observe everywhere

Cause: two of three sends still crossed failure domains; five calls a second waited on kinds that rarely change; a new holder of the roles' lease began with an empty picture of the load. Change: a runner near may have 0.15 of its slots more in hand, a reader near take 10 ms longer; watches wait 0.6 of the bound (rules and members six times that); the role policy observes at every gateway and orders only at the holder.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -50,9 +50,15 @@
 
 const (
 	eventQueue = 256
+	// waitShare and answerShare are the parts of the time in which a change must be
+	// in force that a watch waits and that its answer may take beyond that. Together
+	// they leave time to look again after a watch that was cut silently.
+	waitShare   = 0.6
+	answerShare = 0.25
 	// slowFactor is how much longer the watches of rules and members wait than
-	// those of the configuration and the instances: they change rarely.
-	slowFactor = 3
+	// those of the configuration and the instances. A change ends them at once; only
+	// a silent cut is noticed later.
+	slowFactor = 6
 	// awayRecent is how long after a failed call a registration that goes counts
 	// as lapsed. It covers the pause between two calls.
 	awayRecent = time.Second
@@ -98,14 +104,14 @@
 
 // Run follows the store until ctx ends.
 func (d *Discovery) Run(ctx context.Context) error {
-	wait := d.o.Apply / 2
+	wait := time.Duration(waitShare * float64(d.o.Apply))
 	for _, f := range []follower{
 		{feed: feedConfig, prefix: d.o.Prefixes.Config, wait: wait},
 		{feed: feedInstances, prefix: d.o.Prefixes.Instances, wait: wait},
 		{feed: feedRules, prefix: d.o.Prefixes.Rules, wait: wait * slowFactor},
 		{feed: feedMembers, prefix: d.o.Prefixes.Members, wait: wait * slowFactor},
 	} {
-		f.store, f.events, f.logger, f.answerWithin = d.o.Store, d.events, d.logger, d.o.Apply/3
+		f.store, f.events, f.logger, f.answerWithin = d.o.Store, d.events, d.logger, time.Duration(answerShare*float64(d.o.Apply))
 		go f.run(ctx)
 	}
 	tick := time.NewTicker(lapseTick)
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -178,33 +178,37 @@
 	return members.Rank(shard, k.o.Self.Name, k.o.Heard()) < candidates
 }
 
-// review settles the orders in hand and gives those that the policies want.
+// review settles the orders in hand and, while this process holds the lease, gives
+// those that the policies want. The policies observe the load at every gateway, so
+// that the next holder need not learn it first.
 func (k *Keeper) review(ctx context.Context) {
 	v := k.o.View()
 	k.settle(v)
-	g, held := k.lessee.Grant()
-	if !held {
-		if k.token != 0 {
-			level.Info(k.logger).Log("msg", "authority over roles lost", "token", k.token)
-		}
-		k.token = 0
-		return
-	}
-	if g.Token != k.token {
-		k.token, k.since = g.Token, time.Now()
-		level.Info(k.logger).Log("msg", "authority over roles", "token", g.Token, "orders_after", k.o.Apart)
-	}
+	mayOrder := k.authority()
 	if !v.Ready() {
 		return
 	}
 	for name, service := range v.Config.Services {
-		if service.KVCapacity == 0 {
-			continue
+		if service.KVCapacity > 0 {
+			k.plan(ctx, v, name, mayOrder)
 		}
-		k.plan(ctx, v, name, time.Since(k.since) >= k.o.Apart)
 	}
 }
 
+// authority reports whether this process may give orders now.
+func (k *Keeper) authority() bool {
+	g, held := k.lessee.Grant()
+	switch {
+	case !held && k.token != 0:
+		level.Info(k.logger).Log("msg", "authority over roles lost", "token", k.token)
+		k.token = 0
+	case held && g.Token != k.token:
+		k.token, k.since = g.Token, time.Now()
+		level.Info(k.logger).Log("msg", "authority over roles", "token", g.Token, "orders_after", k.o.Apart)
+	}
+	return held && time.Since(k.since) >= k.o.Apart
+}
+
 // plan asks a service's policy for changes. Without mayOrder the policy only
 // observes.
 func (k *Keeper) plan(ctx context.Context, v *fleet.View, service string, mayOrder bool) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -336,18 +336,18 @@
 	load := p.load(st)
 	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
 	if r.Domain != p.domain {
-		score += farPenalty
+		score += farShare * float64(r.Slots)
 	}
 	return score
 }
 
 const (
-	// farPenalty is how many requests more an instance of the own failure domain
-	// may have than one elsewhere.
-	farPenalty = 4.0
+	// farShare is how much more of its slots an instance of the own failure domain
+	// may have in hand than one elsewhere.
+	farShare = 0.15
 	// farRead is how much longer, in ms, a reader of the own failure domain may
 	// take than one elsewhere.
-	farRead = 6.0
+	farRead = 10.0
 	// tieBreak spreads the choices of processes that see the same loads.
 	tieBreak = 0.5
 	// fullRetry is when to ask again while everything is full: about as long as
