One way to an instance for both services; the platform's names leave the lab

Cause: the completion service sent through a transport of its own with a sealable connection, the gateway through internal/upstream: the same job twice. The lab's sample configuration had the platform's names. Change: internal/attempt keeps the chart and sends through upstream; an instance that answers another request and no more is given up on after 1 s (its test failed first with the whole of the caller's time); the sample is in the stand-in. Ruled out: waiting for the right answer without a bound.

--- a/cmd/rockdoor-lab/fleet.go
+++ b/cmd/rockdoor-lab/fleet.go
@@ -39,7 +39,7 @@
 				e := newEngine(n, stage, address, store)
 				g.Go(func() error { return serve(ctx, address, e) })
 			}
-			store.Set("config", "main", fleetConfig())
+			store.SetSample()
 			fmt.Fprintf(c.App.Writer, "store %s:%d, %d instances\n", ip, fleetStorePort, len(fleetStages))
 			return g.Wait()
 		},
@@ -50,30 +50,9 @@
 func newEngine(n int, stage, address string, store *fleetstore.Server) *fleetengine.Engine {
 	e := fleetengine.New(fmt.Sprintf("i-%d", n+1), stage)
 	e.RoleChange = fleetRoleChange
-	service := "flags"
+	store.Register(e.ID, fleetstore.Registration{Models: stage != "", Stage: stage, Address: address, Domain: fleetDomain, Slots: fleetSlots})
 	if stage != "" {
-		service, e.Events = "models", fleetEvents
+		e.Events = fleetEvents
 	}
-	store.Set("servers", e.ID, map[string]any{
-		"service": service, "address": address, "zone": fleetDomain, "slots": fleetSlots, "phase": "ready", "stage": stage, "version": "v1",
-	})
 	return e
 }
-
-// fleetConfig is a small configuration in the platform's form.
-func fleetConfig() map[string]any {
-	return map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			{"name": "flag-check", "hostname": "shop.example", "path_prefix": "/flags/", "type": "unsafe", "service": "flags",
-				"timeout_ms": 600, "target_latency_ms": 100, "max_attempts": 1, "priority": 2},
-			{"name": "rule-review", "hostname": "shop.example", "path_prefix": "/review/", "type": "streaming", "service": "models",
-				"timeout_ms": 2000, "target_latency_ms": 200, "target_gap_ms": 150, "max_attempts": 2, "resumable": true, "session_affinity": true},
-		},
-		"services": []map[string]any{
-			{"name": "flags", "health_path": "/healthz", "max_connections": 100},
-			{"name": "models", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"kv_capacity_tokens": 305000, "handle_ttl_s": 5, "reconfigure_s": 0.5}},
-		},
-		"limits": map[string]any{"max_body_bytes": 4194304},
-	}
-}
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -1,21 +1,20 @@
 // Package attempt sends one request to one engine or backend server and finds
-// out what became of it. The point after which the target may have begun is the
-// first Write to the connection that the request got; see sealableConn.
+// out what became of it, as the states of a chart. The way to the target, and
+// whether a byte of the request left, is the business of package upstream.
 package attempt
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/statechart"
 )
 
@@ -36,97 +35,58 @@
 
 // Runner sends attempts over kept-alive connections.
 type Runner struct {
-	transport *http.Transport
+	client *upstream.Client
 }
 
-// NewRunner returns a runner with a connection pool of its own.
-func NewRunner() *Runner {
-	return &Runner{transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePer,
-		IdleConnTimeout:     idleKeepAlive,
-		DisableCompression:  true,
-		ForceAttemptHTTP2:   false,
-	}}
-}
+// NewRunner returns a runner that counts in reg, with connections of its own.
+func NewRunner(reg metrics.Registry) *Runner { return &Runner{client: upstream.New(reg)} }
 
 // Close drops idle connections.
-func (r *Runner) Close() { r.transport.CloseIdleConnections() }
+func (r *Runner) Close() { r.client.Close() }
 
 // Attempt is one try. It is used by one goroutine.
 type Attempt struct {
-	chart *statechart.Instance
-	resp  *http.Response
-	err   error
-
-	mu   sync.Mutex
-	conn *sealableConn
+	chart  *statechart.Instance
+	answer *upstream.Answer
+	err    error
 }
 
-// replayless is a body that the transport cannot repeat by itself, since it has
-// no GetBody and is not nil. Without it the transport would send a GET, or a
-// request with an Idempotency-Key, again after a connection broke.
-type replayless struct{ *bytes.Reader }
-
-func (replayless) Close() error { return nil }
-
 // Start sends the request and waits for the head of the answer. The state of
 // the returned attempt is answering or final.
 func (r *Runner) Start(ctx context.Context, s Spec) *Attempt {
 	a := &Attempt{chart: charts.Attempt.Start()}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.gotConn(info) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), s.Method, "http://"+s.Address+s.URI, nil)
-	if err != nil {
-		a.end(charts.Unsent, fault.Wrap(err, fault.Invalid, "request cannot be built", "check the path and the target's address"))
+	s.Header.Set(openai.AttemptHeader, s.ID)
+	answer, err := r.client.Do(ctx, upstream.Request{
+		Address: s.Address, Method: s.Method, URI: s.URI, Host: s.Address, Header: s.Header, Body: s.Body,
+		Matches: func(h http.Header) bool { return echoes(h, s.ID) },
+	})
+	if fault.Is(err, fault.Unavailable) {
+		a.end(charts.Unsent, err)
 		return a
 	}
-	req.Header = s.Header
-	req.Header.Set(openai.AttemptHeader, s.ID)
-	req.Body = replayless{bytes.NewReader(s.Body)}
-	req.ContentLength = int64(len(s.Body))
-	resp, err := r.transport.RoundTrip(req)
+	a.fire(charts.Connected)
 	if err != nil {
-		a.broke(err)
+		a.end(charts.Cut, fault.Wrap(err, fault.Unknown, "connection broke before the answer", "ask for the outcome before sending the request again"))
 		return a
 	}
-	a.resp = resp
-	a.answered(s.ID)
+	a.answer = answer
+	a.answered()
 	return a
 }
 
-func (a *Attempt) gotConn(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*sealableConn); ok {
-		c.acquire()
-		a.mu.Lock()
-		a.conn = c
-		a.mu.Unlock()
-	}
-	a.fire(charts.Connected)
-}
-
-// broke settles an attempt whose connection failed before any answer.
-func (a *Attempt) broke(err error) {
-	a.mu.Lock()
-	conn := a.conn
-	a.mu.Unlock()
-	if conn == nil || !conn.seal() {
-		a.end(charts.Unsent, fault.Wrap(err, fault.Unavailable, "target cannot be reached", "another target is tried if one is permitted"))
-		return
-	}
-	a.end(charts.Cut, fault.Wrap(err, fault.Unknown, "connection broke before the answer", "ask for the outcome before sending the request again"))
+// echoes reports whether an answer is one to the attempt. Targets that repeat no
+// id are believed.
+func echoes(h http.Header, id string) bool {
+	got := h.Get(openai.AttemptHeader)
+	return got == "" || got == id
 }
 
 // answered looks at the head of the answer.
-func (a *Attempt) answered(id string) {
-	h := a.resp.Header
-	if a.resp.StatusCode == http.StatusServiceUnavailable && h.Get(openai.NotRunHeader) != "" {
+func (a *Attempt) answered() {
+	if a.Status() == http.StatusServiceUnavailable && a.Header().Get(openai.NotRunHeader) != "" {
 		a.end(charts.Rejected, fault.New(fault.Unavailable, "target takes no work", "another target is tried if one is permitted"))
 		return
 	}
-	if got := h.Get(openai.AttemptHeader); got != "" && got != id {
-		a.end(charts.Cut, fault.New(fault.Unknown, "target answered for another request", "the answer was dropped; check the target"))
-		return
-	}
 	a.fire(charts.Answered)
 }
 
@@ -147,19 +107,19 @@
 func (a *Attempt) Err() error { return a.err }
 
 // Status returns the status code of the answer.
-func (a *Attempt) Status() int { return a.resp.StatusCode }
+func (a *Attempt) Status() int { return a.answer.Status }
 
 // Header returns the header of the answer.
-func (a *Attempt) Header() http.Header { return a.resp.Header }
+func (a *Attempt) Header() http.Header { return a.answer.Header }
 
 // Length returns the length of the answer's body in bytes, -1 if unknown.
-func (a *Attempt) Length() int64 { return a.resp.ContentLength }
+func (a *Attempt) Length() int64 { return a.answer.Length }
 
 // Close ends the attempt. If the answer is not whole, the connection is closed,
 // which tells the target to stop.
 func (a *Attempt) Close() {
-	if a.resp != nil {
-		_ = a.resp.Body.Close()
+	if a.answer != nil {
+		a.answer.Close(a.State() == charts.AttemptComplete)
 	}
 }
 
@@ -172,7 +132,7 @@
 // ReadAll reads the whole body, up to limit bytes. If check refuses it, the
 // answer counts as cut.
 func (a *Attempt) ReadAll(limit int64, check func(body []byte) error) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(a.answer.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = fault.Newf(fault.Exhausted, "ask for less", "answer is larger than %d bytes", limit)
 	}
@@ -190,7 +150,7 @@
 
 // Copy passes the whole body on as it arrives.
 func (a *Attempt) Copy(w io.Writer) error {
-	if _, err := io.Copy(w, a.resp.Body); err != nil {
+	if _, err := io.Copy(w, a.answer.Body); err != nil {
 		a.Cut(fault.Wrap(err, fault.Unknown, "answer was cut", "ask for the outcome before sending the request again"))
 		return a.err
 	}
@@ -201,7 +161,7 @@
 // Events passes on each event of a stream until the event that ends it. A
 // stream that ends otherwise was cut. An error of f ends the attempt.
 func (a *Attempt) Events(f func(data string) error) error {
-	for ev, err := range sse.Read(a.resp.Body, &sse.ReadConfig{MaxEventSize: MaxEventBytes}) {
+	for ev, err := range sse.Read(a.answer.Body, &sse.ReadConfig{MaxEventSize: MaxEventBytes}) {
 		if err != nil {
 			a.Cut(fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if the request is idempotent"))
 			return a.err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -65,7 +65,7 @@
 	s := &Server{
 		o:        o,
 		gate:     limits.NewGate(o.Settings.Limits.Requests, o.Settings.Limits.UrgentReserve),
-		runner:   attempt.NewRunner(),
+		runner:   attempt.NewRunner(o.Metrics),
 		breakers: newBreakers(),
 		retries:  limits.NewRetryBudget(),
 		outcomes: newOutcomes(),
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -32,6 +32,9 @@
 	// maxStrayAnswers bounds how many answers to other requests are skipped.
 	maxStrayAnswers = 4
 	maxStrayBytes   = 1 << 20
+	// strayWait is how long the right answer is waited for after one to another
+	// request: an instance that mixed the two up sends no other.
+	strayWait = time.Second
 	// inlineBody is the largest body that is written before the answer is read.
 	// A larger one is written beside it, as an instance may answer early.
 	inlineBody = 2 << 10
@@ -166,7 +169,11 @@
 			a.resp, a.Status, a.Header, a.Body, a.Length = resp, resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
 			return nil
 		}
-		a.tainted = true
+		if !a.tainted {
+			a.tainted = true
+			giveUp := time.AfterFunc(strayWait, func() { _ = a.conn.SetDeadline(time.Unix(1, 0)) })
+			defer giveUp.Stop()
+		}
 		a.client.count("stray_answers")
 		if resp.Close {
 			return errors.New("answer belongs to another request")
@@ -276,6 +283,19 @@
 	}
 }
 
+// Close closes all kept connections. Those that carry a request end with it.
+func (c *Client) Close() {
+	c.mu.Lock()
+	var addresses []string
+	for address := range c.idle {
+		addresses = append(addresses, address)
+	}
+	c.mu.Unlock()
+	for _, address := range addresses {
+		c.Forget(address)
+	}
+}
+
 // Forget closes the kept connections to an address that is no longer used.
 func (c *Client) Forget(address string) {
 	c.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -121,6 +121,22 @@
 	})
 }
 
+// TestMixedUpAnswer covers an instance that answers another request and sends no
+// more: the request is given up on long before its caller's time is up.
+func TestMixedUpAnswer(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		write(c, "other", "wrong")
+		_, _ = r.ReadByte()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	begun := time.Now()
+	_, err := New(metrics.NewRegistry()).Do(ctx, request(address, "a", ""))
+	require.True(t, fault.Is(err, fault.Unknown))
+	require.Less(t, time.Since(begun), 5*time.Second)
+}
+
 func TestWhatIsKnownAfterAFailure(t *testing.T) {
 	c := New(metrics.NewRegistry())
 	_, err := c.Do(context.Background(), request("127.0.0.1:1", "a", ""))
