Keep no connection whose answer was not read to its end; lapses as any feed sees them

TestEveryRunIsWhereAllSelectorsPermit (502 once): a stream was left at its last event and its connection kept; the end of the body came in the place of the next answer. TestLapsedWhileTheStoreWasAway: an outage that only other feeds noticed made lapsed instances count as gone. TestLoadsAreShared: a race of the test itself. TestStopCutsNoRequest: a port that was free when it was picked. Change: a connection is kept only after the body's end was seen; a failure of any feed counts, each lapsed instance is waited for by itself; the tests take addresses of their own.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -79,10 +79,12 @@
 	instances map[string]*fleet.Instance
 	members   map[string]objstore.Object
 	down      map[feed]bool
-	// failedAt is when a call of the instances' feed failed last, and backAt when
-	// it succeeded for the first time after that.
+	// failedAt is when a call of any feed failed last, backAt when a feed succeeded
+	// for the first time after that.
 	failedAt bootclock.Instant
 	backAt   bootclock.Instant
+	// lapsedAt is since when a lapsed instance is waited for.
+	lapsedAt map[string]bootclock.Instant
 }
 
 // New returns a discovery that has to be run.
@@ -90,6 +92,7 @@
 	d := &Discovery{
 		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueue), ready: make(chan struct{}),
 		instances: map[string]*fleet.Instance{}, members: map[string]objstore.Object{}, down: map[feed]bool{},
+		lapsedAt: map[string]bootclock.Instant{},
 	}
 	d.cur.StoreUp = true
 	d.publish()
@@ -146,9 +149,7 @@
 	}
 	d.count("store_errors")
 	d.down[e.feed] = true
-	if e.feed == feedInstances {
-		d.failedAt = bootclock.Now()
-	}
+	d.failedAt = bootclock.Now()
 	d.cur.StoreUp = false
 }
 
@@ -158,8 +159,11 @@
 	if d.down[f] {
 		level.Info(d.logger).Log("msg", "store regained", "feed", f)
 		delete(d.down, f)
+		d.backAt = now
 		if f == feedInstances {
-			d.backAt = now
+			for id := range d.lapsedAt {
+				d.lapsedAt[id] = now
+			}
 		}
 	}
 	d.cur.StoreUp = len(d.down) == 0
@@ -240,6 +244,7 @@
 		return
 	}
 	d.instances[i.ID] = i
+	delete(d.lapsedAt, i.ID)
 	level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "role", i.Role,
 		"draining", i.Draining, "known", old != nil, "revision", obj.Version)
 }
@@ -256,33 +261,39 @@
 		kept := *i
 		kept.Lapsed = true
 		d.instances[id] = &kept
+		d.lapsedAt[id] = bootclock.Now()
 		level.Info(d.logger).Log("msg", "instance lapsed", "id", id, "service", i.Service, "address", i.Address)
 		return
 	}
+	d.drop(id, "registration removed")
+}
+
+func (d *Discovery) drop(id, reason string) {
+	i := d.instances[id]
 	delete(d.instances, id)
-	level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address)
+	delete(d.lapsedAt, id)
+	level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address, "reason", reason)
 }
 
 // storeWasAway reports whether a registration that goes now may have lapsed
-// because the store was away.
+// because the store was away, as far as any feed has noticed.
 func (d *Discovery) storeWasAway() bool {
 	if d.failedAt == 0 {
 		return false
 	}
-	return bootclock.Since(d.failedAt) < awayRecent || bootclock.Since(d.backAt) < d.o.LapseKept
+	return len(d.down) > 0 || bootclock.Since(d.failedAt) < awayRecent || bootclock.Since(d.backAt) < d.o.LapseKept
 }
 
 // dropLapsed removes lapsed instances that did not come back in time.
 func (d *Discovery) dropLapsed() {
-	if d.down[feedInstances] || bootclock.Since(d.backAt) < d.o.LapseKept {
+	if d.down[feedInstances] {
 		return
 	}
 	dropped := false
-	for id, i := range d.instances {
-		if i.Lapsed {
-			delete(d.instances, id)
+	for id, at := range d.lapsedAt {
+		if bootclock.Since(at) >= d.o.LapseKept {
+			d.drop(id, "lapsed and not back")
 			dropped = true
-			level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address, "reason", "lapsed and not back")
 		}
 	}
 	if dropped {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -172,3 +172,17 @@
 	time.Sleep(lapseKept + apply)
 	require.True(t, view().Takes("s", "i-1"))
 }
+
+// TestLapsedWhileAnotherFeedFailed covers an outage that the feed of the instances
+// did not notice itself, since its watch was waiting: what goes then has lapsed.
+func TestLapsedWhileAnotherFeedFailed(t *testing.T) {
+	fake, view := start(t)
+	setInstance(fake, "i-1", "ready")
+	eventually(t, func() bool { return len(view().Usable("s")) == 1 })
+	fake.SetFaults(fleetstore.Faults{DownKind: "config"})
+	eventually(t, func() bool { return !view().StoreUp })
+	fake.Remove("servers", "i-1")
+	time.Sleep(lapseKept / 3)
+	require.True(t, view().Takes("s", "i-1"), "it may come back")
+	eventually(t, func() bool { return !view().Takes("s", "i-1") })
+}
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -65,12 +64,14 @@
 	})
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// gateways counts the gateways of this test process.
+var gateways atomic.Int64
+
+// loopback returns an IP number of the loopback range that no other gateway of a
+// test uses, so that fixed ports are free on it.
+func loopback() string {
+	pid, n := os.Getpid(), gateways.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%100, pid/100%250, n)
 }
 
 // process is one running gateway.
@@ -100,9 +101,10 @@
 
 func (d *deployment) gateway(name string) *process {
 	d.t.Helper()
-	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "store": %q,
+	ip := loopback()
+	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": "%[2]s:8080", "readiness": "%[2]s:8081", "metrics": "%[2]s:9464", "peer": "%[2]s:7660", "store": %[3]q,
 		"bounds": {"apply": "600ms", "drain": "600ms", "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
-		name, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.address)
+		name, ip, d.address)
 	file := filepath.Join(d.t.TempDir(), "settings.json")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	set, err := settings.LoadGateway(file)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -34,16 +34,13 @@
 	return n.Sharer.HandlePeer(ctx, req)
 }
 
-func start(t *testing.T, store, name string, all *[]members.Member) *node {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	n := &node{self: members.Member{Name: name, Incarnation: name + "-1", Peer: l.Addr().String()}, placer: placement.New("a", nil, nil)}
+func start(l net.Listener, store, name string, all []members.Member) *node {
+	n := &node{self: memberOf(l, name), placer: placement.New("a", nil, nil)}
 	transport := peer.NewTransport(&peerpb.Identity{Name: name, Incarnation: "1"}, n, metrics.NewRegistry(), log.NewNopLogger())
 	n.Sharer = New(Options{
 		Self: n.self, Store: platform.NewStore(store), Prefix: platform.MemberPrefix, Transport: transport,
 		Placer: n.placer, Changing: func() []string { return []string{"by-" + name} },
-		Members: func() []members.Member { return *all }, Logger: log.NewNopLogger(),
+		Members: func() []members.Member { return all }, Logger: log.NewNopLogger(),
 	})
 	go func() { _ = transport.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -69,17 +66,27 @@
 	return ticket
 }
 
+func memberOf(l net.Listener, name string) members.Member {
+	return members.Member{Name: name, Incarnation: name + "-1", Peer: l.Addr().String()}
+}
+
 func TestLoadsAreShared(t *testing.T) {
 	fake := fleetstore.New()
 	server := httptest.NewServer(fake)
 	defer server.Close()
-	all := make([]members.Member, 3)
 	store := server.Listener.Addr().String()
+	names := []string{"a", "b", "c"}
+	var all []members.Member
+	var listeners []net.Listener
+	for _, name := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		all = append(all, memberOf(l, name))
+	}
 	var nodes []*node
-	for i, name := range []string{"a", "b", "c"} {
-		n := start(t, store, name, &all)
-		all[i] = n.self
-		nodes = append(nodes, n)
+	for i, name := range names {
+		nodes = append(nodes, start(listeners[i], store, name, all))
 	}
 	nodes[1].place(t)
 	nodes[2].place(t)
--- a/internal/standin/fleetstore/fleetstore.go
+++ b/internal/standin/fleetstore/fleetstore.go
@@ -22,6 +22,8 @@
 type Faults struct {
 	// Down answers every call with 503.
 	Down bool
+	// DownKind answers calls for one kind of objects with 503.
+	DownKind string
 	// Silent accepts calls and never answers them.
 	Silent bool
 	// LoseAnswers carries writes out and drops the connection.
@@ -165,6 +167,10 @@
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
+	if f.DownKind == kind {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.Method {
 	case http.MethodGet:
 		s.get(w, r, kind, name)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -99,7 +99,24 @@
 	werr    error
 	stop    func() bool
 	tainted bool
-	once    sync.Once
+	// ended is true once the body has been read to its end. Until then bytes of it
+	// may still be on their way, in the place of the next answer.
+	ended bool
+	once  sync.Once
+}
+
+// endReader notes the end of a body.
+type endReader struct {
+	io.Reader
+	ended *bool
+}
+
+func (r endReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		*r.ended = true
+	}
+	return n, err
 }
 
 // Do sends a request and waits for the head of its answer. An error is of kind
@@ -166,7 +183,8 @@
 			continue
 		}
 		if matches == nil || matches(resp.Header) {
-			a.resp, a.Status, a.Header, a.Body, a.Length = resp, resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
+			a.resp, a.Status, a.Header, a.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
+			a.Body = endReader{resp.Body, &a.ended}
 			return nil
 		}
 		if !a.tainted {
@@ -186,8 +204,8 @@
 }
 
 // Close ends the exchange. The connection is kept if the whole answer has been
-// read and nothing is wrong with it; otherwise it is closed, which tells the
-// instance to stop.
+// read, to the end of its body, and nothing is wrong with it; otherwise it is
+// closed, which tells the instance to stop.
 func (a *Answer) Close(whole bool) {
 	a.once.Do(func() {
 		if !whole || !a.reusable() || !a.stop() {
@@ -212,7 +230,7 @@
 	default:
 		return false // the answer came before the request was read
 	}
-	return a.werr == nil && !a.tainted && !a.resp.Close && a.conn.reader.Buffered() == 0
+	return a.werr == nil && a.ended && !a.tainted && !a.resp.Close && a.conn.reader.Buffered() == 0
 }
 
 // idleTime returns how long a connection may be reused after an answer.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -123,6 +123,33 @@
 
 // TestMixedUpAnswer covers an instance that answers another request and sends no
 // more: the request is given up on long before its caller's time is up.
+// TestBodyThatWasNotReadToItsEnd covers a reader that knows by its content that an
+// answer is whole and leaves the last bytes unread: they arrive late, in the place
+// of the next answer.
+func TestBodyThatWasNotReadToItsEnd(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", id)
+			time.Sleep(5 * time.Millisecond)
+			fmt.Fprint(c, "0\r\n\r\n")
+		}
+	})
+	c := New(metrics.NewRegistry())
+	for range 20 {
+		a, err := c.Do(context.Background(), request(address, "a", ""))
+		require.NoError(t, err)
+		text := make([]byte, 4)
+		_, err = io.ReadFull(a.Body, text)
+		require.NoError(t, err)
+		a.Close(true)
+		require.Zero(t, c.Open(address))
+	}
+}
+
 func TestMixedUpAnswer(t *testing.T) {
 	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		_, _, _ = readRequest(r)
