Decide whether a byte left only after the connection is closed

Cause: found by reading. A large request is written beside the reading of its answer; if the answer's side broke first, the client looked whether anything had been written and closed the connection afterwards: bytes could leave in between, and a request that must not run twice be sent again. Change: the connection is closed, the writer has ended, then the question is answered.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -55,8 +55,7 @@
 	// Check is called as the last step before the request is written. The request
 	// is not sent if it fails.
 	Check func() error
-	// Fresh asks for a new connection. A request that must not run twice gets one
-	// if the kept ones have rested for long.
+	// Fresh asks for a new connection.
 	Fresh bool
 }
 
@@ -143,9 +142,9 @@
 		go a.write(req)
 	}
 	if err := a.readHead(req, r.Matches); err != nil {
-		began := cn.wrote.Load()
 		a.discard()
-		if !began {
+		<-a.written // nothing is written any more, so what follows is a fact
+		if !cn.wrote.Load() {
 			return nil, fault.Wrap(err, fault.Unavailable, "request was not sent", "another instance is tried")
 		}
 		return nil, fault.Wrap(err, fault.Unknown, "connection broke before the answer", "the request may have run")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -213,6 +214,28 @@
 	require.Zero(t, c.Open(address))
 }
 
+// TestNothingIsWrittenAfterTheVerdict covers a connection that breaks while a large
+// request is being written beside the reading of its answer: if the client says
+// that nothing left, no byte may reach the instance afterwards.
+func TestNothingIsWrittenAfterTheVerdict(t *testing.T) {
+	var got atomic.Int64
+	address := serve(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		_ = c.(*net.TCPConn).CloseWrite() // the answer ends before it began
+		n, _ := io.Copy(io.Discard, c)
+		got.Add(n)
+	})
+	c := New(metrics.NewRegistry())
+	for range 200 {
+		before := got.Load()
+		_, err := c.Do(context.Background(), request(address, "a", strings.Repeat("x", 64<<10)))
+		require.Error(t, err)
+		if fault.Is(err, fault.Unavailable) {
+			time.Sleep(2 * time.Millisecond)
+			require.Equal(t, before, got.Load())
+		}
+	}
+}
+
 func TestEndOfContextClosesTheConnection(t *testing.T) {
 	closed := make(chan struct{})
 	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
