--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rockdoor/rockdoor/bootclock"
 )
 
 // budgetSlots is into how many parts the window of a budget is cut.
@@ -15,6 +17,8 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// Processes returns how many processes share the slack; nil if that is not known.
+	Processes func() int
 }
 
 const (
@@ -37,7 +41,8 @@
 
 type budgetWindow struct {
 	slots [budgetSlots]struct{ requests, extras float64 }
-	// at is the number of the slot that was used last, since the epoch.
+	// at is the number of the slot that was used last, since the host was booted:
+	// the time of day may jump.
 	at int64
 }
 
@@ -45,9 +50,9 @@
 	return &budget{bounds: b, services: map[string]*budgetWindow{}}
 }
 
-func (b *budget) window(service string, now time.Time) *budgetWindow {
+func (b *budget) window(service string, now bootclock.Instant) *budgetWindow {
 	w := b.services[service]
-	at := now.UnixNano() / int64(b.bounds.Window/budgetSlots)
+	at := int64(now) / int64(b.bounds.Window/budgetSlots)
 	if w == nil {
 		w = &budgetWindow{at: at}
 		b.services[service] = w
@@ -64,21 +69,29 @@
 func (b *budget) request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, time.Now())
+	w := b.window(service, bootclock.Now())
 	w.slots[w.at%budgetSlots].requests++
 }
 
+// shares returns by how many processes the slack is divided.
+func (b *budget) shares() float64 {
+	if b.bounds.Processes == nil {
+		return slackShares
+	}
+	return max(slackShares, float64(b.bounds.Processes()))
+}
+
 // extra takes one send beyond the first from the budget, if there is room.
 func (b *budget) extra(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, time.Now())
+	w := b.window(service, bootclock.Now())
 	requests, extras := 0.0, 0.0
 	for _, s := range w.slots {
 		requests += s.requests
 		extras += s.extras
 	}
-	if extras+1 > budgetUse*(b.bounds.Ratio*requests+b.bounds.Slack/slackShares) {
+	if extras+1 > budgetUse*(b.bounds.Ratio*requests+b.bounds.Slack/b.shares()) {
 		return false
 	}
 	w.slots[w.at%budgetSlots].extras++
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -47,7 +47,7 @@
 
 func newRig(t testing.TB, o rigOptions) *rig {
 	t.Helper()
-	if o.budget == (gateway.BudgetBounds{}) {
+	if o.budget.Window == 0 {
 		o.budget = gateway.BudgetBounds{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}
 	}
 	r := &rig{t: t}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -103,6 +103,7 @@
 		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Placer: d.placer,
 		Budget: gateway.BudgetBounds{
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
+			Processes: func() int { return len(d.discovery.View().Members) },
 		},
 		Metrics: d.reg, Logger: d.logger,
 	})
