Read the whole change again: dead state, two skips of a body, two loops of one life

Change, no behaviour: conn.reused was set and never read; the gateway and upstream each skipped a body that is not wanted, now Answer.CloseUnread; gatewayd had two loops for the life of a process, one before and one after it was ready; a late ticket is told by its load; the keepers of a subject are found once a decision, also for late ones (every reader was hashed twice at the peaks); members are parsed only when they changed; the two demonstrations share scripts/processes.sh. Ruled out: removing fields of the catalog that nothing reads yet (a test states them); merging the two loops over attempts, which needs more than a cleanup.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -330,6 +330,9 @@
 }
 
 func (d *Discovery) applyMembers(c changed) {
+	if !c.reset && len(c.events) == 0 {
+		return
+	}
 	if c.reset {
 		d.members = map[string]objstore.Object{}
 	}
@@ -341,9 +344,7 @@
 		d.members[e.Object.Key] = e.Object
 	}
 	d.cur.Members = members.Parse(slices.Collect(maps.Values(d.members)))
-	if c.reset || len(c.events) > 0 {
-		level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
-	}
+	level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
 }
 
 // publish makes the present state visible.
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -30,7 +30,7 @@
 		return q.unread(plan, ticket, q.blame(err), err)
 	}
 	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
-		a.Close(skipBody(a) == nil)
+		a.CloseUnread()
 		return q.unread(plan, ticket, placement.Replaced, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
 	}
 	body, err := readAll(a, maxReadResult)
@@ -86,6 +86,6 @@
 			level.Info(q.s.o.Logger).Log("msg", "handle not freed", "request", q.call.ID, "engine", reader.ID, "err", err)
 			return
 		}
-		a.Close(skipBody(a) == nil)
+		a.CloseUnread()
 	}()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,8 +21,6 @@
 	heldAnswer = 4 << 20
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
-	// skipLimit bounds the body of a refusal that is read to keep the connection.
-	skipLimit = 64 << 10
 	// writeSlack is how long after its deadline a caller may take to read.
 	writeSlack  = 2 * time.Second
 	eventStream = "text/event-stream"
@@ -48,14 +46,6 @@
 	return out
 }
 
-func skipBody(a *upstream.Answer) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, skipLimit))
-	if err == nil && n == skipLimit {
-		return errors.New("body is too long to be skipped")
-	}
-	return err
-}
-
 // readAll reads a whole body of at most limit bytes and closes the answer.
 func readAll(a *upstream.Answer, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
@@ -115,7 +105,10 @@
 		}
 		if err != nil {
 			a.Close(true)
-			return q.endEvents(a)
+			if !q.begun { // a stream without events
+				q.begin(a)
+			}
+			return delivered, nil
 		}
 		if res, err := q.passEvent(a, event); err != nil {
 			a.Close(false)
@@ -124,14 +117,6 @@
 	}
 }
 
-// endEvents ends a stream whose last event has been passed on.
-func (q *request) endEvents(a *upstream.Answer) (result, error) {
-	if !q.begun { // a stream without events
-		q.begin(a)
-	}
-	return delivered, nil
-}
-
 func (q *request) begin(a *upstream.Answer) {
 	q.begun = true
 	q.head(a)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -252,7 +252,7 @@
 func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket) (result, error) {
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
-		a.Close(skipBody(a) == nil)
+		a.CloseUnread()
 		outcome := placement.Failed
 		if verdict.Replaced {
 			outcome = placement.Replaced
@@ -274,7 +274,7 @@
 		return lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
 	}
 	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
-		a.Close(skipBody(a) == nil)
+		a.CloseUnread()
 		ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
 		return lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -198,26 +198,15 @@
 
 // live is the life of the process. It returns when the process may exit.
 func (d *Daemon) live(ctx context.Context, reload <-chan struct{}) error {
+	ready := d.discovery.Ready()
 	for {
 		select {
 		case <-ctx.Done():
 			d.stop()
 			return nil
-		case <-d.discovery.Ready():
+		case <-ready:
+			ready = nil
 			level.Info(d.logger).Log("msg", "ready", "config", d.discovery.View().Config.Version)
-			return d.untilStopped(ctx, reload)
-		case <-reload:
-			d.reload()
-		}
-	}
-}
-
-func (d *Daemon) untilStopped(ctx context.Context, reload <-chan struct{}) error {
-	for {
-		select {
-		case <-ctx.Done():
-			d.stop()
-			return nil
 		case <-reload:
 			d.reload()
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,7 +38,6 @@
 	// idleSince and idleFor bound how long the connection may be reused.
 	idleSince time.Time
 	idleFor   time.Duration
-	reused    bool
 }
 
 // Write marks the request as begun before its first byte is handed over.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -32,6 +32,8 @@
 	// maxStrayAnswers bounds how many answers to other requests are skipped.
 	maxStrayAnswers = 4
 	maxStrayBytes   = 1 << 20
+	// skipLimit bounds the body that CloseUnread reads to keep the connection.
+	skipLimit = 64 << 10
 	// strayWait is how long the right answer is waited for after one to another
 	// request: an instance that mixed the two up sends no other.
 	strayWait = time.Second
@@ -216,6 +218,10 @@
 	})
 }
 
+// CloseUnread ends the exchange of an answer whose body is not wanted. A short one
+// is read to its end, so that the connection can be kept.
+func (a *Answer) CloseUnread() { a.Close(skip(a.Body, skipLimit) == nil) }
+
 func (a *Answer) discard() { a.once.Do(a.discardConn) }
 
 func (a *Answer) discardConn() {
@@ -255,7 +261,6 @@
 		}
 		if cn.usable(time.Now()) {
 			cn.wrote.Store(false)
-			cn.reused = true
 			return cn, nil
 		}
 		c.drop(address, cn)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -206,13 +206,14 @@
 // A request that no engine is expected to read in time goes where the least waits
 // in all, since it is read when nothing else is.
 func (p *Placer) chooseReader(plan *Plan, j *Job, readers []*fleet.Instance) {
-	p.chooseLeast(plan, j, readers, func(l Load) Load { return l })
+	keepers := p.keepers(j, readers)
+	p.chooseLeast(plan, j, readers, keepers, func(l Load) Load { return l })
 	estimate := plan.Ahead + plan.Read + millis(p.model(j.Service.Name).after)
 	plan.Late = j.Route.LatencyTarget > 0 && estimate > j.Route.LatencyTarget-j.Spent
 	if !plan.Late {
 		return
 	}
-	p.chooseLeast(plan, j, readers, Load.withLate)
+	p.chooseLeast(plan, j, readers, keepers, Load.withLate)
 	plan.Reason = ReasonLate
 	if all := plan.Ahead + plan.Read; all > j.Left {
 		plan.Reader, plan.Reason = nil, ReasonHopeless
@@ -222,8 +223,7 @@
 
 // chooseLeast picks the reader with the shortest time until the prompt is read,
 // counting the part of its load that counted returns.
-func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, counted func(Load) Load) {
-	keepers := p.keepers(j, readers)
+func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, keepers keepers, counted func(Load) Load) {
 	best := math.Inf(1)
 	for _, r := range readers {
 		e := p.estimate(j, r, keepers, counted)
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -21,7 +21,6 @@
 	idle bool
 	// expected is the estimate of the read in ms, without the engine's pace.
 	expected float64
-	late     bool
 	starting bool
 }
 
@@ -30,7 +29,6 @@
 	t.reader = t.p.state(plan.Reader)
 	ahead := t.p.load(t.reader)
 	t.idle = ahead.Prompts+ahead.LatePrompts == 0
-	t.late = plan.Late
 	t.expected = t.model.Busy(ahead) + t.model.Read(plan.Uncached)
 	t.reading = Load{Requests: 1, Prompts: 1, PromptTokens: plan.Uncached}
 	if plan.Late {
@@ -65,7 +63,7 @@
 	}
 	t.readAt = time.Now()
 	took := t.readAt.Sub(t.begun)
-	if !t.late {
+	if t.reading.LatePrompts == 0 {
 		r.measure(toMillis(took), t.expected)
 	}
 	if t.idle {
--- a/scripts/demo-gateway.sh
+++ b/scripts/demo-gateway.sh
@@ -8,25 +8,9 @@
 rm -rf "$out"
 mkdir -p "$out"
 
-pids=()
-stop() {
-  [ ${#pids[@]} -eq 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 143' TERM INT
-
-await() { # await URL: until it answers with success
-  for _ in $(seq 100); do
-    curl -fs -o /dev/null "$1" && return 0
-    sleep 0.1
-  done
-  echo "demo: $1 did not answer; see the logs in $out" >&2
-  return 1
-}
+. scripts/processes.sh
 
-bin/rockdoor-lab fleet --ip 127.0.7.1 >"$out/fleet.log" 2>&1 &
-pids+=($!)
+start fleet bin/rockdoor-lab fleet --ip 127.0.7.1
 await http://127.0.7.1:9000/objects/config/main
 for i in 1 2 3; do
   cat >"$out/gateway-$i.json" <<JSON
@@ -37,8 +21,7 @@
 }
 JSON
   bin/rockdoor gateway check-settings "$out/gateway-$i.json" >/dev/null
-  bin/rockdoor gateway serve --settings "$out/gateway-$i.json" >"$out/gateway-$i.log" 2>&1 &
-  pids+=($!)
+  start "gateway-$i" bin/rockdoor gateway serve --settings "$out/gateway-$i.json"
 done
 for i in 1 2 3; do await "http://127.0.8.$i:8081/readyz"; done
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,29 +20,7 @@
 engines=127.0.1 services=127.0.2 service=flag
 [ $team = trinacria ] || engines=127.0.4 services=127.0.5 service=dispatch
 
-pids=()
-stop() {
-  [ ${#pids[@]} -eq 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 143' TERM INT
-
-start() { # start NAME COMMAND...: runs a process with its log in $out/NAME.log
-  local name=$1
-  shift
-  "$@" >"$out/$name.log" 2>&1 &
-  pids+=($!)
-}
-
-await() { # await URL: until it answers with success
-  for _ in $(seq 200); do
-    curl -fs -o /dev/null "$1" && return 0
-    sleep 0.1
-  done
-  echo "demo: $1 did not answer; see the logs in $out" >&2
-  return 1
-}
+. scripts/processes.sh
 
 start platform bin/rockdoor-lab platform --listen 127.0.0.9:9000
 for i in $(seq 12); do
