Model what engines keep; a margin for estimates; long answers away from the next readers

The engine that read a subject last was believed to keep it for ever. Requests on the edge of the latency target went ahead of others, and two of five of them were late (158 ms of reading where 174 were expected, and some 28 ms after it): in the peak more engine time went to late answers than to answers in time. 3. An engine that changes its role finishes its requests first. Notes take 3.7 s and more, so changes took 5 to 10 s instead of 3.2.

Change: placement keeps a prefix cache of each engine as the engine does (least recently used, by tokens), fed by the reads of all gateways; reads are told to each peer once, with the number that it has acknowledged, instead of three times. 0.85 of the target is what an estimate must keep to. Long answers go to as many engines as the load needs, domains in turn; a change of role takes an engine without requests rather than one of the larger domain.

--- /dev/null
+++ b/internal/loadshare/digest.go
@@ -0,0 +1,121 @@
+package loadshare
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+// digest is what a peer said last.
+type digest struct {
+	at       time.Time
+	loads    []*peerpb.InstanceLoad
+	changing []string
+}
+
+// told is how far a peer and this process have told each other of their reads.
+type told struct {
+	// run is the peer's run: its numbers begin anew with each.
+	run string
+	// has is the newest of this process's reads that the peer has, seen the newest
+	// of the peer's reads that this process has.
+	has, seen uint64
+}
+
+// digest describes the work of this process to a peer.
+func (s *Sharer) digest(peer string) *peerpb.LoadDigest {
+	s.mu.Lock()
+	t := s.told[peer]
+	s.mu.Unlock()
+	d := &peerpb.LoadDigest{Changing: s.o.Changing(), SeenRead: t.seen}
+	for id, l := range s.o.Placer.Own() {
+		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
+			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
+			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting),
+		})
+	}
+	var reads []placement.Read
+	reads, d.LastRead = s.o.Placer.ReadsAfter(t.has)
+	for _, r := range reads {
+		d.Reads = append(d.Reads, encodeRead(r))
+	}
+	return d
+}
+
+func encodeRead(r placement.Read) *peerpb.PromptRead {
+	out := &peerpb.PromptRead{Instance: r.Instance, OwnTokens: uint32(r.Own)}
+	for _, p := range r.Parts {
+		out.Parts = append(out.Parts, p.ID)
+		out.Tokens = append(out.Tokens, uint32(p.Tokens))
+	}
+	return out
+}
+
+// decodeRead reads a message of a peer; parts without a number of tokens are left
+// out.
+func decodeRead(m *peerpb.PromptRead) placement.Read {
+	out := placement.Read{Instance: m.GetInstance(), Own: int(m.GetOwnTokens())}
+	tokens := m.GetTokens()
+	for n, id := range m.GetParts() {
+		if n < len(tokens) {
+			out.Parts = append(out.Parts, placement.Part{ID: id, Tokens: int(tokens[n])})
+		}
+	}
+	return out
+}
+
+// hear takes in a digest.
+func (s *Sharer) hear(from *peerpb.Identity, d *peerpb.LoadDigest) {
+	for _, r := range s.fresh(from, d) {
+		s.o.Placer.Learn(decodeRead(r))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := from.GetName()
+	if _, known := s.digests[name]; !known {
+		level.Info(s.logger).Log("msg", "peer heard", "peer", name)
+	}
+	s.digests[name] = digest{time.Now(), d.GetInstances(), d.GetChanging()}
+	delete(s.silent, name)
+	s.addUp()
+}
+
+// fresh returns the reads of a digest that were not heard before. Digests may
+// overtake each other.
+func (s *Sharer) fresh(from *peerpb.Identity, d *peerpb.LoadDigest) []*peerpb.PromptRead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.told[from.GetName()]
+	if t.run != from.GetIncarnation() {
+		t = told{run: from.GetIncarnation()}
+	}
+	reads, last := d.GetReads(), d.GetLastRead()
+	missing := uint64(0)
+	if last > t.seen {
+		missing = min(last-t.seen, uint64(len(reads)))
+		t.seen = last
+	}
+	t.has = d.GetSeenRead()
+	s.told[from.GetName()] = t
+	return reads[uint64(len(reads))-missing:]
+}
+
+// addUp sums the digests. The caller holds the lock.
+func (s *Sharer) addUp() {
+	sum, changing := map[string]placement.Load{}, map[string]bool{}
+	for _, d := range s.digests {
+		for _, id := range d.changing {
+			changing[id] = true
+		}
+		for _, l := range d.loads {
+			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
+				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
+				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()), Starting: int(l.GetStarting()),
+			})
+		}
+	}
+	s.sum, s.changing = sum, changing
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -32,9 +32,6 @@
 	callTimeout = 500 * time.Millisecond
 	// keptIntervals is for how many intervals a digest counts.
 	keptIntervals = 6
-	// readIntervals is for how many intervals a read is told, so that a lost
-	// exchange loses nothing.
-	readIntervals = 3
 	// retryFirst and retryMost bound the pause before a silent peer is called again.
 	retryFirst = 250 * time.Millisecond
 	retryMost  = 4 * time.Second
@@ -67,18 +64,13 @@
 
 	mu      sync.Mutex
 	digests map[string]digest // by peer
+	told    map[string]told   // by peer
 	silent  map[string]*silence
 	sum     map[string]placement.Load
 	// changing are engines that some other gateway is having change their role.
 	changing map[string]bool
 }
 
-type digest struct {
-	at       time.Time
-	loads    []*peerpb.InstanceLoad
-	changing []string
-}
-
 // silence is a peer that does not answer.
 type silence struct {
 	until time.Time
@@ -89,7 +81,7 @@
 func New(o Options) *Sharer {
 	return &Sharer{
 		o: o, logger: log.With(o.Logger, "component", "loadshare"),
-		digests: map[string]digest{}, silent: map[string]*silence{}, sum: map[string]placement.Load{},
+		digests: map[string]digest{}, told: map[string]told{}, silent: map[string]*silence{}, sum: map[string]placement.Load{},
 	}
 }
 
@@ -154,13 +146,13 @@
 func (s *Sharer) exchange(ctx context.Context, p members.Member) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := &peerpb.Request{Body: &peerpb.Request_Loads{Loads: s.digest()}}
+	req := &peerpb.Request{Body: &peerpb.Request_Loads{Loads: s.digest(p.Name)}}
 	resp, err := s.o.Transport.Call(ctx, p.Peer, req)
 	if err != nil {
 		s.fail(p, err)
 		return
 	}
-	s.hear(p.Name, resp.GetLoads())
+	s.hear(resp.GetFrom(), resp.GetLoads())
 }
 
 // HandlePeer implements peer.Handler.
@@ -169,22 +161,8 @@
 	if loads == nil {
 		return &peerpb.Response{Error: "call is not known"}
 	}
-	s.hear(req.GetFrom().GetName(), loads)
-	return &peerpb.Response{Body: &peerpb.Response_Loads{Loads: s.digest()}}
-}
-
-func (s *Sharer) digest() *peerpb.LoadDigest {
-	d := &peerpb.LoadDigest{Changing: s.o.Changing()}
-	for id, l := range s.o.Placer.Own() {
-		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
-			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
-			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting),
-		})
-	}
-	for _, r := range s.o.Placer.RecentReads(s.interval() * readIntervals) {
-		d.Reads = append(d.Reads, &peerpb.SubjectRead{Subject: r.Subject, Instance: r.Instance})
-	}
-	return d
+	s.hear(req.GetFrom(), loads)
+	return &peerpb.Response{Body: &peerpb.Response_Loads{Loads: s.digest(req.GetFrom().GetName())}}
 }
 
 // interval returns how often digests are exchanged.
@@ -192,37 +170,6 @@
 	return max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
 }
 
-func (s *Sharer) hear(name string, d *peerpb.LoadDigest) {
-	for _, r := range d.GetReads() {
-		s.o.Placer.Learn(placement.Read{Subject: r.GetSubject(), Instance: r.GetInstance()})
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, known := s.digests[name]; !known {
-		level.Info(s.logger).Log("msg", "peer heard", "peer", name)
-	}
-	s.digests[name] = digest{time.Now(), d.GetInstances(), d.GetChanging()}
-	delete(s.silent, name)
-	s.addUp()
-}
-
-// addUp sums the digests. The caller holds the lock.
-func (s *Sharer) addUp() {
-	sum, changing := map[string]placement.Load{}, map[string]bool{}
-	for _, d := range s.digests {
-		for _, id := range d.changing {
-			changing[id] = true
-		}
-		for _, l := range d.loads {
-			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
-				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
-				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()), Starting: int(l.GetStarting()),
-			})
-		}
-	}
-	s.sum, s.changing = sum, changing
-}
-
 // expire drops the digests of peers that have not been heard for a while.
 func (s *Sharer) expire(after time.Duration) {
 	s.mu.Lock()
@@ -231,6 +178,7 @@
 	for name, d := range s.digests {
 		if time.Since(d.at) > after {
 			delete(s.digests, name)
+			delete(s.told, name)
 			dropped = true
 			level.Info(s.logger).Log("msg", "peer silent", "peer", name, "age", time.Since(d.at).Round(time.Millisecond))
 		}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -31,7 +31,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	readers, _ := p.split(j)
-	keepers := p.keepers(j, readers)
+	keepers := p.keepers(j, partsOf(j.Call), readers)
 	var out []Considered
 	for _, i := range j.Permitted {
 		st := p.state(i)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,7 +20,7 @@
 
 // Reasons of plans.
 const (
-	// ReasonHolder is the engine that read the prompt's subject last.
+	// ReasonHolder is an engine that keeps the most of the prompt's shared parts.
 	ReasonHolder Reason = "holder"
 	// ReasonFetch is another engine, which takes what the holder keeps.
 	ReasonFetch Reason = "fetch"
@@ -102,7 +101,7 @@
 	mu        sync.Mutex
 	instances map[string]*state
 	models    map[string]*Model // by service
-	subjects  *subjects
+	reads     readLog
 	peers     func(id string) Load
 	changing  func(id string) bool
 }
@@ -117,7 +116,7 @@
 	if changing == nil {
 		changing = func(string) bool { return false }
 	}
-	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, subjects: newSubjects(), peers: peers, changing: changing}
+	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers, changing: changing}
 }
 
 // Load returns what all processes have in hand at an instance.
@@ -145,15 +144,15 @@
 	if len(runners) == 0 {
 		return plan, nil
 	}
-	t := &Ticket{p: p, model: p.model(j.Service.Name), subject: j.Call.Subject(), begun: time.Now()}
+	t := &Ticket{p: p, model: p.model(j.Service.Name), parts: partsOf(j.Call), own: j.Call.PromptTokens - j.Call.SharedTokens(), begun: time.Now()}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.NoRead {
-		if p.chooseReader(&plan, j, readers); plan.Reader == nil {
+		if p.chooseReader(&plan, j, t.parts, readers); plan.Reader == nil {
 			return plan, nil
 		}
 		t.read(&plan)
 		return plan, t
 	}
-	if p.chooseRunner(&plan, runners); plan.Runner == nil {
+	if p.chooseRunner(&plan, j, runners); plan.Runner == nil {
 		return plan, nil
 	}
 	t.run(plan.Runner)
@@ -168,7 +167,7 @@
 	reason := plan.Reason
 	plan.Reason = ReasonNone
 	if _, runners := p.split(j); len(runners) > 0 {
-		p.chooseRunner(plan, runners)
+		p.chooseRunner(plan, j, runners)
 	}
 	if plan.Runner == nil {
 		return false
@@ -205,15 +204,15 @@
 // chooseReader picks the engine that is expected to have read the prompt first.
 // A request that no engine is expected to read in time goes where the least waits
 // in all, since it is read when nothing else is.
-func (p *Placer) chooseReader(plan *Plan, j *Job, readers []*fleet.Instance) {
-	keepers := p.keepers(j, readers)
-	p.chooseLeast(plan, j, readers, keepers, func(l Load) Load { return l })
+func (p *Placer) chooseReader(plan *Plan, j *Job, parts []Part, readers []*fleet.Instance) {
+	k := p.keepers(j, parts, readers)
+	p.chooseLeast(plan, j, readers, k, func(l Load) Load { return l })
 	estimate := plan.Ahead + plan.Read + millis(p.model(j.Service.Name).after)
-	plan.Late = j.Route.LatencyTarget > 0 && estimate > j.Route.LatencyTarget-j.Spent
+	plan.Late = j.Route.LatencyTarget > 0 && estimate > time.Duration(targetShare*float64(j.Route.LatencyTarget))-j.Spent
 	if !plan.Late {
 		return
 	}
-	p.chooseLeast(plan, j, readers, keepers, Load.withLate)
+	p.chooseLeast(plan, j, readers, k, Load.withLate)
 	plan.Reason = ReasonLate
 	if all := plan.Ahead + plan.Read; all > j.Left {
 		plan.Reader, plan.Reason = nil, ReasonHopeless
@@ -223,72 +222,76 @@
 
 // chooseLeast picks the reader with the shortest time until the prompt is read,
 // counting the part of its load that counted returns.
-func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, keepers keepers, counted func(Load) Load) {
+func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, k keepers, counted func(Load) Load) {
 	best := math.Inf(1)
+	var chosen estimate
 	for _, r := range readers {
-		e := p.estimate(j, r, keepers, counted)
+		e := p.estimate(j, r, k, counted)
 		if e.score < best {
-			best = e.score
-			plan.Reader, plan.Uncached, plan.Ahead, plan.Read = r, e.uncached, millis(e.ahead), millis(e.read)
+			best, chosen = e.score, e
+			plan.Reader = r
 		}
 	}
+	plan.Uncached, plan.Ahead, plan.Read = chosen.uncached, millis(chosen.ahead), millis(chosen.read)
 	plan.FetchFrom = nil
+	if chosen.fetched > 0 {
+		plan.FetchFrom = k.most
+	}
 	switch {
-	case plan.Reader == keepers.holder:
+	case chosen.fetched > 0:
+		plan.Reason = ReasonFetch
+	case chosen.kept > 0:
 		plan.Reason = ReasonHolder
-	case keepers.holder != nil:
-		plan.Reason, plan.FetchFrom = ReasonFetch, keepers.holder
-	case plan.Reader == keepers.home:
+	case plan.Reader == k.home:
 		plan.Reason = ReasonHome
 	default:
-		plan.Reason, plan.FetchFrom = ReasonSpill, keepers.home
+		plan.Reason = ReasonSpill
 	}
 }
 
-// keepers are the engines that are expected to keep a subject.
+// keepers are the engines that are expected to keep the shared parts of a prompt.
 type keepers struct {
-	// home is where a subject is read first, holder where it was read last, nil if
-	// that is not known.
-	home, holder *fleet.Instance
-}
-
-func (p *Placer) keepers(j *Job, readers []*fleet.Instance) keepers {
-	subject := j.Call.Subject()
-	return keepers{home: Home(subject, readers), holder: p.holder(subject, j.Permitted)}
+	parts []Part
+	// home is where a subject that nobody keeps is read.
+	home *fleet.Instance
+	// most keeps the most tokens of the parts, kept; nil if none keeps any.
+	most *fleet.Instance
+	kept int
 }
 
-// uncached returns how many tokens of a job's prompt a reader is expected to read.
-func (k keepers) uncached(j *Job, r *fleet.Instance) int {
-	shared := j.Call.SharedTokens()
-	part := strangerCost
-	switch {
-	case r == k.holder:
-		part = 0
-	case k.holder != nil:
-		part = fetchedCost
-	case r == k.home:
-		part = homeCost
+func (p *Placer) keepers(j *Job, parts []Part, readers []*fleet.Instance) keepers {
+	k := keepers{parts: parts, home: Home(j.Call.Subject(), readers)}
+	for _, i := range readers {
+		p.state(i).cache.resize(j.Service.KVCapacity)
 	}
-	return j.Call.PromptTokens - shared + int(part*float64(shared))
+	k.most, k.kept = p.keeper(parts, j.Permitted)
+	return k
 }
 
 // estimate is what a reader is expected to take for a job, in ms.
 type estimate struct {
-	uncached    int
-	ahead, read float64
-	score       float64
+	// kept and fetched are tokens that the reader keeps and takes from another
+	// engine, uncached those that it reads.
+	kept, fetched, uncached int
+	ahead, read             float64
+	score                   float64
 }
 
 func (p *Placer) estimate(j *Job, r *fleet.Instance, k keepers, counted func(Load) Load) estimate {
 	st := p.state(r)
 	model := p.model(j.Service.Name)
-	e := estimate{uncached: k.uncached(j, r)}
+	e := estimate{kept: st.cache.kept(k.parts)}
+	e.fetched = max(k.kept-e.kept, 0)
+	e.uncached = j.Call.PromptTokens - e.kept - int((1-fetchedCost)*float64(e.fetched))
 	e.ahead = model.Busy(counted(p.load(st))) * st.pace
 	e.read = model.Read(e.uncached) * st.pace
 	e.score = (e.ahead + e.read) * st.penalty()
 	if r.Domain != p.domain {
 		e.score += farRead
 	}
+	if r != k.home {
+		e.score += strangerRead
+	}
 	return e
 }
 
@@ -297,59 +300,22 @@
 
 const (
 	// fetchedCost is the part of the shared tokens that is expected to be read at
-	// an engine that takes them from the one that read them last: the move costs
-	// little, but they may have given way there.
+	// an engine that takes them from another: the move costs little, but they may
+	// have given way there.
 	fetchedCost = 0.15
-	// homeCost and strangerCost are for subjects that nobody has read lately.
-	homeCost     = 0.5
-	strangerCost = 0.6
+	// targetShare is the part of the latency target within which an answer must be
+	// expected for the request not to be late. Estimates err by some 30 ms: without
+	// a margin two of five requests on the edge were late on quiet-1.
+	targetShare = 0.85
+	// strangerRead is how much longer, in ms, the home of a subject may take than
+	// another engine: what nobody keeps is best kept in one place.
+	strangerRead = 3.0
 )
 
-// chooseRunner picks the instance with the least work, in the own failure domain
-// if that makes no great difference.
-func (p *Placer) chooseRunner(plan *Plan, runners []*fleet.Instance) {
-	best := math.Inf(1)
-	for _, r := range runners {
-		st := p.state(r)
-		if p.full(r, st) {
-			continue
-		}
-		if score := p.runnerScore(r, st) + rand.Float64()*tieBreak; score < best {
-			best = score
-			plan.Runner = r
-		}
-	}
-	if plan.Runner == nil {
-		plan.Reason, plan.RetryAfter = ReasonFull, fullRetry
-	} else if plan.Reader == nil {
-		plan.Reason = ReasonLeast
-	}
-}
-
-// full reports whether a runner has as much in hand as it takes.
-func (p *Placer) full(r *fleet.Instance, st *state) bool {
-	return r.Slots > 0 && float64(p.load(st).Requests) >= queueFactor*float64(r.Slots)
-}
-
-// runnerScore grows with how unfit a runner is.
-func (p *Placer) runnerScore(r *fleet.Instance, st *state) float64 {
-	load := p.load(st)
-	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
-	if r.Domain != p.domain {
-		score += farShare * float64(r.Slots)
-	}
-	return score
-}
-
 const (
-	// farShare is how much more of its slots an instance of the own failure domain
-	// may have in hand than one elsewhere.
-	farShare = 0.15
 	// farRead is how much longer, in ms, a reader of the own failure domain may
 	// take than one elsewhere.
 	farRead = 10.0
-	// tieBreak spreads the choices of processes that see the same loads.
-	tieBreak = 0.5
 	// fullRetry is when to ask again while everything is full: about as long as
 	// an engine takes to finish a short request.
 	fullRetry = 200 * time.Millisecond
--- /dev/null
+++ b/placement/readlog.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/rockdoor/rockdoor/fleet"
+)
+
+// Read says that an engine reads a prompt, and so will keep its parts.
+type Read struct {
+	Instance string
+	// Parts are the shared parts in order, Own the tokens that nobody shares.
+	Parts []Part
+	Own   int
+}
+
+// readLog holds the reads of this process for the other ones, numbered from 1 on.
+type readLog struct {
+	// last is the number of the newest read.
+	last   uint64
+	recent []loggedRead
+}
+
+type loggedRead struct {
+	Read
+	at time.Time
+}
+
+// logKept is how long reads are kept for the other processes: one that has not
+// asked for so long has lost more than these.
+const logKept = 2 * time.Second
+
+func (l *readLog) add(r Read) {
+	now := time.Now()
+	for len(l.recent) > 0 && now.Sub(l.recent[0].at) > logKept {
+		l.recent = l.recent[1:]
+	}
+	l.last++
+	l.recent = append(l.recent, loggedRead{r, now})
+}
+
+// ReadsAfter returns the reads of this process after the one with the number, as
+// far as they are kept, and the number of the newest read.
+func (p *Placer) ReadsAfter(number uint64) ([]Read, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &p.reads
+	if number > l.last {
+		number = 0 // of an earlier run of this process
+	}
+	fresh := min(l.last-number, uint64(len(l.recent)))
+	out := make([]Read, 0, fresh)
+	for _, r := range l.recent[uint64(len(l.recent))-fresh:] {
+		out = append(out, r.Read)
+	}
+	return out, l.last
+}
+
+// Learn takes in what another process has an engine read.
+func (p *Placer) Learn(r Read) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stateOf(r.Instance).cache.read(r.Parts, r.Own)
+}
+
+// keeper returns the engine among the given ones that keeps most of a prompt's
+// shared parts, and how many tokens; nil if none keeps any. The caller holds the
+// lock.
+func (p *Placer) keeper(parts []Part, among []*fleet.Instance) (*fleet.Instance, int) {
+	var best *fleet.Instance
+	most := 0
+	for _, i := range among {
+		n := p.state(i).cache.kept(parts)
+		if n > most || n == most && n > 0 && i.Domain == p.domain && best.Domain != p.domain {
+			best, most = i, n
+		}
+	}
+	return best, most
+}
--- /dev/null
+++ b/placement/runner.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/roles"
+)
+
+const (
+	// farShare is how much more of its slots an instance of the own failure domain
+	// may have in hand than one elsewhere.
+	farShare = 0.15
+	// spareShare is the same for an engine that should stay free to read.
+	spareShare = 0.5
+	// tieBreak spreads the choices of processes that see the same loads.
+	tieBreak = 0.5
+)
+
+// chooseRunner picks the instance with the least work, in the own failure domain
+// if that makes no great difference.
+func (p *Placer) chooseRunner(plan *Plan, j *Job, runners []*fleet.Instance) {
+	spare := p.spare(j, plan, runners)
+	best := math.Inf(1)
+	for _, r := range runners {
+		st := p.state(r)
+		if p.full(r, st) {
+			continue
+		}
+		score := p.runnerScore(r, st) + rand.Float64()*tieBreak
+		if spare[r.ID] {
+			score += spareShare * float64(r.Slots)
+		}
+		if score < best {
+			best = score
+			plan.Runner = r
+		}
+	}
+	if plan.Runner == nil {
+		plan.Reason, plan.RetryAfter = ReasonFull, fullRetry
+	} else if plan.Reader == nil {
+		plan.Reason = ReasonLeast
+	}
+}
+
+// spare returns the engines that generate now but are the next to read prompts. An
+// engine that changes its role finishes what it has first, which takes as long as
+// its longest answer, so long answers are kept away from these. A prompt that was
+// read apart has a short one.
+func (p *Placer) spare(j *Job, plan *Plan, runners []*fleet.Instance) map[string]bool {
+	if j.Service.KVCapacity == 0 || plan.Reader != nil || len(runners) < 2 {
+		return nil
+	}
+	requests, slots := 0, 1
+	for _, r := range runners {
+		requests += p.load(p.state(r)).Requests
+		slots = max(slots, r.Slots)
+	}
+	keep := roles.Generating(float64(requests), slots, len(j.Permitted))
+	if keep >= len(runners) {
+		return nil
+	}
+	out := map[string]bool{}
+	for _, r := range byDomain(runners)[keep:] {
+		out[r.ID] = true
+	}
+	return out
+}
+
+// byDomain returns instances in an order that is the same in all processes, in
+// which failure domains take turns.
+func byDomain(instances []*fleet.Instance) []*fleet.Instance {
+	type placed struct {
+		*fleet.Instance
+		turn int
+	}
+	turns := map[string]int{}
+	var all []placed
+	for _, i := range instances { // in the order of their IDs
+		all = append(all, placed{i, turns[i.Domain]})
+		turns[i.Domain]++
+	}
+	slices.SortStableFunc(all, func(a, b placed) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.Domain, b.Domain))
+	})
+	out := make([]*fleet.Instance, len(all))
+	for n, i := range all {
+		out[n] = i.Instance
+	}
+	return out
+}
+
+// full reports whether a runner has as much in hand as it takes.
+func (p *Placer) full(r *fleet.Instance, st *state) bool {
+	return r.Slots > 0 && float64(p.load(st).Requests) >= queueFactor*float64(r.Slots)
+}
+
+// runnerScore grows with how unfit a runner is.
+func (p *Placer) runnerScore(r *fleet.Instance, st *state) float64 {
+	load := p.load(st)
+	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
+	if r.Domain != p.domain {
+		score += farShare * float64(r.Slots)
+	}
+	return score
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -71,13 +71,16 @@
 	failedAt time.Time
 	// replaced instances have lost their address to another.
 	replaced bool
+	cache    *prefixCache
 }
 
-func (p *Placer) state(i *fleet.Instance) *state {
-	st := p.instances[i.ID]
+func (p *Placer) state(i *fleet.Instance) *state { return p.stateOf(i.ID) }
+
+func (p *Placer) stateOf(id string) *state {
+	st := p.instances[id]
 	if st == nil {
-		st = &state{id: i.ID, pace: 1}
-		p.instances[i.ID] = st
+		st = &state{id: id, pace: 1, cache: newPrefixCache()}
+		p.instances[id] = st
 	}
 	return st
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -8,11 +8,13 @@
 
 // Ticket is a placed job. It belongs to the goroutine of the request.
 type Ticket struct {
-	p       *Placer
-	subject string
-	model   *Model
-	reader  *state
-	runner  *state
+	p     *Placer
+	model *Model
+	// parts are the shared parts of the prompt, own its other tokens.
+	parts  []Part
+	own    int
+	reader *state
+	runner *state
 	// reading is what the job adds to the reader's load.
 	reading Load
 	begun   time.Time
@@ -35,6 +37,15 @@
 		t.reading = Load{Requests: 1, LatePrompts: 1, LateTokens: plan.Uncached}
 	}
 	t.reader.own = t.reader.own.Add(t.reading)
+	if !plan.Late {
+		t.keep() // those that are placed next will find it read
+	}
+}
+
+// keep records that the reader will keep the prompt. The caller holds the lock.
+func (t *Ticket) keep() {
+	t.reader.cache.read(t.parts, t.own)
+	t.p.reads.add(Read{t.reader.id, t.parts, t.own})
 }
 
 // run counts the job at its runner. The caller holds the placer's lock.
@@ -53,14 +64,14 @@
 	if r == nil {
 		return
 	}
+	if read && t.reading.LatePrompts > 0 {
+		t.keep()
+	}
 	t.leaveReader()
 	r.judge(o)
 	if !read {
 		return
 	}
-	if t.subject != "" {
-		t.p.subjects.add(hashOf(t.subject), r.id)
-	}
 	t.readAt = time.Now()
 	took := t.readAt.Sub(t.begun)
 	if t.reading.LatePrompts == 0 {
--- a/roles/packing.go
+++ b/roles/packing.go
@@ -96,14 +96,21 @@
 	return 0
 }
 
-// leastGenerating returns how many of n engines generate at the least.
+// Generating returns how many of n engines should generate at the least while they
+// have a number of requests, each in one of its slots.
+func Generating(requests float64, slots, n int) int {
+	return max(leastGenerating(n), int(math.Ceil(requests*spareRead/float64(slots))))
+}
+
+// leastGenerating returns how many of n engines generate however few requests
+// there are.
 func leastGenerating(n int) int {
 	return max(minGenerating, int(math.Ceil(minGeneratingShare*float64(n))))
 }
 
 // maySpare reports whether the load leaves a generating engine to spare.
 func (p *packing) maySpare(in Input, generating, reading, slots int) bool {
-	if generating <= leastGenerating(generating+reading) || p.running*spareRead > float64((generating-1)*slots) {
+	if generating <= Generating(p.running, slots, generating+reading) {
 		return false
 	}
 	return in.Now.Sub(p.first) >= learnTime || float64(reading+1) <= learnShare*float64(reading+generating)
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -216,6 +216,11 @@
 	return max(0, needPrefill-float64(readers)) + max(0, needDecode-float64(engines-readers))
 }
 
+// balanceWorth is how many more requests an engine that changes may have for each
+// engine by which its failure domain has more of the role: an engine without
+// requests changes within seconds, one with some after its longest answer.
+const balanceWorth = 2
+
 // move picks the engine to change: one in the failure domain that has the most
 // engines of the role, and there the one with the least to lose.
 func move(engines []Engine, from, to engine.Role, reason string) *Change {
@@ -226,14 +231,14 @@
 		}
 	}
 	var best *Engine
+	least := math.MaxInt
 	for i := range engines {
 		e := &engines[i]
 		if e.Role != from || !e.Movable {
 			continue
 		}
-		if best == nil || inDomain[e.Domain] > inDomain[best.Domain] ||
-			inDomain[e.Domain] == inDomain[best.Domain] && e.Requests < best.Requests {
-			best = e
+		if loss := e.Requests - balanceWorth*inDomain[e.Domain]; loss < least {
+			best, least = e, loss
 		}
 	}
 	if best == nil {
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -131,3 +131,18 @@
 	d = m.Update(at, map[string]Counter{"b": {Prefill: 1 << 40}}, 1)
 	require.Less(t, d.Prefill, 2000.0, "a process that was not heard before adds nothing at first")
 }
+
+// TestAnEngineWithoutRequestsChangesFirst checks that a change takes an engine that
+// can change at once, even from a failure domain with fewer of its role: one that was
+// busy took 10 s on quiet-1.
+func TestAnEngineWithoutRequestsChangesFirst(t *testing.T) {
+	engines := []Engine{
+		{Name: "a-1", Domain: "a", Role: engine.RoleMixed, Movable: true, Requests: 9},
+		{Name: "a-2", Domain: "a", Role: engine.RoleMixed, Movable: true, Requests: 8},
+		{Name: "b-1", Domain: "b", Role: engine.RoleMixed, Movable: true},
+		{Name: "c-1", Domain: "c", Role: engine.RolePrefill, Movable: true},
+	}
+	require.Equal(t, "b-1", move(engines, engine.RoleMixed, engine.RolePrefill, "").Engine)
+	engines[1].Requests = 1
+	require.Equal(t, "a-2", move(engines, engine.RoleMixed, engine.RolePrefill, "").Engine, "the domain that has more of them, if it costs little")
+}
