A role change is over when the engine's registration says so

The holder of the lease gave three orders at 1.2 s and lost the store at 2.5 s. The engines had changed by 4.2 s, but the holder told the others that they were changing until its store came back at 11.8 s, and nobody used three of seven readers for 7.6 s in the first peak.

Change: digests say to which role an engine changes; a gateway that sees that role in the registration uses the engine.

Test: loadshare.TestLoadsAreShared (fails before: the word of the giver went first).

The giver itself still waits for its store.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -129,8 +129,8 @@
 	})
 }
 
-func (d *Daemon) isChanging(instance string) bool {
-	return d.roles.IsChanging(instance) || d.share.Changing(instance)
+func (d *Daemon) isChanging(i *fleet.Instance) bool {
+	return d.roles.IsChanging(i.ID) || d.share.Changing(i)
 }
 
 func (d *Daemon) peerLoad(instance string) placement.Load { return d.share.Load(instance) }
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -79,7 +79,7 @@
 	for id, i := range v.Instances {
 		st.Instances = append(st.Instances, InstanceStatus{
 			ID: id, Service: i.Service, Address: i.Address, Domain: i.Domain, Role: i.Role, Draining: i.Draining, Lapsed: i.Lapsed,
-			Changing: d.isChanging(id), Load: d.placer.Load(i),
+			Changing: d.isChanging(i), Load: d.placer.Load(i),
 		})
 	}
 	d.answer(w, http.StatusOK, st)
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -13,7 +14,7 @@
 type digest struct {
 	at       time.Time
 	loads    []*peerpb.InstanceLoad
-	changing []string
+	changing []*peerpb.RoleChange
 }
 
 // told is how far a peer and this process have told each other of their reads.
@@ -30,7 +31,10 @@
 	s.mu.Lock()
 	t := s.told[peer]
 	s.mu.Unlock()
-	d := &peerpb.LoadDigest{Changing: s.o.Changing(), SeenRead: t.seen}
+	d := &peerpb.LoadDigest{SeenRead: t.seen}
+	for id, role := range s.o.Changing() {
+		d.Changing = append(d.Changing, &peerpb.RoleChange{Instance: id, Role: string(role)})
+	}
 	for id, l := range s.o.Placer.Own() {
 		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
 			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
@@ -105,10 +109,10 @@
 
 // addUp sums the digests. The caller holds the lock.
 func (s *Sharer) addUp() {
-	sum, changing := map[string]placement.Load{}, map[string]bool{}
+	sum, changing := map[string]placement.Load{}, map[string]engine.Role{}
 	for _, d := range s.digests {
-		for _, id := range d.changing {
-			changing[id] = true
+		for _, c := range d.changing {
+			changing[c.GetInstance()] = engine.Role(c.GetRole())
 		}
 		for _, l := range d.loads {
 			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -14,6 +14,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
@@ -50,8 +52,9 @@
 	Transport *peer.Transport
 	// Placer knows what this process has in hand and learns what others had read.
 	Placer *placement.Placer
-	// Changing returns the engines that this process is having change their role.
-	Changing func() []string
+	// Changing returns the engines that this process is having change their role,
+	// and to which.
+	Changing func() map[string]engine.Role
 	// Members returns the registered gateways.
 	Members func() []members.Member
 	Logger  log.Logger
@@ -67,8 +70,9 @@
 	told    map[string]told   // by peer
 	silent  map[string]*silence
 	sum     map[string]placement.Load
-	// changing are engines that some other gateway is having change their role.
-	changing map[string]bool
+	// changing are engines that some other gateway is having change their role, and
+	// to which.
+	changing map[string]engine.Role
 }
 
 // silence is a peer that does not answer.
@@ -92,11 +96,14 @@
 	return s.sum[instance]
 }
 
-// Changing reports whether another gateway is having an engine change its role.
-func (s *Sharer) Changing(instance string) bool {
+// Changing reports whether another gateway is having an engine change its role. The
+// role in the engine's own registration goes before that gateway's word, which may
+// have lost the store and not see that the engine has changed.
+func (s *Sharer) Changing(i *fleet.Instance) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changing[instance]
+	to := s.changing[i.ID]
+	return to != "" && to != i.Role
 }
 
 // Heard returns the names of the other gateways that are heard.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -39,7 +39,7 @@
 	transport := peer.NewTransport(&peerpb.Identity{Name: name, Incarnation: "1"}, n, metrics.NewRegistry(), log.NewNopLogger())
 	n.Sharer = New(Options{
 		Self: n.self, Store: platform.NewStore(store), Prefix: platform.MemberPrefix, Transport: transport,
-		Placer: n.placer, Changing: func() []string { return []string{"by-" + name} },
+		Placer: n.placer, Changing: func() map[string]engine.Role { return map[string]engine.Role{"by-" + name: engine.RolePrefill} },
 		Members: func() []members.Member { return all }, Logger: log.NewNopLogger(),
 	})
 	go func() { _ = transport.Serve(l) }()
@@ -99,12 +99,15 @@
 		ticket.Cancel()
 		return plan.Reason == placement.ReasonHolder
 	}, 3*time.Second, 5*time.Millisecond, "the engine that read a subject is known to the others")
-	require.True(t, nodes[0].Changing("by-c"))
-	require.False(t, nodes[0].Changing("by-a"))
+	require.True(t, nodes[0].Changing(&fleet.Instance{ID: "by-c", Role: engine.RoleMixed}))
+	require.False(t, nodes[0].Changing(&fleet.Instance{ID: "by-c", Role: engine.RolePrefill}), "it has changed, whether c sees that or not")
+	require.False(t, nodes[0].Changing(&fleet.Instance{ID: "by-a", Role: engine.RoleMixed}))
 	require.Len(t, nodes[0].Heard(), 2)
 
 	nodes[2].stop()
-	require.Eventually(t, func() bool { return nodes[0].Load("i") == want && !nodes[0].Changing("by-c") }, 3*time.Second, 5*time.Millisecond,
+	require.Eventually(t, func() bool {
+		return nodes[0].Load("i") == want && !nodes[0].Changing(&fleet.Instance{ID: "by-c", Role: engine.RoleMixed})
+	}, 3*time.Second, 5*time.Millisecond,
 		"what a silent gateway said counts no longer")
 
 	require.Eventually(t, func() bool {
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -109,14 +109,15 @@
 	}
 }
 
-// Changing returns the engines that this process is having change their role.
-func (k *Keeper) Changing() []string {
+// Changing returns the engines that this process is having change their role, and
+// to which.
+func (k *Keeper) Changing() map[string]engine.Role {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out []string
+	out := map[string]engine.Role{}
 	for id, c := range k.pending {
 		if c.announced {
-			out = append(out, id)
+			out[id] = c.to.To
 		}
 	}
 	return out
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -50,7 +50,7 @@
 // why says why an instance gets no request now.
 func (p *Placer) why(i *fleet.Instance, st *state) string {
 	switch {
-	case p.changing(i.ID):
+	case p.changing(i):
 		return "is changing its role"
 	case st.replaced:
 		return "has lost its address to another"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -103,18 +103,18 @@
 	models    map[string]*Model // by service
 	reads     readLog
 	peers     func(id string) Load
-	changing  func(id string) bool
+	changing  func(*fleet.Instance) bool
 }
 
 // New returns a placer for a process in the failure domain. peers tells what the
 // other processes have in hand at an instance, changing whether an engine is
 // about to change its role; either may be nil.
-func New(domain string, peers func(id string) Load, changing func(id string) bool) *Placer {
+func New(domain string, peers func(id string) Load, changing func(*fleet.Instance) bool) *Placer {
 	if peers == nil {
 		peers = func(string) Load { return Load{} }
 	}
 	if changing == nil {
-		changing = func(string) bool { return false }
+		changing = func(*fleet.Instance) bool { return false }
 	}
 	return &Placer{domain: domain, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers, changing: changing}
 }
@@ -181,7 +181,7 @@
 func (p *Placer) split(j *Job) (readers, runners []*fleet.Instance) {
 	for _, i := range j.Permitted {
 		switch {
-		case j.Avoid[i.ID] || p.changing(i.ID) || p.state(i).replaced:
+		case j.Avoid[i.ID] || p.changing(i) || p.state(i).replaced:
 		case i.Role == engine.RolePrefill:
 			readers = append(readers, i)
 		default:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -211,7 +211,7 @@
 	})
 	t.Run("changing, avoided and replaced ones get nothing", func(t *testing.T) {
 		all := fleetOf(0, 4)
-		p := New("a", nil, func(id string) bool { return id == "d-0" })
+		p := New("a", nil, func(i *fleet.Instance) bool { return i.ID == "d-0" })
 		j := job(all, "s", 100)
 		j.Avoid = map[string]bool{"d-1": true}
 		p.state(all[2]).replaced = true
