Engines change their roles when they have no long answers; slow ones get fewer

An engine with a few notes was ordered to read at 4.6 s and did nothing else until 14.6 s, when the last note was done, while two of the other four generating engines were five times slower than usual and had as many requests as the others, so that 136 notes got no first event in 2 s.

Ruled out: lost orders (each was answered and carried out 3 s after the last note).

Change: gateways tell each other how many long answers each engine has; an order goes to an engine without any, or after 3 s of queue to the one with the fewest. The time between events tells how slow a generating engine is; its requests weigh by it. The load is watched for 4 s instead of 8 before more than 0.6 of the engines read, since a change is cheap now.

Tests: "a slow one gets fewer" of placement.TestRunners (fails before); the tests of packing hold with the shorter time; rolekeeper's pool gives long answers.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,7 @@
 }
 
 func (q *request) passEvent(a *upstream.Answer, event []byte) (result, error) {
+	q.ticket.Event()
 	id := eventID(event)
 	if id != "" && q.lastEvent != "" && !later(id, q.lastEvent) {
 		return delivered, nil // the caller has it already
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -38,7 +38,7 @@
 	for id, l := range s.o.Placer.Own() {
 		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
 			Instance: id, Requests: uint32(l.Requests), Prompts: uint32(l.Prompts), PromptTokens: uint32(l.PromptTokens),
-			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting),
+			LatePrompts: uint32(l.LatePrompts), LateTokens: uint32(l.LateTokens), Starting: uint32(l.Starting), Long: uint32(l.Long),
 		})
 	}
 	var reads []placement.Read
@@ -117,7 +117,7 @@
 		for _, l := range d.loads {
 			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
 				Requests: int(l.GetRequests()), Prompts: int(l.GetPrompts()), PromptTokens: int(l.GetPromptTokens()),
-				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()), Starting: int(l.GetStarting()),
+				LatePrompts: int(l.GetLatePrompts()), LateTokens: int(l.GetLateTokens()), Starting: int(l.GetStarting()), Long: int(l.GetLong()),
 			})
 		}
 	}
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -251,7 +251,7 @@
 			queue += k.o.Placer.Queue(service, load)
 		}
 		in.Engines = append(in.Engines, roles.Engine{
-			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.Requests, Slots: i.Slots,
+			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.Long, Slots: i.Slots,
 			PrefillTokens: load.PromptTokens + load.LateTokens,
 		})
 	}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -20,6 +20,8 @@
 	Score float64 `json:"score"`
 	// Pace is how much longer an engine takes to read than the model says.
 	Pace float64 `json:"pace"`
+	// GapMs is the usual time between two events of a stream.
+	GapMs float64 `json:"gapMs,omitempty"`
 	// Failures is the share of recent requests that failed.
 	Failures float64 `json:"failures"`
 	// Why says why the instance gets nothing now, empty if it may.
@@ -30,17 +32,18 @@
 func (p *Placer) Explain(j *Job) []Considered {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	readers, _ := p.split(j)
+	readers, runners := p.split(j)
+	usual := p.usualGap(runners)
 	keepers := p.keepers(j, partsOf(j.Call), readers)
 	var out []Considered
 	for _, i := range j.Permitted {
 		st := p.state(i)
-		c := Considered{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Pace: st.pace, Failures: st.failures, Why: p.why(i, st)}
+		c := Considered{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Pace: st.pace, GapMs: st.gap, Failures: st.failures, Why: p.why(i, st)}
 		if i.Role == engine.RolePrefill {
 			e := p.estimate(j, i, keepers, func(l Load) Load { return l })
 			c.Uncached, c.AheadMs, c.ReadMs, c.Score = e.uncached, e.ahead, e.read, e.score
 		} else {
-			c.Score = p.runnerScore(i, st)
+			c.Score = p.runnerScore(i, st, usual)
 		}
 		out = append(out, c)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -155,7 +155,7 @@
 	if p.chooseRunner(&plan, j, runners); plan.Runner == nil {
 		return plan, nil
 	}
-	t.run(plan.Runner)
+	t.run(plan.Runner, j.Service.KVCapacity > 0)
 	return plan, t
 }
 
@@ -173,7 +173,7 @@
 		return false
 	}
 	plan.Reason = reason
-	t.run(plan.Runner)
+	t.run(plan.Runner, false)
 	return true
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -248,6 +248,24 @@
 		}
 		require.Len(t, used, 6, "none is refused while others are free")
 	})
+	t.Run("a slow one gets fewer", func(t *testing.T) {
+		all := fleetOf(0, 3)
+		p := New("a", nil, nil)
+		for _, i := range all {
+			p.state(i).observeGap(40)
+		}
+		for range 100 {
+			p.state(all[0]).observeGap(200)
+		}
+		got := map[string]int{}
+		for range 33 {
+			plan, ticket := p.Place(job(all, "s", 100))
+			ticket.FirstEvent()
+			got[plan.Runner.ID]++
+		}
+		require.InDelta(t, 3, got["d-0"], 1.5)
+		require.InDelta(t, 15, got["d-1"], 2)
+	})
 	t.Run("one that cannot be reached is left for a while", func(t *testing.T) {
 		all := fleetOf(0, 2)
 		p := New("a", nil, nil)
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -24,13 +24,14 @@
 // if that makes no great difference.
 func (p *Placer) chooseRunner(plan *Plan, j *Job, runners []*fleet.Instance) {
 	spare := p.spare(j, plan, runners)
+	usual := p.usualGap(runners)
 	best := math.Inf(1)
 	for _, r := range runners {
 		st := p.state(r)
 		if p.full(r, st) {
 			continue
 		}
-		score := p.runnerScore(r, st) + rand.Float64()*tieBreak
+		score := p.runnerScore(r, st, usual) + rand.Float64()*tieBreak
 		if spare[r.ID] {
 			score += spareShare * float64(r.Slots)
 		}
@@ -93,15 +94,41 @@
 	return out
 }
 
+// usualGap returns the median of the times between events at the runners, in ms, 0
+// if none is known.
+func (p *Placer) usualGap(runners []*fleet.Instance) float64 {
+	var gaps []float64
+	for _, r := range runners {
+		if gap := p.state(r).gap; gap > 0 {
+			gaps = append(gaps, gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[(len(gaps)-1)/2]
+}
+
+// slowness is how much longer a runner takes than is usual. Its requests last so
+// much longer, so it should have as many fewer.
+func (s *state) slowness(usual float64) float64 {
+	if s.gap == 0 || usual == 0 {
+		return 1
+	}
+	return max(1, s.gap/usual)
+}
+
 // full reports whether a runner has as much in hand as it takes.
 func (p *Placer) full(r *fleet.Instance, st *state) bool {
 	return r.Slots > 0 && float64(p.load(st).Requests) >= queueFactor*float64(r.Slots)
 }
 
-// runnerScore grows with how unfit a runner is.
-func (p *Placer) runnerScore(r *fleet.Instance, st *state) float64 {
+// runnerScore grows with how unfit a runner is, where usual is the usual time
+// between events.
+func (p *Placer) runnerScore(r *fleet.Instance, st *state, usual float64) float64 {
 	load := p.load(st)
-	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty()
+	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty() * st.slowness(usual)
 	if r.Domain != p.domain {
 		score += farShare * float64(r.Slots)
 	}
--- a/placement/state.go
+++ b/placement/state.go
@@ -12,6 +12,8 @@
 	// minPace and maxPace bound the pace against single odd measurements.
 	minPace = 0.5
 	maxPace = 12.0
+	// gapStep is the weight of one gap between events, of which a stream has tens.
+	gapStep = 0.05
 	// failureStep is the weight of one outcome in the share of failures.
 	failureStep = 0.2
 	// failureFade is the time in which an old share of failures halves, so that
@@ -38,13 +40,16 @@
 	// Starting are the requests that were sent to generate and whose answers have
 	// not begun.
 	Starting int `json:"starting"`
+	// Long are the requests to engines whose prompts were not read apart: their
+	// answers last for seconds.
+	Long int `json:"long"`
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(m Load) Load {
 	return Load{
 		l.Requests + m.Requests, l.Prompts + m.Prompts, l.PromptTokens + m.PromptTokens,
-		l.LatePrompts + m.LatePrompts, l.LateTokens + m.LateTokens, l.Starting + m.Starting,
+		l.LatePrompts + m.LatePrompts, l.LateTokens + m.LateTokens, l.Starting + m.Starting, l.Long + m.Long,
 	}
 }
 
@@ -56,7 +61,7 @@
 }
 
 func (l Load) sub(m Load) Load {
-	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens, -m.Starting})
+	return l.Add(Load{-m.Requests, -m.Prompts, -m.PromptTokens, -m.LatePrompts, -m.LateTokens, -m.Starting, -m.Long})
 }
 
 // state is what is known about one instance.
@@ -72,6 +77,9 @@
 	// replaced instances have lost their address to another.
 	replaced bool
 	cache    *prefixCache
+	// gap is the smoothed time between two events of a stream from there, in ms, 0
+	// if it is not known.
+	gap float64
 }
 
 func (p *Placer) state(i *fleet.Instance) *state { return p.stateOf(i.ID) }
@@ -122,6 +130,15 @@
 	s.pace += (ratio - s.pace) * paceStep
 }
 
+// observeGap takes in the time between two events.
+func (s *state) observeGap(ms float64) {
+	if s.gap == 0 {
+		s.gap = ms
+		return
+	}
+	s.gap += (ms - s.gap) * gapStep
+}
+
 // Own returns what this process has in hand at each instance where it has any.
 func (p *Placer) Own() map[string]Load {
 	p.mu.Lock()
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -17,6 +17,8 @@
 	runner *state
 	// reading is what the job adds to the reader's load.
 	reading Load
+	// running is what it adds to the runner's.
+	running Load
 	begun   time.Time
 	readAt  time.Time
 	// idle is true if nothing was ahead at the reader.
@@ -24,6 +26,8 @@
 	// expected is the estimate of the read in ms, without the engine's pace.
 	expected float64
 	starting bool
+	// eventAt is when the last event arrived.
+	eventAt time.Time
 }
 
 // read counts the job at its reader. The caller holds the placer's lock.
@@ -49,9 +53,13 @@
 }
 
 // run counts the job at its runner. The caller holds the placer's lock.
-func (t *Ticket) run(runner *fleet.Instance) {
+func (t *Ticket) run(runner *fleet.Instance, long bool) {
 	t.runner = t.p.state(runner)
-	t.runner.own.Requests++
+	t.running = Load{Requests: 1}
+	if long {
+		t.running.Long = 1
+	}
+	t.runner.own = t.runner.own.Add(t.running)
 	t.runner.own.Starting++
 	t.starting = true
 }
@@ -93,6 +101,22 @@
 	}
 }
 
+// Event records that an event of the answer has arrived. The time between two tells
+// how fast the runner generates.
+func (t *Ticket) Event() {
+	now := time.Now()
+	last := t.eventAt
+	t.eventAt = now
+	if last.IsZero() {
+		return
+	}
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.runner != nil {
+		t.runner.observeGap(toMillis(now.Sub(last)))
+	}
+}
+
 // leaveReader takes the job off its reader. The caller holds the lock.
 func (t *Ticket) leaveReader() {
 	t.reader.own = t.reader.own.sub(t.reading)
@@ -110,7 +134,7 @@
 // leaveRunner takes the job off its runner. The caller holds the lock.
 func (t *Ticket) leaveRunner() {
 	t.started()
-	t.runner.own.Requests--
+	t.runner.own = t.runner.own.sub(t.running)
 	t.runner = nil
 }
 
--- a/roles/packing.go
+++ b/roles/packing.go
@@ -43,12 +43,13 @@
 	crowdedFor = 700 * time.Millisecond
 	// shiftFor is how long prompts must have waited before an engine with more than
 	// fewRequests starts to read: it takes as long as its longest request to get
-	// there, longer than a burst.
+	// there, longer than a burst, and does nothing else meanwhile. Engines that are
+	// not needed get no long answers, so they are empty soon.
 	shiftFor    = 3 * time.Second
-	fewRequests = 6
+	fewRequests = 0
 	// learnTime is how long the load is watched before more than learnShare of the
 	// engines may read: requests that generate last for seconds.
-	learnTime  = 8 * time.Second
+	learnTime  = 4 * time.Second
 	learnShare = 0.6
 	// minGenerating engines, and the share minGeneratingShare of all, are kept, so
 	// that the loss of one, or of a slow link, stops nothing: each takes over the
