One loop of attempts for both services, driven by the chart of requests

Cause: the completion service and the gateway each had a loop over attempts, and only one of them moved the state chart; the gateway kept its own flag for "may have run", set in four places.

Ruled out: moving the completion service onto the gateway's request: what they read from callers, place by and answer with differs, and only the course of attempts is the same.

Change: internal/lifecycle has the loop and what follows from an attempt; both services make its steps. The status of a gateway's own answer, and whether a request may have run, follow from the chart.

Tests: lifecycle.TestServe, TestServeNeverLies (random courses); all tests of both services as they were.

--- a/internal/charts/charts.go
+++ b/internal/charts/charts.go
@@ -51,6 +51,8 @@
 
 // States and events of the request chart.
 const (
+	RequestReceived statechart.State = "received"
+	RequestRouting  statechart.State = "routing"
 	RequestComplete statechart.State = "complete"
 	RequestNotRun   statechart.State = "not_run"
 	RequestUnknown  statechart.State = "unknown"
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -46,7 +46,8 @@
 	retryAfter time.Duration
 }
 
-// refusal is the reply to a request that did not run.
+// refusal is a reply of rockdoor itself. Its outcome is that of a request that was never
+// attempted; run.do puts the true one in its place after attempts.
 func refusal(status int, code string, err error, retryAfter time.Duration) *reply {
 	return &reply{status: status, code: code, err: err, outcome: charts.RequestNotRun, retryAfter: retryAfter}
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -75,7 +75,7 @@
 		r.duplicateUnknown()
 		return
 	}
-	r.fire(charts.Refused)
+	r.life.Fire(charts.Refused)
 	level.Info(r.s.o.Logger).Log("msg", "claim not granted", "request", r.c.id, "grants", res.Grants, "holders", res.Holders, "seen", res.Seen)
 	r.finish(refusal(http.StatusServiceUnavailable, codeClaimMissing,
 		fault.New(fault.Unavailable, "not enough holders of the idempotency key can vouch that it is new", "ask again after the time in Retry-After"), claimWait+rand.N(claimWait)))
@@ -151,13 +151,13 @@
 }
 
 func (r *run) answerDuplicate(rep *reply) {
-	r.fire(charts.Duplicate)
+	r.life.Fire(charts.Duplicate)
 	r.finish(rep)
 }
 
 // replay gives the answer that the request with the same key got.
 func (r *run) replay(out Outcome) {
-	r.fire(charts.Duplicate)
+	r.life.Fire(charts.Duplicate)
 	h := r.w.Header()
 	r.identify(h)
 	h.Set(HeaderReplayed, "true")
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/attempt"
 	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/routing"
 	"github.com/rockdoor/rockdoor/statechart"
 )
@@ -38,7 +39,7 @@
 	w     http.ResponseWriter
 	ctx   context.Context
 	stop  context.CancelFunc
-	chart *statechart.Instance
+	life  *lifecycle.Life
 	start time.Time
 
 	attempts int
@@ -53,21 +54,14 @@
 	whole bool
 	// claim is held if the call has an idempotency key.
 	claim *claims.Claim
-	// target of the last attempt.
+	// target of the last attempt, and the work that it is there.
 	target *config.Target
+	work   *routing.Work
 }
 
 func newRun(s *Server, c *call, w http.ResponseWriter, r *http.Request) *run {
 	ctx, stop := context.WithDeadline(r.Context(), c.deadline)
-	return &run{s: s, c: c, w: w, ctx: ctx, stop: stop, chart: charts.Request.Start(), start: time.Now(), avoid: map[string]bool{}}
-}
-
-// fire moves the request chart. The chart refuses nothing that run fires; a
-// refusal would be a defect and is logged.
-func (r *run) fire(e statechart.Event) {
-	if _, err := r.chart.Fire(e); err != nil {
-		level.Error(r.s.o.Logger).Log("msg", "state chart", "request", r.c.id, "err", err)
-	}
+	return &run{s: s, c: c, w: w, ctx: ctx, stop: stop, life: lifecycle.New(c.id, s.o.Logger), start: time.Now(), avoid: map[string]bool{}}
 }
 
 // do sends the call until it has a final state. It returns the reply that is
@@ -75,43 +69,30 @@
 func (r *run) do() *reply {
 	r.s.retries.Request()
 	r.countDemand()
-	for {
-		if rep := r.rebase(); rep != nil {
-			return rep
-		}
-		r.readApart()
-		work, rep := r.choose()
-		if rep != nil {
-			return rep
-		}
-		r.fire(charts.Chosen)
-		a := r.attempt(work)
-		if rep, final := r.settle(a); final {
-			return rep
-		}
+	rep := lifecycle.Serve(r.life, r)
+	if rep == nil {
+		return nil
 	}
+	rep.outcome = r.life.State()
+	if rep.outcome == charts.RequestUnknown {
+		rep.code = codeUnknown
+	}
+	return rep
 }
 
-// rebase puts the next attempt under the newest configuration, or returns the
-// reply to give if the call may no longer be carried or run.
-func (r *run) rebase() *reply {
-	err := r.c.rebase(r.s.o.Snapshot())
-	var rep *reply
-	if err != nil {
-		rep = refusalFor(err)
-	} else if rep = r.s.mayCarry(r.c); rep == nil {
-		return nil
+// Rebase implements lifecycle.Steps.
+func (r *run) Rebase() *reply {
+	if err := r.c.rebase(r.s.o.Snapshot()); err != nil {
+		return refusalFor(err)
 	}
-	r.fire(charts.NoTarget)
-	return r.given(rep.status, rep.code, rep.err, rep.retryAfter)
+	return r.s.mayCarry(r.c)
 }
 
-// choose finds a target and counts the call there, or returns the reply to give
-// if there is none.
-func (r *run) choose() (*routing.Work, *reply) {
+// Choose implements lifecycle.Steps. It counts the call at the target that it finds.
+func (r *run) Choose() *reply {
+	r.readApart()
 	if r.ctx.Err() != nil {
-		r.fire(charts.NoTarget)
-		return nil, r.given(http.StatusGatewayTimeout, codeDeadline,
+		return refusal(http.StatusGatewayTimeout, codeDeadline,
 			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
 	}
 	permitted := r.c.permitted()
@@ -120,14 +101,14 @@
 		cost.PrefillTokens = 0
 	}
 	if rep := r.shareOut(permitted); rep != nil {
-		return nil, rep
+		return rep
 	}
 	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
 	if work == nil {
-		return nil, r.noTarget(len(permitted), full)
+		return r.noTarget(len(permitted), full)
 	}
-	r.target = t
-	return work, nil
+	r.work, r.target = work, t
+	return nil
 }
 
 // shortFrom is the share of the room at the permitted targets in use from which
@@ -149,7 +130,6 @@
 		return nil
 	}
 	if err := r.s.gate.OverShare(&r.c.workspace.Workspace); err != nil {
-		r.fire(charts.Refused)
 		return refusalFor(err)
 	}
 	return nil
@@ -181,16 +161,15 @@
 
 // noTarget returns the reply to a call for which there is no target.
 func (r *run) noTarget(permitted, full int) *reply {
-	r.fire(charts.NoTarget)
 	switch {
 	case permitted == 0:
-		return r.given(http.StatusServiceUnavailable, codeNoTarget,
+		return refusal(http.StatusServiceUnavailable, codeNoTarget,
 			fault.New(fault.Unavailable, "no active target is permitted for this request", "see why with: rockdoor explain"), noTargetWait)
 	case full > 0:
-		return r.given(http.StatusServiceUnavailable, codeOverloaded,
+		return refusal(http.StatusServiceUnavailable, codeOverloaded,
 			fault.New(fault.Exhausted, "all permitted targets are full", "ask again after the time in Retry-After"), r.s.drainTime(r.c))
 	}
-	return r.given(http.StatusServiceUnavailable, codeNoTarget,
+	return refusal(http.StatusServiceUnavailable, codeNoTarget,
 		fault.New(fault.Unavailable, "all permitted targets failed", "ask again after the time in Retry-After"), noTargetWait)
 }
 
@@ -235,11 +214,12 @@
 	return s.o.Tracker.Load(t.Name).Add(c.snapshot.PeerLoads[t.Name])
 }
 
-// attempt sends the call to the chosen target and passes the answer on.
-func (r *run) attempt(work *routing.Work) *attempt.Attempt {
+// Attempt implements lifecycle.Steps: it sends the call to the chosen target and passes
+// the answer on.
+func (r *run) Attempt() (lifecycle.Outcome, error) {
 	r.attempts++
 	t := r.target
-	defer work.End()
+	defer r.work.End()
 	done := r.s.breakers.begin(t.Name)
 	header := r.c.header.Clone()
 	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
@@ -255,11 +235,23 @@
 		Method: r.c.method, URI: r.c.uri, Header: header, Body: r.c.body,
 	})
 	if a.State() == charts.AttemptAnswering {
-		r.relay(a, work)
+		r.relay(a, r.work)
 	}
 	done(a.State(), a.Err())
 	r.s.count("attempts."+string(a.State()), r.c)
-	return a
+	return outcomeOf(a.State()), a.Err()
+}
+
+func outcomeOf(s statechart.State) lifecycle.Outcome {
+	switch s {
+	case charts.AttemptComplete:
+		return lifecycle.Delivered
+	case charts.AttemptFailed:
+		return lifecycle.Failed
+	case charts.AttemptNotRun:
+		return lifecycle.NotRun
+	}
+	return lifecycle.Lost
 }
 
 // enginePriority is the number that engines know for a priority.
@@ -273,53 +265,39 @@
 	return "1"
 }
 
-// settle decides what follows from an attempt. It returns true if the call has
-// a final state, with the reply that is owed.
-func (r *run) settle(a *attempt.Attempt) (*reply, bool) {
-	switch a.State() {
-	case charts.AttemptComplete:
-		r.fire(charts.AttemptDone)
-		return nil, true
-	case charts.AttemptFailed:
-		r.fire(charts.AttemptError)
-		return r.given(http.StatusBadGateway, codeFailed, a.Err(), 0), true
-	case charts.AttemptNotRun:
-		r.fire(charts.AttemptNotBegun)
-	default:
-		if !r.c.idempotent || r.ctx.Err() != nil || !r.canResume() {
-			r.fire(charts.AttemptLost)
-			return r.given(http.StatusBadGateway, codeUnknown, a.Err(), 0), true
-		}
-		r.fire(charts.AttemptRepeat)
+// Repeatable implements lifecycle.Steps: nothing has reached the caller, or a stream
+// of which whole events have.
+func (r *run) Repeatable() bool {
+	return r.c.idempotent && r.ctx.Err() == nil && (!r.begun || r.c.stream())
+}
+
+// Ended implements lifecycle.Steps.
+func (r *run) Ended(o lifecycle.Outcome, err error) *reply {
+	switch o {
+	case lifecycle.Delivered:
+		return nil
+	case lifecycle.Failed:
+		return refusal(http.StatusBadGateway, codeFailed, err, 0)
 	}
+	return refusal(http.StatusBadGateway, codeUnknown, err, 0)
+}
+
+// Again implements lifecycle.Steps.
+func (r *run) Again(err error) *reply {
 	r.avoid[r.target.Name] = true
 	r.kv = openai.KVExport{} // the import may be what failed
-	level.Info(r.s.o.Logger).Log("msg", "attempt failed", "request", r.c.id, "attempt", r.attempts, "target", r.target.Name, "state", a.State(), "err", a.Err())
+	level.Info(r.s.o.Logger).Log("msg", "attempt failed", "request", r.c.id, "attempt", r.attempts, "target", r.target.Name, "state", r.life.State(), "err", err)
 	if r.attempts >= maxAttempts || !r.s.retries.Retry() {
-		r.fire(charts.NoTarget)
-		return r.given(http.StatusServiceUnavailable, codeOverloaded,
-			fault.Wrap(a.Err(), fault.Unavailable, "attempts failed and no more are made", "ask again after the time in Retry-After"), noTargetWait), true
-	}
-	return nil, false
-}
-
-// canResume reports whether the call can go on elsewhere: nothing has reached
-// the caller, or a stream of which whole events have.
-func (r *run) canResume() bool { return !r.begun || r.c.stream() }
-
-// given returns a reply whose outcome is the state of the request chart.
-func (r *run) given(status int, code string, err error, retryAfter time.Duration) *reply {
-	state := r.chart.State()
-	if state == charts.RequestUnknown {
-		code = codeUnknown
+		return refusal(http.StatusServiceUnavailable, codeOverloaded,
+			fault.Wrap(err, fault.Unavailable, "attempts failed and no more are made", "ask again after the time in Retry-After"), noTargetWait)
 	}
-	return &reply{status: status, code: code, err: err, outcome: state, retryAfter: retryAfter}
+	return nil
 }
 
 // finish gives the caller what is owed and records the outcome.
 func (r *run) finish(rep *reply) {
 	defer r.stop()
-	outcome := r.chart.State()
+	outcome := r.life.State()
 	code := "ok"
 	if rep != nil {
 		code = rep.code
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -249,12 +249,12 @@
 	run := newRun(s, c, w, r)
 	release, err := s.gate.Admit(&c.workspace.Workspace, c.priority, c.snapshot.Serving)
 	if err != nil {
-		run.fire(charts.Refused)
+		run.life.Fire(charts.Refused)
 		run.finish(refusalFor(err))
 		return
 	}
 	defer release()
-	run.fire(charts.Admitted)
+	run.life.Fire(charts.Admitted)
 	if c.claimed() {
 		run.serveClaimed()
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -99,7 +100,7 @@
 		return nil, refusal(http.StatusNotFound, "no-route",
 			fault.New(fault.NotFound, "no route for "+r.Host+r.URL.Path, "check the host name and the path"), 0)
 	}
-	q := &request{s: s, w: w, http: r, call: &call, route: route, arrived: arrived, avoid: map[string]bool{}}
+	q := &request{s: s, w: w, http: r, call: &call, route: route, arrived: arrived, avoid: map[string]bool{}, life: lifecycle.New(call.ID, s.o.Logger)}
 	q.deadline = arrived.Add(wait(call.Wait, route.Timeout))
 	if rep := q.readBody(view.Config.Limits); rep != nil {
 		return nil, rep
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -35,7 +35,7 @@
 	q.s.time("duration", took)
 	kv := []any{
 		"msg", "request", "request", q.call.ID, "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
-		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.mayHaveRun,
+		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.life.MayHaveRun(),
 		"read", q.readFor.Round(time.Millisecond), "took", took.Round(time.Millisecond),
 	}
 	if q.plan.Runner != nil {
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -10,16 +10,17 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
 
 // readPrompt has the prompt read by the planned engine. The request does not run
 // there. A prompt that is read again costs a send beyond the first.
-func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (lifecycle.Outcome, error) {
 	if q.read && !q.s.budget.extra(q.service) {
 		q.paid = false
-		return notRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
+		return lifecycle.NotRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
 	}
 	begun := time.Now()
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Reader, engine.Send{
@@ -49,17 +50,17 @@
 	q.source, q.sourceReader, q.sourceUses = &engine.KVSource{Address: plan.Reader.Address, Handle: handle}, plan.Reader, 0
 	q.readFor = time.Since(begun)
 	q.s.time("read", q.readFor)
-	return delivered, nil
+	return lifecycle.Delivered, nil
 }
 
 // unread records that an engine did not read the prompt.
-func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (result, error) {
+func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (lifecycle.Outcome, error) {
 	if q.ctx.Err() != nil {
 		o = placement.Sound // a caller that left says nothing of the engine
 	}
 	ticket.Read(false, o)
 	q.avoid[plan.Reader.ID] = true
-	return notRun, err
+	return lifecycle.NotRun, err
 }
 
 func addressOf(i *fleet.Instance) string {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 )
 
@@ -60,26 +61,32 @@
 }
 
 // relay passes an answer on.
-func (q *request) relay(a *upstream.Answer) (result, error) {
+func (q *request) relay(a *upstream.Answer) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeSlack)) // without it the caller's own pace holds
 	if strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
 		return q.relayEvents(a)
 	}
 	if q.begun {
 		a.Close(false)
-		return lost, fault.New(fault.Unknown, "resumed stream was answered with something else", "check the instance")
+		return lifecycle.Lost, fault.New(fault.Unknown, "resumed stream was answered with something else", "check the instance")
 	}
 	body, err := readAll(a, heldAnswer)
 	if err != nil {
-		return lost, err
+		return lifecycle.Lost, err
 	}
 	q.head(a)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(a.Status)
 	if _, err := q.w.Write(body); err != nil {
-		return callerGone, err
+		return q.left(err)
 	}
-	return delivered, nil
+	return lifecycle.Delivered, nil
+}
+
+// left records that the caller could not be written to.
+func (q *request) left(err error) (lifecycle.Outcome, error) {
+	q.gone, q.writeErr = true, err
+	return lifecycle.Lost, err
 }
 
 // head copies the headers of an answer.
@@ -95,20 +102,20 @@
 
 // relayEvents passes on each whole event of a stream as it arrives. The head is
 // passed on with the first one, so that until then another instance may answer.
-func (q *request) relayEvents(a *upstream.Answer) (result, error) {
+func (q *request) relayEvents(a *upstream.Answer) (lifecycle.Outcome, error) {
 	in := bufio.NewReader(a.Body)
 	for {
 		event, err := readEvent(in)
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
 			a.Close(false)
-			return lost, fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if its route allows it")
+			return lifecycle.Lost, fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if its route allows it")
 		}
 		if err != nil {
 			a.Close(true)
 			if !q.begun { // a stream without events
 				q.begin(a)
 			}
-			return delivered, nil
+			return lifecycle.Delivered, nil
 		}
 		if res, err := q.passEvent(a, event); err != nil {
 			a.Close(false)
@@ -125,26 +132,26 @@
 	q.s.time("first_event", time.Since(q.arrived))
 }
 
-func (q *request) passEvent(a *upstream.Answer, event []byte) (result, error) {
+func (q *request) passEvent(a *upstream.Answer, event []byte) (lifecycle.Outcome, error) {
 	q.ticket.Event()
 	id := eventID(event)
 	if id != "" && q.lastEvent != "" && !later(id, q.lastEvent) {
-		return delivered, nil // the caller has it already
+		return lifecycle.Delivered, nil // the caller has it already
 	}
 	if !q.begun {
 		q.begin(a)
 	}
 	if _, err := q.w.Write(event); err != nil {
-		return callerGone, err
+		return q.left(err)
 	}
 	if err := http.NewResponseController(q.w).Flush(); err != nil {
-		return callerGone, err
+		return q.left(err)
 	}
 	if id != "" {
 		q.lastEvent = id
 	}
 	q.events++
-	return delivered, nil
+	return lifecycle.Delivered, nil
 }
 
 // later reports whether one event id comes after another. Ids that are not
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,16 +5,43 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 )
 
 // reply is a final answer that the gateway itself gives.
 type reply struct {
+	// status is 0 if it follows from the state of the request.
 	status int
 	// code names the outcome in logs and metrics.
 	code string
 	err  error
 	// retryAfter is when asking again makes sense, 0 if it does not.
 	retryAfter time.Duration
+	// silent is true if nobody waits for the reply.
+	silent bool
+}
+
+// codeDeadline is the outcome of a request whose time is up.
+const codeDeadline = "deadline"
+
+// given returns a reply whose status follows from the state of the request.
+func given(code string, err error, retryAfter time.Duration) *reply {
+	return &reply{code: code, err: err, retryAfter: retryAfter}
+}
+
+// statusIn returns the status for a request that has ended: 503 promises that it has
+// not run and never will.
+func (p *reply) statusIn(l *lifecycle.Life) int {
+	switch {
+	case p.status != 0:
+		return p.status
+	case !l.MayHaveRun():
+		return http.StatusServiceUnavailable
+	case p.code == codeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
 }
 
 func refusal(status int, code string, err error, retryAfter time.Duration) *reply {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,11 +5,14 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -52,8 +55,8 @@
 	// lastEvent is the id of the last event that the caller got.
 	lastEvent string
 	events    int
-	// mayHaveRun is true if some instance may have begun the request.
-	mayHaveRun bool
+	// life says whether some instance may have begun the request.
+	life *lifecycle.Life
 	// paid is true if the next send has been taken from the budget.
 	paid bool
 	// source is a prompt that was read and has not been used, sourceReader the
@@ -67,48 +70,30 @@
 	plan    placement.Plan
 	ticket  *placement.Ticket
 	readFor time.Duration
+	// gone is true if the caller could not be written to, for the reason writeErr.
+	gone     bool
+	writeErr error
 }
 
-// result is what became of one attempt.
-type result int
-
-const (
-	// delivered: the caller has got the whole answer.
-	delivered result = iota
-	// notRun: the instance certainly did not run the request.
-	notRun
-	// lost: the instance may have run the request and the answer is not whole.
-	lost
-	// callerGone: the caller cannot be reached any more.
-	callerGone
-)
-
-// serve attempts the request until it has an answer.
+// serve makes attempts until the request has an answer.
 func (q *request) serve() {
 	defer q.free()
-	for {
-		rep := q.rebase()
-		done := false
-		if rep == nil {
-			rep, done = q.attempt()
-		}
-		switch {
-		case done:
-			return
-		case rep != nil:
-			q.finish(rep)
-			return
-		}
+	q.life.Fire(charts.Admitted)
+	rep := lifecycle.Serve(q.life, q)
+	if rep == nil {
+		q.log("ok", nil)
+		return
 	}
+	q.finish(rep)
 }
 
-// rebase decides under the newest configuration which service runs the next
-// attempt, or returns the reply to give.
-func (q *request) rebase() *reply {
+// Rebase implements lifecycle.Steps: it decides under the newest configuration which
+// service runs the next attempt.
+func (q *request) Rebase() *reply {
 	view := q.s.o.View()
 	route := view.Config.Route(hostOnly(q.http.Host), q.http.URL.EscapedPath())
 	if route == nil {
-		return q.given("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), unknownRetry)
+		return given("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), unknownRetry)
 	}
 	first := q.service == ""
 	q.route, q.version = route, view.Config.Version
@@ -123,39 +108,40 @@
 	return nil
 }
 
-// attempt makes one attempt. It returns a reply if no other is to be made, and
-// true if the answer was delivered or nobody waits for it, which it has logged.
-func (q *request) attempt() (*reply, bool) {
-	view := q.s.o.View()
-	left := time.Until(q.deadline)
-	if left < minLeft || q.ctx.Err() != nil {
+// Choose implements lifecycle.Steps.
+func (q *request) Choose() *reply {
+	if time.Until(q.deadline) < minLeft || q.ctx.Err() != nil {
 		return q.expired()
 	}
-	var ticket *placement.Ticket
-	q.plan, ticket = q.s.o.Placer.Place(q.job(view))
+	view := q.s.o.View()
+	q.plan, q.ticket = q.s.o.Placer.Place(q.job(view))
 	q.decision(view)
-	if ticket == nil {
-		return q.unplaced(), false
-	}
-	defer ticket.Cancel()
-	res, err := q.send(ticket)
-	switch res {
-	case delivered:
-		q.log("ok", nil)
-		return nil, true
-	case callerGone:
-		q.log("caller-gone", err)
-		return nil, true
-	case lost:
-		q.mayHaveRun = true
+	if q.ticket == nil {
+		return q.unplaced()
 	}
-	if q.ctx.Err() != nil {
+	return nil
+}
+
+// Attempt implements lifecycle.Steps.
+func (q *request) Attempt() (lifecycle.Outcome, error) {
+	defer q.ticket.Cancel()
+	return q.send(q.ticket)
+}
+
+// Repeatable implements lifecycle.Steps.
+func (q *request) Repeatable() bool {
+	return q.ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts
+}
+
+// Ended implements lifecycle.Steps.
+func (q *request) Ended(o lifecycle.Outcome, err error) *reply {
+	switch {
+	case o == lifecycle.Delivered:
+		return nil
+	case q.gone || q.ctx.Err() != nil:
 		return q.expired()
 	}
-	if q.plan.Runner == nil && err == nil {
-		return q.unplaced(), false
-	}
-	return q.again(res, err), false
+	return given("lost", err, 0)
 }
 
 // job describes the request to the placer.
@@ -173,21 +159,21 @@
 		retry = unknownRetry
 	}
 	err := fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(q.plan.Reason), "ask again after the time in Retry-After")
-	return q.given(string(q.plan.Reason), err, retry)
+	return given(string(q.plan.Reason), err, retry)
 }
 
-// again decides whether another attempt is made. It returns the reply to give
-// if not.
-func (q *request) again(res result, err error) *reply {
-	if res == lost && (!q.route.Repeatable() || q.runs >= q.route.MaxAttempts) {
-		return q.given("lost", err, 0)
-	}
-	if q.sends >= maxSends {
-		return q.given("attempts-used", err, unknownRetry)
-	}
-	if !q.paid && !q.s.budget.extra(q.service) {
+// Again implements lifecycle.Steps.
+func (q *request) Again(err error) *reply {
+	switch {
+	case q.ctx.Err() != nil:
+		return q.expired()
+	case err == nil:
+		return q.unplaced() // the prompt was read and nobody can run it
+	case q.sends >= maxSends:
+		return given("attempts-used", err, unknownRetry)
+	case !q.paid && !q.s.budget.extra(q.service):
 		q.s.count("budget_empty")
-		return q.given("budget-empty", err, unknownRetry)
+		return given("budget-empty", err, unknownRetry)
 	}
 	q.paid = false
 	level.Info(q.s.o.Logger).Log("msg", "attempt again", "request", q.call.ID, "sends", q.sends, "runs", q.runs, "err", err)
@@ -195,29 +181,16 @@
 }
 
 // expired ends a request whose time is up or whose caller has left.
-func (q *request) expired() (*reply, bool) {
-	if q.http.Context().Err() != nil {
-		q.log("caller-gone", q.http.Context().Err())
-		return nil, true
+func (q *request) expired() *reply {
+	if err := q.http.Context().Err(); err != nil || q.gone {
+		return &reply{code: "caller-gone", err: errors.CombineErrors(err, q.writeErr), silent: true}
 	}
-	return q.given("deadline", fault.New(fault.Exhausted, "time is up", "allow more time"), 0), false
-}
-
-// given returns a reply whose status says truly whether the request may have run.
-func (q *request) given(code string, err error, retryAfter time.Duration) *reply {
-	status := http.StatusServiceUnavailable
-	switch {
-	case q.mayHaveRun && code == "deadline":
-		status = http.StatusGatewayTimeout
-	case q.mayHaveRun:
-		status = http.StatusBadGateway
-	}
-	return refusal(status, code, err, retryAfter)
+	return given(codeDeadline, fault.New(fault.Exhausted, "time is up", "allow more time"), 0)
 }
 
 // send carries out the plan. If there is no runner after the prompt was read, it
 // returns notRun without an error.
-func (q *request) send(ticket *placement.Ticket) (result, error) {
+func (q *request) send(ticket *placement.Ticket) (lifecycle.Outcome, error) {
 	plan := &q.plan
 	if plan.Reader != nil {
 		if res, err := q.readPrompt(plan, ticket); err != nil {
@@ -225,7 +198,7 @@
 		}
 		view := q.s.o.View()
 		if !q.s.o.Placer.PlaceRead(q.job(view), plan, ticket) {
-			return notRun, nil
+			return lifecycle.NotRun, nil
 		}
 		q.decision(view)
 	}
@@ -239,17 +212,16 @@
 		q.avoid[plan.Runner.ID] = true
 		if fault.Is(err, fault.Unavailable) {
 			q.paid = true // nothing arrived at the instance
-			return notRun, err
+			return lifecycle.NotRun, err
 		}
 		q.runs++
-		q.mayHaveRun = true
-		return lost, err
+		return lifecycle.Lost, err
 	}
 	return q.receive(a, plan, ticket)
 }
 
 // receive judges the head of an answer and passes the answer on.
-func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket) (result, error) {
+func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket) (lifecycle.Outcome, error) {
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
 		a.CloseUnread()
@@ -262,27 +234,25 @@
 		if q.sourceUses >= maxSourceUses {
 			q.free() // the prompt may be what the instances refuse
 		}
-		return notRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
+		return lifecycle.NotRun, fault.Newf(fault.Unavailable, "another instance is tried", "instance %s refused with %d", plan.Runner.ID, a.Status)
 	}
 	q.runs++
-	q.mayHaveRun = true
 	q.source = nil // taken by the runner
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
 		ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
-		return lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
+		return lifecycle.Lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
 	}
 	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
 		a.CloseUnread()
 		ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
-		return lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
+		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
 	}
-	q.ticket = ticket
 	res, err := q.relay(a)
-	ticket.Run(outcomeOf(res))
-	if res == lost {
+	ticket.Run(q.verdictOn(res))
+	if res == lifecycle.Lost {
 		q.avoid[plan.Runner.ID] = true
 	}
 	return res, err
@@ -300,8 +270,10 @@
 	return placement.Failed
 }
 
-func outcomeOf(r result) placement.Outcome {
-	if r == lost {
+// verdictOn says what the end of an answer tells of the instance that gave it. That a
+// caller left says nothing.
+func (q *request) verdictOn(o lifecycle.Outcome) placement.Outcome {
+	if o == lifecycle.Lost && !q.gone {
 		return placement.Failed
 	}
 	return placement.Sound
@@ -343,13 +315,17 @@
 	}
 }
 
-// finish gives the caller a reply of the gateway's own. If a part of an answer
-// has been passed on, the connection is broken off, so that the caller sees that
-// the answer is not whole.
+// finish gives the caller a reply of the gateway's own, whose status says truly whether
+// the request may have run. If a part of an answer has been passed on, the connection
+// is broken off, so that the caller sees that the answer is not whole.
 func (q *request) finish(rep *reply) {
 	q.log(rep.code, rep.err)
-	if q.begun {
+	switch {
+	case rep.silent:
+	case q.begun:
 		panic(http.ErrAbortHandler)
+	default:
+		rep.status = rep.statusIn(q.life)
+		rep.write(q.w)
 	}
-	rep.write(q.w)
 }
