Runners near the reader, readers nearer the caller

Ruled out: a stronger own domain for all runners (bodies only; moves stay as they were).

Change: a runner elsewhere than the reader counts 0.3 of its slots; a reader of the own domain may take 20 ms longer instead of 10.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -315,7 +315,7 @@
 const (
 	// farRead is how much longer, in ms, a reader of the own failure domain may
 	// take than one elsewhere.
-	farRead = 10.0
+	farRead = 20.0
 	// fullRetry is when to ask again while everything is full: about as long as
 	// an engine takes to finish a short request.
 	fullRetry = 200 * time.Millisecond
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -14,6 +14,9 @@
 	// farShare is how much more of its slots an instance of the own failure domain
 	// may have in hand than one elsewhere.
 	farShare = 0.15
+	// moveShare is the same for an engine elsewhere than the one that read the prompt:
+	// its memory takes twice as long to get there.
+	moveShare = 0.3
 	// spareShare is the same for an engine that should stay free to read.
 	spareShare = 0.5
 	// tieBreak spreads the choices of processes that see the same loads.
@@ -35,6 +38,9 @@
 		if spare[r.ID] {
 			score += spareShare * float64(r.Slots)
 		}
+		if plan.Reader != nil && r.Domain != plan.Reader.Domain {
+			score += moveShare * float64(r.Slots)
+		}
 		if score < best {
 			best = score
 			plan.Runner = r
