Digests as often as prompts are in hand, over streams that are reused

Cause: in a peak the gateways place 600 prompts a second on 8 reading engines, so in the 50 ms between two digests the other seven place what an engine reads in 80 ms. Placing by loads that old put requests behind queues that nobody had expected.

Change: the interval is 80 ms divided by one more than the own prompts in hand, 15 ms at the least, more in a large fleet; a peer that has not answered is not called again. A stream of a peer session carries one call after another instead of one: opening and closing one took more bytes than a digest.

Tests: loadshare.TestDigestsAreExchangedMoreOftenUnderLoad, TestPeerThatHasNotAnsweredIsNotCalledAgain, peer.TestCallsAreAnswered (one stream), TestStreamThatRestedIsNotUsed, TestCallsAtTheSameTimeGetTheirOwnAnswers.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -24,12 +24,15 @@
 )
 
 const (
-	// minInterval is how often digests are exchanged in a small fleet: a few times
-	// in the life of a queue of prompts.
-	minInterval = 50 * time.Millisecond
-	// perPeer stretches the interval with the number of peers, so that a process
-	// makes at most some 120 exchanges a second.
-	perPeer = 8 * time.Millisecond
+	// calmInterval is how often digests are exchanged while this process has no prompts
+	// in hand, and with each prompt more often: where prompts queue, what the others
+	// placed since their last digest is as much as an engine reads in the time.
+	calmInterval = 80 * time.Millisecond
+	// minInterval is how often at the most.
+	minInterval = 15 * time.Millisecond
+	// perPeer stretches the least interval with the number of peers, so that a process
+	// makes at most some 400 exchanges a second.
+	perPeer = 2500 * time.Microsecond
 	// callTimeout bounds one exchange.
 	callTimeout = 500 * time.Millisecond
 	// keptIntervals is for how many intervals a digest counts.
@@ -69,6 +72,8 @@
 	digests map[string]digest // by peer
 	told    map[string]told   // by peer
 	silent  map[string]*silence
+	// calling are the peers whose answer is awaited.
+	calling map[string]bool
 	sum     map[string]placement.Load
 	// changing are engines that some other gateway is having change their role, and
 	// to which.
@@ -85,7 +90,7 @@
 func New(o Options) *Sharer {
 	return &Sharer{
 		o: o, logger: log.With(o.Logger, "component", "loadshare"),
-		digests: map[string]digest{}, told: map[string]told{}, silent: map[string]*silence{}, sum: map[string]placement.Load{},
+		digests: map[string]digest{}, told: map[string]told{}, silent: map[string]*silence{}, calling: map[string]bool{}, sum: map[string]placement.Load{},
 	}
 }
 
@@ -122,7 +127,7 @@
 		for _, p := range peers {
 			go s.exchange(ctx, p)
 		}
-		s.expire(interval * keptIntervals)
+		s.expire(s.longestInterval() * keptIntervals)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -131,8 +136,9 @@
 	}
 }
 
-// peers returns the members that this process calls: of each pair the one with
-// the lesser name calls, and the answer carries the other's digest.
+// peers returns the members that this process calls now: of each pair the one with
+// the lesser name calls, and the answer carries the other's digest. One that has not
+// answered yet is not called again.
 func (s *Sharer) peers() []members.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,12 +151,17 @@
 		if q := s.silent[m.Name]; q != nil && now.Before(q.until) {
 			continue
 		}
+		if s.calling[m.Name] {
+			continue
+		}
+		s.calling[m.Name] = true
 		out = append(out, m)
 	}
 	return out
 }
 
 func (s *Sharer) exchange(ctx context.Context, p members.Member) {
+	defer s.called(p.Name)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &peerpb.Request{Body: &peerpb.Request_Loads{Loads: s.digest(p.Name)}}
@@ -162,6 +173,13 @@
 	s.hear(resp.GetFrom(), resp.GetLoads())
 }
 
+// called notes that a call to a peer has ended.
+func (s *Sharer) called(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calling, name)
+}
+
 // HandlePeer implements peer.Handler.
 func (s *Sharer) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
 	loads := req.GetLoads()
@@ -172,9 +190,15 @@
 	return &peerpb.Response{Body: &peerpb.Response_Loads{Loads: s.digest(req.GetFrom().GetName())}}
 }
 
-// interval returns how often digests are exchanged.
+// interval returns how long to wait until the next exchange.
 func (s *Sharer) interval() time.Duration {
-	return max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
+	least := max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
+	return max(least, calmInterval/time.Duration(1+s.o.Placer.Prompts()))
+}
+
+// longestInterval returns the longest time between two exchanges.
+func (s *Sharer) longestInterval() time.Duration {
+	return max(calmInterval, time.Duration(len(s.o.Members()))*perPeer)
 }
 
 // expire drops the digests of peers that have not been heard for a while.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -121,3 +121,39 @@
 	nodes[0].stop()
 	nodes[1].stop()
 }
+
+// TestDigestsAreExchangedMoreOftenUnderLoad checks the pace: in the peaks of the
+// standard days the others placed more in 50 ms than an engine reads in that time.
+func TestDigestsAreExchangedMoreOftenUnderLoad(t *testing.T) {
+	var all []members.Member
+	p := placement.New("a", nil, nil)
+	s := New(Options{Placer: p, Members: func() []members.Member { return all }, Logger: log.NewNopLogger()})
+	require.Equal(t, calmInterval, s.interval())
+	var tickets []*placement.Ticket
+	for range 10 {
+		_, ticket := p.Place(job("s"))
+		tickets = append(tickets, ticket)
+	}
+	require.Equal(t, minInterval, s.interval())
+	for n := range 100 {
+		all = append(all, members.Member{Name: string(rune('a' + n))})
+	}
+	require.Equal(t, 100*perPeer, s.interval(), "bounded in a large fleet")
+	require.Equal(t, 100*perPeer, s.longestInterval())
+	all = nil
+	for _, ticket := range tickets {
+		ticket.Cancel()
+	}
+	require.Equal(t, calmInterval, s.interval())
+}
+
+// TestPeerThatHasNotAnsweredIsNotCalledAgain checks that calls to a slow peer do not
+// pile up.
+func TestPeerThatHasNotAnsweredIsNotCalledAgain(t *testing.T) {
+	all := []members.Member{{Name: "b"}, {Name: "c"}}
+	s := New(Options{Self: members.Member{Name: "a"}, Members: func() []members.Member { return all }, Logger: log.NewNopLogger()})
+	require.Len(t, s.peers(), 2)
+	require.Empty(t, s.peers())
+	s.called("b")
+	require.Equal(t, []members.Member{{Name: "b"}}, s.peers())
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,11 +1,11 @@
 // Package peer carries calls between rockdoor processes: protobuf messages over
-// one yamux session per pair of processes and direction. A call never outlives
+// one yamux session per pair of processes and direction, whose streams carry one call
+// after another. A call never outlives
 // its deadline, messages are bounded, and a peer that sends garbage only loses
 // its session.
 package peer
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -34,7 +34,7 @@
 	dialTimeout     = time.Second
 	serveTimeout    = 5 * time.Second
 	maxSessions     = 256
-	maxCallsInHand  = 512
+	maxStreams      = 512
 	keepAlive       = 5 * time.Second
 	sessionTimeout  = 3 * time.Second
 	acceptRetryWait = 20 * time.Millisecond
@@ -51,10 +51,11 @@
 	logger  log.Logger
 	reg     metrics.Registry
 	handler Handler
-	calls   *semaphore.Weighted
+	streams *semaphore.Weighted
 
 	mu       sync.Mutex
 	dialed   map[string]*yamux.Session // by address
+	idle     map[string][]*stream      // by address
 	accepted map[*yamux.Session]struct{}
 	closed   bool
 	dials    singleflight.Group
@@ -68,8 +69,9 @@
 		logger:   log.With(logger, "component", "peer"),
 		reg:      reg,
 		handler:  handler,
-		calls:    semaphore.NewWeighted(maxCallsInHand),
+		streams:  semaphore.NewWeighted(maxStreams),
 		dialed:   map[string]*yamux.Session{},
+		idle:     map[string][]*stream{},
 		accepted: map[*yamux.Session]struct{}{},
 	}
 }
@@ -135,18 +137,19 @@
 		t.mu.Unlock()
 	}()
 	for {
-		stream, err := session.AcceptStream()
+		accepted, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
-		if !t.calls.TryAcquire(1) {
-			stream.Close()
+		if !t.streams.TryAcquire(1) {
+			accepted.Close()
 			continue
 		}
+		stream := newStream(session, accepted)
 		t.wg.Add(1)
 		go func() {
 			defer t.wg.Done()
-			defer t.calls.Release(1)
+			defer t.streams.Release(1)
 			if err := t.serveStream(stream); err != nil {
 				metrics.GetOrRegisterCounter("peer.bad_calls", t.reg).Inc(1)
 				level.Debug(t.logger).Log("msg", "peer call failed", "remote", session.RemoteAddr(), "err", err)
@@ -156,14 +159,28 @@
 	}
 }
 
-// serveStream answers one call. An error means that the peer broke the protocol.
-func (t *Transport) serveStream(stream *yamux.Stream) error {
+// serveStream answers the calls of a stream until its caller closes it. An error means
+// that the peer broke the protocol.
+func (t *Transport) serveStream(stream *stream) error {
 	defer stream.Close()
+	for {
+		_ = stream.SetDeadline(time.Now().Add(serveIdle)) // fails only on a closed stream, which the next line notices
+		if _, err := stream.in.Peek(1); err != nil {
+			return nil // the caller is done, or has left
+		}
+		if err := t.serveCall(stream); err != nil {
+			return err
+		}
+	}
+}
+
+// serveCall answers one call.
+func (t *Transport) serveCall(stream *stream) error {
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
 	req := &peerpb.Request{}
-	if err := t.read(stream, req); err != nil {
+	if err := t.read(stream.in, req); err != nil {
 		return err
 	}
 	if req.GetFrom().GetName() == "" || req.Body == nil {
@@ -176,35 +193,15 @@
 	return nil
 }
 
-func (t *Transport) read(r io.Reader, m proto.Message) error {
+func (t *Transport) read(r protodelim.Reader, m proto.Message) error {
 	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
-	if err := opts.UnmarshalFrom(bufio.NewReader(r), m); err != nil {
+	if err := opts.UnmarshalFrom(r, m); err != nil {
 		return err
 	}
 	t.count("in", proto.Size(m))
 	return nil
 }
 
-// openStream is session.OpenStream bounded by ctx.
-func openStream(ctx context.Context, session *yamux.Session) (*yamux.Stream, error) {
-	type result struct {
-		stream *yamux.Stream
-		err    error
-	}
-	done := make(chan result, 1)
-	go func() {
-		s, err := session.OpenStream()
-		done <- result{s, err}
-	}()
-	select {
-	case r := <-done:
-		return r.stream, r.err
-	case <-ctx.Done():
-		session.Close() // its backlog is full, so nothing answers there
-		return nil, ctx.Err()
-	}
-}
-
 func (t *Transport) count(direction string, n int) {
 	metrics.GetOrRegisterCounter("peer.bytes_"+direction, t.reg).Inc(int64(n))
 }
@@ -212,11 +209,28 @@
 // Call sends req to the process at address and returns its answer. The error
 // is Unavailable if no byte of the call was sent and Unknown otherwise.
 func (t *Transport) Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Response, error) {
-	session, stream, err := t.open(ctx, address)
+	stream, err := t.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	defer stream.Close()
+	resp, err := t.call(ctx, address, stream, req)
+	if err != nil {
+		stream.Close()
+		return nil, err
+	}
+	if ctx.Err() == nil { // otherwise its deadline is being changed
+		t.keep(address, stream)
+	} else {
+		stream.Close()
+	}
+	if resp.Error != "" {
+		return nil, fault.New(fault.Denied, "peer "+address+" refused: "+resp.Error, "see the log of that process")
+	}
+	return resp, nil
+}
+
+// call sends req on a stream and waits for the answer.
+func (t *Transport) call(ctx context.Context, address string, stream *stream, req *peerpb.Request) (*peerpb.Response, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
@@ -226,37 +240,37 @@
 	n, err := protodelim.MarshalTo(stream, req)
 	t.count("out", n)
 	if err != nil {
-		t.drop(address, session)
+		t.drop(address, stream.session)
 		return nil, fault.Wrap(err, fault.Unknown, "call to peer "+address+" was cut", "the call may have arrived")
 	}
 	resp := &peerpb.Response{}
-	if err := t.read(stream, resp); err != nil {
+	if err := t.read(stream.in, resp); err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, yamux.ErrTimeout) {
-			t.drop(address, session) // a peer that answers nothing has ended the session
+			t.drop(address, stream.session) // a peer that answers nothing has ended the session
 		}
 		return nil, fault.Wrap(err, fault.Unknown, "answer of peer "+address+" was lost", "the call may have arrived")
 	}
-	if resp.Error != "" {
-		return nil, fault.New(fault.Denied, "peer "+address+" refused: "+resp.Error, "see the log of that process")
-	}
 	return resp, nil
 }
 
-// open opens a stream to address. If the session has ended in the meantime it
+// open returns a stream to address. If the session has ended in the meantime it
 // dials once more, which is safe, since nothing of the call has been sent.
-func (t *Transport) open(ctx context.Context, address string) (*yamux.Session, *yamux.Stream, error) {
+func (t *Transport) open(ctx context.Context, address string) (*stream, error) {
+	if s := t.idleStream(address); s != nil {
+		return s, nil
+	}
 	for attempt := 0; ; attempt++ {
 		session, err := t.session(ctx, address)
 		if err != nil {
-			return nil, nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" cannot be reached", "check the process and the network between the hosts")
+			return nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" cannot be reached", "check the process and the network between the hosts")
 		}
 		stream, err := openStream(ctx, session)
 		if err == nil {
-			return session, stream, nil
+			return stream, nil
 		}
 		t.drop(address, session)
 		if attempt > 0 || ctx.Err() != nil {
-			return nil, nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" takes no calls", "check the process and the network between the hosts")
+			return nil, fault.Wrap(err, fault.Unavailable, "peer "+address+" takes no calls", "check the process and the network between the hosts")
 		}
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -56,6 +58,40 @@
 		require.NoError(t, call(t, client, address))
 	}
 	require.Len(t, client.dialed, 1, "one session carries all calls")
+	require.Len(t, client.idle[address], 1, "and one stream those that follow each other")
+}
+
+// TestStreamThatRestedIsNotUsed checks that a call is not lost on a stream that its
+// other end has closed meanwhile.
+func TestStreamThatRestedIsNotUsed(t *testing.T) {
+	_, address := serve(t, echo)
+	client, _ := serve(t, echo)
+	require.NoError(t, call(t, client, address))
+	first := client.idle[address][0]
+	first.idleSince = first.idleSince.Add(-idleFor)
+	require.NoError(t, call(t, client, address))
+	require.NotSame(t, first, client.idle[address][0])
+	client.idle[address][0].session.Close()
+	require.NoError(t, call(t, client, address), "one whose session has ended is not used either")
+}
+
+// TestCallsAtTheSameTimeGetTheirOwnAnswers checks that calls do not share a stream
+// while they are in hand.
+func TestCallsAtTheSameTimeGetTheirOwnAnswers(t *testing.T) {
+	_, address := serve(t, echo)
+	client, _ := serve(t, echo)
+	var wg sync.WaitGroup
+	for n := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			resp, err := client.Call(context.Background(), address, beat(int64(n)))
+			assert.NoError(t, err)
+			assert.EqualValues(t, n, resp.GetHeartbeat().GetConfigRevision())
+		}()
+	}
+	wg.Wait()
+	require.LessOrEqual(t, len(client.idle[address]), maxIdle)
 }
 
 func TestGarbageOnlyEndsItsOwnSession(t *testing.T) {
--- a/placement/state.go
+++ b/placement/state.go
@@ -152,6 +152,17 @@
 	return out
 }
 
+// Prompts returns how many prompts of this process wait to be read or are being read.
+func (p *Placer) Prompts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, st := range p.instances {
+		n += st.own.Prompts + st.own.LatePrompts
+	}
+	return n
+}
+
 // Retain forgets all instances but those that keep names.
 func (p *Placer) Retain(keep func(id string) bool) {
 	p.mu.Lock()
