--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -312,9 +312,22 @@
 		Address: i.Address, Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
 		Header:  q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
 		Matches: func(h http.Header) bool { return q.s.o.Protocol.Matches(q.call.ID, h) },
+		MaxIdle: q.maxIdle(),
 	}
 }
 
+// maxIdle returns how many unused connections to one instance this process keeps: half
+// of its share of those that the instance takes from all callers together. It returns
+// 0 if the configuration states no bound.
+func (q *request) maxIdle() int {
+	v := q.s.o.View()
+	most := v.Config.Services[q.service].MaxConns
+	if most <= 0 {
+		return 0
+	}
+	return max(1, most/(2*max(len(v.Members), 1)))
+}
+
 // finish gives the caller a reply of the gateway's own, whose status says truly whether
 // the request may have run. If a part of an answer has been passed on, the connection
 // is broken off, so that the caller sees that the answer is not whole.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -40,7 +41,8 @@
 	// inlineBody is the largest body that is written before the answer is read.
 	// A larger one is written beside it, as an instance may answer early.
 	inlineBody = 2 << 10
-	// maxIdle bounds the kept connections to one instance.
+	// maxIdle bounds the kept connections to one instance if the request states no
+	// bound.
 	maxIdle = 64
 )
 
@@ -59,6 +61,9 @@
 	Check func() error
 	// Fresh asks for a new connection.
 	Fresh bool
+	// MaxIdle bounds the connections to the address that are kept unused after this
+	// request; 0 leaves it to the client.
+	MaxIdle int
 }
 
 // Client keeps connections to instances. It is safe for concurrent use.
@@ -93,6 +98,7 @@
 
 	client  *Client
 	address string
+	maxIdle int
 	conn    *conn
 	resp    *http.Response
 	// written is closed once the request has been written or given up.
@@ -135,7 +141,7 @@
 			return nil, err
 		}
 	}
-	a := &Answer{client: c, address: r.Address, conn: cn, written: make(chan struct{})}
+	a := &Answer{client: c, address: r.Address, maxIdle: cmp.Or(r.MaxIdle, maxIdle), conn: cn, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	req := r.build()
 	if len(r.Body) <= inlineBody {
@@ -214,7 +220,7 @@
 			return
 		}
 		a.conn.idleFor = idleTime(a.Header)
-		a.client.put(a.address, a.conn)
+		a.client.put(a.address, a.conn, a.maxIdle)
 	})
 }
 
@@ -290,12 +296,14 @@
 	return cn
 }
 
-func (c *Client) put(address string, cn *conn) {
+// put keeps a connection, and closes the oldest beyond most and those that rested too
+// long.
+func (c *Client) put(address string, cn *conn, most int) {
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	var old []*conn
 	all := append(c.idle[address], cn)
-	for len(all) > 0 && (len(all) > maxIdle || cn.idleSince.Sub(all[0].idleSince) > all[0].idleFor) {
+	for len(all) > 0 && (len(all) > most || cn.idleSince.Sub(all[0].idleSince) > all[0].idleFor) {
 		old, all = append(old, all[0]), all[1:]
 	}
 	c.idle[address] = all
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -90,6 +90,36 @@
 	require.Zero(t, c.Open(address))
 }
 
+// TestUnusedConnectionsAreBounded checks that no more connections are kept than the
+// request allows, so that all processes together stay inside what an instance takes.
+func TestUnusedConnectionsAreBounded(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			write(c, id, "ok")
+		}
+	})
+	c := New(metrics.NewRegistry())
+	var answers []*Answer
+	for range 5 {
+		r := request(address, "a", "")
+		r.MaxIdle = 2
+		a, err := c.Do(context.Background(), r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(a.Body)
+		require.NoError(t, err)
+		answers = append(answers, a)
+	}
+	require.Equal(t, 5, c.Open(address))
+	for _, a := range answers {
+		a.Close(true)
+	}
+	require.Equal(t, 2, c.Open(address))
+}
+
 // TestLateAnswerOfAnEarlierRequest checks that an answer in excess is never
 // taken for the next request's, whether it is there before or comes after.
 func TestLateAnswerOfAnEarlierRequest(t *testing.T) {
--- a/placement/cache_test.go
+++ b/placement/cache_test.go
@@ -72,3 +72,16 @@
 	late, _ := p.ReadsAfter(0)
 	require.Len(t, late, 1, "old reads are not kept")
 }
+
+// BenchmarkPrefixCache fills the cache of one engine of 305,000 tokens; the bytes are
+// a bound on what is kept of it.
+func BenchmarkPrefixCache(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		c := newPrefixCache()
+		c.resize(305_000)
+		for n := range uint64(60) {
+			c.read([]Part{{1, 2520}, {2 + n, 3780}}, 2890)
+		}
+	}
+}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -38,7 +38,7 @@
 	var out []Considered
 	for _, i := range j.Permitted {
 		st := p.state(i)
-		c := Considered{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Pace: st.pace, GapMs: st.gap, Failures: st.failures, Why: p.why(i, st)}
+		c := Considered{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Pace: st.pace, GapMs: st.gap, Failures: st.failures, Why: p.why(j, i, st)}
 		if i.Role == engine.RolePrefill {
 			e := p.estimate(j, i, keepers, func(l Load) Load { return l })
 			c.Uncached, c.AheadMs, c.ReadMs, c.Score = e.uncached, e.ahead, e.read, e.score
@@ -51,13 +51,13 @@
 }
 
 // why says why an instance gets no request now.
-func (p *Placer) why(i *fleet.Instance, st *state) string {
+func (p *Placer) why(j *Job, i *fleet.Instance, st *state) string {
 	switch {
 	case p.changing(i):
 		return "is changing its role"
 	case st.replaced:
 		return "has lost its address to another"
-	case i.Role != engine.RolePrefill && p.full(i, st):
+	case i.Role != engine.RolePrefill && p.full(&j.Service, i, st):
 		return "is full"
 	}
 	return ""
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -209,6 +209,16 @@
 		require.Equal(t, ReasonFull, plan.Reason)
 		require.Positive(t, plan.RetryAfter)
 	})
+	t.Run("one that takes no more connections is full", func(t *testing.T) {
+		p := New("a", func(string) Load { return Load{Requests: 5} }, nil)
+		j := job(fleetOf(0, 1), "s", 100)
+		j.Service.MaxConns = 6
+		_, ticket := p.Place(j)
+		require.NotNil(t, ticket)
+		plan, none := p.Place(j)
+		require.Nil(t, none)
+		require.Equal(t, ReasonFull, plan.Reason)
+	})
 	t.Run("changing, avoided and replaced ones get nothing", func(t *testing.T) {
 		all := fleetOf(0, 4)
 		p := New("a", nil, func(i *fleet.Instance) bool { return i.ID == "d-0" })
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -31,7 +31,7 @@
 	best := math.Inf(1)
 	for _, r := range runners {
 		st := p.state(r)
-		if p.full(r, st) {
+		if p.full(&j.Service, r, st) {
 			continue
 		}
 		score := p.runnerScore(r, st, usual) + rand.Float64()*tieBreak
@@ -125,9 +125,11 @@
 	return max(1, s.gap/usual)
 }
 
-// full reports whether a runner has as much in hand as it takes.
-func (p *Placer) full(r *fleet.Instance, st *state) bool {
-	return r.Slots > 0 && float64(p.load(st).Requests) >= queueFactor*float64(r.Slots)
+// full reports whether a runner has as much in hand as it takes: requests wait for a
+// slot, and each needs a connection.
+func (p *Placer) full(s *fleet.Service, r *fleet.Instance, st *state) bool {
+	requests := p.load(st).Requests
+	return r.Slots > 0 && float64(requests) >= queueFactor*float64(r.Slots) || s.MaxConns > 0 && requests >= s.MaxConns
 }
 
 // runnerScore grows with how unfit a runner is, where usual is the usual time
