Choice of readers in a file of its own

Ruled out: a package of its own, since both choices share the state of an instance. Change: reader.go beside runner.go; no change of behaviour.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,12 +5,9 @@
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 )
@@ -201,145 +198,12 @@
 	return m
 }
 
-// chooseReader picks the engine that is expected to have read the prompt first.
-// A request that no engine is expected to read in time goes where the least waits
-// in all, since it is read when nothing else is.
-func (p *Placer) chooseReader(plan *Plan, j *Job, parts []Part, readers []*fleet.Instance) {
-	k := p.keepers(j, parts, readers)
-	p.chooseLeast(plan, j, readers, k, func(l Load) Load { return l })
-	estimate := plan.Ahead + plan.Read + millis(p.model(j.Service.Name).after)
-	plan.Late = j.Route.LatencyTarget > 0 && estimate > time.Duration(targetShare*float64(j.Route.LatencyTarget))-j.Spent
-	if !plan.Late {
-		return
-	}
-	p.chooseLeast(plan, j, readers, k, Load.withLate)
-	plan.Reason = ReasonLate
-	if all := plan.Ahead + plan.Read; all > j.Left {
-		plan.Reader, plan.Reason = nil, ReasonHopeless
-		plan.RetryAfter = max(all-j.Route.LatencyTarget, minRetry)
-	}
-}
-
-// chooseLeast picks the reader with the shortest time until the prompt is read,
-// counting the part of its load that counted returns.
-func (p *Placer) chooseLeast(plan *Plan, j *Job, readers []*fleet.Instance, k keepers, counted func(Load) Load) {
-	best := math.Inf(1)
-	var chosen estimate
-	for _, r := range readers {
-		e := p.estimate(j, r, k, counted)
-		if e.score < best {
-			best, chosen = e.score, e
-			plan.Reader = r
-		}
-	}
-	plan.Uncached, plan.Ahead, plan.Read = chosen.uncached, millis(chosen.ahead), millis(chosen.read)
-	plan.FetchFrom = nil
-	if chosen.fetched > 0 {
-		plan.FetchFrom = k.most
-	}
-	switch {
-	case chosen.fetched > 0:
-		plan.Reason = ReasonFetch
-	case chosen.kept > 0:
-		plan.Reason = ReasonHolder
-	case plan.Reader == k.home:
-		plan.Reason = ReasonHome
-	default:
-		plan.Reason = ReasonSpill
-	}
-}
-
-// keepers are the engines that are expected to keep the shared parts of a prompt.
-type keepers struct {
-	parts []Part
-	// home is where a subject that nobody keeps is read.
-	home *fleet.Instance
-	// most keeps the most tokens of the parts, kept; nil if none keeps any.
-	most *fleet.Instance
-	kept int
-}
-
-func (p *Placer) keepers(j *Job, parts []Part, readers []*fleet.Instance) keepers {
-	k := keepers{parts: parts, home: Home(j.Call.Subject(), readers)}
-	for _, i := range readers {
-		p.state(i).cache.resize(j.Service.KVCapacity)
-	}
-	k.most, k.kept = p.keeper(parts, j.Permitted)
-	return k
-}
-
-// estimate is what a reader is expected to take for a job, in ms.
-type estimate struct {
-	// kept and fetched are tokens that the reader keeps and takes from another
-	// engine, uncached those that it reads.
-	kept, fetched, uncached int
-	ahead, read             float64
-	score                   float64
-}
-
-func (p *Placer) estimate(j *Job, r *fleet.Instance, k keepers, counted func(Load) Load) estimate {
-	st := p.state(r)
-	model := p.model(j.Service.Name)
-	e := estimate{kept: st.cache.kept(k.parts)}
-	e.fetched = max(k.kept-e.kept, 0)
-	e.uncached = j.Call.PromptTokens - e.kept - int((1-fetchedCost)*float64(e.fetched))
-	e.ahead = model.Busy(counted(p.load(st))) * st.pace
-	e.read = model.Read(e.uncached) * st.pace
-	e.score = (e.ahead + e.read) * st.penalty()
-	if r.Domain != p.domain {
-		e.score += farRead
-	}
-	if r != k.home {
-		e.score += strangerRead
-	}
-	return e
-}
-
-// minRetry is the least time to come back: sooner, and nothing has changed.
-const minRetry = 100 * time.Millisecond
-
-const (
-	// fetchedCost is the part of the shared tokens that is expected to be read at
-	// an engine that takes them from another: the move costs little, but they may
-	// have given way there.
-	fetchedCost = 0.15
-	// targetShare is the part of the latency target within which an answer must be
-	// expected for the request not to be late. Estimates err by some 30 ms: without
-	// a margin two of five requests on the edge were late on quiet-1.
-	targetShare = 0.85
-	// strangerRead is how much longer, in ms, the home of a subject may take than
-	// another engine: what nobody keeps is best kept in one place.
-	strangerRead = 3.0
-)
-
 const (
-	// farRead is how much longer, in ms, a reader of the own failure domain may
-	// take than one elsewhere.
-	farRead = 20.0
+	// minRetry is the least time to come back: sooner, and nothing has changed.
+	minRetry = 100 * time.Millisecond
 	// fullRetry is when to ask again while everything is full: about as long as
 	// an engine takes to finish a short request.
 	fullRetry = 200 * time.Millisecond
 )
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-// Home returns the engine that first reads a subject, by rendezvous hashing, so
-// that all processes name the same one and a change of engines moves few subjects.
-func Home(subject string, engines []*fleet.Instance) *fleet.Instance {
-	var home *fleet.Instance
-	var most uint64
-	for _, e := range engines {
-		if w := weight(subject, e.ID); home == nil || w > most {
-			home, most = e, w
-		}
-	}
-	return home
-}
-
-func weight(subject, id string) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(subject)
-	_, _ = h.WriteString("/")
-	_, _ = h.WriteString(id)
-	return h.Sum64()
-}
