A decision's log line says how much time is left

Ruled out: a wrong estimate (the line has ahead and read). Change: the field left; the remedy in `rockdoor trace` names it.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -15,6 +15,7 @@
 		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
 		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
 		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
+		"left", time.Until(q.deadline).Round(time.Millisecond),
 	}
 	if p.Reader != nil {
 		kv = append(kv, "subject", q.call.Subject(), "reader", p.Reader.ID)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -164,7 +164,7 @@
 	"bad-body":        {"the body was too large, too slow, or cut", "see err"},
 	"none-permitted":  {"no instance of the service takes requests: none is registered and ready where the rules permit", "see instance gone and store lost; ask a gateway with rockdoor gateway explain"},
 	"all-full":        {"all permitted instances have as much as they take", "see requests in rockdoor gateway explain; the fleet is too small for this peak, or engines are missing"},
-	"hopeless":        {"no engine was expected to read the prompt before the caller's time was up, so it was refused at once", "see ahead of the decision: a peak, or readers missing"},
+	"hopeless":        {"no engine was expected to read the prompt before the caller's time was up, so it was refused at once", "compare ahead and read with left of the decision: a peak, or readers missing"},
 	"attempts-used":   {"several instances refused", "see err of the attempts; engines may be full or failing"},
 	"budget-empty":    {"an instance refused or failed and the retry budget of the service is used up", "see which instances refuse in the other requests' lines"},
 	"lost":            {"an instance broke off and the request may have run, so it was not repeated", "see the log of the runner"},
