A caller that closed only its own side gets nothing that looks whole

Cause: found by reading the change. When a caller leaves, the handler returned, and the HTTP server then ended the answer in order: 200 without a body if nothing had been sent, and the last chunk of a stream that was cut. A caller that had closed only its sending side read that as a whole answer.

Change: the connection of a caller that has left is closed without an end of the answer. The stand-in of engines can stop in the middle of a stream.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,8 +1,12 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -325,3 +329,38 @@
 	require.Empty(t, other[0].Runs()[0].Header.Get("X-Kv-Source"))
 	require.Eventually(t, func() bool { return len(readers[0].Freed()) == 1 }, time.Second, 5*time.Millisecond)
 }
+
+// TestHalfClosedCallerGetsNoAnswerThatLooksWhole checks callers that close their side
+// after the request and go on reading: the end of their side counts as leaving, and
+// what they read then must not pass for an answer.
+func TestHalfClosedCallerGetsNoAnswerThatLooksWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault fleetengine.Fault
+		path  string
+	}{
+		"before the answer": {fleetengine.Hang, pathOnce},
+		"in its middle":     {fleetengine.HangMidStream, pathStream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := fleetengine.New("i-1", "")
+			e.Events = 3
+			e.Fail(c.fault, 1)
+			r := newRig(t, rigOptions{plain: []*fleetengine.Engine{e}})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Request-Id: h\r\nContent-Length: 1\r\n\r\nx", c.path, testHost)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return len(e.Runs()) == 1 }, 2*time.Second, time.Millisecond)
+			time.Sleep(50 * time.Millisecond) // so that the first event has been passed on
+			require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return // the connection was closed without an answer
+			}
+			_, err = io.ReadAll(resp.Body)
+			require.Error(t, err, "status %d", resp.StatusCode)
+		})
+	}
+}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -18,7 +18,7 @@
 	err  error
 	// retryAfter is when asking again makes sense, 0 if it does not.
 	retryAfter time.Duration
-	// silent is true if nobody waits for the reply.
+	// silent is true if nobody waits for the reply: the connection is closed instead.
 	silent bool
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -330,15 +330,13 @@
 
 // finish gives the caller a reply of the gateway's own, whose status says truly whether
 // the request may have run. If a part of an answer has been passed on, the connection
-// is broken off, so that the caller sees that the answer is not whole.
+// is broken off, so that the caller sees that the answer is not whole. That holds also
+// for a caller that has left: it may have closed only its own side.
 func (q *request) finish(rep *reply) {
 	q.log(rep.code, rep.err)
-	switch {
-	case rep.silent:
-	case q.begun:
+	if q.begun || rep.silent {
 		panic(http.ErrAbortHandler)
-	default:
-		rep.status = rep.statusIn(q.life)
-		rep.write(q.w)
 	}
+	rep.status = rep.statusIn(q.life)
+	rep.write(q.w)
 }
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -34,6 +34,8 @@
 	Unsealed Fault = "unsealed"
 	// Hang runs the request and never answers.
 	Hang Fault = "hang"
+	// HangMidStream sends the first event of a stream and then nothing.
+	HangMidStream Fault = "hang-mid-stream"
 	// LateOrders takes orders without an answer and carries them out later.
 	LateOrders Fault = "late-orders"
 )
@@ -279,17 +281,21 @@
 		_, _ = io.WriteString(w, "answer to "+run.ID)
 		return
 	}
-	e.stream(w, run, fault)
+	e.stream(w, r, run, fault)
 }
 
 // stream sends the events after the last one that the caller has.
-func (e *Engine) stream(w http.ResponseWriter, run Run, fault Fault) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run Run, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if _, err := fmt.Sscanf(run.LastEvent, "%d", &first); err == nil {
 		first++
 	}
 	for n := first; n <= e.Events; n++ {
+		if fault == HangMidStream && n == 2 {
+			<-r.Context().Done()
+			return
+		}
 		if fault == CutMidEvent && n == 2 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", n)
 			_ = http.NewResponseController(w).Flush()
