A process asks engines at its start what their prefix caches keep

An engine that does not answer is left out. The test places a prompt in a new process and fails without the scan.

--- /dev/null
+++ b/internal/cachescan/cachescan_test.go
@@ -0,0 +1,66 @@
+package cachescan
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// TestCachesAreKnownAfterAllProcessesWereLost has an engine read a prompt, and then a new
+// process without peers place another one of the same subject.
+func TestCachesAreKnownAfterAllProcessesWereLost(t *testing.T) {
+	v := &fleet.View{Config: &fleet.Config{Services: map[string]fleet.Service{"m": {Name: "m", KVCapacity: 100_000}}}, Instances: map[string]*fleet.Instance{}}
+	var all []*fleet.Instance
+	for n, id := range []string{"p-0", "p-1", "p-2", "d-0"} {
+		stage, role := "prefill", engine.RolePrefill
+		if id == "d-0" {
+			stage, role = "decode", engine.RoleMixed
+		}
+		e := fleetengine.New(id, stage)
+		s := httptest.NewServer(e)
+		defer s.Close()
+		if n == 1 {
+			read(t, s.URL)
+		}
+		i := &fleet.Instance{ID: id, Service: "m", Address: s.Listener.Addr().String(), Domain: "a", Role: role, Slots: 8}
+		v.Instances[id], all = i, append(all, i)
+	}
+	silent := &fleet.Instance{ID: "p-9", Service: "m", Address: "127.0.0.1:1", Domain: "a", Role: engine.RolePrefill}
+	v.Instances["p-9"] = silent
+	v.Index()
+	placer := placement.New("a", nil, nil)
+	Run(context.Background(), Options{
+		View: func() *fleet.View { return v }, Lister: platform.NewKeeper(upstream.New(metrics.NewRegistry())), Placer: placer, Logger: log.NewNopLogger(),
+	})
+	plan, _ := placer.Place(&placement.Job{
+		Route: &fleet.Route{}, Service: v.Config.Services["m"], Left: time.Second, Permitted: all,
+		Call: &engine.Call{PromptTokens: 9000, Parts: []engine.Part{{ID: "aa", Tokens: 2500}, {ID: "bb", Tokens: 3800}, {ID: "ff", Tokens: 2700}}},
+	})
+	require.Equal(t, placement.ReasonHolder, plan.Reason)
+	require.Equal(t, "p-1", plan.Reader.ID)
+	require.Equal(t, 2700, plan.Uncached)
+}
+
+// read has the engine read a prompt.
+func read(t *testing.T, url string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, nil)
+	require.NoError(t, err)
+	req.Header = http.Header{"X-Request-Id": {"1"}, "X-Serving-Stage": {"prefill"}, "X-Prompt-Prefix": {"aa:2500,bb:3800,ee:100"}}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -20,6 +20,7 @@
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/cachescan"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/httpserve"
@@ -207,6 +208,7 @@
 		case <-ready:
 			ready = nil
 			level.Info(d.logger).Log("msg", "ready", "config", d.discovery.View().Config.Version)
+			go cachescan.Run(ctx, cachescan.Options{View: d.discovery.View, Lister: platform.NewKeeper(d.client), Placer: d.placer, Logger: d.logger})
 		case <-reload:
 			d.reload()
 		}
