A shard that grows is not taken for lost when one of its first holders goes

The third holder is added and copies; until it has, the shard was said to need two synced holders. When one of the two was killed, one was left, nothing could be copied or replaced, and after 10 s the shard started afresh and granted nothing for a window. Every claim had been granted by both first holders, so the one that was left knew them all. Ruled out: the streams reused between processes (the table itself refuses the change: shown by a test without a network); suspicion of live members (all five were live when the shards started afresh); a slow store. Change: a shard carries how many synced holders know every claim until all are synced. The registrar forgets since when a shard is short while another process is the registrar.

--- a/claims/keeper.go
+++ b/claims/keeper.go
@@ -102,6 +102,8 @@
 	k.sync(ctx)
 	if k.o.Registrar() {
 		k.register(ctx)
+	} else {
+		k.short = time.Time{} // another process watches
 	}
 }
 
--- a/claims/table.go
+++ b/claims/table.go
@@ -58,6 +58,9 @@
 	// that were lost then may be within their window; else 0. Holders grant
 	// nothing until it is 0 or they have waited for a window themselves.
 	Fresh int64 `json:"fresh,omitempty"`
+	// Known is how many synced holders know every claim between them, whichever they
+	// are, while some holder is not synced; 0 in tables of earlier versions.
+	Known int `json:"known,omitempty"`
 }
 
 // Quorum returns how many of n holders must grant a claim.
@@ -91,8 +94,16 @@
 }
 
 // remain returns how many synced holders must remain for each granted claim to
-// be known to one of them.
-func (s *Shard) remain() int { return len(s.Holders) - Quorum(len(s.Holders)) + 1 }
+// be known to one of them. While a holder is not synced that is what it was before the
+// holder came, since claims are granted by a majority of all and so by more of the synced
+// ones: a shard that had grown from two holders to three was taken for lost when one of the
+// two went before the third had copied their claims.
+func (s *Shard) remain() int {
+	if s.Known > 0 && slices.ContainsFunc(s.Holders, func(h Holder) bool { return !h.Synced }) {
+		return s.Known
+	}
+	return len(s.Holders) - Quorum(len(s.Holders)) + 1
+}
 
 // Next returns the table that follows t, given the members that may hold
 // claims, and whether it differs. A nil t makes a new table. At most one holder
@@ -165,6 +176,7 @@
 
 // with returns the shard with m, not synced, as its j-th holder.
 func (s Shard) with(j int, m Member) Shard {
+	s.Known = s.remain()
 	s.Holders = slices.Clone(s.Holders)
 	if j == len(s.Holders) {
 		s.Holders = append(s.Holders, Holder{})
