Engines begin to read after 300 ms of queue instead of 700

Cause: on a cold start six of eighteen engines read and nothing is kept; the change takes 3 s and began at 1.2 s. Change: waitFor.

--- a/roles/packing.go
+++ b/roles/packing.go
@@ -39,7 +39,7 @@
 	queueLimit = 40.0
 	// waitFor and crowdedFor are how long prompts must have waited, or generating
 	// engines been too few, before a role changes.
-	waitFor    = 700 * time.Millisecond
+	waitFor    = 300 * time.Millisecond
 	crowdedFor = 700 * time.Millisecond
 	// shiftFor is how long prompts must have waited before an engine with more than
 	// fewRequests starts to read: it takes as long as its longest request to get
