Rules and members are watched by reads that may be seconds old

Rules and members need no fresh answer: what they lead to is allowed to be seconds late, and a peer that is missing is seen to be. Ruled out: the same for the configuration and the instances, which have time bounds; longer watches there, since one that was cut silently must be noticed and an outage too. Change: platform.Store.Stale and discovery.Options.Stale.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,7 +34,9 @@
 
 // Options of a Discovery.
 type Options struct {
-	Store    objstore.Store
+	Store objstore.Store
+	// Stale is the same store for what may be seconds old: rules and members.
+	Stale    objstore.Store
 	Prefixes Prefixes
 	// DecodeConfig and DecodeInstance decode stored objects.
 	DecodeConfig   func(objstore.Object) (*fleet.Config, error)
@@ -109,12 +111,12 @@
 func (d *Discovery) Run(ctx context.Context) error {
 	wait := time.Duration(waitShare * float64(d.o.Apply))
 	for _, f := range []follower{
-		{feed: feedConfig, prefix: d.o.Prefixes.Config, wait: wait},
-		{feed: feedInstances, prefix: d.o.Prefixes.Instances, wait: wait},
-		{feed: feedRules, prefix: d.o.Prefixes.Rules, wait: wait * slowFactor},
-		{feed: feedMembers, prefix: d.o.Prefixes.Members, wait: wait * slowFactor},
+		{feed: feedConfig, store: d.o.Store, prefix: d.o.Prefixes.Config, wait: wait},
+		{feed: feedInstances, store: d.o.Store, prefix: d.o.Prefixes.Instances, wait: wait},
+		{feed: feedRules, store: d.o.Stale, prefix: d.o.Prefixes.Rules, wait: wait * slowFactor},
+		{feed: feedMembers, store: d.o.Stale, prefix: d.o.Prefixes.Members, wait: wait * slowFactor},
 	} {
-		f.store, f.events, f.logger, f.answerWithin = d.o.Store, d.events, d.logger, time.Duration(answerShare*float64(d.o.Apply))
+		f.events, f.logger, f.answerWithin = d.events, d.logger, time.Duration(answerShare*float64(d.o.Apply))
 		go f.run(ctx)
 	}
 	tick := time.NewTicker(lapseTick)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -30,7 +30,7 @@
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Listener.Addr().String())
 	d := discovery.New(discovery.Options{
-		Store: store,
+		Store: store, Stale: store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -90,7 +90,7 @@
 	d.logger = log.With(logger, "process", set.Name)
 	d.store = platform.NewStore(set.Store)
 	d.discovery = discovery.New(discovery.Options{
-		Store: d.store,
+		Store: d.store, Stale: d.store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
