Watches of the store wait as long as a silent cut may go unnoticed

They waited 0.6 of the time in which a change must be in force, but after a cut a process has the longer time to settle, which the deployment states. Ruled out: keep-alive probes and waits of 20 s (a connection on which an answer was lost stays silent without being dead); hints of peers on longer waits (an outage would go unnoticed, and with it why registrations lapse); one watch of both (not offered). Change: setting bounds.settle from the platform's file; a watch waits 0.65 of it, 1.95 s instead of 1.2 (2.6 s instead of 1.8 where it is 4 s).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -43,6 +43,8 @@
 	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
 	// Apply is within what time a change must be in force.
 	Apply time.Duration
+	// Settle is within what time after a fault of the network the view is up to date.
+	Settle time.Duration
 	// LapseKept is how long an instance is used whose registration went while the
 	// store was away, counted from the store's return.
 	LapseKept time.Duration
@@ -52,15 +54,15 @@
 
 const (
 	eventQueue = 256
-	// waitShare and answerShare are the parts of the time in which a change must be
-	// in force that a watch waits and that its answer may take beyond that. Together
-	// they leave time to look again after a watch that was cut silently.
-	waitShare   = 0.6
+	// waitShare is the part of the time to settle that a watch waits, answerShare that of
+	// the time in which a change must be in force that its answer may take beyond that.
+	// Together they leave time to look again after a watch that was cut silently.
+	waitShare   = 0.65
 	answerShare = 0.25
 	// slowFactor is how much longer the watches of rules and members wait than
 	// those of the configuration and the instances. A change ends them at once; only
 	// a silent cut is noticed later.
-	slowFactor = 6
+	slowFactor = 4
 	// awayRecent is how long after a failed call a registration that goes counts
 	// as lapsed. It covers the pause between two calls.
 	awayRecent = time.Second
@@ -109,7 +111,7 @@
 
 // Run follows the store until ctx ends.
 func (d *Discovery) Run(ctx context.Context) error {
-	wait := time.Duration(waitShare * float64(d.o.Apply))
+	wait := time.Duration(waitShare * float64(d.o.Settle))
 	for _, f := range []follower{
 		{feed: feedConfig, store: d.o.Store, prefix: d.o.Prefixes.Config, wait: wait},
 		{feed: feedInstances, store: d.o.Store, prefix: d.o.Prefixes.Instances, wait: wait},
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -35,7 +35,7 @@
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
-		Apply: apply, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Apply: apply, Settle: apply, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -95,7 +95,7 @@
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
-		Apply: set.Bounds.Apply.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
+		Apply: set.Bounds.Apply.Std(), Settle: set.Bounds.Settle.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -103,7 +103,7 @@
 	d.t.Helper()
 	ip := loopback()
 	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": "%[2]s:8080", "readiness": "%[2]s:8081", "metrics": "%[2]s:9464", "peer": "%[2]s:7660", "store": %[3]q,
-		"bounds": {"apply": "600ms", "drain": "600ms", "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
+		"bounds": {"apply": "600ms", "settle": "600ms", "drain": "600ms", "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
 		name, ip, d.address)
 	file := filepath.Join(d.t.TempDir(), "settings.json")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -34,6 +34,7 @@
 // Bounds are what the deployment demands.
 type Bounds struct {
 	Apply       jsonc.Duration `json:"apply"`
+	Settle      jsonc.Duration `json:"settle"`
 	Drain       jsonc.Duration `json:"drain"`
 	Grace       jsonc.Duration `json:"grace"`
 	Notice      jsonc.Duration `json:"notice"`
