--- a/placement/model.go
+++ b/placement/model.go
@@ -64,8 +64,8 @@
 	Pairs  int `json:"pairs"`
 }
 
-// workOf returns the work of a prompt of which the last tokens are not kept.
-func workOf(prompt, uncached int) Work {
+// WorkOf returns the work of a prompt of which the last tokens are not kept.
+func WorkOf(prompt, uncached int) Work {
 	return Work{uncached, uncached * (prompt - uncached/2)}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -96,7 +96,7 @@
 // Placer places requests. It is safe for concurrent use.
 type Placer struct {
 	domain string
-	// now is the clock, which tests set.
+	// now is the clock.
 	now func() time.Time
 
 	mu        sync.Mutex
@@ -120,6 +120,18 @@
 	return &Placer{domain: domain, now: time.Now, instances: map[string]*state{}, models: map[string]*Model{}, peers: peers, changing: changing}
 }
 
+// SetClock replaces the clock. It is called before the placer is used, where time is not
+// that of the process.
+func (p *Placer) SetClock(now func() time.Time) { p.now = now }
+
+// Estimate returns how long an idle engine of a service is expected to take to read a
+// prompt.
+func (p *Placer) Estimate(service string, w Work) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return millis(p.model(service).Read(w))
+}
+
 // Load returns what all processes have in hand at an instance.
 func (p *Placer) Load(i *fleet.Instance) Load {
 	p.mu.Lock()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -188,7 +188,7 @@
 	plan, ticket := p.Place(j)
 	require.Equal(t, 9000, plan.Uncached, "nobody has read any of it")
 	want := Load{Requests: 1}
-	want.Unread[0] = Backlog{1, workOf(9000, 9000)}
+	want.Unread[0] = Backlog{1, WorkOf(9000, 9000)}
 	require.Equal(t, want, p.Load(plan.Reader))
 	ticket.Read(true, Sound)
 	require.True(t, p.PlaceRead(j, &plan, ticket))
@@ -301,11 +301,11 @@
 	took := func(w Work) float64 { return 5 + float64(w.Tokens)/64 + 0.65*float64(w.Pairs)/million }
 	for n := range 400 {
 		uncached := 500 + n%20*500
-		w := workOf(uncached+n%7*3000, uncached)
+		w := WorkOf(uncached+n%7*3000, uncached)
 		waited := n % 8 / 7 * 150 // one of eight waits for a prompt that is not known here
 		m.Observe(w, millis(took(w)+float64(waited)))
 	}
-	for _, w := range []Work{workOf(1000, 1000), workOf(17000, 3000), workOf(17000, 17000)} {
+	for _, w := range []Work{WorkOf(1000, 1000), WorkOf(17000, 3000), WorkOf(17000, 17000)} {
 		require.InEpsilon(t, took(w), m.Read(w), 0.1, w)
 	}
 }
--- a/placement/reader.go
+++ b/placement/reader.go
@@ -118,7 +118,7 @@
 	pace := st.pace
 	load := p.load(st)
 	e.ahead = model.Ahead(&load.Unread, rank) * pace
-	e.read = model.Read(workOf(j.Call.PromptTokens, e.uncached)) * pace
+	e.read = model.Read(WorkOf(j.Call.PromptTokens, e.uncached)) * pace
 	e.score = (e.ahead + e.read) * st.penalty(p.now())
 	if r.Domain != p.domain {
 		e.score += farRead
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -39,7 +39,7 @@
 func (t *Ticket) read(plan *Plan) {
 	t.reader = t.p.state(plan.Reader)
 	ahead := t.p.load(t.reader)
-	work := workOf(t.tokens, plan.Uncached)
+	work := WorkOf(t.tokens, plan.Uncached)
 	t.idle = ahead.Unread.All().Prompts == 0
 	t.expected = t.model.Ahead(&ahead.Unread, plan.Rank) + t.model.Read(work)
 	t.late = plan.Late
