A digest costs the same however many peers there are

Each digest that was heard had the loads of all peers added up again, and a load had become larger. Change: the sums are kept; a new digest takes the place of the peer's old one in them.

--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -13,7 +13,7 @@
 // digest is what a peer said last.
 type digest struct {
 	at       time.Time
-	loads    []*peerpb.InstanceLoad
+	loads    map[string]placement.Load // by instance
 	changing []*peerpb.RoleChange
 }
 
@@ -106,9 +106,21 @@
 	if _, known := s.digests[name]; !known {
 		level.Info(s.logger).Log("msg", "peer heard", "peer", name)
 	}
-	s.digests[name] = digest{time.Now(), d.GetInstances(), d.GetChanging()}
+	next := digest{time.Now(), decodeLoads(d.GetInstances()), d.GetChanging()}
+	s.replace(s.digests[name], next)
+	s.digests[name] = next
 	delete(s.silent, name)
-	s.addUp()
+	s.sumChanging()
+}
+
+func decodeLoads(list []*peerpb.InstanceLoad) map[string]placement.Load {
+	out := make(map[string]placement.Load, len(list))
+	for _, l := range list {
+		out[l.GetInstance()] = placement.Load{
+			Requests: int(l.GetRequests()), Unread: decodeUnread(l.GetUnread()), Starting: int(l.GetStarting()), Long: int(l.GetLong()),
+		}
+	}
+	return out
 }
 
 // fresh returns the reads of a digest that were not heard before. Digests may
@@ -131,18 +143,26 @@
 	return reads[uint64(len(reads))-missing:]
 }
 
-// addUp sums the digests. The caller holds the lock.
-func (s *Sharer) addUp() {
-	sum, changing := map[string]placement.Load{}, map[string]engine.Role{}
+// replace puts a peer's new digest in the place of its old one in the sums, which costs
+// the same however many peers there are. The caller holds the lock.
+func (s *Sharer) replace(old, next digest) {
+	for id, l := range old.loads {
+		if s.sum[id] = s.sum[id].Sub(l); s.sum[id] == (placement.Load{}) {
+			delete(s.sum, id)
+		}
+	}
+	for id, l := range next.loads {
+		s.sum[id] = s.sum[id].Add(l)
+	}
+}
+
+// sumChanging joins what the digests say of role changes. The caller holds the lock.
+func (s *Sharer) sumChanging() {
+	changing := map[string]engine.Role{}
 	for _, d := range s.digests {
 		for _, c := range d.changing {
 			changing[c.GetInstance()] = engine.Role(c.GetRole())
 		}
-		for _, l := range d.loads {
-			sum[l.GetInstance()] = sum[l.GetInstance()].Add(placement.Load{
-				Requests: int(l.GetRequests()), Unread: decodeUnread(l.GetUnread()), Starting: int(l.GetStarting()), Long: int(l.GetLong()),
-			})
-		}
 	}
-	s.sum, s.changing = sum, changing
+	s.changing = changing
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -208,6 +208,7 @@
 	dropped := false
 	for name, d := range s.digests {
 		if time.Since(d.at) > after {
+			s.replace(d, digest{})
 			delete(s.digests, name)
 			delete(s.told, name)
 			dropped = true
@@ -215,7 +216,7 @@
 		}
 	}
 	if dropped {
-		s.addUp()
+		s.sumChanging()
 	}
 }
 
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -158,3 +158,21 @@
 	s.called("b")
 	require.Equal(t, []members.Member{{Name: "b"}}, s.peers())
 }
+
+// BenchmarkHear takes in digests of 64 peers, each with work at 60 instances.
+func BenchmarkHear(b *testing.B) {
+	s := New(Options{Placer: placement.New("a", nil, nil), Logger: log.NewNopLogger()})
+	d := &peerpb.LoadDigest{}
+	for n := range 60 {
+		d.Instances = append(d.Instances, &peerpb.InstanceLoad{
+			Instance: string(rune('a' + n)), Requests: 2, Unread: []*peerpb.Backlog{{Rank: 1, Prompts: 1, Tokens: 3000, Kilopairs: 40000}},
+		})
+	}
+	var peers []*peerpb.Identity
+	for n := range 64 {
+		peers = append(peers, &peerpb.Identity{Name: string(rune('a' + n)), Incarnation: "1"})
+	}
+	for n := 0; b.Loop(); n++ {
+		s.hear(peers[n%len(peers)], d)
+	}
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -43,7 +43,8 @@
 	return Load{l.Requests + m.Requests, l.Unread.add(m.Unread), l.Starting + m.Starting, l.Long + m.Long}
 }
 
-func (l Load) sub(m Load) Load {
+// Sub returns the difference of two loads.
+func (l Load) Sub(m Load) Load {
 	return Load{l.Requests - m.Requests, l.Unread.sub(m.Unread), l.Starting - m.Starting, l.Long - m.Long}
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -129,7 +129,7 @@
 
 // leaveReader takes the job off its reader. The caller holds the lock.
 func (t *Ticket) leaveReader() {
-	t.reader.own = t.reader.own.sub(t.reading)
+	t.reader.own = t.reader.own.Sub(t.reading)
 	t.reader = nil
 }
 
@@ -144,7 +144,7 @@
 // leaveRunner takes the job off its runner. The caller holds the lock.
 func (t *Ticket) leaveRunner() {
 	t.started()
-	t.runner.own = t.runner.own.sub(t.running)
+	t.runner.own = t.runner.own.Sub(t.running)
 	t.runner = nil
 }
 
