--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,14 +101,16 @@
 	Limits   Limits
 
 	byHost map[string][]*Route
+	byName map[string]*Route
 }
 
 // Index prepares the configuration for look-ups. It is called once, before the
 // configuration is published.
 func (c *Config) Index() {
-	c.byHost = map[string][]*Route{}
+	c.byHost, c.byName = map[string][]*Route{}, map[string]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		c.byName[r.Name] = r
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
@@ -128,6 +130,9 @@
 	return nil
 }
 
+// RouteNamed returns the route with the name, or nil if there is none.
+func (c *Config) RouteNamed(name string) *Route { return c.byName[name] }
+
 // Pick returns the service that a request goes to. The same id goes to the same
 // share, so that a decision can be explained from the id.
 func (r *Route) Pick(id string) string {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,8 +22,18 @@
 	// Instances has every registered instance by its ID.
 	Instances map[string]*Instance
 	Rules     *Rules
-	// Members are the registered processes of the product, ordered by name.
-	Members []members.Member
+	// Members are the registered processes of the product, ordered by name, as far as this
+	// one knows them; Processes is how many there are.
+	Members   []members.Member
+	Processes int
+	// Schedulers work for the others, Watchers are those of them that watch the store, and
+	// Scheduling is true if this process is a scheduler. Mesh are the schedulers, and those
+	// whose place another one has taken for as long as they are silent: all that tell each
+	// other of their work.
+	Schedulers []members.Member
+	Watchers   []members.Member
+	Mesh       []members.Member
+	Scheduling bool
 	// StoreUp is false while the store does not answer.
 	StoreUp bool
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,7 @@
-// Package discovery keeps a process's view of the deployment up to date from
-// the object store. One goroutine owns the state and publishes immutable views;
-// followers only fetch.
+// Package discovery keeps a process's view of the deployment up to date. A few processes of
+// a fleet watch the object store; the schedulers follow one of these, and the others follow
+// a scheduler. They look at the store themselves only while none answers. One goroutine owns the state and publishes
+// immutable views; followers only fetch.
 package discovery
 
 import (
@@ -17,16 +18,17 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
-// Feeds that are followed.
+// Kinds of objects that are followed.
 const (
-	feedConfig    feed = "config"
-	feedInstances feed = "instances"
-	feedRules     feed = "rules"
-	feedMembers   feed = "members"
+	feedConfig    source = "config"
+	feedInstances source = "instances"
+	feedRules     source = "rules"
+	feedMembers   source = "members"
 )
 
 // Prefixes are where the feeds are in the store.
@@ -34,7 +36,15 @@
 
 // Options of a Discovery.
 type Options struct {
-	Store objstore.Store
+	// Self is this process as it registers, Run names this run of it.
+	Self members.Member
+	Run  string
+	// Relay follows a scheduler.
+	Relay Relay
+	// Silent reports whether a scheduler has not answered for so long that another one
+	// takes its place; nil if that is not known.
+	Silent func(name string) bool
+	Store  objstore.Store
 	// Stale is the same store for what may be seconds old: rules and members.
 	Stale    objstore.Store
 	Prefixes Prefixes
@@ -63,11 +73,18 @@
 	// those of the configuration and the instances. A change ends them at once; only
 	// a silent cut is noticed later.
 	slowFactor = 4
+	// sharedWait is how long a watch waits at the most in a fleet in which others follow
+	// this process: what they have must not be older than a part of the time in which a
+	// change must be in force, also if this process is cut off from the store.
+	sharedWait = time.Second
 	// awayRecent is how long after a failed call a registration that goes counts
 	// as lapsed. It covers the pause between two calls.
 	awayRecent = time.Second
 	// lapseTick is how often lapsed instances are reviewed.
 	lapseTick = 100 * time.Millisecond
+	// goneKept is for how long it is remembered that an instance has gone, against word of
+	// it that is older.
+	goneKept = time.Minute
 )
 
 // Discovery owns what a process believes about the deployment.
@@ -77,12 +94,23 @@
 	events chan any
 	view   atomic.Pointer[fleet.View]
 	ready  chan struct{}
+	feed   *feed.Feed
 
 	// The rest belongs to the goroutine of Run.
 	cur       fleet.View
 	instances map[string]*fleet.Instance
-	members   map[string]objstore.Object
-	down      map[feed]bool
+	// versions are those of the instances, gone the versions at which instances went.
+	versions map[string]objstore.Version
+	gone     map[string]departure
+	members  map[string]members.Member
+	down     map[source]bool
+	// joined is true once this process has read the members.
+	joined bool
+	mode   mode
+	// stopMode ends the followers of the mode, appointed is since when another process
+	// wants this one to watch the store.
+	stopMode  context.CancelFunc
+	appointed bootclock.Instant
 	// failedAt is when a call of any feed failed last, backAt when a feed succeeded
 	// for the first time after that.
 	failedAt bootclock.Instant
@@ -91,12 +119,21 @@
 	lapsedAt map[string]bootclock.Instant
 }
 
+// departure is an instance that has gone.
+type departure struct {
+	version objstore.Version
+	at      bootclock.Instant
+}
+
 // New returns a discovery that has to be run.
 func New(o Options) *Discovery {
 	d := &Discovery{
-		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueue), ready: make(chan struct{}),
-		instances: map[string]*fleet.Instance{}, members: map[string]objstore.Object{}, down: map[feed]bool{},
-		lapsedAt: map[string]bootclock.Instant{},
+		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueue), ready: make(chan struct{}), feed: feed.New(o.Run),
+		instances: map[string]*fleet.Instance{}, versions: map[string]objstore.Version{}, gone: map[string]departure{},
+		members: map[string]members.Member{}, down: map[source]bool{}, lapsedAt: map[string]bootclock.Instant{},
+	}
+	if d.o.Silent == nil {
+		d.o.Silent = func(string) bool { return false }
 	}
 	d.cur.StoreUp = true
 	d.publish()
@@ -109,40 +146,41 @@
 // Ready is closed once the view suffices to serve requests.
 func (d *Discovery) Ready() <-chan struct{} { return d.ready }
 
-// Run follows the store until ctx ends.
+// Feed returns what this process has of the deployment, for the others.
+func (d *Discovery) Feed() *feed.Feed { return d.feed }
+
+// Run keeps the view until ctx ends.
 func (d *Discovery) Run(ctx context.Context) error {
-	wait := time.Duration(waitShare * float64(d.o.Settle))
-	for _, f := range []follower{
-		{feed: feedConfig, store: d.o.Store, prefix: d.o.Prefixes.Config, wait: wait},
-		{feed: feedInstances, store: d.o.Store, prefix: d.o.Prefixes.Instances, wait: wait},
-		{feed: feedRules, store: d.o.Stale, prefix: d.o.Prefixes.Rules, wait: wait * slowFactor},
-		{feed: feedMembers, store: d.o.Stale, prefix: d.o.Prefixes.Members, wait: wait * slowFactor},
-	} {
-		f.events, f.logger, f.answerWithin = d.events, d.logger, time.Duration(answerShare*float64(d.o.Apply))
-		go f.run(ctx)
-	}
-	tick := time.NewTicker(lapseTick)
-	defer tick.Stop()
+	go d.join(ctx)
+	lapse := time.NewTicker(lapseTick)
+	defer lapse.Stop()
+	review := time.NewTicker(reviewEvery)
+	defer review.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events:
-			d.handle(e)
-		case <-tick.C:
+			d.handle(ctx, e)
+		case <-lapse.C:
 			d.dropLapsed()
+		case <-review.C:
+			d.reviewSchedulers(ctx)
 		}
 	}
 }
 
-func (d *Discovery) handle(e any) {
+func (d *Discovery) handle(ctx context.Context, e any) {
 	switch e := e.(type) {
 	case lostStore:
 		d.lost(e)
 	case changed:
 		d.answered(e.feed)
 		d.apply(e)
+	case followed:
+		d.adopt(e.Followed)
 	}
+	d.chooseMode(ctx)
 	d.publish()
 }
 
@@ -158,7 +196,7 @@
 }
 
 // answered records that the store answers.
-func (d *Discovery) answered(f feed) {
+func (d *Discovery) answered(f source) {
 	now := bootclock.Now()
 	if d.down[f] {
 		level.Info(d.logger).Log("msg", "store regained", "feed", f)
@@ -210,6 +248,7 @@
 			continue
 		}
 		d.cur.Config = cfg
+		d.feed.Put(obj)
 		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "routes", len(cfg.Routes))
 	}
 }
@@ -223,13 +262,13 @@
 		}
 		for id := range d.instances {
 			if !listed[id] {
-				d.removeInstance(id)
+				d.removeInstance(id, c.settled)
 			}
 		}
 	}
 	for _, e := range c.events {
 		if e.Deleted {
-			d.removeInstance(nameOf(e.Object.Key))
+			d.removeInstance(nameOf(e.Object.Key), c.settled)
 			continue
 		}
 		d.putInstance(e.Object)
@@ -243,11 +282,17 @@
 		d.count("registrations_rejected")
 		return
 	}
+	if went, ok := d.gone[i.ID]; obj.Version < d.versions[i.ID] || ok && obj.Version <= went.version {
+		return // word that is older than what is known, from another source
+	}
+	d.versions[i.ID] = obj.Version
 	old := d.instances[i.ID]
 	if old != nil && *old == *i {
 		return
 	}
 	d.instances[i.ID] = i
+	d.feed.Put(obj)
+	delete(d.gone, i.ID)
 	delete(d.lapsedAt, i.ID)
 	level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "role", i.Role,
 		"draining", i.Draining, "known", old != nil, "revision", obj.Version)
@@ -255,13 +300,14 @@
 
 // removeInstance takes an instance out whose registration is gone. If it went
 // while the store was away it is kept for a while, since the platform then drops
-// registrations of instances that still run. One that was draining goes at once.
-func (d *Discovery) removeInstance(id string) {
+// registrations of instances that still run. One that was draining goes at once, and so
+// does one of which another process has settled this.
+func (d *Discovery) removeInstance(id string, settled bool) {
 	i := d.instances[id]
-	if i == nil || i.Lapsed {
+	if i == nil || i.Lapsed && !settled {
 		return
 	}
-	if !i.Draining && d.storeWasAway() {
+	if !settled && !i.Draining && d.storeWasAway() {
 		kept := *i
 		kept.Lapsed = true
 		d.instances[id] = &kept
@@ -274,8 +320,11 @@
 
 func (d *Discovery) drop(id, reason string) {
 	i := d.instances[id]
+	d.gone[id] = departure{d.versions[id], bootclock.Now()}
 	delete(d.instances, id)
+	delete(d.versions, id)
 	delete(d.lapsedAt, id)
+	d.feed.Remove(d.o.Prefixes.Instances + id)
 	level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address, "reason", reason)
 }
 
@@ -300,6 +349,11 @@
 			dropped = true
 		}
 	}
+	for id, went := range d.gone {
+		if bootclock.Since(went.at) > goneKept {
+			delete(d.gone, id)
+		}
+	}
 	if dropped {
 		d.publish()
 	}
@@ -311,7 +365,7 @@
 func (d *Discovery) applyRules(c changed) {
 	isRules := func(e objstore.Event) bool { return nameOf(e.Object.Key) == rulesName }
 	if c.reset && !slices.ContainsFunc(c.events, isRules) {
-		d.cur.Rules = nil
+		d.removeRules()
 	}
 	for _, e := range c.events {
 		obj := e.Object
@@ -319,8 +373,7 @@
 			continue
 		}
 		if e.Deleted {
-			d.cur.Rules = nil
-			level.Info(d.logger).Log("msg", "rules removed", "revision", obj.Version)
+			d.removeRules()
 			continue
 		}
 		rules, err := fleet.ParseRules(obj.Value)
@@ -329,25 +382,40 @@
 			continue
 		}
 		d.cur.Rules = rules
+		d.feed.Put(obj)
 		level.Info(d.logger).Log("msg", "rules in force", "revision", obj.Version)
 	}
 }
 
+func (d *Discovery) removeRules() {
+	if d.cur.Rules == nil {
+		return
+	}
+	d.cur.Rules = nil
+	d.feed.Remove(d.o.Prefixes.Rules + rulesName)
+	level.Info(d.logger).Log("msg", "rules removed")
+}
+
 func (d *Discovery) applyMembers(c changed) {
 	if !c.reset && len(c.events) == 0 {
 		return
 	}
 	if c.reset {
-		d.members = map[string]objstore.Object{}
+		d.members = map[string]members.Member{}
 	}
 	for _, e := range c.events {
 		if e.Deleted {
 			delete(d.members, e.Object.Key)
 			continue
 		}
-		d.members[e.Object.Key] = e.Object
+		if m, ok := members.Decode(e.Object); ok {
+			d.members[e.Object.Key] = m
+		}
 	}
-	d.cur.Members = members.Parse(slices.Collect(maps.Values(d.members)))
+	d.cur.Members = slices.SortedFunc(maps.Values(d.members), func(a, b members.Member) int { return strings.Compare(a.Name, b.Name) })
+	d.cur.Processes = len(d.cur.Members)
+	d.joined = true
+	d.nameSchedulers()
 	level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
 }
 
@@ -374,3 +442,6 @@
 }
 
 func nameOf(key string) string { return key[strings.IndexByte(key, '/')+1:] }
+
+// kindOf returns the prefix of a key: its kind and a slash.
+func kindOf(key string) string { return key[:strings.IndexByte(key, '/')+1] }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -13,6 +13,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/platform"
 )
 
@@ -29,7 +30,10 @@
 	server := httptest.NewServer(fake)
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Listener.Addr().String())
+	self := members.Member{Name: "self", Incarnation: members.NewIncarnation(), Domain: "a"}
+	require.NoError(t, members.Register(context.Background(), store, platform.MemberPrefix, self))
 	d := discovery.New(discovery.Options{
+		Self: self, Run: self.Incarnation,
 		Store: store, Stale: store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -13,12 +13,15 @@
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
-// feed names one kind of objects that is followed.
-type feed string
+// source names one kind of objects that is followed.
+type source string
 
 // changed is what a follower learned from one answer of the store.
 type changed struct {
-	feed feed
+	feed source
+	// settled is true if another process has decided already what to make of registrations
+	// that went while the store was away.
+	settled bool
 	// reset is true if events holds everything that exists.
 	reset bool
 	// events are in the order in which they happened: an object may go and come
@@ -28,14 +31,14 @@
 
 // lostStore says that a call of a feed failed.
 type lostStore struct {
-	feed feed
+	feed source
 	err  error
 }
 
 // follower keeps one kind of objects up to date through short watches. A watch
 // that is cut silently is noticed when its time is up.
 type follower struct {
-	feed   feed
+	feed   source
 	prefix string
 	store  objstore.Store
 	wait   time.Duration
@@ -88,6 +91,7 @@
 	}
 }
 
+// list reads all objects once.
 func (f *follower) list(ctx context.Context) (objstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.answerWithin)
 	defer cancel()
@@ -98,11 +102,7 @@
 	if err != nil {
 		return rev, err
 	}
-	c := changed{feed: f.feed, reset: true}
-	for _, obj := range objects {
-		c.events = append(c.events, objstore.Event{Object: obj})
-	}
-	f.send(ctx, c)
+	f.send(ctx, listing(f.feed, objects))
 	return rev, nil
 }
 
--- /dev/null
+++ b/internal/discovery/mode.go
@@ -0,0 +1,300 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/feed"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// mode says from where a process learns of the deployment.
+type mode int
+
+const (
+	// undecided processes do not know the other ones yet.
+	undecided mode = iota
+	// watching processes watch the store.
+	watching
+	// following processes follow a scheduler, or, if they are one, a watcher.
+	following
+)
+
+const (
+	// joinRetry is how often the list of members is read at a start until it is known to
+	// be no older than the start itself; joinMost is for how long. Lists that may be stale
+	// are seconds old.
+	joinRetry = 300 * time.Millisecond
+	joinMost  = 3 * time.Second
+	// settledStart is how much earlier than this process another must have started for
+	// the fleet to be no new one.
+	settledStart = 5 * time.Second
+	// reviewEvery is how often it is reviewed which schedulers are silent.
+	reviewEvery = 500 * time.Millisecond
+	// appointedFor is for how long a process stays a watcher that another one named,
+	// whatever it sees itself.
+	appointedFor = 20 * time.Second
+	// aloneAfter is for how long no scheduler must have answered before a process looks at
+	// the store itself, alonePause how long it waits between two looks, up to twice as long
+	// at random.
+	aloneAfter = 1500 * time.Millisecond
+	alonePause = time.Second
+	// followRetry is how long a process waits after a scheduler could not be followed.
+	followRetry = 100 * time.Millisecond
+)
+
+// Relay follows schedulers.
+type Relay interface {
+	// Follow returns what has changed since a position, as soon as something has or after
+	// a short while. It fails if no scheduler answers.
+	Follow(ctx context.Context, after feed.Position) (Followed, error)
+}
+
+// Followed is what a scheduler says of the deployment.
+type Followed struct {
+	feed.Update
+	// Age is how long ago the store confirmed to the scheduler that there was nothing newer.
+	Age time.Duration
+	// StoreUp is false while the store does not answer there.
+	StoreUp    bool
+	Processes  int
+	Schedulers []members.Member
+	Watchers   []members.Member
+	Mesh       []members.Member
+}
+
+// followed is a Followed as an event.
+type followed struct{ Followed }
+
+// join reads the members until it is known enough of the fleet to decide how to go on. A
+// process that is new must not take a list for whole that is older than its own
+// registration.
+func (d *Discovery) join(ctx context.Context) {
+	begun := bootclock.Now()
+	f := d.follower(feedMembers, 0)
+	for ctx.Err() == nil {
+		lctx, cancel := context.WithTimeout(ctx, f.answerWithin)
+		objects, _, err := f.store.List(lctx, f.prefix)
+		cancel()
+		late := bootclock.Since(begun) > joinMost
+		switch {
+		case err != nil && !fault.Is(err, fault.NotFound):
+			f.send(ctx, lostStore{feedMembers, err})
+		case late || d.knowsFleet(members.Parse(objects)):
+			f.send(ctx, listing(feedMembers, objects))
+			return
+		}
+		pause(ctx, joinRetry)
+	}
+}
+
+// knowsFleet reports whether a list shows that the fleet is large, that it has been there
+// for a while, or that the list is as new as this process's own registration.
+func (d *Discovery) knowsFleet(all []members.Member) bool {
+	if len(all) > members.FullMesh {
+		return true
+	}
+	return slices.ContainsFunc(all, func(m members.Member) bool {
+		return m.Name == d.o.Self.Name || m.StartedBefore(d.o.Self, settledStart)
+	})
+}
+
+// nameSchedulers works out the schedulers from the members.
+func (d *Discovery) nameSchedulers() {
+	mesh := members.Schedulers(d.cur.Members, nil)
+	schedulers := members.Schedulers(d.cur.Members, d.passOver)
+	for _, m := range schedulers {
+		if !holds(mesh, m.Name) {
+			mesh = append(mesh, m)
+		}
+	}
+	d.setSchedulers(schedulers, members.Watchers(schedulers, d.cur.Processes), mesh)
+}
+
+// passOver reports whether another scheduler takes the place of one.
+func (d *Discovery) passOver(name string) bool { return name != d.o.Self.Name && d.o.Silent(name) }
+
+func holds(all []members.Member, name string) bool {
+	return slices.ContainsFunc(all, func(m members.Member) bool { return m.Name == name })
+}
+
+// setSchedulers takes in who the schedulers are.
+func (d *Discovery) setSchedulers(all, watchers, mesh []members.Member) {
+	same := sameNames(all, d.cur.Schedulers) && sameNames(watchers, d.cur.Watchers)
+	d.cur.Schedulers, d.cur.Watchers, d.cur.Mesh = all, watchers, mesh
+	d.cur.Scheduling = holds(all, d.o.Self.Name)
+	if !same {
+		level.Info(d.logger).Log("msg", "schedulers", "names", names(all), "watchers", names(watchers), "processes", d.cur.Processes)
+	}
+}
+
+func sameNames(a, b []members.Member) bool {
+	return slices.EqualFunc(a, b, func(a, b members.Member) bool { return a.Name == b.Name })
+}
+
+func names(all []members.Member) string {
+	out := make([]string, 0, len(all))
+	for _, m := range all {
+		out = append(out, m.Name)
+	}
+	return strings.Join(out, ",")
+}
+
+// reviewSchedulers takes in which schedulers are silent.
+func (d *Discovery) reviewSchedulers(ctx context.Context) {
+	if d.mode != watching {
+		return
+	}
+	d.nameSchedulers()
+	d.chooseMode(ctx)
+	d.publish()
+}
+
+// chooseMode changes to the mode that this process should be in.
+func (d *Discovery) chooseMode(ctx context.Context) {
+	next := d.wantedMode()
+	if next == d.mode {
+		return
+	}
+	if d.stopMode != nil {
+		d.stopMode()
+	}
+	if d.mode == following && next == watching {
+		d.appointed = bootclock.Now()
+	}
+	level.Info(d.logger).Log("msg", "mode", "watching", next == watching, "processes", d.cur.Processes)
+	d.mode = next
+	clear(d.down)
+	var mctx context.Context
+	mctx, d.stopMode = context.WithCancel(ctx)
+	if next == following {
+		go d.followSchedulers(mctx)
+		return
+	}
+	d.watchStore(mctx)
+}
+
+func (d *Discovery) wantedMode() mode {
+	switch {
+	case !d.joined:
+		return undecided
+	case len(d.cur.Schedulers) == 0 || holds(d.cur.Watchers, d.o.Self.Name):
+		return watching
+	case d.mode == watching && d.appointed != 0 && bootclock.Since(d.appointed) < appointedFor:
+		return watching
+	}
+	return following
+}
+
+// watchStore follows the store.
+func (d *Discovery) watchStore(ctx context.Context) {
+	wait := time.Duration(waitShare * float64(d.o.Settle))
+	if d.cur.Processes > members.FullMesh {
+		wait = min(wait, sharedWait)
+	}
+	for _, s := range []source{feedConfig, feedInstances} {
+		go d.follower(s, wait).run(ctx)
+	}
+	for _, s := range []source{feedRules, feedMembers} {
+		go d.follower(s, time.Duration(waitShare*float64(d.o.Settle))*slowFactor).run(ctx)
+	}
+}
+
+// follower returns a follower of one kind of objects.
+func (d *Discovery) follower(s source, wait time.Duration) *follower {
+	f := &follower{feed: s, store: d.o.Store, wait: wait, answerWithin: time.Duration(answerShare * float64(d.o.Apply)), events: d.events, logger: d.logger}
+	switch s {
+	case feedConfig:
+		f.prefix = d.o.Prefixes.Config
+	case feedInstances:
+		f.prefix = d.o.Prefixes.Instances
+	case feedRules:
+		f.prefix, f.store = d.o.Prefixes.Rules, d.o.Stale
+	case feedMembers:
+		f.prefix, f.store = d.o.Prefixes.Members, d.o.Stale
+	}
+	return f
+}
+
+// followSchedulers follows schedulers until ctx ends. While none answers it looks at the
+// store now and then.
+func (d *Discovery) followSchedulers(ctx context.Context) {
+	var at feed.Position
+	answered := bootclock.Now()
+	for ctx.Err() == nil {
+		f, err := d.o.Relay.Follow(ctx, at)
+		if err == nil {
+			at, answered = f.Position, bootclock.Now()
+			d.send(ctx, followed{f})
+			continue
+		}
+		if bootclock.Since(answered) < aloneAfter {
+			pause(ctx, followRetry)
+			continue
+		}
+		level.Warn(d.logger).Log("msg", "no scheduler answers", "for", bootclock.Since(answered).Round(time.Millisecond), "err", err)
+		at = feed.Position{} // what the store says takes its place
+		for _, s := range []source{feedMembers, feedConfig, feedInstances, feedRules} {
+			f := d.follower(s, 0)
+			if _, err := f.list(ctx); err != nil && ctx.Err() == nil {
+				f.send(ctx, lostStore{s, err})
+			}
+		}
+		pause(ctx, alonePause+rand.N(alonePause))
+	}
+}
+
+// adopt takes in what a scheduler says.
+func (d *Discovery) adopt(f Followed) {
+	if d.mode != following {
+		return
+	}
+	clear(d.down)
+	d.cur.StoreUp = f.StoreUp
+	at := bootclock.Now().Add(-f.Age)
+	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
+	for s, prefix := range map[source]string{feedConfig: d.o.Prefixes.Config, feedInstances: d.o.Prefixes.Instances, feedRules: d.o.Prefixes.Rules} {
+		c := changed{feed: s, reset: f.Full, settled: true}
+		for _, e := range f.Events {
+			if kindOf(e.Object.Key) == prefix {
+				c.events = append(c.events, e)
+			}
+		}
+		if c.reset || len(c.events) > 0 {
+			d.apply(c)
+		}
+	}
+	d.cur.Processes, d.cur.Members = f.Processes, nil
+	d.setSchedulers(f.Schedulers, f.Watchers, f.Mesh)
+}
+
+func (d *Discovery) send(ctx context.Context, event any) {
+	select {
+	case d.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// listing is the change that a whole list is.
+func listing(s source, objects []objstore.Object) changed {
+	c := changed{feed: s, reset: true}
+	for _, obj := range objects {
+		c.events = append(c.events, objstore.Event{Object: obj})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,118 @@
+// Package feed keeps the newest version of a set of objects for processes that copy it: a
+// copy states the position up to which it is complete and gets what has changed since, each
+// object once, however often it changed.
+package feed
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// maxRemoved is how many removals are remembered. A copy that is older gets everything. At
+// a replacement of each engine of a large fleet there are some hundred.
+const maxRemoved = 512
+
+// Position is up to where a copy of a feed is complete. The zero Position is that of a copy
+// with nothing in it.
+type Position struct {
+	// Run names the feed; positions of two runs don't compare.
+	Run string
+	At  uint64
+}
+
+// Update is what a copy lacks.
+type Update struct {
+	Position Position
+	// Full is true if Events hold everything that there is.
+	Full bool
+	// Events are in the order of the changes. An event that is not a removal holds the
+	// object as it is now.
+	Events []objstore.Event
+}
+
+// Feed is the set of objects. It is safe for concurrent use.
+type Feed struct {
+	run string
+
+	mu sync.Mutex
+	at uint64
+	// changes has the newest change of each key.
+	changes map[string]change
+	// removed are the keys of removals in their order, floor the position of the newest
+	// removal that has been forgotten.
+	removed []string
+	floor   uint64
+	changed chan struct{}
+}
+
+// change is the newest change of one key.
+type change struct {
+	event objstore.Event
+	at    uint64
+}
+
+// New returns an empty feed. run differs for each start of a process.
+func New(run string) *Feed {
+	return &Feed{run: run, changes: map[string]change{}, changed: make(chan struct{})}
+}
+
+// Put adds an object or replaces it.
+func (f *Feed) Put(obj objstore.Object) { f.add(objstore.Event{Object: obj}) }
+
+// Remove takes an object out. The key alone stays.
+func (f *Feed) Remove(key string) {
+	f.mu.Lock()
+	c, known := f.changes[key]
+	f.mu.Unlock()
+	if known && !c.event.Deleted {
+		f.add(objstore.Event{Object: objstore.Object{Key: key, Version: c.event.Object.Version}, Deleted: true})
+	}
+}
+
+func (f *Feed) add(e objstore.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at++
+	f.changes[e.Object.Key] = change{e, f.at}
+	if e.Deleted {
+		f.removed = append(f.removed, e.Object.Key)
+		f.forget()
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// forget drops the oldest removals beyond the bound. The caller holds the lock.
+func (f *Feed) forget() {
+	for len(f.removed) > maxRemoved {
+		key := f.removed[0]
+		f.removed = f.removed[1:]
+		if c := f.changes[key]; c.event.Deleted {
+			f.floor = max(f.floor, c.at)
+			delete(f.changes, key)
+		}
+	}
+}
+
+// Since returns what a copy at a position lacks, and a channel that is closed at the next
+// change.
+func (f *Feed) Since(p Position) (Update, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := Update{Position: Position{f.run, f.at}}
+	u.Full = p.Run != f.run || p.At < f.floor || p.At > f.at
+	var found []change
+	for _, c := range f.changes {
+		if u.Full && !c.event.Deleted || !u.Full && c.at > p.At {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	for _, c := range found {
+		u.Events = append(u.Events, c.event)
+	}
+	return u, f.changed
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,67 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+func object(key string, version int) objstore.Object {
+	return objstore.Object{Key: key, Version: objstore.Version(version)}
+}
+
+func keys(u Update) []string {
+	var out []string
+	for _, e := range u.Events {
+		text := fmt.Sprint(e.Object.Key, e.Object.Version)
+		if e.Deleted {
+			text += "-"
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+func TestACopyGetsWhatItLacks(t *testing.T) {
+	f := New("r1")
+	f.Put(object("a", 1))
+	f.Put(object("b", 2))
+	first, changed := f.Since(Position{})
+	require.True(t, first.Full)
+	require.Equal(t, []string{"a1", "b2"}, keys(first))
+
+	f.Put(object("a", 3))
+	f.Put(object("a", 4))
+	f.Remove("b")
+	f.Remove("never there")
+	<-changed
+	next, _ := f.Since(first.Position)
+	require.False(t, next.Full)
+	require.Equal(t, []string{"a4", "b2-"}, keys(next), "each object once, as it is now")
+	none, _ := f.Since(next.Position)
+	require.Empty(t, none.Events)
+
+	other, _ := f.Since(Position{Run: "r0", At: 5})
+	require.True(t, other.Full, "positions of another run don't compare")
+	require.Equal(t, []string{"a4"}, keys(other))
+}
+
+// TestRemovalsAreForgotten checks the bound: a copy that is older than the forgotten
+// removals gets everything instead.
+func TestRemovalsAreForgotten(t *testing.T) {
+	f := New("r1")
+	f.Put(object("stays", 1))
+	old, _ := f.Since(Position{})
+	for n := range 2 * maxRemoved {
+		key := fmt.Sprint(n)
+		f.Put(object(key, n))
+		f.Remove(key)
+	}
+	u, _ := f.Since(old.Position)
+	require.True(t, u.Full)
+	require.Equal(t, []string{"stays1"}, keys(u))
+	require.Len(t, f.changes, maxRemoved+1)
+}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -62,7 +62,7 @@
 		Route: route.Name, Service: service, Config: v.Config.Version,
 		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(),
 		Considered: s.o.Placer.Explain(&placement.Job{
-			Route: route, Service: v.Config.Services[service], Call: call, Left: time.Minute, Permitted: v.Permitted(route.Name, service),
+			Route: route, Service: v.Config.Services[service], Call: call, Left: time.Minute, Domain: s.o.Domain, Permitted: v.Permitted(route.Name, service),
 		}),
 		Rejected: []Rejected{}, Draining: []string{},
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -41,10 +42,14 @@
 	View     func() *fleet.View
 	Protocol engine.Protocol
 	Client   *upstream.Client
-	Placer   *placement.Placer
-	Budget   BudgetBounds
-	Metrics  metrics.Registry
-	Logger   log.Logger
+	// Scheduler decides where requests run, Placer explains what this process would do.
+	Scheduler scheduler.Scheduler
+	Placer    *placement.Placer
+	// Domain is the failure domain of this process.
+	Domain  string
+	Budget  BudgetBounds
+	Metrics metrics.Registry
+	Logger  log.Logger
 }
 
 // Server is the handler of callers' requests.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
@@ -72,8 +73,9 @@
 	r.view.Store(v)
 	reg := metrics.NewRegistry()
 	r.reg = reg
+	placer := placement.New("a", nil, nil)
 	g := gateway.New(gateway.Options{
-		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placement.New("a", nil, nil),
+		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: scheduler.Local(placer), Domain: "a",
 		Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	s := httptest.NewServer(g)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -17,6 +17,9 @@
 		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
 		"left", time.Until(q.deadline).Round(time.Millisecond),
 	}
+	if p.By != "" {
+		kv = append(kv, "by", p.By)
+	}
 	if p.Reader != nil {
 		kv = append(kv, "subject", q.call.Subject(), "reader", p.Reader.ID)
 	}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -11,13 +11,14 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
 
 // readPrompt has the prompt read by the planned engine. The request does not run
 // there. A prompt that is read again costs a send beyond the first.
-func (q *request) readPrompt(plan *placement.Plan, ticket *placement.Ticket) (lifecycle.Outcome, error) {
+func (q *request) readPrompt(plan *placement.Plan, ticket scheduler.Ticket) (lifecycle.Outcome, error) {
 	if q.read && !q.s.budget.extra(q.service) {
 		q.paid = false
 		return lifecycle.NotRun, fault.New(fault.Exhausted, "prompt may not be read again", "ask again after the time in Retry-After")
@@ -56,7 +57,7 @@
 }
 
 // unread records that an engine did not read the prompt.
-func (q *request) unread(plan *placement.Plan, ticket *placement.Ticket, o placement.Outcome, err error) (lifecycle.Outcome, error) {
+func (q *request) unread(plan *placement.Plan, ticket scheduler.Ticket, o placement.Outcome, err error) (lifecycle.Outcome, error) {
 	if q.ctx.Err() != nil || time.Until(q.firstBy()) <= 0 {
 		o = placement.Sound // that the caller's time is up says nothing of the engine
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -72,7 +73,7 @@
 	read    bool
 	version int64
 	plan    placement.Plan
-	ticket  *placement.Ticket
+	ticket  scheduler.Ticket
 	readFor time.Duration
 	// gone is true if the caller could not be written to, for the reason writeErr.
 	gone     bool
@@ -118,7 +119,7 @@
 		return q.expired()
 	}
 	view := q.s.o.View()
-	q.plan, q.ticket = q.s.o.Placer.Place(q.job(view))
+	q.plan, q.ticket = q.s.o.Scheduler.Place(q.ctx, q.job(view))
 	q.decision(view)
 	if q.ticket == nil {
 		return q.unplaced()
@@ -128,8 +129,8 @@
 
 // Attempt implements lifecycle.Steps.
 func (q *request) Attempt() (lifecycle.Outcome, error) {
-	defer q.ticket.Cancel()
-	return q.send(q.ticket)
+	defer func() { q.ticket.Cancel() }() // the ticket may have been replaced
+	return q.send()
 }
 
 // Repeatable implements lifecycle.Steps.
@@ -152,7 +153,7 @@
 func (q *request) job(v *fleet.View) *placement.Job {
 	return &placement.Job{
 		Route: q.route, Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived),
-		Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, NoRead: q.begun || q.source != nil,
+		Domain: q.s.o.Domain, Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, NoRead: q.begun || q.source != nil,
 	}
 }
 
@@ -206,16 +207,18 @@
 
 // send carries out the plan. If there is no runner after the prompt was read, it
 // returns notRun without an error.
-func (q *request) send(ticket *placement.Ticket) (lifecycle.Outcome, error) {
+func (q *request) send() (lifecycle.Outcome, error) {
 	plan := &q.plan
 	if plan.Reader != nil {
-		if res, err := q.readPrompt(plan, ticket); err != nil {
+		if res, err := q.readPrompt(plan, q.ticket); err != nil {
 			return res, err
 		}
 		view := q.s.o.View()
-		if !q.s.o.Placer.PlaceRead(q.job(view), plan, ticket) {
+		next := q.ticket.PlaceRead(q.ctx, q.job(view), plan)
+		if next == nil {
 			return lifecycle.NotRun, nil
 		}
+		q.ticket = next
 		q.decision(view)
 	}
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
@@ -224,7 +227,7 @@
 	q.sends++
 	q.sourceUses++
 	if err != nil {
-		ticket.Run(q.blame(err))
+		q.ticket.Run(q.blame(err))
 		q.avoid[plan.Runner.ID] = true
 		if fault.Is(err, fault.Unavailable) {
 			q.paid = true // nothing arrived at the instance
@@ -233,11 +236,11 @@
 		q.runs++
 		return lifecycle.Lost, err
 	}
-	return q.receive(a, plan, ticket)
+	return q.receive(a, plan)
 }
 
 // receive judges the head of an answer and passes the answer on.
-func (q *request) receive(a *upstream.Answer, plan *placement.Plan, ticket *placement.Ticket) (lifecycle.Outcome, error) {
+func (q *request) receive(a *upstream.Answer, plan *placement.Plan) (lifecycle.Outcome, error) {
 	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
 	if verdict.NotRun {
 		a.CloseUnread()
@@ -245,7 +248,7 @@
 		if verdict.Replaced {
 			outcome = placement.Replaced
 		}
-		ticket.Run(outcome)
+		q.ticket.Run(outcome)
 		q.avoid[plan.Runner.ID] = true
 		if q.sourceUses >= maxSourceUses {
 			q.free() // the prompt may be what the instances refuse
@@ -256,18 +259,18 @@
 	q.source = nil // taken by the runner
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
-		ticket.Run(placement.Failed)
+		q.ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "check the instance", "instance %s answered without its seal", plan.Runner.ID)
 	}
 	if a.Status >= http.StatusInternalServerError && q.mayRepeat() {
 		a.CloseUnread()
-		ticket.Run(placement.Failed)
+		q.ticket.Run(placement.Failed)
 		q.avoid[plan.Runner.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s answered %d", plan.Runner.ID, a.Status)
 	}
 	res, err := q.relay(a)
-	ticket.Run(q.verdictOn(res))
+	q.ticket.Run(q.verdictOn(res))
 	if res == lifecycle.Lost {
 		q.avoid[plan.Runner.ID] = true
 	}
@@ -330,7 +333,7 @@
 	if most <= 0 {
 		return 0
 	}
-	return max(1, most/(2*max(len(v.Members), 1)))
+	return max(1, most/(2*max(v.Processes, 1)))
 }
 
 // finish gives the caller a reply of the gateway's own, whose status says truly whether
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -22,12 +22,14 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/cachescan"
 	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/loadshare"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/members"
@@ -52,6 +54,9 @@
 	memoryShare = 0.7
 	// housekeeping is how often what is kept of instances that left is dropped.
 	housekeeping = 5 * time.Second
+	// listingCheck is how often a process looks whether it has become a scheduler, and
+	// should know what the engines keep.
+	listingCheck = 50 * time.Millisecond
 	// apartMargin is added to the time between the orders of two holders, for the
 	// way of an order to its engine.
 	apartMargin = 500 * time.Millisecond
@@ -76,6 +81,8 @@
 	placer    *placement.Placer
 	transport *peer.Transport
 	share     *loadshare.Sharer
+	asker     *scheduler.Client
+	scheduler *scheduler.Server
 	roles     *rolekeeper.Keeper
 	gateway   *gateway.Server
 	stopping  atomic.Bool
@@ -89,7 +96,12 @@
 	d := &Daemon{set: set, file: file, dropped: dropped, reg: metrics.NewRegistry(), run: members.NewIncarnation()}
 	d.logger = log.With(logger, "process", set.Name)
 	d.store = platform.NewStore(set.Store)
+	self := members.Member{
+		Name: set.Name, Incarnation: members.NewIncarnation(), Host: set.Name, Domain: set.Domain,
+		Peer: set.Peer, Admin: set.Metrics, Listen: set.Listen, Weight: set.Weight,
+	}
 	d.discovery = discovery.New(discovery.Options{
+		Self: self, Run: d.run, Relay: d, Silent: func(name string) bool { return d.share.Silent(name) },
 		Store: d.store, Stale: d.store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
@@ -99,12 +111,12 @@
 	})
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
-	d.buildShare()
+	d.buildShare(self)
 	d.gateway = gateway.New(gateway.Options{
-		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Placer: d.placer,
+		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.asker, Placer: d.placer, Domain: set.Domain,
 		Budget: gateway.BudgetBounds{
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
-			Processes: func() int { return len(d.discovery.View().Members) },
+			Processes: func() int { return d.discovery.View().Processes },
 		},
 		Metrics: d.reg, Logger: d.logger,
 	})
@@ -112,12 +124,8 @@
 	return d
 }
 
-// buildShare builds what exchanges loads with the other gateways.
-func (d *Daemon) buildShare() {
-	self := members.Member{
-		Name: d.set.Name, Incarnation: members.NewIncarnation(), Host: d.set.Name, Domain: d.set.Domain,
-		Peer: d.set.Peer, Admin: d.set.Metrics, Listen: d.set.Listen,
-	}
+// buildShare builds what works together with the other gateways.
+func (d *Daemon) buildShare(self members.Member) {
 	d.transport = peer.NewTransport(&peerpb.Identity{Name: self.Name, Incarnation: self.Incarnation}, d, d.reg, d.logger)
 	d.roles = rolekeeper.New(rolekeeper.Options{
 		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin, Policy: d.set.RolePolicy,
@@ -126,8 +134,23 @@
 	})
 	d.share = loadshare.New(loadshare.Options{
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
-		Members: func() []members.Member { return d.discovery.View().Members }, Logger: d.logger,
+		Members: func() []members.Member { return d.mesh() }, Logger: d.logger,
 	})
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Metrics: d.reg, Logger: d.logger}
+	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
+}
+
+// mesh returns the schedulers, none if this process is not one.
+func (d *Daemon) mesh() []members.Member {
+	if v := d.discovery.View(); v.Scheduling {
+		return v.Mesh
+	}
+	return nil
+}
+
+// Follow implements discovery.Relay.
+func (d *Daemon) Follow(ctx context.Context, after feed.Position) (discovery.Followed, error) {
+	return d.asker.Follow(ctx, after)
 }
 
 func (d *Daemon) isChanging(i *fleet.Instance) bool {
@@ -138,7 +161,10 @@
 
 // HandlePeer implements peer.Handler.
 func (d *Daemon) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
-	return d.share.HandlePeer(ctx, req)
+	if req.GetLoads() != nil {
+		return d.share.HandlePeer(ctx, req)
+	}
+	return d.scheduler.HandlePeer(ctx, req)
 }
 
 func (d *Daemon) buildServers() {
@@ -188,6 +214,7 @@
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
 	g.Add(func() error { return d.share.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.scheduler.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepRoles(ctx, background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
@@ -208,7 +235,6 @@
 		case <-ready:
 			ready = nil
 			level.Info(d.logger).Log("msg", "ready", "config", d.discovery.View().Config.Version)
-			go cachescan.Run(ctx, cachescan.Options{View: d.discovery.View, Lister: platform.NewKeeper(d.client), Placer: d.placer, Logger: d.logger})
 		case <-reload:
 			d.reload()
 		}
@@ -280,11 +306,21 @@
 func (d *Daemon) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(housekeeping)
 	defer tick.Stop()
+	listing := time.NewTicker(listingCheck)
+	defer listing.Stop()
 	var before map[string]*fleet.Instance
+	scheduling := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-listing.C:
+			v := d.discovery.View()
+			if v.Ready() && v.Scheduling && !scheduling {
+				go cachescan.Run(ctx, cachescan.Options{View: d.discovery.View, Lister: platform.NewKeeper(d.client), Placer: d.placer, Logger: d.logger})
+			}
+			scheduling = v.Ready() && v.Scheduling
+			continue
 		case <-tick.C:
 		}
 		v := d.discovery.View()
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -23,13 +23,17 @@
 	Stopping bool   `json:"stopping"`
 	InHand   int64  `json:"inHand"`
 	// Config is the version in force, 0 if there is none.
-	Config         int64            `json:"config"`
-	ConfigAgeMs    int64            `json:"configAgeMs"`
-	InstancesAgeMs int64            `json:"instancesAgeMs"`
-	StoreUp        bool             `json:"storeUp"`
-	Members        int              `json:"members"`
-	Heard          []string         `json:"heard"`
-	Instances      []InstanceStatus `json:"instances"`
+	Config         int64 `json:"config"`
+	ConfigAgeMs    int64 `json:"configAgeMs"`
+	InstancesAgeMs int64 `json:"instancesAgeMs"`
+	StoreUp        bool  `json:"storeUp"`
+	Members        int   `json:"members"`
+	// Scheduling is true if the process works for the others, Schedulers names those that
+	// do, Heard those of the others that it hears.
+	Scheduling bool             `json:"scheduling"`
+	Schedulers []string         `json:"schedulers"`
+	Heard      []string         `json:"heard"`
+	Instances  []InstanceStatus `json:"instances"`
 }
 
 // InstanceStatus is what a gateway believes of an instance.
@@ -71,7 +75,10 @@
 	st := Status{
 		Name: d.set.Name, Run: d.run, Ready: v.Ready(), Stopping: d.stopping.Load(), InHand: d.gateway.InHand(),
 		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(), StoreUp: v.StoreUp,
-		Members: len(v.Members), Heard: d.share.Heard(), Instances: []InstanceStatus{},
+		Members: v.Processes, Scheduling: v.Scheduling, Schedulers: []string{}, Heard: d.share.Heard(), Instances: []InstanceStatus{},
+	}
+	for _, m := range v.Schedulers {
+		st.Schedulers = append(st.Schedulers, m.Name)
 	}
 	if v.Config != nil {
 		st.Config = v.Config.Version
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -109,7 +109,8 @@
 	next := digest{time.Now(), decodeLoads(d.GetInstances()), d.GetChanging()}
 	s.replace(s.digests[name], next)
 	s.digests[name] = next
-	delete(s.silent, name)
+	s.heardAt[name] = next.at
+	s.silent.Answered(name)
 	s.sumChanging()
 }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,4 +1,4 @@
-// Package loadshare tells the gateways of a deployment what each of them has in
+// Package loadshare tells the schedulers of a deployment what each of them has in
 // hand at each instance, so that together they act on nearly the whole load.
 // Each works alone with its own figures when it hears from nobody.
 package loadshare
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -37,9 +36,9 @@
 	callTimeout = 500 * time.Millisecond
 	// keptIntervals is for how many intervals a digest counts.
 	keptIntervals = 6
-	// retryFirst and retryMost bound the pause before a silent peer is called again.
-	retryFirst = 250 * time.Millisecond
-	retryMost  = 4 * time.Second
+	// replaceAfter is for how long a scheduler must be silent before another one takes its
+	// place. A start takes less.
+	replaceAfter = 3 * time.Second
 	// registerRetry is how often a failed registration is tried again.
 	registerRetry = time.Second
 	// registerTimeout bounds one try.
@@ -58,7 +57,7 @@
 	// Changing returns the engines that this process is having change their role,
 	// and to which.
 	Changing func() map[string]engine.Role
-	// Members returns the registered gateways.
+	// Members returns the gateways that tell each other, none if this is not one of them.
 	Members func() []members.Member
 	Logger  log.Logger
 }
@@ -71,7 +70,9 @@
 	mu      sync.Mutex
 	digests map[string]digest // by peer
 	told    map[string]told   // by peer
-	silent  map[string]*silence
+	// heardAt is when a peer was heard last, or expected to be for the first time.
+	heardAt map[string]time.Time
+	silent  *peer.Silences
 	// calling are the peers whose answer is awaited.
 	calling map[string]bool
 	sum     map[string]placement.Load
@@ -80,17 +81,11 @@
 	changing map[string]engine.Role
 }
 
-// silence is a peer that does not answer.
-type silence struct {
-	until time.Time
-	pause *backoff.ExponentialBackOff
-}
-
 // New returns a sharer that has to be run.
 func New(o Options) *Sharer {
 	return &Sharer{
 		o: o, logger: log.With(o.Logger, "component", "loadshare"),
-		digests: map[string]digest{}, told: map[string]told{}, silent: map[string]*silence{}, calling: map[string]bool{}, sum: map[string]placement.Load{},
+		digests: map[string]digest{}, told: map[string]told{}, heardAt: map[string]time.Time{}, silent: peer.NewSilences(), calling: map[string]bool{}, sum: map[string]placement.Load{},
 	}
 }
 
@@ -118,6 +113,15 @@
 	return slices.Collect(maps.Keys(s.digests))
 }
 
+// Silent reports whether a peer has not been heard for so long that another one takes its
+// place.
+func (s *Sharer) Silent(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, expected := s.heardAt[name]
+	return expected && time.Since(at) > replaceAfter
+}
+
 // Run registers this process and exchanges digests until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
 	go s.stayRegistered(ctx)
@@ -142,16 +146,12 @@
 func (s *Sharer) peers() []members.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	var out []members.Member
 	for _, m := range s.o.Members() {
-		if m.Name <= s.o.Self.Name {
-			continue
-		}
-		if q := s.silent[m.Name]; q != nil && now.Before(q.until) {
-			continue
+		if _, expected := s.heardAt[m.Name]; !expected {
+			s.heardAt[m.Name] = time.Now()
 		}
-		if s.calling[m.Name] {
+		if m.Name <= s.o.Self.Name || s.calling[m.Name] || s.silent.Resting(m.Name) {
 			continue
 		}
 		s.calling[m.Name] = true
@@ -222,16 +222,9 @@
 
 // fail makes the next call to a peer wait.
 func (s *Sharer) fail(p members.Member, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q := s.silent[p.Name]
-	if q == nil {
+	if s.silent.Failed(p.Name) {
 		level.Info(s.logger).Log("msg", "peer does not answer", "peer", p.Name, "address", p.Peer, "err", err)
-		q = &silence{pause: backoff.NewExponentialBackOff()}
-		q.pause.InitialInterval, q.pause.MaxInterval = retryFirst, retryMost
-		s.silent[p.Name] = q
 	}
-	q.until = time.Now().Add(q.pause.NextBackOff())
 }
 
 // stayRegistered registers this process until it has succeeded.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,10 +31,12 @@
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 4 << 20
 
-	dialTimeout     = time.Second
-	serveTimeout    = 5 * time.Second
-	maxSessions     = 256
-	maxStreams      = 512
+	dialTimeout  = time.Second
+	serveTimeout = 5 * time.Second
+	// maxSessions and maxStreams suffice for one process to serve all the others of a fleet
+	// of some 600, which happens while the processes that share this work are away.
+	maxSessions     = 1024
+	maxStreams      = 4096
 	keepAlive       = 5 * time.Second
 	sessionTimeout  = 3 * time.Second
 	acceptRetryWait = 20 * time.Millisecond
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -63,7 +63,8 @@
 	Policy  string
 	Engines engine.Keeper
 	Placer  *placement.Placer
-	View    func() *fleet.View
+	// View returns the latest view. Only schedulers, which know the load, keep roles.
+	View func() *fleet.View
 	// Heard returns the other gateways that are heard.
 	Heard   func() []string
 	Metrics metrics.Registry
@@ -176,7 +177,7 @@
 }
 
 func (k *Keeper) candidate() bool {
-	return members.Rank(shard, k.o.Self.Name, k.o.Heard()) < candidates
+	return k.o.View().Scheduling && members.Rank(shard, k.o.Self.Name, k.o.Heard()) < candidates
 }
 
 // review settles the orders in hand and, while this process holds the lease, gives
@@ -186,7 +187,7 @@
 	v := k.o.View()
 	k.settle(v)
 	mayOrder := k.authority()
-	if !v.Ready() {
+	if !v.Ready() || !v.Scheduling {
 		return
 	}
 	for name, service := range v.Config.Services {
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -48,7 +48,7 @@
 	server := httptest.NewServer(p.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	p.address = server.Listener.Addr().String()
-	v := &fleet.View{
+	v := &fleet.View{Scheduling: true,
 		Config: &fleet.Config{Services: map[string]fleet.Service{"s": {Name: "s", KVCapacity: 1, RoleChange: 50 * time.Millisecond}}},
 		Listed: true, Instances: map[string]*fleet.Instance{},
 	}
--- /dev/null
+++ b/internal/scheduler/client.go
@@ -0,0 +1,208 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+const (
+	// askTimeout bounds one question where a request runs. Answers take a millisecond or
+	// two between failure domains; a process that is stopped or cut off must not cost a
+	// request more than a part of its latency target.
+	askTimeout = 40 * time.Millisecond
+	// asks is how many schedulers are asked before a process decides alone.
+	asks = 2
+)
+
+// Options of a Client and a Server.
+type Options struct {
+	Self      members.Member
+	View      func() *fleet.View
+	Transport *peer.Transport
+	// Placer decides in this process.
+	Placer  *placement.Placer
+	Metrics metrics.Registry
+	Logger  log.Logger
+}
+
+// Client has the schedulers place requests. It implements Scheduler.
+type Client struct {
+	o         Options
+	logger    log.Logger
+	local     Scheduler
+	directory *directory
+	reports   *reporter
+	// fresh is the scheduler whose copy was fresher than that of the first in order.
+	fresh string
+}
+
+// NewClient returns a client.
+func NewClient(o Options) *Client {
+	c := &Client{o: o, logger: log.With(o.Logger, "component", "scheduler"), local: Local(o.Placer)}
+	c.directory = &directory{self: o.Self, silences: peer.NewSilences(), logger: c.logger}
+	c.reports = newReporter(c)
+	return c
+}
+
+// Place implements Scheduler. A process that is a scheduler itself decides by itself, and so
+// does one that reaches none.
+func (c *Client) Place(ctx context.Context, j *placement.Job) (placement.Plan, Ticket) {
+	if c.o.View().Scheduling {
+		return c.local.Place(ctx, j)
+	}
+	for _, s := range c.directory.order(c.o.View().Schedulers, asks) {
+		plan, t, err := c.place(ctx, s, j)
+		if err == nil {
+			return plan, t
+		}
+		if ctx.Err() != nil {
+			break // the caller has left
+		}
+		level.Info(c.logger).Log("msg", "not placed", "request", j.Call.ID, "scheduler", s.Name, "err", err)
+	}
+	c.count("placed_alone")
+	plan, t := c.local.Place(ctx, j)
+	plan.By = c.o.Self.Name
+	return plan, t
+}
+
+// place asks one scheduler.
+func (c *Client) place(ctx context.Context, s members.Member, j *placement.Job) (placement.Plan, Ticket, error) {
+	resp, err := c.ask(ctx, s, &peerpb.Request{Body: &peerpb.Request_Place{Place: encodeJob(j)}})
+	if err != nil {
+		return placement.Plan{}, nil, err
+	}
+	placed := resp.GetPlaced()
+	plan, err := decodePlan(placed, j)
+	plan.By = s.Name
+	if placed.GetTicket() == 0 {
+		return plan, nil, err
+	}
+	t := &remoteTicket{c: c, at: s, id: placed.GetTicket()}
+	if err != nil {
+		t.Cancel()
+		return plan, nil, err
+	}
+	return plan, t, nil
+}
+
+// ask makes one call to a scheduler.
+func (c *Client) ask(ctx context.Context, s members.Member, req *peerpb.Request) (*peerpb.Response, error) {
+	begun := time.Now()
+	actx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := c.o.Transport.Call(actx, s.Peer, req)
+	switch {
+	case err == nil && resp.GetPlaced() == nil:
+		return nil, fault.Newf(fault.Internal, "run the same version everywhere", "scheduler %s gave another answer", s.Name)
+	case err == nil:
+		c.directory.answered(s)
+		metrics.GetOrRegisterTimer("scheduler.ask", c.o.Metrics).Update(time.Since(begun))
+	case ctx.Err() == nil && !fault.Is(err, fault.Denied):
+		c.directory.failed(s, err)
+	}
+	return resp, err
+}
+
+func (c *Client) count(name string) {
+	metrics.GetOrRegisterCounter("scheduler."+name, c.o.Metrics).Inc(1)
+}
+
+// remoteTicket is a job that a scheduler placed.
+type remoteTicket struct {
+	c  *Client
+	at members.Member
+	id uint64
+	// ended is true once the scheduler need not hear of the ticket any more.
+	ended bool
+	// lastEvent is when the last event arrived, gaps how many times between events there
+	// were, which add up to gapSum.
+	lastEvent time.Time
+	gaps      int
+	gapSum    time.Duration
+}
+
+// Read implements Ticket.
+func (t *remoteTicket) Read(read bool, o placement.Outcome) {
+	if !read {
+		t.report(&peerpb.TicketReport{Event: peerpb.TicketEvent_TICKET_EVENT_NOT_READ, Outcome: uint32(o)})
+	}
+}
+
+// PlaceRead implements Ticket. If the scheduler does not answer any more, another one or
+// this process decides.
+func (t *remoteTicket) PlaceRead(ctx context.Context, j *placement.Job, plan *placement.Plan) Ticket {
+	resp, err := t.c.ask(ctx, t.at, &peerpb.Request{Body: &peerpb.Request_PlaceRead{PlaceRead: &peerpb.PlaceRead{Ticket: t.id, Job: encodeJob(j)}}})
+	var next placement.Plan
+	if err == nil {
+		next, err = decodePlan(resp.GetPlaced(), j)
+	}
+	if err == nil && next.Runner == nil {
+		plan.Reason, plan.RetryAfter, plan.Runner = next.Reason, next.RetryAfter, nil
+		return nil
+	}
+	if err == nil {
+		plan.Runner = next.Runner
+		return t
+	}
+	t.Cancel()
+	level.Info(t.c.logger).Log("msg", "not placed", "request", j.Call.ID, "scheduler", t.at.Name, "err", err)
+	again := *j
+	again.NoRead = true
+	next, other := t.c.Place(ctx, &again)
+	plan.Runner, plan.By = next.Runner, next.By
+	if other == nil {
+		plan.Reason, plan.RetryAfter = next.Reason, next.RetryAfter
+	}
+	return other
+}
+
+// FirstEvent implements Ticket.
+func (t *remoteTicket) FirstEvent() {
+	t.report(&peerpb.TicketReport{Event: peerpb.TicketEvent_TICKET_EVENT_STARTED})
+}
+
+// Event implements Ticket.
+func (t *remoteTicket) Event() {
+	now := time.Now()
+	if !t.lastEvent.IsZero() {
+		t.gaps++
+		t.gapSum += now.Sub(t.lastEvent)
+	}
+	t.lastEvent = now
+}
+
+// Run implements Ticket.
+func (t *remoteTicket) Run(o placement.Outcome) {
+	r := &peerpb.TicketReport{Event: peerpb.TicketEvent_TICKET_EVENT_ENDED, Outcome: uint32(o), Gaps: uint32(t.gaps)}
+	if t.gaps > 0 {
+		r.GapUs = uint32((t.gapSum / time.Duration(t.gaps)).Microseconds())
+	}
+	t.report(r)
+	t.ended = true
+}
+
+// Cancel implements Ticket.
+func (t *remoteTicket) Cancel() {
+	t.report(&peerpb.TicketReport{Event: peerpb.TicketEvent_TICKET_EVENT_CANCELLED})
+	t.ended = true
+}
+
+func (t *remoteTicket) report(r *peerpb.TicketReport) {
+	if t.ended {
+		return
+	}
+	r.Ticket = t.id
+	t.c.reports.add(t.at, r)
+}
--- /dev/null
+++ b/internal/scheduler/codec.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+func encodeJob(j *placement.Job) *peerpb.Place {
+	out := &peerpb.Place{
+		Request: j.Call.ID, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
+		LeftUs: j.Left.Microseconds(), SpentUs: j.Spent.Microseconds(), NoRead: j.NoRead,
+	}
+	for _, p := range j.Call.Parts {
+		out.Parts = append(out.Parts, p.ID)
+		out.Tokens = append(out.Tokens, uint32(p.Tokens))
+	}
+	for id := range j.Avoid {
+		out.Avoid = append(out.Avoid, id)
+	}
+	return out
+}
+
+// decodeJob puts a job under the view of this process. It fails if the view does not have
+// the route or the service.
+func decodeJob(m *peerpb.Place, v *fleet.View) (*placement.Job, error) {
+	if !v.Ready() {
+		return nil, fault.New(fault.Unavailable, "scheduler is not ready", "ask another one")
+	}
+	route := v.Config.RouteNamed(m.GetRoute())
+	service, known := v.Config.Services[m.GetService()]
+	if route == nil || !known || len(m.GetParts()) != len(m.GetTokens()) {
+		return nil, fault.Newf(fault.NotFound, "ask another scheduler", "route %s to %s is not known here", m.GetRoute(), m.GetService())
+	}
+	call := &engine.Call{ID: m.GetRequest(), PromptTokens: int(m.GetPromptTokens())}
+	for n, id := range m.GetParts() {
+		call.Parts = append(call.Parts, engine.Part{ID: id, Tokens: int(m.GetTokens()[n])})
+	}
+	avoid := map[string]bool{}
+	for _, id := range m.GetAvoid() {
+		avoid[id] = true
+	}
+	return &placement.Job{
+		Route: route, Service: service, Call: call, Domain: m.GetDomain(), Left: micros(m.GetLeftUs()), Spent: micros(m.GetSpentUs()),
+		Permitted: v.Permitted(route.Name, service.Name), Avoid: avoid, NoRead: m.GetNoRead(),
+	}, nil
+}
+
+func encodePlan(p *placement.Plan, ticket uint64) *peerpb.Placed {
+	return &peerpb.Placed{
+		Ticket: ticket, Reader: idOf(p.Reader), Runner: idOf(p.Runner), FetchFrom: idOf(p.FetchFrom), Reason: string(p.Reason),
+		Uncached: uint32(p.Uncached), AheadUs: p.Ahead.Microseconds(), ReadUs: p.Read.Microseconds(), Rank: uint32(p.Rank), Late: p.Late,
+		RetryAfterUs: p.RetryAfter.Microseconds(),
+	}
+}
+
+func idOf(i *fleet.Instance) string {
+	if i == nil {
+		return ""
+	}
+	return i.ID
+}
+
+// decodePlan reads a plan for a job. It fails if the plan names an instance at which this
+// process does not permit the job.
+func decodePlan(m *peerpb.Placed, j *placement.Job) (placement.Plan, error) {
+	p := placement.Plan{
+		Reason: placement.Reason(m.GetReason()), Uncached: int(m.GetUncached()), Ahead: micros(m.GetAheadUs()), Read: micros(m.GetReadUs()),
+		Rank: int(m.GetRank()), Late: m.GetLate(), RetryAfter: micros(m.GetRetryAfterUs()),
+	}
+	var err error
+	for _, part := range []struct {
+		id string
+		to **fleet.Instance
+	}{{m.GetReader(), &p.Reader}, {m.GetRunner(), &p.Runner}, {m.GetFetchFrom(), &p.FetchFrom}} {
+		if *part.to = permitted(j, part.id); *part.to == nil && part.id != "" {
+			err = fault.Newf(fault.Conflict, "this process decides", "instance %s is not permitted here", part.id)
+		}
+	}
+	return p, err
+}
+
+func permitted(j *placement.Job, id string) *fleet.Instance {
+	for _, i := range j.Permitted {
+		if i.ID == id {
+			return i
+		}
+	}
+	return nil
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/internal/scheduler/follow.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/feed"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+const (
+	// followWait is how long a scheduler holds a call of one that follows it while nothing
+	// changes. A scheduler that is cut off is noticed in it and followSlack.
+	followWait  = 500 * time.Millisecond
+	followSlack = 300 * time.Millisecond
+	// followAsks is how many schedulers are tried in a row.
+	followAsks = 3
+	// staleAge is the age from which on a copy may be that of a process which is cut off
+	// from the store: watches come back within a second, and two hops add half a second
+	// each. freshGain is how much fresher another one's must be.
+	staleAge  = 2200 * time.Millisecond
+	freshGain = 300 * time.Millisecond
+)
+
+// Follow implements discovery.Relay.
+func (c *Client) Follow(ctx context.Context, after feed.Position) (discovery.Followed, error) {
+	var err error = fault.New(fault.Unavailable, "no scheduler is known", "the process looks at the store itself")
+	order := c.inOrder()
+	for n, s := range order[:min(followAsks, len(order))] {
+		var f discovery.Followed
+		if f, err = c.followOne(ctx, s, after, followWait); err != nil {
+			continue
+		}
+		if f.Age < staleAge || len(order) < 2 {
+			return f, nil
+		}
+		return c.fresher(ctx, f, order[(n+1+int(time.Now().UnixNano()%int64(len(order)-1)))%len(order)]), nil
+	}
+	return discovery.Followed{}, err
+}
+
+// inOrder returns whom this process follows: schedulers, or, if it is one, watchers.
+func (c *Client) inOrder() []members.Member {
+	v := c.o.View()
+	from := v.Schedulers
+	if v.Scheduling {
+		from = v.Watchers
+	}
+	order := c.directory.order(from, len(from))
+	for n, s := range order {
+		if s.Name == c.fresh {
+			copy(order[1:n+1], order[:n])
+			order[0] = s
+		}
+	}
+	return order
+}
+
+// fresher returns what another scheduler has if that is fresher, and goes on with that one.
+func (c *Client) fresher(ctx context.Context, f discovery.Followed, other members.Member) discovery.Followed {
+	g, err := c.followOne(ctx, other, feed.Position{}, 0)
+	if err != nil || g.Age+freshGain > f.Age {
+		return f
+	}
+	c.fresh = other.Name
+	return g
+}
+
+// followOne asks one scheduler for what has changed. It has one caller at a time.
+func (c *Client) followOne(ctx context.Context, s members.Member, after feed.Position, wait time.Duration) (discovery.Followed, error) {
+	fctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	defer cancel()
+	resp, err := c.o.Transport.Call(fctx, s.Peer, &peerpb.Request{Body: &peerpb.Request_Follow{Follow: &peerpb.Follow{
+		Run: after.Run, Position: after.At, WaitMs: uint32(wait.Milliseconds()),
+	}}})
+	if err != nil {
+		if ctx.Err() == nil && !fault.Is(err, fault.Denied) {
+			c.directory.failed(s, err)
+		}
+		if c.fresh == s.Name {
+			c.fresh = ""
+		}
+		return discovery.Followed{}, err
+	}
+	c.directory.answered(s)
+	return decodeUpdate(resp.GetUpdate()), nil
+}
+
+func decodeUpdate(m *peerpb.FollowUpdate) discovery.Followed {
+	f := discovery.Followed{
+		Update:  feed.Update{Position: feed.Position{Run: m.GetRun(), At: m.GetPosition()}, Full: m.GetFull()},
+		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
+		StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()),
+	}
+	for _, o := range m.GetObjects() {
+		f.Events = append(f.Events, objstore.Event{
+			Object: objstore.Object{Key: o.GetKey(), Value: o.GetValue(), Version: objstore.Version(o.GetVersion())}, Deleted: o.GetDeleted(),
+		})
+	}
+	for _, s := range m.GetSchedulers() {
+		member := members.Member{Name: s.GetName(), Domain: s.GetDomain(), Peer: s.GetPeer()}
+		f.Mesh = append(f.Mesh, member)
+		if !s.GetReplaced() {
+			f.Schedulers = append(f.Schedulers, member)
+		}
+		if s.GetWatcher() {
+			f.Watchers = append(f.Watchers, member)
+		}
+	}
+	return f
+}
+
+// follow answers one that follows this process.
+func (s *Server) follow(ctx context.Context, m *peerpb.Follow) *peerpb.Response {
+	if !s.o.View().Ready() {
+		return &peerpb.Response{Error: "scheduler is not ready"}
+	}
+	u := s.await(ctx, feed.Position{Run: m.GetRun(), At: m.GetPosition()}, min(time.Duration(m.GetWaitMs())*time.Millisecond, followWait))
+	v := s.o.View()
+	out := &peerpb.FollowUpdate{
+		Run: u.Position.Run, Position: u.Position.At, Full: u.Full, AgeMs: max(v.ConfigAge(), v.InstancesAge()).Milliseconds(), StoreUp: v.StoreUp,
+		Processes: uint32(v.Processes),
+	}
+	for _, e := range u.Events {
+		out.Objects = append(out.Objects, &peerpb.MirrorObject{Key: e.Object.Key, Value: e.Object.Value, Version: int64(e.Object.Version), Deleted: e.Deleted})
+	}
+	named := func(all []members.Member, name string) bool {
+		return slices.ContainsFunc(all, func(m members.Member) bool { return m.Name == name })
+	}
+	for _, m := range v.Mesh {
+		out.Schedulers = append(out.Schedulers, &peerpb.SchedulerAddress{
+			Name: m.Name, Domain: m.Domain, Peer: m.Peer, Watcher: named(v.Watchers, m.Name), Replaced: !named(v.Schedulers, m.Name),
+		})
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Update{Update: out}}
+}
+
+// await waits for something that a copy lacks.
+func (s *Server) await(ctx context.Context, p feed.Position, wait time.Duration) feed.Update {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		u, changed := s.feed.Since(p)
+		if u.Full || len(u.Events) > 0 {
+			return u
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return u
+		case <-ctx.Done():
+			return u
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,245 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/feed"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+// node is the part of a gateway that this package is.
+type node struct {
+	*Client
+	*Server
+	self   members.Member
+	view   atomic.Pointer[fleet.View]
+	placer *placement.Placer
+	feed   *feed.Feed
+	// frozen makes it take calls and answer none.
+	frozen atomic.Bool
+}
+
+// HandlePeer implements peer.Handler.
+func (n *node) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	if n.frozen.Load() {
+		<-ctx.Done()
+	}
+	return n.Server.HandlePeer(ctx, req)
+}
+
+// newNode starts a node of the failure domain that its name begins with.
+func newNode(t *testing.T, name string) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n := &node{self: members.Member{Name: name, Domain: name[:1], Peer: l.Addr().String()}, placer: placement.New(name[:1], nil, nil), feed: feed.New(name)}
+	n.view.Store(&fleet.View{})
+	reg := metrics.NewRegistry()
+	transport := peer.NewTransport(&peerpb.Identity{Name: name, Incarnation: "1"}, n, reg, log.NewNopLogger())
+	o := Options{Self: n.self, View: n.view.Load, Transport: transport, Placer: n.placer, Metrics: reg, Logger: log.NewNopLogger()}
+	n.Client, n.Server = NewClient(o), NewServer(o, n.feed)
+	go func() { _ = transport.Serve(l) }()
+	t.Cleanup(func() { n.frozen.Store(false); l.Close(); transport.Close() })
+	return n
+}
+
+const (
+	routeName   = "r"
+	serviceName = "s"
+)
+
+// see gives nodes the view of a fleet with schedulers and with engines, each of the failure
+// domain that its name begins with.
+func see(nodes, schedulers []*node, engines ...string) {
+	c := &fleet.Config{
+		Routes:   []fleet.Route{{Name: routeName, LatencyTarget: time.Second}},
+		Services: map[string]fleet.Service{serviceName: {Name: serviceName, KVCapacity: 100_000}},
+	}
+	c.Index()
+	for _, n := range nodes {
+		v := &fleet.View{Config: c, Listed: true, ConfigAt: bootclock.Now(), InstancesAt: bootclock.Now(), Instances: map[string]*fleet.Instance{}, Processes: 30}
+		for _, id := range engines {
+			i := &fleet.Instance{ID: id, Service: serviceName, Domain: id[:1], Role: engine.RolePrefill, Slots: 8}
+			if id[1] == 'd' {
+				i.Role = engine.RoleMixed
+			}
+			v.Instances[id] = i
+		}
+		for _, s := range schedulers {
+			v.Schedulers = append(v.Schedulers, s.self)
+			v.Scheduling = v.Scheduling || s == n
+		}
+		v.Watchers, v.Mesh = v.Schedulers, v.Schedulers
+		v.Index()
+		n.view.Store(v)
+	}
+}
+
+func jobOf(n *node, subject string) *placement.Job {
+	v := n.view.Load()
+	return &placement.Job{
+		Route: v.Config.RouteNamed(routeName), Service: v.Config.Services[serviceName], Domain: n.self.Domain, Left: 2 * time.Second,
+		Permitted: v.Permitted(routeName, serviceName),
+		Call:      &engine.Call{ID: "1", PromptTokens: 9000, Parts: []engine.Part{{ID: subject, Tokens: 8000}, {ID: "own", Tokens: 1000}}},
+	}
+}
+
+// TestManyDecideAsOne has two processes place prompts of a subject through a scheduler: the
+// second goes where the first was read, the work of both counts, and it is taken back.
+func TestManyDecideAsOne(t *testing.T) {
+	s, a, b := newNode(t, "a-sched"), newNode(t, "a-1"), newNode(t, "b-1")
+	see([]*node{s, a, b}, []*node{s}, "ap1", "ap2", "ap3", "bp4", "bp5", "ad1", "bd2")
+	ctx := context.Background()
+	plan, first := a.Place(ctx, jobOf(a, "x"))
+	require.NotNil(t, first)
+	require.Equal(t, "a-sched", plan.By)
+	require.Equal(t, 1, s.placer.Load(plan.Reader).Requests)
+	first = first.PlaceRead(ctx, jobOf(a, "x"), &plan)
+	require.Equal(t, plan.Reader.Domain+"d", plan.Runner.ID[:2], "the runner is near the reader")
+	require.Zero(t, s.placer.Load(plan.Reader).Requests)
+
+	again, second := b.Place(ctx, jobOf(b, "x"))
+	require.Equal(t, plan.Reader.ID, again.Reader.ID)
+	require.Equal(t, placement.ReasonHolder, again.Reason)
+	second = second.PlaceRead(ctx, jobOf(b, "x"), &again)
+	require.Equal(t, 2, running(s).Starting)
+	first.FirstEvent()
+	second.FirstEvent()
+	require.Eventually(t, func() bool { return running(s).Starting == 0 }, time.Second, time.Millisecond)
+	require.Equal(t, 2, running(s).Requests)
+	first.Run(placement.Sound)
+	first.Cancel()
+	second.Cancel()
+	require.Eventually(t, func() bool { return running(s).Requests == 0 }, time.Second, time.Millisecond)
+}
+
+// running returns what a scheduler counts at all engines.
+func running(s *node) placement.Load {
+	var sum placement.Load
+	for _, l := range s.placer.Own() {
+		sum = sum.Add(l)
+	}
+	return sum
+}
+
+// TestASilentSchedulerIsPassedOver covers a scheduler that is stopped: one request waits for
+// it, and none after it. When both are silent the process decides alone.
+func TestASilentSchedulerIsPassedOver(t *testing.T) {
+	near, far, a := newNode(t, "a-near"), newNode(t, "b-far"), newNode(t, "a-1")
+	see([]*node{near, far, a}, []*node{near, far}, "ap1", "ad1")
+	ctx := context.Background()
+	plan, ticket := a.Place(ctx, jobOf(a, "x"))
+	require.Equal(t, "a-near", plan.By)
+
+	near.frozen.Store(true)
+	begun := time.Now()
+	ticket = ticket.PlaceRead(ctx, jobOf(a, "x"), &plan)
+	require.NotNil(t, ticket, "another scheduler goes on")
+	require.Equal(t, "b-far", plan.By)
+	require.Equal(t, "ad1", plan.Runner.ID)
+	require.Less(t, time.Since(begun), 3*askTimeout)
+	begun = time.Now()
+	plan, _ = a.Place(ctx, jobOf(a, "x"))
+	require.Equal(t, "b-far", plan.By)
+	require.Less(t, time.Since(begun), askTimeout, "it is not waited for again")
+
+	far.frozen.Store(true)
+	plan, ticket = a.Place(ctx, jobOf(a, "x"))
+	require.NotNil(t, ticket)
+	require.Equal(t, "a-1", plan.By)
+}
+
+// TestPlansAreCheckedByTheOneWhoSends covers a scheduler with another list of instances:
+// what it names is not used unless the sender's own view permits it.
+func TestPlansAreCheckedByTheOneWhoSends(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{s}, []*node{s}, "ap1", "ad1")
+	see([]*node{a}, []*node{s}, "ap2", "ad2")
+	plan, ticket := a.Place(context.Background(), jobOf(a, "x"))
+	require.NotNil(t, ticket)
+	require.Equal(t, "ap2", plan.Reader.ID)
+	require.Equal(t, "a-1", plan.By)
+	require.Eventually(t, func() bool { return len(s.placer.Own()) == 0 }, time.Second, time.Millisecond, "the scheduler's ticket is given back")
+}
+
+// TestTicketsOfLostClientsAreGivenUp covers processes that are killed with requests in hand,
+// and one that comes back.
+func TestTicketsOfLostClientsAreGivenUp(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{s, a}, []*node{s}, "ap1", "ad1")
+	_, ticket := a.Place(context.Background(), jobOf(a, "x"))
+	require.NotNil(t, ticket)
+	s.sweep(time.Now())
+	require.Len(t, s.placer.Own(), 1)
+	s.sweep(time.Now().Add(2 * clientSilence))
+	require.Empty(t, s.placer.Own())
+
+	_, ticket = a.Place(context.Background(), jobOf(a, "x"))
+	require.NotNil(t, ticket)
+	s.hear(&peerpb.Identity{Name: "a-1", Incarnation: "2"})
+	require.Empty(t, s.placer.Own())
+	require.Nil(t, s.ticket(&peerpb.Identity{Name: "a-1", Incarnation: "2"}, s.last))
+}
+
+// TestOnlySchedulersPlace covers a caller that takes another process for one.
+func TestOnlySchedulersPlace(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{a}, []*node{s}, "ap1", "ad1")
+	see([]*node{s}, nil, "ap1", "ad1")
+	plan, ticket := a.Place(context.Background(), jobOf(a, "x"))
+	require.NotNil(t, ticket)
+	require.Equal(t, "a-1", plan.By)
+}
+
+// TestFollowersGetChangesAtOnce checks that a copy hears of a change long before its call
+// would end by itself, and what it is told of the fleet.
+func TestFollowersGetChangesAtOnce(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{s, a}, []*node{s}, "ap1")
+	s.feed.Put(objstore.Object{Key: "k/1", Value: []byte("v"), Version: 4})
+	f, err := a.Follow(context.Background(), feed.Position{})
+	require.NoError(t, err)
+	require.True(t, f.Full)
+	require.Equal(t, []objstore.Event{{Object: objstore.Object{Key: "k/1", Value: []byte("v"), Version: 4}}}, f.Events)
+	require.Equal(t, 30, f.Processes)
+	require.Equal(t, []members.Member{s.self}, f.Schedulers)
+	require.Equal(t, f.Schedulers, f.Watchers)
+
+	time.AfterFunc(followWait/5, func() { s.feed.Remove("k/1") })
+	begun := time.Now()
+	f, err = a.Follow(context.Background(), f.Position)
+	require.NoError(t, err)
+	require.Less(t, time.Since(begun), followWait)
+	require.True(t, f.Events[0].Deleted)
+}
+
+// TestAStaleCopyIsLeftForAFresherOne covers a scheduler that is cut off from the store and
+// answers its followers all the same.
+func TestAStaleCopyIsLeftForAFresherOne(t *testing.T) {
+	near, far, a := newNode(t, "a-near"), newNode(t, "b-far"), newNode(t, "a-1")
+	see([]*node{near, far, a}, []*node{near, far}, "ap1")
+	stale := *near.view.Load()
+	stale.ConfigAt = bootclock.Now().Add(-2 * staleAge)
+	near.view.Store(&stale)
+	for n := range 2 {
+		f, err := a.Follow(context.Background(), feed.Position{})
+		require.NoError(t, err)
+		require.Equal(t, "b-far", f.Position.Run, fmt.Sprint("call ", n))
+	}
+}
--- /dev/null
+++ b/internal/scheduler/server.go
@@ -0,0 +1,221 @@
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/internal/feed"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+const (
+	// clientSilence is after which time without a word of a client its tickets are given
+	// up: clients follow their scheduler at least twice a second.
+	clientSilence = 2 * time.Second
+	// ticketLife bounds the life of a ticket whose end is never told.
+	ticketLife = time.Minute
+	// sweepEvery is how often both are looked after.
+	sweepEvery = 500 * time.Millisecond
+)
+
+// Server places requests for other processes. It is safe for concurrent use.
+type Server struct {
+	o      Options
+	logger log.Logger
+	feed   *feed.Feed
+
+	mu      sync.Mutex
+	last    uint64
+	clients map[string]*client
+}
+
+// client is a process whose requests are placed here.
+type client struct {
+	run     string
+	heard   time.Time
+	tickets map[uint64]given
+}
+
+// given is a ticket and when it was given.
+type given struct {
+	*placement.Ticket
+	at time.Time
+}
+
+// NewServer returns a server that has others follow f. It has to be run.
+func NewServer(o Options, f *feed.Feed) *Server {
+	return &Server{
+		o: o, logger: log.With(o.Logger, "component", "scheduler"), feed: f,
+		// Numbers of an earlier run of this process must not be taken for those of this one.
+		last: rand.Uint64() >> 1, clients: map[string]*client{},
+	}
+}
+
+// Run gives up what is not heard of any more, until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			s.sweep(time.Now())
+		}
+	}
+}
+
+func (s *Server) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, c := range s.clients {
+		if now.Sub(c.heard) > clientSilence {
+			if len(c.tickets) > 0 {
+				level.Info(s.logger).Log("msg", "client silent", "client", name, "tickets", len(c.tickets))
+			}
+			c.giveUp()
+			delete(s.clients, name)
+			continue
+		}
+		for id, t := range c.tickets {
+			if now.Sub(t.at) > ticketLife {
+				t.Cancel()
+				delete(c.tickets, id)
+			}
+		}
+	}
+}
+
+func (c *client) giveUp() {
+	for id, t := range c.tickets {
+		t.Cancel()
+		delete(c.tickets, id)
+	}
+}
+
+// HandlePeer implements peer.Handler.
+func (s *Server) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	if !s.o.View().Scheduling {
+		return &peerpb.Response{Error: "this process is no scheduler"}
+	}
+	from := req.GetFrom()
+	s.hear(from)
+	switch {
+	case req.GetFollow() != nil:
+		return s.follow(ctx, req.GetFollow())
+	case req.GetPlace() != nil:
+		return s.place(from, req.GetPlace())
+	case req.GetPlaceRead() != nil:
+		return s.placeRead(from, req.GetPlaceRead())
+	case req.GetReports() != nil:
+		s.take(from, req.GetReports().GetReports())
+		return &peerpb.Response{Body: &peerpb.Response_Reports{Reports: &peerpb.TicketReportsTaken{}}}
+	}
+	return &peerpb.Response{Error: "call is not known"}
+}
+
+// hear notes that a client lives. The tickets of its earlier run are given up.
+func (s *Server) hear(from *peerpb.Identity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[from.GetName()]
+	if c == nil {
+		c = &client{run: from.GetIncarnation(), tickets: map[uint64]given{}}
+		s.clients[from.GetName()] = c
+	}
+	if c.run != from.GetIncarnation() {
+		c.giveUp()
+		c.run = from.GetIncarnation()
+	}
+	c.heard = time.Now()
+}
+
+func (s *Server) place(from *peerpb.Identity, m *peerpb.Place) *peerpb.Response {
+	begun := time.Now()
+	job, err := decodeJob(m, s.o.View())
+	if err != nil {
+		return &peerpb.Response{Error: err.Error()}
+	}
+	plan, t := s.o.Placer.Place(job)
+	number := uint64(0)
+	if t != nil {
+		number = s.keep(from, t)
+	}
+	metrics.GetOrRegisterTimer("scheduler.place", s.o.Metrics).Update(time.Since(begun))
+	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, number)}}
+}
+
+// keep returns the number under which a ticket is kept.
+func (s *Server) keep(from *peerpb.Identity, t *placement.Ticket) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	if c := s.clients[from.GetName()]; c != nil {
+		c.tickets[s.last] = given{t, time.Now()}
+	}
+	return s.last
+}
+
+// ticket returns a ticket that is kept, nil if it is not.
+func (s *Server) ticket(from *peerpb.Identity, number uint64) *placement.Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.clients[from.GetName()]; c != nil {
+		return c.tickets[number].Ticket
+	}
+	return nil
+}
+
+func (s *Server) drop(from *peerpb.Identity, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.clients[from.GetName()]; c != nil {
+		delete(c.tickets, number)
+	}
+}
+
+func (s *Server) placeRead(from *peerpb.Identity, m *peerpb.PlaceRead) *peerpb.Response {
+	job, err := decodeJob(m.GetJob(), s.o.View())
+	if err != nil {
+		return &peerpb.Response{Error: err.Error()}
+	}
+	t := s.ticket(from, m.GetTicket())
+	if t == nil {
+		return &peerpb.Response{Error: "ticket is not known"}
+	}
+	t.Read(true, placement.Sound)
+	var plan placement.Plan
+	s.o.Placer.PlaceRead(job, &plan, t)
+	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, m.GetTicket())}}
+}
+
+// take takes reports in. Those of tickets that were given up are left out.
+func (s *Server) take(from *peerpb.Identity, reports []*peerpb.TicketReport) {
+	for _, r := range reports {
+		t := s.ticket(from, r.GetTicket())
+		if t == nil {
+			continue
+		}
+		outcome := placement.Outcome(r.GetOutcome())
+		switch r.GetEvent() {
+		case peerpb.TicketEvent_TICKET_EVENT_NOT_READ:
+			t.Read(false, outcome)
+		case peerpb.TicketEvent_TICKET_EVENT_STARTED:
+			t.FirstEvent()
+		case peerpb.TicketEvent_TICKET_EVENT_ENDED:
+			t.Gaps(micros(int64(r.GetGapUs())), int(r.GetGaps()))
+			t.Run(outcome)
+			s.drop(from, r.GetTicket())
+		case peerpb.TicketEvent_TICKET_EVENT_CANCELLED:
+			t.Cancel()
+			s.drop(from, r.GetTicket())
+		}
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -25,10 +25,12 @@
 	Peer      string `json:"peer"`
 	Store     string `json:"store"`
 	// RolePolicy is a name of package roles.
-	RolePolicy string     `json:"rolePolicy"`
-	MemoryMB   float64    `json:"memoryMB"`
-	Bounds     Bounds     `json:"bounds"`
-	Log        GatewayLog `json:"log"`
+	RolePolicy string  `json:"rolePolicy"`
+	MemoryMB   float64 `json:"memoryMB"`
+	// Weight is how much work the process can take on for others, in shares of a core.
+	Weight float64    `json:"weight"`
+	Bounds Bounds     `json:"bounds"`
+	Log    GatewayLog `json:"log"`
 }
 
 // Bounds are what the deployment demands.
--- a/members/members.go
+++ b/members/members.go
@@ -29,6 +29,11 @@
 	FullMesh       = 16
 	// WatchersPerDomain is how many processes of a failure domain watch the store.
 	WatchersPerDomain = 2
+	// SchedulersPerDomain is how many processes of a failure domain work for the others of
+	// a fleet of more than FullMesh: one, and one that stands by.
+	SchedulersPerDomain = 2
+	// MostWatchers is how many of them watch the store; the others follow these.
+	MostWatchers = 3
 )
 
 // Member is the registration of one run of a process.
@@ -42,20 +47,29 @@
 	Peer   string `json:"peer"`
 	Admin  string `json:"admin"`
 	Listen string `json:"listen"`
+	// Weight is how much work the process can take on for others, in shares of a core.
+	Weight float64 `json:"weight,omitempty"`
 }
 
 // NewIncarnation returns an incarnation that is later than all earlier ones of
 // hosts whose clocks agree to the millisecond.
 func NewIncarnation() string { return ulid.Make().String() }
 
+// StartedBefore reports whether m started that much before other, as far as the clocks of
+// their hosts agree.
+func (m Member) StartedBefore(other Member, by time.Duration) bool {
+	a, err := ulid.Parse(m.Incarnation)
+	b, err2 := ulid.Parse(other.Incarnation)
+	return err == nil && err2 == nil && a.Timestamp().Add(by).Before(b.Timestamp())
+}
+
 // Parse reads registrations from objects whose keys end in their names, ordered
 // by name.
 // Objects that cannot be read are skipped.
 func Parse(objs []objstore.Object) []Member {
 	var ms []Member
 	for _, o := range objs {
-		var m Member
-		if json.Unmarshal(o.Value, &m) == nil && strings.HasSuffix(o.Key, "/"+m.Name) {
+		if m, ok := Decode(o); ok {
 			ms = append(ms, m)
 		}
 	}
@@ -63,6 +77,13 @@
 	return ms
 }
 
+// Decode reads one registration. It reports false if the object is none.
+func Decode(o objstore.Object) (Member, bool) {
+	var m Member
+	err := json.Unmarshal(o.Value, &m)
+	return m, err == nil && strings.HasSuffix(o.Key, "/"+m.Name)
+}
+
 // Register writes self to the store, below prefix. It replaces an earlier incarnation and
 // fails with Conflict if a later one is registered.
 func Register(ctx context.Context, s objstore.Store, prefix string, self Member) error {
@@ -71,6 +92,10 @@
 		return fault.Wrap(err, fault.Internal, "member cannot be encoded", "report this as a defect")
 	}
 	key := prefix + self.Name
+	// Most often nothing is registered under the name, and one call is enough.
+	if _, err = s.Put(ctx, key, value, 0, self.Incarnation); err == nil {
+		return nil
+	}
 	obj, err := s.Get(ctx, key)
 	if err != nil && !fault.Is(err, fault.NotFound) {
 		return err
@@ -152,6 +177,53 @@
 	return Rank("watch", self.Name, near) < WatchersPerDomain
 }
 
+// Schedulers returns the members that work for the others, ordered by failure domain and
+// preference: all of a fleet of up to FullMesh, else in each domain those with the largest
+// weight, and among equals those with the highest hash, so that all that know the same
+// members name the same ones. Members for which passOver holds are left out; nil leaves
+// none out.
+func Schedulers(all []Member, passOver func(name string) bool) []Member {
+	candidates := slices.Clone(all)
+	if passOver != nil {
+		candidates = slices.DeleteFunc(candidates, func(m Member) bool { return passOver(m.Name) })
+	}
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(b.Weight, a.Weight),
+			cmp.Compare(scheduleScore(b.Name), scheduleScore(a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	if len(all) <= FullMesh {
+		return candidates
+	}
+	taken := map[string]int{}
+	return slices.DeleteFunc(candidates, func(m Member) bool {
+		taken[m.Domain]++
+		return taken[m.Domain] > SchedulersPerDomain
+	})
+}
+
+// Watchers returns those of the schedulers that watch the store: all of a fleet of up to
+// FullMesh processes, else a few, in different failure domains as far as there are any.
+func Watchers(schedulers []Member, processes int) []Member {
+	if processes <= FullMesh {
+		return schedulers
+	}
+	var first, second []Member
+	for n, m := range schedulers {
+		if n == 0 || schedulers[n-1].Domain != m.Domain {
+			first = append(first, m)
+		} else {
+			second = append(second, m)
+		}
+	}
+	for _, part := range [][]Member{first, second} {
+		slices.SortFunc(part, func(a, b Member) int { return cmp.Compare(scheduleScore(b.Name), scheduleScore(a.Name)) })
+	}
+	out := append(first, second...)
+	return out[:min(MostWatchers, len(out))]
+}
+
+func scheduleScore(name string) uint64 { return xxhash.Sum64String("schedule\x00" + name) }
+
 // Health is what a process believes about a member.
 type Health string
 
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -32,6 +32,7 @@
 func (p *Placer) Explain(j *Job) []Considered {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settleDomain(j)
 	readers, runners := p.split(j)
 	usual := p.usualGap(runners)
 	keepers := p.keepers(j, partsOf(j.Call), readers)
@@ -43,7 +44,7 @@
 			e := p.estimate(j, i, keepers, rankOf(j.Route, false))
 			c.Uncached, c.AheadMs, c.ReadMs, c.Score = e.uncached, e.ahead, e.read, e.score
 		} else {
-			c.Score = p.runnerScore(i, st, usual)
+			c.Score = p.runnerScore(j, i, st, usual)
 		}
 		out = append(out, c)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,6 +44,9 @@
 	Route   *fleet.Route
 	Service fleet.Service
 	Call    *engine.Call
+	// Domain is the failure domain of the process that has the request; empty is that of
+	// the placer.
+	Domain string
 	// Left is how long the caller still waits.
 	Left time.Duration
 	// Spent is how long the request has been here.
@@ -59,6 +62,8 @@
 
 // Plan is a decision.
 type Plan struct {
+	// By is the process that decided, empty for the one that has the request.
+	By string
 	// Reader reads the prompt; nil if the runner does.
 	Reader *fleet.Instance
 	// Runner generates; nil if the request is refused.
@@ -107,7 +112,7 @@
 	changing  func(*fleet.Instance) bool
 }
 
-// New returns a placer for a process in the failure domain. peers tells what the
+// New returns a placer for a process in a failure domain. peers tells what the
 // other processes have in hand at an instance, changing whether an engine is
 // about to change its role; either may be nil.
 func New(domain string, peers func(id string) Load, changing func(*fleet.Instance) bool) *Placer {
@@ -152,6 +157,7 @@
 func (p *Placer) Place(j *Job) (Plan, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settleDomain(j)
 	readers, runners := p.split(j)
 	plan := Plan{Uncached: j.Call.PromptTokens, Reason: ReasonNone}
 	if len(runners) == 0 {
@@ -181,6 +187,7 @@
 func (p *Placer) PlaceRead(j *Job, plan *Plan, t *Ticket) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settleDomain(j)
 	reason := plan.Reason
 	plan.Reason = ReasonNone
 	if _, runners := p.split(j); len(runners) > 0 {
@@ -194,6 +201,13 @@
 	return true
 }
 
+// settleDomain states the domain of a job that is of this process.
+func (p *Placer) settleDomain(j *Job) {
+	if j.Domain == "" {
+		j.Domain = p.domain
+	}
+}
+
 // split parts the permitted instances by what they do. Those with an open breaker are
 // left out as long as others are there.
 func (p *Placer) split(j *Job) (readers, runners []*fleet.Instance) {
--- a/placement/reader.go
+++ b/placement/reader.go
@@ -96,7 +96,7 @@
 	for _, i := range readers {
 		p.state(i).cache.resize(j.Service.KVCapacity)
 	}
-	k.most, k.kept = p.keeper(parts, j.Permitted)
+	k.most, k.kept = p.keeper(parts, j)
 	return k
 }
 
@@ -119,7 +119,7 @@
 	e.ahead = model.Ahead(&load.Unread, rank) * st.pace
 	e.read = model.Read(WorkOf(j.Call.PromptTokens, e.uncached)) * st.pace
 	e.score = (e.ahead + e.read) * st.penalty(p.now())
-	if r.Domain != p.domain {
+	if r.Domain != j.Domain {
 		e.score += farRead
 	}
 	if r != k.home {
--- a/placement/readlog.go
+++ b/placement/readlog.go
@@ -74,15 +74,15 @@
 	}
 }
 
-// keeper returns the engine among the given ones that keeps most of a prompt's
+// keeper returns the engine among those permitted that keeps most of a prompt's
 // shared parts, and how many tokens; nil if none keeps any. The caller holds the
 // lock.
-func (p *Placer) keeper(parts []Part, among []*fleet.Instance) (*fleet.Instance, int) {
+func (p *Placer) keeper(parts []Part, j *Job) (*fleet.Instance, int) {
 	var best *fleet.Instance
 	most := 0
-	for _, i := range among {
+	for _, i := range j.Permitted {
 		n := p.state(i).cache.kept(parts)
-		if n > most || n == most && n > 0 && i.Domain == p.domain && best.Domain != p.domain {
+		if n > most || n == most && n > 0 && i.Domain == j.Domain && best.Domain != j.Domain {
 			best, most = i, n
 		}
 	}
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -34,7 +34,7 @@
 		if p.full(&j.Service, r, st) {
 			continue
 		}
-		score := p.runnerScore(r, st, usual) + rand.Float64()*tieBreak
+		score := p.runnerScore(j, r, st, usual) + rand.Float64()*tieBreak
 		if spare[r.ID] {
 			score += spareShare * float64(r.Slots)
 		}
@@ -134,10 +134,10 @@
 
 // runnerScore grows with how unfit a runner is, where usual is the usual time
 // between events.
-func (p *Placer) runnerScore(r *fleet.Instance, st *state, usual float64) float64 {
+func (p *Placer) runnerScore(j *Job, r *fleet.Instance, st *state, usual float64) float64 {
 	load := p.load(st)
 	score := (float64(load.Requests) + startingWeight*float64(load.Starting) + 1) * st.penalty(p.now()) * st.slowness(usual)
-	if r.Domain != p.domain {
+	if r.Domain != j.Domain {
 		score += farShare * float64(r.Slots)
 	}
 	return score
--- a/placement/state.go
+++ b/placement/state.go
@@ -14,6 +14,8 @@
 	maxPace = 12.0
 	// gapStep is the weight of one gap between events, of which a stream has tens.
 	gapStep = 0.05
+	// maxGaps is how many equal gaps count: more change nothing.
+	maxGaps = 100
 	// failureStep is the weight of one outcome in the share of failures.
 	failureStep = 0.2
 	// failureFade is the time in which an old share of failures halves, so that
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Gaps records how long the times between events were in the mean, of which there were n.
+func (t *Ticket) Gaps(mean time.Duration, n int) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.runner == nil {
+		return
+	}
+	for range min(n, maxGaps) {
+		t.runner.observeGap(toMillis(mean))
+	}
+}
+
 // leaveReader takes the job off its reader. The caller holds the lock.
 func (t *Ticket) leaveReader() {
 	t.reader.own = t.reader.own.Sub(t.reading)
