A third of a service's engines may change their roles at a time

Change: the bound is a third of the engines, and four at the least, so that services of 12 are as before.

--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -45,8 +45,10 @@
 	changeSlack = 12 * time.Second
 	// dwell is how long a role is kept at the least, unless engines are lost.
 	dwell = 5 * time.Second
-	// atOnce is how many engines of a service may change at a time.
-	atOnce = 4
+	// atOnceShare is the part of a service's engines that may change at a time, and at least
+	// minAtOnce.
+	atOnceShare = 1.0 / 3
+	minAtOnce   = 4
 	// shard is the name of the lease.
 	shard = "roles"
 )
@@ -150,19 +152,28 @@
 	}
 	<-done
 	k.giving.Wait()
-	rctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	k.release()
+	return nil
+}
+
+// release gives the lease up.
+func (k *Keeper) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	if err := k.lessee.Release(rctx); err != nil {
+	if err := k.lessee.Release(ctx); err != nil {
 		level.Warn(k.logger).Log("msg", "lease not released", "err", err)
 	}
-	return nil
 }
 
-// keepLease wants the lease while this process is one of the candidates.
+// keepLease wants the lease while this process is one of the candidates. A holder that is
+// no scheduler any more gives it up, since it does not see the load.
 func (k *Keeper) keepLease(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, held := k.lessee.Grant()
-		if held || k.candidate() {
+		switch {
+		case held && !k.o.View().Scheduling:
+			k.release()
+		case held || k.candidate():
 			sctx, cancel := context.WithTimeout(ctx, stepTimeout)
 			if err := k.lessee.Step(sctx); err != nil && !fault.Is(err, fault.Conflict) {
 				level.Info(k.logger).Log("msg", "lease not stepped", "held", held, "err", err)
@@ -223,10 +234,11 @@
 		}
 		k.policies[service] = p
 	}
-	for range atOnce {
+	most := max(minAtOnce, int(atOnceShare*float64(len(v.Usable(service)))))
+	for range most {
 		in := k.input(v, service)
 		c := p.Decide(in)
-		if c == nil || !mayOrder || k.inHand() >= atOnce {
+		if c == nil || !mayOrder || k.inHand() >= most {
 			return
 		}
 		level.Info(k.logger).Log("msg", "role decision", "service", service, "engine", c.Engine, "from", c.From, "to", c.To, "reason", c.Reason, "token", k.token)
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -227,3 +227,28 @@
 	time.Sleep(2500 * time.Millisecond)
 	require.Len(t, p.orders(), 2)
 }
+
+// TestALargeServiceChangesManyEnginesAtOnce replays a burst of prompts before 30 engines of
+// which all but one generate: with four changes at a time the burst is over first.
+func TestALargeServiceChangesManyEnginesAtOnce(t *testing.T) {
+	stages := []string{"prefill"}
+	for range 29 {
+		stages = append(stages, "decode")
+	}
+	p := newPool(t, stages...)
+	p.queued.Store(200)
+	k, _ := p.keeper("a")
+	require.Eventually(t, func() bool { return len(k.Changing()) > minAtOnce }, 6*time.Second, time.Millisecond)
+}
+
+// TestOnlySchedulersHoldTheLease takes the holder out of the schedulers: the next one gives
+// the orders.
+func TestOnlySchedulersHoldTheLease(t *testing.T) {
+	p := newPool(t, "prefill", "decode", "decode", "decode", "decode", "decode")
+	k, _ := p.keeper("a")
+	require.Eventually(t, func() bool { _, held := k.lessee.Grant(); return held }, 3*time.Second, 10*time.Millisecond)
+	v := *p.view.Load()
+	v.Scheduling = false
+	p.view.Store(&v)
+	require.Eventually(t, func() bool { _, held := k.lessee.Grant(); return !held }, 3*time.Second, 10*time.Millisecond)
+}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -86,3 +87,42 @@
 	objs, _, _ = s.List(ctx, KeyPrefix)
 	require.Empty(t, objs)
 }
+
+// TestSchedulersAreFewAndTheSameForAll checks who works for the others in fleets of several
+// sizes.
+func TestSchedulersAreFewAndTheSameForAll(t *testing.T) {
+	small := fleet(FullMesh, 3)
+	require.Len(t, Schedulers(small, nil), FullMesh)
+	require.Len(t, Watchers(small, FullMesh), FullMesh)
+	for _, n := range []int{24, 65, 295, 610} {
+		all := fleet(n, 5)
+		heavy := map[string]bool{}
+		for i := range all {
+			if i%8 == 0 {
+				all[i].Weight = 0.8
+				heavy[all[i].Name] = true
+			}
+		}
+		chosen := Schedulers(all, nil)
+		require.Len(t, chosen, 5*SchedulersPerDomain)
+		watchers := Watchers(chosen, n)
+		require.Len(t, watchers, MostWatchers)
+		domains := map[string]int{}
+		for _, m := range watchers {
+			domains[m.Domain]++
+		}
+		require.Len(t, domains, MostWatchers, "one in a domain")
+		if n > 100 {
+			for _, m := range chosen {
+				require.True(t, heavy[m.Name], "hosts with more are preferred")
+			}
+		}
+		slices.Reverse(all)
+		require.Equal(t, chosen, Schedulers(all, nil), "whatever the order of the list")
+
+		gone := chosen[0].Name
+		next := Schedulers(all, func(name string) bool { return name == gone })
+		require.Len(t, next, len(chosen), "another one takes the place of one that is silent")
+		require.Equal(t, chosen[1:2], next[0:1])
+	}
+}
