Settings that are read again apply; a test of reloads under load

Cause: files of settings change often on the large fleet, twice within seconds and during a rolling stop; a reload was checked and logged, and nothing of it applied. Change: retry budget, memory and the times of a stop apply at once; the line says whether something waits for the next start. A file that cannot be read leaves the old settings. Test: 20 reloads in 0.4 s, five of half a file, under requests on kept connections: none fails, none runs twice, the process goes on.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -50,6 +50,13 @@
 	return &budget{bounds: b, services: map[string]*budgetWindow{}}
 }
 
+// allow replaces ratio and slack. What has been counted stays, and so does the window.
+func (b *budget) allow(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds.Ratio, b.bounds.Slack = ratio, slack
+}
+
 func (b *budget) window(service string, now bootclock.Instant) *budgetWindow {
 	w := b.services[service]
 	at := int64(now) / int64(b.bounds.Window/budgetSlots)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,9 @@
 // New returns a server.
 func New(o Options) *Server { return &Server{o: o, budget: newBudget(o.Budget)} }
 
+// ApplyRetries replaces the bounds of the retry budget but for its window.
+func (s *Server) ApplyRetries(ratio, slack float64) { s.budget.allow(ratio, slack) }
+
 // InHand returns the number of requests that are being served.
 func (s *Server) InHand() int64 { return s.inHand.Load() }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -67,7 +67,9 @@
 
 // Daemon is one gateway process.
 type Daemon struct {
-	set    *settings.Gateway
+	set *settings.Gateway
+	// bounds are those of the settings that were read last.
+	bounds atomic.Pointer[settings.Bounds]
 	file   string
 	logger log.Logger
 	reg    metrics.Registry
@@ -95,6 +97,7 @@
 func New(set *settings.Gateway, file string, logger log.Logger, dropped func() int64) *Daemon {
 	d := &Daemon{set: set, file: file, dropped: dropped, reg: metrics.NewRegistry(), run: members.NewIncarnation()}
 	d.logger = log.With(logger, "process", set.Name)
+	d.bounds.Store(&set.Bounds)
 	d.store = platform.NewStore(set.Store)
 	self := members.Member{
 		Name: set.Name, Incarnation: members.NewIncarnation(), Host: set.Name, Domain: set.Domain,
@@ -191,9 +194,7 @@
 // of reload makes the process read its settings again.
 func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
 	level.Info(d.logger).Log("msg", "start", "run", d.run, "listen", d.set.Listen, "store", d.set.Store, "domain", d.set.Domain)
-	if d.set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(d.set.MemoryMB * memoryShare * (1 << 20)))
-	}
+	d.limitMemory(d.set.MemoryMB)
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var g run.Group
@@ -241,15 +242,25 @@
 	}
 }
 
-// reload reads the settings again. What a running process cannot change takes
-// effect at its next start.
+// reload reads the settings again and applies the retry budget, the memory and the times of
+// a stop at once. What else has changed takes effect at the next start. Settings that cannot
+// be read leave the old ones in force.
 func (d *Daemon) reload() {
 	set, err := settings.LoadGateway(d.file)
 	if err != nil {
 		level.Error(d.logger).Log("msg", "settings not reloaded", "file", d.file, "err", err)
 		return
 	}
-	level.Info(d.logger).Log("msg", "reload", "changed", *set != *d.set)
+	d.bounds.Store(&set.Bounds)
+	d.gateway.ApplyRetries(set.Bounds.RetryRatio, set.Bounds.RetrySlack)
+	d.limitMemory(set.MemoryMB)
+	level.Info(d.logger).Log("msg", "reload", "changed", *set != *d.set, "at_next_start", set.AtNextStart(d.set))
+}
+
+func (d *Daemon) limitMemory(mb float64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
+	}
 }
 
 // stop ends the service: not ready first, then no new connections, then all
@@ -259,9 +270,9 @@
 	d.stopping.Store(true)
 	d.gateway.Stop()
 	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InHand())
-	time.Sleep(d.set.Bounds.Notice.Std())
+	time.Sleep(d.bounds.Load().Notice.Std())
 	go d.leave()
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.set.Bounds.Grace.Std()-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.bounds.Load().Grace.Std()-exitMargin))
 	defer cancel()
 	go func() { _ = d.callers.Shutdown(ctx) }() // the requests in hand are what is waited for
 	if !d.emptied(ctx) {
@@ -297,7 +308,7 @@
 
 // leave removes the registration, within the time that a stop has anyway.
 func (d *Daemon) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), d.set.Bounds.Notice.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), d.bounds.Load().Notice.Std())
 	defer cancel()
 	d.share.Leave(ctx)
 }
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -78,8 +78,11 @@
 type process struct {
 	set  *settings.Gateway
 	stop context.CancelFunc
-	done chan error
-	log  *syncBuffer
+	// file holds the settings, reload makes the process read them again.
+	file   string
+	reload chan struct{}
+	done   chan error
+	log    *syncBuffer
 }
 
 type syncBuffer struct {
@@ -110,9 +113,9 @@
 	set, err := settings.LoadGateway(file)
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{set: set, stop: cancel, done: make(chan error, 1), log: &syncBuffer{}}
+	p := &process{set: set, stop: cancel, file: file, reload: make(chan struct{}), done: make(chan error, 1), log: &syncBuffer{}}
 	daemon := New(set, file, log.NewLogfmtLogger(p.log), func() int64 { return 0 })
-	go func() { p.done <- daemon.Run(ctx, nil) }()
+	go func() { p.done <- daemon.Run(ctx, p.reload) }()
 	d.t.Cleanup(func() {
 		cancel()
 		select {
@@ -258,3 +261,59 @@
 	require.Contains(t, p.log.String(), "store lost")
 	require.Contains(t, p.log.String(), "store regained")
 }
+
+// TestReloadsLeaveRequestsAlone changes the settings files of a process again and again, also
+// to ones that cannot be read, while requests come on kept connections: none hangs, is cut or
+// runs twice, and the process that started goes on.
+func TestReloadsLeaveRequestsAlone(t *testing.T) {
+	d := newDeployment(t)
+	p := d.gateway("a")
+	good, err := os.ReadFile(p.file)
+	require.NoError(t, err)
+	stopped := make(chan struct{})
+	var failed, sent atomic.Int64
+	var wg sync.WaitGroup
+	for n := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				path, header := "/app/x", http.Header(nil)
+				if i%2 == 0 {
+					path, header = "/llm/x", longPrompt.Clone()
+				}
+				sent.Add(1)
+				if status, _ := p.send(path, fmt.Sprintf("%d-%d", n, i), header); status != http.StatusOK {
+					failed.Add(1)
+				}
+			}
+		}()
+	}
+	for n := range 20 {
+		text := strings.Replace(string(good), `"grace": "3s"`, fmt.Sprintf(`"grace": "3s", "retrySlack": %d`, 100+n), 1)
+		if n%4 == 3 {
+			text = text[:len(text)/2]
+		}
+		require.NoError(t, os.WriteFile(p.file, []byte(text), 0o600))
+		p.reload <- struct{}{}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stopped)
+	wg.Wait()
+	require.Zero(t, failed.Load(), "of %d", sent.Load())
+	require.Contains(t, p.log.String(), "msg=reload changed=true at_next_start=false")
+	require.Contains(t, p.log.String(), "settings not reloaded")
+	require.Equal(t, 1, strings.Count(p.log.String(), "msg=start"))
+	for _, e := range d.engines {
+		ids := map[string]bool{}
+		for _, run := range e.Runs() {
+			require.False(t, ids[run.ID], run.ID)
+			ids[run.ID] = true
+		}
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,16 @@
 	Log    GatewayLog `json:"log"`
 }
 
+// AtNextStart reports whether something has changed since before that a running process
+// does not take over.
+func (g *Gateway) AtNextStart(before *Gateway) bool {
+	now, old := *g, *before
+	now.MemoryMB = old.MemoryMB
+	now.Bounds.Grace, now.Bounds.Notice = old.Bounds.Grace, old.Bounds.Notice
+	now.Bounds.RetryRatio, now.Bounds.RetrySlack = old.Bounds.RetryRatio, old.Bounds.RetrySlack
+	return now != old
+}
+
 // Bounds are what the deployment demands.
 type Bounds struct {
 	Apply       jsonc.Duration `json:"apply"`
