Instances, following and tickets in files of their own

Moves only: discovery.go had grown to 450 lines with three jobs, client.go of the scheduler to 210 with two. Two tests share their senders.

--- /dev/null
+++ b/internal/discovery/instances.go
@@ -0,0 +1,133 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+const (
+	// awayRecent is how long after a failed call a registration that goes counts
+	// as lapsed. It covers the pause between two calls.
+	awayRecent = time.Second
+	// lapseTick is how often lapsed instances are reviewed.
+	lapseTick = 100 * time.Millisecond
+	// goneKept is for how long it is remembered that an instance has gone, against word of
+	// it that is older.
+	goneKept = time.Minute
+)
+
+// departure is an instance that has gone.
+type departure struct {
+	version objstore.Version
+	at      bootclock.Instant
+}
+
+func (d *Discovery) applyInstances(c changed) {
+	if c.reset {
+		d.cur.Listed = true
+		listed := map[string]bool{}
+		for _, e := range c.events {
+			listed[nameOf(e.Object.Key)] = true
+		}
+		for id := range d.instances {
+			if !listed[id] {
+				d.removeInstance(id, c.settled)
+			}
+		}
+	}
+	for _, e := range c.events {
+		if e.Deleted {
+			d.removeInstance(nameOf(e.Object.Key), c.settled)
+			continue
+		}
+		d.putInstance(e.Object)
+	}
+}
+
+func (d *Discovery) putInstance(obj objstore.Object) {
+	i, err := d.o.DecodeInstance(obj)
+	if err != nil {
+		level.Error(d.logger).Log("msg", "registration left out", "key", obj.Key, "revision", obj.Version, "err", err)
+		d.count("registrations_rejected")
+		return
+	}
+	if went, ok := d.gone[i.ID]; obj.Version < d.versions[i.ID] || ok && obj.Version <= went.version {
+		return // word that is older than what is known, from another source
+	}
+	d.versions[i.ID] = obj.Version
+	old := d.instances[i.ID]
+	if old != nil && *old == *i {
+		return
+	}
+	d.instances[i.ID] = i
+	d.feed.Put(obj)
+	delete(d.gone, i.ID)
+	delete(d.lapsedAt, i.ID)
+	level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "role", i.Role,
+		"draining", i.Draining, "known", old != nil, "revision", obj.Version)
+}
+
+// removeInstance takes an instance out whose registration is gone. If it went
+// while the store was away it is kept for a while, since the platform then drops
+// registrations of instances that still run. One that was draining goes at once, and so
+// does one of which another process has settled this.
+func (d *Discovery) removeInstance(id string, settled bool) {
+	i := d.instances[id]
+	if i == nil || i.Lapsed && !settled {
+		return
+	}
+	if !settled && !i.Draining && d.storeWasAway() {
+		kept := *i
+		kept.Lapsed = true
+		d.instances[id] = &kept
+		d.lapsedAt[id] = bootclock.Now()
+		level.Info(d.logger).Log("msg", "instance lapsed", "id", id, "service", i.Service, "address", i.Address)
+		return
+	}
+	d.drop(id, "registration removed")
+}
+
+func (d *Discovery) drop(id, reason string) {
+	i := d.instances[id]
+	d.gone[id] = departure{d.versions[id], bootclock.Now()}
+	delete(d.instances, id)
+	delete(d.versions, id)
+	delete(d.lapsedAt, id)
+	d.feed.Remove(d.o.Prefixes.Instances + id)
+	level.Info(d.logger).Log("msg", "instance gone", "id", id, "service", i.Service, "address", i.Address, "reason", reason)
+}
+
+// storeWasAway reports whether a registration that goes now may have lapsed
+// because the store was away, as far as any feed has noticed.
+func (d *Discovery) storeWasAway() bool {
+	if d.failedAt == 0 {
+		return false
+	}
+	return len(d.down) > 0 || bootclock.Since(d.failedAt) < awayRecent || bootclock.Since(d.backAt) < d.o.LapseKept
+}
+
+// dropLapsed removes lapsed instances that did not come back in time.
+func (d *Discovery) dropLapsed() {
+	if d.down[feedInstances] {
+		return
+	}
+	dropped := false
+	for id, at := range d.lapsedAt {
+		if bootclock.Since(at) >= d.o.LapseKept {
+			d.drop(id, "lapsed and not back")
+			dropped = true
+		}
+	}
+	for id, went := range d.gone {
+		if bootclock.Since(went.at) > goneKept {
+			delete(d.gone, id)
+		}
+	}
+	if dropped {
+		d.publish()
+	}
+}
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +10,6 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
-	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
@@ -42,38 +40,8 @@
 	// appointedFor is for how long a process stays a watcher that another one named,
 	// whatever it sees itself.
 	appointedFor = 20 * time.Second
-	// aloneAfter is for how long no scheduler must have answered before a process looks at
-	// the store itself, alonePause how long it waits between two looks, up to twice as long
-	// at random.
-	aloneAfter = 1500 * time.Millisecond
-	alonePause = time.Second
-	// followRetry is how long a process waits after a scheduler could not be followed.
-	followRetry = 100 * time.Millisecond
 )
 
-// Relay follows schedulers.
-type Relay interface {
-	// Follow returns what has changed since a position, as soon as something has or after
-	// a short while. It fails if no scheduler answers.
-	Follow(ctx context.Context, after feed.Position) (Followed, error)
-}
-
-// Followed is what a scheduler says of the deployment.
-type Followed struct {
-	feed.Update
-	// Age is how long ago the store confirmed to the scheduler that there was nothing newer.
-	Age time.Duration
-	// StoreUp is false while the store does not answer there.
-	StoreUp    bool
-	Processes  int
-	Schedulers []members.Member
-	Watchers   []members.Member
-	Mesh       []members.Member
-}
-
-// followed is a Followed as an event.
-type followed struct{ Followed }
-
 // join reads the members until it is known enough of the fleet to decide how to go on. A
 // process that is new must not take a list for whole that is older than its own
 // registration.
@@ -224,58 +192,6 @@
 	return f
 }
 
-// followSchedulers follows schedulers until ctx ends. While none answers it looks at the
-// store now and then.
-func (d *Discovery) followSchedulers(ctx context.Context) {
-	var at feed.Position
-	answered := bootclock.Now()
-	for ctx.Err() == nil {
-		f, err := d.o.Relay.Follow(ctx, at)
-		if err == nil {
-			at, answered = f.Position, bootclock.Now()
-			d.send(ctx, followed{f})
-			continue
-		}
-		if bootclock.Since(answered) < aloneAfter {
-			pause(ctx, followRetry)
-			continue
-		}
-		level.Warn(d.logger).Log("msg", "no scheduler answers", "for", bootclock.Since(answered).Round(time.Millisecond), "err", err)
-		at = feed.Position{} // what the store says takes its place
-		for _, s := range []source{feedMembers, feedConfig, feedInstances, feedRules} {
-			f := d.follower(s, 0)
-			if _, err := f.list(ctx); err != nil && ctx.Err() == nil {
-				f.send(ctx, lostStore{s, err})
-			}
-		}
-		pause(ctx, alonePause+rand.N(alonePause))
-	}
-}
-
-// adopt takes in what a scheduler says.
-func (d *Discovery) adopt(f Followed) {
-	if d.mode != following {
-		return
-	}
-	clear(d.down)
-	d.cur.StoreUp = f.StoreUp
-	at := bootclock.Now().Add(-f.Age)
-	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
-	for s, prefix := range map[source]string{feedConfig: d.o.Prefixes.Config, feedInstances: d.o.Prefixes.Instances, feedRules: d.o.Prefixes.Rules} {
-		c := changed{feed: s, reset: f.Full, settled: true}
-		for _, e := range f.Events {
-			if kindOf(e.Object.Key) == prefix {
-				c.events = append(c.events, e)
-			}
-		}
-		if c.reset || len(c.events) > 0 {
-			d.apply(c)
-		}
-	}
-	d.cur.Processes, d.cur.Members = f.Processes, nil
-	d.setSchedulers(f.Schedulers, f.Watchers, f.Mesh)
-}
-
 func (d *Discovery) send(ctx context.Context, event any) {
 	select {
 	case d.events <- event:
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -169,6 +169,28 @@
 	require.NoError(t, json.NewDecoder(resp.Body).Decode(out))
 }
 
+// sendAlways has a number of callers send one request after another, each with an id of its
+// own and its number at its caller, until the returned function is called.
+func sendAlways(callers int, send func(id string, n int)) (stop func()) {
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+					send(fmt.Sprintf("%d-%d", c, n), n)
+				}
+			}
+		}()
+	}
+	return func() { close(stopped); wg.Wait() }
+}
+
 var longPrompt = http.Header{"X-Model": {"m"}, "X-Token-Count": {"9000,2"}, "X-Prompt-Prefix": {"aa:2500,bb:3800,ff:2700"}}
 
 func TestWholePath(t *testing.T) {
@@ -211,26 +233,13 @@
 func TestStopCutsNoRequest(t *testing.T) {
 	d := newDeployment(t)
 	p := d.gateway("a")
-	stopped := make(chan struct{})
 	var cut atomic.Int64
-	var wg sync.WaitGroup
-	for n := range 8 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for i := 0; ; i++ {
-				select {
-				case <-stopped:
-					return
-				default:
-				}
-				status, body := p.send("/llm/x", fmt.Sprintf("%d-%d", n, i), nil)
-				if status != http.StatusOK && !strings.Contains(body, "refused") && !strings.Contains(body, "reset") && !strings.Contains(body, "EOF") {
-					cut.Add(1)
-				}
-			}
-		}()
-	}
+	stop := sendAlways(8, func(id string, _ int) {
+		status, body := p.send("/llm/x", id, nil)
+		if status != http.StatusOK && !strings.Contains(body, "refused") && !strings.Contains(body, "reset") && !strings.Contains(body, "EOF") {
+			cut.Add(1)
+		}
+	})
 	time.Sleep(200 * time.Millisecond)
 	p.stop()
 	require.Eventually(t, func() bool { return p.status(p.set.Readiness, "/readyz") == http.StatusServiceUnavailable }, time.Second, 5*time.Millisecond)
@@ -238,8 +247,7 @@
 	require.Equal(t, http.StatusOK, status, "it serves until the balancer has noticed")
 	err := <-p.done
 	p.done <- err
-	close(stopped)
-	wg.Wait()
+	stop()
 	require.Zero(t, cut.Load())
 	runs := 0
 	for _, e := range d.engines {
@@ -270,30 +278,17 @@
 	p := d.gateway("a")
 	good, err := os.ReadFile(p.file)
 	require.NoError(t, err)
-	stopped := make(chan struct{})
 	var failed, sent atomic.Int64
-	var wg sync.WaitGroup
-	for n := range 6 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for i := 0; ; i++ {
-				select {
-				case <-stopped:
-					return
-				default:
-				}
-				path, header := "/app/x", http.Header(nil)
-				if i%2 == 0 {
-					path, header = "/llm/x", longPrompt.Clone()
-				}
-				sent.Add(1)
-				if status, _ := p.send(path, fmt.Sprintf("%d-%d", n, i), header); status != http.StatusOK {
-					failed.Add(1)
-				}
-			}
-		}()
-	}
+	stop := sendAlways(6, func(id string, n int) {
+		path, header := "/app/x", http.Header(nil)
+		if n%2 == 0 {
+			path, header = "/llm/x", longPrompt.Clone()
+		}
+		sent.Add(1)
+		if status, _ := p.send(path, id, header); status != http.StatusOK {
+			failed.Add(1)
+		}
+	})
 	for n := range 20 {
 		text := strings.Replace(string(good), `"grace": "3s"`, fmt.Sprintf(`"grace": "3s", "retrySlack": %d`, 100+n), 1)
 		if n%4 == 3 {
@@ -303,8 +298,7 @@
 		p.reload <- struct{}{}
 		time.Sleep(20 * time.Millisecond)
 	}
-	close(stopped)
-	wg.Wait()
+	stop()
 	require.Zero(t, failed.Load(), "of %d", sent.Load())
 	require.Contains(t, p.log.String(), "msg=reload changed=true at_next_start=false")
 	require.Contains(t, p.log.String(), "settings not reloaded")
