Schedulers are told which of their tickets are open

Ruled out: full instances, an old configuration, tickets of killed processes. Change: a gateway lists its open tickets to each scheduler twice a second until a list without any has been confirmed; the scheduler gives up what is not listed and older than a second. Test: TestAStoppedSchedulerLearnsWhatItMissed, which fails if lists are not acted on.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -215,6 +215,7 @@
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
 	g.Add(func() error { return d.share.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.asker.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.scheduler.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepRoles(ctx, background) }, func(error) { stopBackground() })
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -47,7 +47,7 @@
 	fresh string
 }
 
-// NewClient returns a client.
+// NewClient returns a client that has to be run.
 func NewClient(o Options) *Client {
 	c := &Client{o: o, logger: log.With(o.Logger, "component", "scheduler"), local: Local(o.Placer)}
 	c.directory = &directory{self: o.Self, silences: peer.NewSilences(), logger: c.logger}
@@ -55,6 +55,9 @@
 	return c
 }
 
+// Run tells the schedulers which of their tickets are open, until ctx ends.
+func (c *Client) Run(ctx context.Context) error { return c.reports.run(ctx) }
+
 // Place implements Scheduler. A process that is a scheduler itself decides by itself, and so
 // does one that reaches none.
 func (c *Client) Place(ctx context.Context, j *placement.Job) (placement.Plan, Ticket) {
@@ -79,6 +82,7 @@
 
 // place asks one scheduler.
 func (c *Client) place(ctx context.Context, s members.Member, j *placement.Job) (placement.Plan, Ticket, error) {
+	c.reports.asked(s)
 	resp, err := c.ask(ctx, s, &peerpb.Request{Body: &peerpb.Request_Place{Place: encodeJob(j)}})
 	if err != nil {
 		return placement.Plan{}, nil, err
@@ -90,6 +94,7 @@
 		return plan, nil, err
 	}
 	t := &remoteTicket{c: c, at: s, id: placed.GetTicket()}
+	c.reports.opened(s, t.id)
 	if err != nil {
 		t.Cancel()
 		return plan, nil, err
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -55,7 +55,9 @@
 	o := Options{Self: n.self, View: n.view.Load, Transport: transport, Placer: n.placer, Metrics: reg, Logger: log.NewNopLogger()}
 	n.Client, n.Server = NewClient(o), NewServer(o, n.feed)
 	go func() { _ = transport.Serve(l) }()
-	t.Cleanup(func() { n.frozen.Store(false); l.Close(); transport.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = n.Client.Run(ctx) }()
+	t.Cleanup(func() { cancel(); n.frozen.Store(false); l.Close(); transport.Close() })
 	return n
 }
 
@@ -197,6 +199,32 @@
 	require.Nil(t, s.ticket(&peerpb.Identity{Name: "a-1", Incarnation: "2"}, s.last))
 }
 
+// TestAStoppedSchedulerLearnsWhatItMissed stops a scheduler while requests that it placed end
+// and others are asked for in vain. When it goes on, nothing of that is left.
+func TestAStoppedSchedulerLearnsWhatItMissed(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{s, a}, []*node{s}, "ap1", "ad1")
+	ctx := context.Background()
+	var tickets []Ticket
+	for range 20 {
+		_, ticket := a.Place(ctx, jobOf(a, "x"))
+		require.NotNil(t, ticket)
+		tickets = append(tickets, ticket)
+	}
+	s.frozen.Store(true)
+	for _, ticket := range tickets[1:] {
+		ticket.Cancel()
+	}
+	_, vain := a.Place(ctx, jobOf(a, "x"))
+	vain.Cancel()
+	time.Sleep(2 * reportTimeout)
+	require.Equal(t, 20, running(s).Requests)
+	s.frozen.Store(false)
+	require.Eventually(t, func() bool { return running(s).Requests == 1 }, 3*openGrace, 10*time.Millisecond, "one is still in hand")
+	tickets[0].Cancel()
+	require.Eventually(t, func() bool { return running(s).Requests == 0 }, time.Second, time.Millisecond)
+}
+
 // TestOnlySchedulersPlace covers a caller that takes another process for one.
 func TestOnlySchedulersPlace(t *testing.T) {
 	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -21,7 +21,10 @@
 	clientSilence = 2 * time.Second
 	// ticketLife bounds the life of a ticket whose end is never told.
 	ticketLife = time.Minute
-	// sweepEvery is how often both are looked after.
+	// openGrace is how old a ticket must be to be given up because a client does not list
+	// it: the answer with the ticket and the list may have crossed.
+	openGrace = time.Second
+	// sweepEvery is how often all this is looked after.
 	sweepEvery = 500 * time.Millisecond
 )
 
@@ -116,6 +119,9 @@
 		return s.placeRead(from, req.GetPlaceRead())
 	case req.GetReports() != nil:
 		s.take(from, req.GetReports().GetReports())
+		if req.GetReports().GetAllOpen() {
+			s.keepOpen(from, req.GetReports().GetOpen(), time.Now())
+		}
 		return &peerpb.Response{Body: &peerpb.Response_Reports{Reports: &peerpb.TicketReportsTaken{}}}
 	}
 	return &peerpb.Response{Error: "call is not known"}
@@ -196,6 +202,33 @@
 	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, m.GetTicket())}}
 }
 
+// keepOpen gives up the tickets of a client that it does not list. Their ends, or the answers
+// with which they were given, were lost: a scheduler that was stopped for 4 s counted 75
+// requests at five instances for the next minute, and refused all that came.
+func (s *Server) keepOpen(from *peerpb.Identity, open []uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[from.GetName()]
+	if c == nil {
+		return
+	}
+	listed := make(map[uint64]bool, len(open))
+	for _, id := range open {
+		listed[id] = true
+	}
+	given := 0
+	for id, t := range c.tickets {
+		if !listed[id] && now.Sub(t.at) > openGrace {
+			t.Cancel()
+			delete(c.tickets, id)
+			given++
+		}
+	}
+	if given > 0 {
+		level.Info(s.logger).Log("msg", "tickets given up", "client", from.GetName(), "tickets", given)
+	}
+}
+
 // take takes reports in. Those of tickets that were given up are left out.
 func (s *Server) take(from *peerpb.Identity, reports []*peerpb.TicketReport) {
 	for _, r := range reports {
