Watches wait by the size that the fleet has now; caches are listed by a part of its own

Read again: how long a watcher waits was decided when it began to watch, so one of a fleet that grew past 16 would have kept waits of 2 to 3 s, and its followers would have taken its copy for stale. The list of members is kept by discovery alone. Housekeeping and lists of caches were one loop with two jobs.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,9 +22,7 @@
 	// Instances has every registered instance by its ID.
 	Instances map[string]*Instance
 	Rules     *Rules
-	// Members are the registered processes of the product, ordered by name, as far as this
-	// one knows them; Processes is how many there are.
-	Members   []members.Member
+	// Processes is how many processes of the product are registered.
 	Processes int
 	// Schedulers work for the others, Watchers are those of them that watch the store, and
 	// Scheduling is true if this process is a scheduler. Mesh are the schedulers, and those
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -292,11 +291,10 @@
 			d.members[e.Object.Key] = m
 		}
 	}
-	d.cur.Members = slices.SortedFunc(maps.Values(d.members), func(a, b members.Member) int { return strings.Compare(a.Name, b.Name) })
-	d.cur.Processes = len(d.cur.Members)
+	d.cur.Processes = len(d.members)
 	d.joined = true
 	d.nameSchedulers()
-	level.Info(d.logger).Log("msg", "members", "registered", len(d.cur.Members))
+	level.Info(d.logger).Log("msg", "members", "registered", len(d.members))
 }
 
 // publish makes the present state visible.
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -41,7 +41,8 @@
 	feed   source
 	prefix string
 	store  objstore.Store
-	wait   time.Duration
+	// wait returns how long the next watch waits.
+	wait func() time.Duration
 	// answerWithin is how long an answer may take beyond the wait.
 	answerWithin time.Duration
 	events       chan<- any
@@ -107,7 +108,7 @@
 }
 
 func (f *follower) watch(ctx context.Context, after objstore.Revision, failed bool) (objstore.Revision, error) {
-	wait := f.wait
+	wait := f.wait()
 	if failed {
 		wait = probeWait
 	}
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -47,7 +48,7 @@
 // registration.
 func (d *Discovery) join(ctx context.Context) {
 	begun := bootclock.Now()
-	f := d.follower(feedMembers, 0)
+	f := d.follower(feedMembers)
 	for ctx.Err() == nil {
 		lctx, cancel := context.WithTimeout(ctx, f.answerWithin)
 		objects, _, err := f.store.List(lctx, f.prefix)
@@ -77,8 +78,9 @@
 
 // nameSchedulers works out the schedulers from the members.
 func (d *Discovery) nameSchedulers() {
-	mesh := members.Schedulers(d.cur.Members, nil)
-	schedulers := members.Schedulers(d.cur.Members, d.passOver)
+	all := slices.Collect(maps.Values(d.members))
+	mesh := members.Schedulers(all, nil)
+	schedulers := members.Schedulers(all, d.passOver)
 	for _, m := range schedulers {
 		if !holds(mesh, m.Name) {
 			mesh = append(mesh, m)
@@ -164,34 +166,41 @@
 
 // watchStore follows the store.
 func (d *Discovery) watchStore(ctx context.Context) {
-	wait := time.Duration(waitShare * float64(d.o.Settle))
-	if d.cur.Processes > members.FullMesh {
-		wait = min(wait, sharedWait)
-	}
-	for _, s := range []source{feedConfig, feedInstances} {
-		go d.follower(s, wait).run(ctx)
-	}
-	for _, s := range []source{feedRules, feedMembers} {
-		go d.follower(s, time.Duration(waitShare*float64(d.o.Settle))*slowFactor).run(ctx)
+	for _, s := range []source{feedConfig, feedInstances, feedRules, feedMembers} {
+		go d.follower(s).run(ctx)
 	}
 }
 
 // follower returns a follower of one kind of objects.
-func (d *Discovery) follower(s source, wait time.Duration) *follower {
-	f := &follower{feed: s, store: d.o.Store, wait: wait, answerWithin: time.Duration(answerShare * float64(d.o.Apply)), events: d.events, logger: d.logger}
+func (d *Discovery) follower(s source) *follower {
+	f := &follower{feed: s, store: d.o.Store, wait: d.wait, answerWithin: time.Duration(answerShare * float64(d.o.Apply)), events: d.events, logger: d.logger}
 	switch s {
 	case feedConfig:
 		f.prefix = d.o.Prefixes.Config
 	case feedInstances:
 		f.prefix = d.o.Prefixes.Instances
 	case feedRules:
-		f.prefix, f.store = d.o.Prefixes.Rules, d.o.Stale
+		f.prefix, f.store, f.wait = d.o.Prefixes.Rules, d.o.Stale, d.slowWait
 	case feedMembers:
-		f.prefix, f.store = d.o.Prefixes.Members, d.o.Stale
+		f.prefix, f.store, f.wait = d.o.Prefixes.Members, d.o.Stale, d.slowWait
 	}
 	return f
 }
 
+// ownWait is how long a watch waits in a fleet in which all watch.
+func (d *Discovery) ownWait() time.Duration { return time.Duration(waitShare * float64(d.o.Settle)) }
+
+// wait is how long a watch of the configuration or the instances waits now.
+func (d *Discovery) wait() time.Duration {
+	if d.View().Processes > members.FullMesh {
+		return min(d.ownWait(), sharedWait)
+	}
+	return d.ownWait()
+}
+
+// slowWait is how long a watch of rules or members waits.
+func (d *Discovery) slowWait() time.Duration { return d.ownWait() * slowFactor }
+
 func (d *Discovery) send(ctx context.Context, event any) {
 	select {
 	case d.events <- event:
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -64,7 +64,7 @@
 		level.Warn(d.logger).Log("msg", "no scheduler answers", "for", bootclock.Since(answered).Round(time.Millisecond), "err", err)
 		at = feed.Position{} // what the store says takes its place
 		for _, s := range []source{feedMembers, feedConfig, feedInstances, feedRules} {
-			f := d.follower(s, 0)
+			f := d.follower(s)
 			if _, err := f.list(ctx); err != nil && ctx.Err() == nil {
 				f.send(ctx, lostStore{s, err})
 			}
@@ -93,6 +93,6 @@
 			d.apply(c)
 		}
 	}
-	d.cur.Processes, d.cur.Members = f.Processes, nil
+	d.cur.Processes = f.Processes
 	d.setSchedulers(f.Schedulers, f.Watchers, f.Mesh)
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -218,6 +218,7 @@
 	g.Add(func() error { return d.asker.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.scheduler.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.listCaches(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepRoles(ctx, background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
 	err = g.Run()
@@ -314,25 +315,34 @@
 	d.share.Leave(ctx)
 }
 
+// listCaches asks the engines what they keep each time this process becomes a scheduler.
+func (d *Daemon) listCaches(ctx context.Context) error {
+	tick := time.NewTicker(listingCheck)
+	defer tick.Stop()
+	scheduling := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		v := d.discovery.View()
+		was := scheduling
+		if scheduling = v.Ready() && v.Scheduling; scheduling && !was {
+			cachescan.Run(ctx, cachescan.Options{View: d.discovery.View, Lister: platform.NewKeeper(d.client), Placer: d.placer, Logger: d.logger})
+		}
+	}
+}
+
 // keepHouse drops what is kept of instances that left.
 func (d *Daemon) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(housekeeping)
 	defer tick.Stop()
-	listing := time.NewTicker(listingCheck)
-	defer listing.Stop()
 	var before map[string]*fleet.Instance
-	scheduling := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-listing.C:
-			v := d.discovery.View()
-			if v.Ready() && v.Scheduling && !scheduling {
-				go cachescan.Run(ctx, cachescan.Options{View: d.discovery.View, Lister: platform.NewKeeper(d.client), Placer: d.placer, Logger: d.logger})
-			}
-			scheduling = v.Ready() && v.Scheduling
-			continue
 		case <-tick.C:
 		}
 		v := d.discovery.View()
