--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -5,6 +5,7 @@
 package replay
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -47,7 +48,9 @@
 	Length time.Duration
 	// Readers is the number of engines that read, Placers that of processes that decide.
 	Readers, Placers int
-	Seed             uint64
+	// Exchange is how often placers tell each other of their work, 0 for exchangeEvery.
+	Exchange time.Duration
+	Seed     uint64
 }
 
 // Outcome counts the requests of one kind.
@@ -69,8 +72,8 @@
 
 const (
 	service = "model"
-	// exchangeEvery is how often placers tell each other of their work: between the two
-	// paces of the gateways' digests.
+	// exchangeEvery is how often placers tell each other of their work if nothing else is
+	// stated: between the two paces of the gateways' digests.
 	exchangeEvery = 40 * time.Millisecond
 	// memory of an engine in tokens.
 	memory = 470_000
@@ -150,7 +153,7 @@
 		r.heard[n] = r.others(n)
 	}
 	if r.now.Before(end) {
-		r.after(exchangeEvery, func() { r.exchanges(end) })
+		r.after(cmp.Or(r.o.Exchange, exchangeEvery), func() { r.exchanges(end) })
 	}
 }
 
--- a/internal/lab/replay/replay_test.go
+++ b/internal/lab/replay/replay_test.go
@@ -7,17 +7,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-// eightSeeds plays a load with eight seeds and returns the outcomes in all and the mean
+// eightSeeds plays a load with eight seeds.
+func eightSeeds(o Options) (map[string]Outcome, float64) { return withSeeds(o, 8) }
+
+// withSeeds plays a load with a number of seeds and returns the outcomes in all and the mean
 // error of the estimates.
-func eightSeeds(o Options) (map[string]Outcome, float64) {
+func withSeeds(o Options, n int) (map[string]Outcome, float64) {
 	sum, wrong := map[string]Outcome{}, 0.0
-	for seed := range uint64(8) {
-		o.Seed = seed
+	for seed := range n {
+		o.Seed = uint64(seed)
 		r := Run(o)
 		for name, outcome := range r.Outcomes {
 			sum[name] = sum[name].Add(outcome)
 		}
-		wrong += r.EstimateError / 8
+		wrong += r.EstimateError / float64(n)
 	}
 	return sum, wrong
 }
@@ -43,6 +46,20 @@
 	require.Less(t, wrong, 0.25)
 }
 
+// TestFewWhoDecideBeatMany replays the same load on five times the engines before 65 processes:
+// once each decides and tells all others as often as so many can, once three decide for them.
+func TestFewWhoDecideBeatMany(t *testing.T) {
+	o := Options{Load: ReadingHeavy, Factor: 4.6, Length: 4 * time.Second, Readers: 50, Placers: 65, Exchange: 150 * time.Millisecond}
+	many, _ := withSeeds(o, 2)
+	o.Placers, o.Exchange = 3, 25*time.Millisecond
+	few, _ := withSeeds(o, 2)
+	for _, kind := range []string{"long", "middle"} {
+		a, b := share(many[kind].InTime, many[kind].Asked), share(few[kind].InTime, few[kind].Asked)
+		t.Logf("%s in time: %.3f with many, %.3f with few", kind, a, b)
+		require.Greater(t, b, a+0.1, kind)
+	}
+}
+
 func TestSameSeedSameCourse(t *testing.T) {
 	o := Options{Load: ReadingHeavy, Factor: 1, Length: 2 * time.Second, Readers: 6, Placers: 3, Seed: 4}
 	require.Equal(t, Run(o), Run(o))
