A stale copy is left for a fresher one in a single round, by times that follow from the bound

Two of three watchers were cut off silently; what follows them took its copy for stale after 2.2 s and asked one other scheduler, drawn at random, every 0.5 s. Change: up to three others are asked in turn. Watches wait 0.25, calls that follow 0.1 of the bound, the lesser of the times for configurations and for leaving instances; a copy is stale at 0.6 of it. Test: two stale of three, which the version before fails as often as its draw does.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -52,6 +52,8 @@
 	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
 	// Apply is within what time a change must be in force.
 	Apply time.Duration
+	// Within is in what time a change in the store must have reached everybody.
+	Within time.Duration
 	// Settle is within what time after a fault of the network the view is up to date.
 	Settle time.Duration
 	// LapseKept is how long an instance is used whose registration went while the
@@ -72,10 +74,10 @@
 	// those of the configuration and the instances. A change ends them at once; only
 	// a silent cut is noticed later.
 	slowFactor = 4
-	// sharedWait is how long a watch waits at the most in a fleet in which others follow
-	// this process: what they have must not be older than a part of the time in which a
-	// change must be in force, also if this process is cut off from the store.
-	sharedWait = time.Second
+	// sharedShare is the part of Within that a watch waits at the most in a fleet in which
+	// others follow this process: a copy that is older than the watch and the way to it is
+	// that of a process which is cut off from the store.
+	sharedShare = 0.25
 )
 
 // Discovery owns what a process believes about the deployment.
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -193,7 +193,7 @@
 // wait is how long a watch of the configuration or the instances waits now.
 func (d *Discovery) wait() time.Duration {
 	if d.View().Processes > members.FullMesh {
-		return min(d.ownWait(), sharedWait)
+		return min(d.ownWait(), time.Duration(sharedShare*float64(d.o.Within)))
 	}
 	return d.ownWait()
 }
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -71,6 +71,7 @@
 // also after the schedulers were lost and while the store turns the others away.
 func TestAFewWorkForALargeFleet(t *testing.T) {
 	d := newDeployment(t)
+	d.bound = "3s"
 	all := d.largeFleet()
 	for n, p := range all {
 		status, body := p.send("/llm/x", fmt.Sprint("r-", n), longPrompt)
@@ -119,6 +120,7 @@
 // an outage.
 func TestALargeFleetStartsWithAStoreThatIsAway(t *testing.T) {
 	d := newDeployment(t)
+	d.bound = "3s"
 	d.store.SetFaults(fleetstore.Faults{Down: true})
 	time.AfterFunc(time.Second, func() { d.store.SetFaults(fleetstore.Faults{}) })
 	started := make(chan *process, fleetSize)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -110,7 +110,7 @@
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
-		Apply: set.Bounds.Apply.Std(), Settle: set.Bounds.Settle.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
+		Apply: set.Bounds.Apply.Std(), Within: set.Bounds.Within(), Settle: set.Bounds.Settle.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
@@ -139,7 +139,7 @@
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
 		Members: func() []members.Member { return d.mesh() }, Logger: d.logger,
 	})
-	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Metrics: d.reg, Logger: d.logger}
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Within: d.set.Bounds.Within(), Metrics: d.reg, Logger: d.logger}
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 }
 
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -30,11 +30,13 @@
 	store   *fleetstore.Server
 	address string
 	engines []*fleetengine.Engine
+	// bound is in what time its gateways must know of changes.
+	bound string
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: fleetstore.New()}
+	d := &deployment{t: t, store: fleetstore.New(), bound: "600ms"}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	d.address = server.Listener.Addr().String()
@@ -106,8 +108,8 @@
 	d.t.Helper()
 	ip := loopback()
 	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": "%[2]s:8080", "readiness": "%[2]s:8081", "metrics": "%[2]s:9464", "peer": "%[2]s:7660", "store": %[3]q,
-		"bounds": {"apply": "600ms", "settle": "600ms", "drain": "600ms", "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
-		name, ip, d.address)
+		"bounds": {"apply": %[4]q, "settle": %[4]q, "drain": %[4]q, "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
+		name, ip, d.address, d.bound)
 	file := filepath.Join(d.t.TempDir(), "settings.json")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	set, err := settings.LoadGateway(file)
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -31,7 +31,9 @@
 	View      func() *fleet.View
 	Transport *peer.Transport
 	// Placer decides in this process.
-	Placer  *placement.Placer
+	Placer *placement.Placer
+	// Within is in what time a change in the store must have reached everybody.
+	Within  time.Duration
 	Metrics metrics.Registry
 	Logger  log.Logger
 }
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -14,32 +14,45 @@
 )
 
 const (
-	// followWait is how long a scheduler holds a call of one that follows it while nothing
-	// changes. A scheduler that is cut off is noticed in it and followSlack.
-	followWait  = 500 * time.Millisecond
-	followSlack = 300 * time.Millisecond
-	// followAsks is how many schedulers are tried in a row.
+	// followShare is the part of the time in which a change must have reached everybody
+	// (Options.Within) for which a scheduler holds a call of one that follows it while
+	// nothing changes. One that does not answer is noticed in it and as much again, slack.
+	followShare = 0.1
+	// staleShare is the part of that time from which on a copy is that of a process which is
+	// cut off from the store: a quarter passes between two answers of the store, and two hops
+	// add a tenth each. What is found then is left within seven tenths.
+	staleShare = 0.6
+	// leastSlack is how long an answer may take at the least beyond the time that its call
+	// is held.
+	leastSlack = 150 * time.Millisecond
+	// followAsks is how many schedulers are tried in a row, also for a fresher copy: those
+	// that watch the store may be cut off together, but for one.
 	followAsks = 3
-	// staleAge is the age from which on a copy may be that of a process which is cut off
-	// from the store: watches come back within a second, and two hops add half a second
-	// each. freshGain is how much fresher another one's must be.
-	staleAge  = 2200 * time.Millisecond
-	freshGain = 300 * time.Millisecond
+	// freshGain is how much fresher another copy must be.
+	freshGain = 200 * time.Millisecond
 )
 
+func (o *Options) followWait() time.Duration {
+	return time.Duration(followShare * float64(o.Within))
+}
+
+func (o *Options) staleAge() time.Duration {
+	return time.Duration(staleShare * float64(o.Within))
+}
+
 // Follow implements discovery.Relay.
 func (c *Client) Follow(ctx context.Context, after feed.Position) (discovery.Followed, error) {
 	var err error = fault.New(fault.Unavailable, "no scheduler is known", "the process looks at the store itself")
 	order := c.inOrder()
 	for n, s := range order[:min(followAsks, len(order))] {
 		var f discovery.Followed
-		if f, err = c.followOne(ctx, s, after, followWait); err != nil {
+		if f, err = c.followOne(ctx, s, after, c.o.followWait()); err != nil {
 			continue
 		}
-		if f.Age < staleAge || len(order) < 2 {
-			return f, nil
+		if f.Age >= c.o.staleAge() {
+			f = c.fresher(ctx, f, order[n+1:])
 		}
-		return c.fresher(ctx, f, order[(n+1+int(time.Now().UnixNano()%int64(len(order)-1)))%len(order)]), nil
+		return f, nil
 	}
 	return discovery.Followed{}, err
 }
@@ -61,19 +74,22 @@
 	return order
 }
 
-// fresher returns what another scheduler has if that is fresher, and goes on with that one.
-func (c *Client) fresher(ctx context.Context, f discovery.Followed, other members.Member) discovery.Followed {
-	g, err := c.followOne(ctx, other, feed.Position{}, 0)
-	if err != nil || g.Age+freshGain > f.Age {
-		return f
+// fresher returns what one of the other schedulers has if that is fresher, and goes on with
+// that one.
+func (c *Client) fresher(ctx context.Context, f discovery.Followed, others []members.Member) discovery.Followed {
+	for _, s := range others[:min(followAsks, len(others))] {
+		g, err := c.followOne(ctx, s, feed.Position{}, 0)
+		if err == nil && g.Age+freshGain <= f.Age {
+			c.fresh = s.Name
+			return g
+		}
 	}
-	c.fresh = other.Name
-	return g
+	return f
 }
 
 // followOne asks one scheduler for what has changed. It has one caller at a time.
 func (c *Client) followOne(ctx context.Context, s members.Member, after feed.Position, wait time.Duration) (discovery.Followed, error) {
-	fctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	fctx, cancel := context.WithTimeout(ctx, wait+max(c.o.followWait(), leastSlack))
 	defer cancel()
 	resp, err := c.o.Transport.Call(fctx, s.Peer, &peerpb.Request{Body: &peerpb.Request_Follow{Follow: &peerpb.Follow{
 		Run: after.Run, Position: after.At, WaitMs: uint32(wait.Milliseconds()),
@@ -120,7 +136,7 @@
 	if !s.o.View().Ready() {
 		return &peerpb.Response{Error: "scheduler is not ready"}
 	}
-	u := s.await(ctx, feed.Position{Run: m.GetRun(), At: m.GetPosition()}, min(time.Duration(m.GetWaitMs())*time.Millisecond, followWait))
+	u := s.await(ctx, feed.Position{Run: m.GetRun(), At: m.GetPosition()}, min(time.Duration(m.GetWaitMs())*time.Millisecond, s.o.followWait()))
 	v := s.o.View()
 	out := &peerpb.FollowUpdate{
 		Run: u.Position.Run, Position: u.Position.At, Full: u.Full, AgeMs: max(v.ConfigAge(), v.InstancesAge()).Milliseconds(), StoreUp: v.StoreUp,
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -52,7 +52,7 @@
 	n.view.Store(&fleet.View{})
 	reg := metrics.NewRegistry()
 	transport := peer.NewTransport(&peerpb.Identity{Name: name, Incarnation: "1"}, n, reg, log.NewNopLogger())
-	o := Options{Self: n.self, View: n.view.Load, Transport: transport, Placer: n.placer, Metrics: reg, Logger: log.NewNopLogger()}
+	o := Options{Self: n.self, View: n.view.Load, Transport: transport, Placer: n.placer, Within: testWithin, Metrics: reg, Logger: log.NewNopLogger()}
 	n.Client, n.Server = NewClient(o), NewServer(o, n.feed)
 	go func() { _ = transport.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -61,6 +61,9 @@
 	return n
 }
 
+// testWithin is in what time a change must have reached everybody.
+const testWithin = 4 * time.Second
+
 const (
 	routeName   = "r"
 	serviceName = "s"
@@ -261,22 +264,24 @@
 	require.Equal(t, []members.Member{s.self}, f.Schedulers)
 	require.Equal(t, f.Schedulers, f.Watchers)
 
-	time.AfterFunc(followWait/5, func() { s.feed.Remove("k/1") })
+	time.AfterFunc(a.Client.o.followWait()/5, func() { s.feed.Remove("k/1") })
 	begun := time.Now()
 	f, err = a.Follow(context.Background(), f.Position)
 	require.NoError(t, err)
-	require.Less(t, time.Since(begun), followWait)
+	require.Less(t, time.Since(begun), a.Client.o.followWait())
 	require.True(t, f.Events[0].Deleted)
 }
 
-// TestAStaleCopyIsLeftForAFresherOne covers a scheduler that is cut off from the store and
-// answers its followers all the same.
+// TestAStaleCopyIsLeftForAFresherOne covers schedulers that are cut off from the store and
+// answer their followers all the same, all but one: that one is found in a single round.
 func TestAStaleCopyIsLeftForAFresherOne(t *testing.T) {
-	near, far, a := newNode(t, "a-near"), newNode(t, "b-far"), newNode(t, "a-1")
-	see([]*node{near, far, a}, []*node{near, far}, "ap1")
-	stale := *near.view.Load()
-	stale.ConfigAt = bootclock.Now().Add(-2 * staleAge)
-	near.view.Store(&stale)
+	near, near2, far, a := newNode(t, "a-near"), newNode(t, "a-near2"), newNode(t, "b-far"), newNode(t, "a-1")
+	see([]*node{near, near2, far, a}, []*node{near, near2, far}, "ap1")
+	for _, n := range []*node{near, near2} {
+		stale := *n.view.Load()
+		stale.ConfigAt = bootclock.Now().Add(-testWithin)
+		n.view.Store(&stale)
+	}
 	for n := range 2 {
 		f, err := a.Follow(context.Background(), feed.Position{})
 		require.NoError(t, err)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"time"
 
 	"github.com/rockdoor/rockdoor/jsonc"
 )
@@ -56,6 +57,9 @@
 	Lease       jsonc.Duration `json:"lease"`
 }
 
+// Within returns in what time a change in the store must have reached all processes.
+func (b *Bounds) Within() time.Duration { return min(b.Apply.Std(), b.Drain.Std()) }
+
 // GatewayLog says what a gateway logs.
 type GatewayLog struct {
 	Level          string `json:"level"`
