Calls to follow may overlap

Ruled out: other shared state of the client (silences and reports have locks of their own). Change: the name is an atomic pointer. Test: overlapping calls in TestAStaleCopyIsLeftForAFresherOne; the race detector reports the version before. Decisions are the same.

--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -45,8 +46,9 @@
 	local     Scheduler
 	directory *directory
 	reports   *reporter
-	// fresh is the scheduler whose copy was fresher than that of the first in order.
-	fresh string
+	// fresh is the name of the scheduler whose copy was fresher than that of the first in
+	// order. Calls to follow may overlap for a moment when a process stops and begins to.
+	fresh atomic.Pointer[string]
 }
 
 // NewClient returns a client that has to be run.
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -65,8 +65,9 @@
 		from = v.Watchers
 	}
 	order := c.directory.order(from, len(from))
+	fresh := c.fresh.Load()
 	for n, s := range order {
-		if s.Name == c.fresh {
+		if fresh != nil && s.Name == *fresh {
 			copy(order[1:n+1], order[:n])
 			order[0] = s
 		}
@@ -80,14 +81,14 @@
 	for _, s := range others[:min(followAsks, len(others))] {
 		g, err := c.followOne(ctx, s, feed.Position{}, 0)
 		if err == nil && g.Age+freshGain <= f.Age {
-			c.fresh = s.Name
+			c.fresh.Store(&s.Name)
 			return g
 		}
 	}
 	return f
 }
 
-// followOne asks one scheduler for what has changed. It has one caller at a time.
+// followOne asks one scheduler for what has changed.
 func (c *Client) followOne(ctx context.Context, s members.Member, after feed.Position, wait time.Duration) (discovery.Followed, error) {
 	fctx, cancel := context.WithTimeout(ctx, wait+max(c.o.followWait(), leastSlack))
 	defer cancel()
@@ -98,8 +99,8 @@
 		if ctx.Err() == nil && !fault.Is(err, fault.Denied) {
 			c.directory.failed(s, err)
 		}
-		if c.fresh == s.Name {
-			c.fresh = ""
+		if fresh := c.fresh.Load(); fresh != nil && *fresh == s.Name {
+			c.fresh.CompareAndSwap(fresh, nil)
 		}
 		return discovery.Followed{}, err
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/bootclock"
@@ -287,4 +289,14 @@
 		require.NoError(t, err)
 		require.Equal(t, "b-far", f.Position.Run, fmt.Sprint("call ", n))
 	}
+	var wg sync.WaitGroup
+	for range 4 { // a process that stops to follow and begins again may call twice at a time
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := a.Follow(context.Background(), feed.Position{})
+			assert.NoError(t, err)
+		}()
+	}
+	wg.Wait()
 }
