--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,7 +1,7 @@
 // Package discovery keeps a process's view of the deployment up to date. A few processes of
 // a fleet watch the object store; the schedulers follow one of these, and the others follow
-// a scheduler. They look at the store themselves only while none answers. One goroutine owns the state and publishes
-// immutable views; followers only fetch.
+// a scheduler. They look at the store themselves only while none answers. One goroutine
+// owns the state and publishes immutable views; followers only fetch.
 package discovery
 
 import (
