Workspaces' keys, proven by how long ago the store was asked; engines that start again under their id

Change: a configuration has workspaces; a key leads to its workspace by a hash, and the engine gets the workspace's name. A process whose schedulers have no young proof asks the store itself. Between processes the configuration goes with hashes instead of keys. A workspace's rank goes before the route's, also at a scheduler. Registrations carry the time of birth: what was known of an earlier run is forgotten; one that cannot be read names no instance. Ruled out: the time of the answer as the proof (an answer may be long on its way); the age of the view after a wait (a change between the look at the feed and the look at the view would be proven without being told).

--- a/engine/serving.go
+++ b/engine/serving.go
@@ -28,6 +28,9 @@
 	Parts []Part
 	// LastEvent is set if the caller resumes a stream.
 	LastEvent string
+	// Key proves which workspace the caller belongs to; empty if it gives none. It is
+	// neither logged nor passed on.
+	Key string
 }
 
 // SharedTokens returns the tokens of the parts that other requests may share.
@@ -69,6 +72,8 @@
 	FetchFrom string
 	// ResumeAfter is the id of the last event that was delivered.
 	ResumeAfter string
+	// Workspace is the one that the caller's key belongs to, empty for none.
+	Workspace string
 }
 
 // Verdict is what the head of an answer says.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,8 @@
 	Affinity bool
 	// Resumable streams may go on at another instance after their last event.
 	Resumable bool
+	// Public routes are open to callers without a key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -102,6 +104,9 @@
 
 	byHost map[string][]*Route
 	byName map[string]*Route
+	// byKey has the workspaces by their keys.
+	byKey      map[KeyHash]*Workspace
+	workspaces int
 }
 
 // Index prepares the configuration for look-ups. It is called once, before the
@@ -158,8 +163,11 @@
 
 // Instance is one run of an engine or backend server.
 type Instance struct {
-	// ID names this run and no other.
-	ID      string
+	// ID names an instance and no other.
+	ID string
+	// Born differs for each run of the instance that keeps its ID; 0 if it does not say. A
+	// later run knows nothing of what an earlier one had.
+	Born    int64
 	Service string
 	// Address is IP:PORT.
 	Address string
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -17,6 +17,10 @@
 	// nothing newer.
 	ConfigAt    bootclock.Instant
 	InstancesAt bootclock.Instant
+	// ProvenAt is the latest time of which it is proven that Config was the newest then: a
+	// question was sent to the store, and its answer said so. An answer that was long on its
+	// way proves nothing of the time in which it arrived.
+	ProvenAt bootclock.Instant
 	// Listed is true once the registrations have been read for the first time.
 	Listed bool
 	// Instances has every registered instance by its ID.
@@ -84,5 +88,8 @@
 // ConfigAge returns how long ago the store confirmed the configuration.
 func (v *View) ConfigAge() time.Duration { return bootclock.Since(v.ConfigAt) }
 
+// ProofAge returns how old the proof is that Config is the newest one.
+func (v *View) ProofAge() time.Duration { return bootclock.Since(v.ProvenAt) }
+
 // InstancesAge returns how long ago the store confirmed the registrations.
 func (v *View) InstancesAge() time.Duration { return bootclock.Since(v.InstancesAt) }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -50,6 +50,12 @@
 	// DecodeConfig and DecodeInstance decode stored objects.
 	DecodeConfig   func(objstore.Object) (*fleet.Config, error)
 	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
+	// Hide returns a configuration as other processes may have it, without secrets; nil
+	// leaves it as it is.
+	Hide func(objstore.Object) objstore.Object
+	// Prove is how old the proof may get that the configuration is the newest one; 0 is no
+	// bound.
+	Prove time.Duration
 	// Apply is within what time a change must be in force.
 	Apply time.Duration
 	// Within is in what time a change in the store must have reached everybody.
@@ -74,6 +80,13 @@
 	// those of the configuration and the instances. A change ends them at once; only
 	// a silent cut is noticed later.
 	slowFactor = 4
+	// proveShare is the part of Prove that a watch waits at the most. The proof is as old as
+	// the question, so it gets twice as old before the next answer, and older on the way to
+	// others.
+	proveShare = 0.15
+	// proveAloneShare is the part of Prove from which on a process that follows others asks
+	// the store itself.
+	proveAloneShare = 0.6
 	// sharedShare is the part of Within that a watch waits at the most in a fleet in which
 	// others follow this process: a copy that is older than the watch and the way to it is
 	// that of a process which is cut off from the store.
@@ -122,6 +135,9 @@
 	if d.o.Silent == nil {
 		d.o.Silent = func(string) bool { return false }
 	}
+	if d.o.Hide == nil {
+		d.o.Hide = func(obj objstore.Object) objstore.Object { return obj }
+	}
 	d.cur.StoreUp = true
 	d.publish()
 	return d
@@ -162,7 +178,7 @@
 	case lostStore:
 		d.lost(e)
 	case changed:
-		d.answered(e.feed)
+		d.answered(e.feed, e.asked)
 		d.apply(e)
 	case followed:
 		d.adopt(e.Followed)
@@ -182,8 +198,8 @@
 	d.cur.StoreUp = false
 }
 
-// answered records that the store answers.
-func (d *Discovery) answered(f source) {
+// answered records that the store has answered a question that was asked then.
+func (d *Discovery) answered(f source, asked bootclock.Instant) {
 	now := bootclock.Now()
 	if d.down[f] {
 		level.Info(d.logger).Log("msg", "store regained", "feed", f)
@@ -199,6 +215,7 @@
 	switch f {
 	case feedConfig:
 		d.cur.ConfigAt = now
+		d.cur.ProvenAt = max(d.cur.ProvenAt, asked)
 	case feedInstances:
 		d.cur.InstancesAt = now
 	}
@@ -235,8 +252,8 @@
 			continue
 		}
 		d.cur.Config = cfg
-		d.feed.Put(obj)
-		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "routes", len(cfg.Routes))
+		d.feed.Put(d.o.Hide(obj))
+		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "routes", len(cfg.Routes), "workspaces", cfg.Workspaces())
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -190,3 +190,32 @@
 	require.True(t, view().Takes("s", "i-1"), "it may come back")
 	eventually(t, func() bool { return !view().Takes("s", "i-1") })
 }
+
+// TestProofNeedsAnAnswer checks that the proof ages while the store is silent, and through
+// an answer that was long on its way.
+func TestProofNeedsAnAnswer(t *testing.T) {
+	fake, view := start(t)
+	setConfig(fake, 1)
+	eventually(t, func() bool { return version(view()) == 1 && view().ProofAge() < apply })
+	fake.SetFaults(fleetstore.Faults{Silent: true})
+	eventually(t, func() bool { return view().ProofAge() > 2*apply })
+	fake.SetFaults(fleetstore.Faults{})
+	eventually(t, func() bool { return view().ProofAge() < apply })
+}
+
+// TestRegistrationsOfOtherWriters checks that what cannot be read names no instance and
+// leaves the others alone, and that the instance is back with its next good registration.
+func TestRegistrationsOfOtherWriters(t *testing.T) {
+	fake, view := start(t)
+	for _, odd := range []any{
+		"text", 7, []int{1}, nil, map[string]any{"service": 5, "address": "10.0.0.1:80"}, map[string]any{"service": "s", "address": "10.0.0.1:80", "slots": "many", "phase": "ready"},
+		map[string]any{"service": "s", "phase": "ready"}, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": "odd"}, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": "ready", "stage": 3},
+	} {
+		setInstance(fake, "i-1", "ready")
+		setInstance(fake, "i-2", "ready")
+		eventually(t, func() bool { return len(view().Usable("s")) == 2 })
+		fake.Set("servers", "i-1", odd)
+		eventually(t, func() bool { return !view().Takes("s", "i-1") })
+		require.True(t, view().Takes("s", "i-2"))
+	}
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/objstore"
 )
@@ -24,6 +25,8 @@
 	settled bool
 	// reset is true if events holds everything that exists.
 	reset bool
+	// asked is when the question was sent to the store.
+	asked bootclock.Instant
 	// events are in the order in which they happened: an object may go and come
 	// back in one answer.
 	events []objstore.Event
@@ -94,6 +97,7 @@
 
 // list reads all objects once.
 func (f *follower) list(ctx context.Context) (objstore.Revision, error) {
+	asked := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.answerWithin)
 	defer cancel()
 	objects, rev, err := f.store.List(ctx, f.prefix)
@@ -103,7 +107,7 @@
 	if err != nil {
 		return rev, err
 	}
-	f.send(ctx, listing(f.feed, objects))
+	f.send(ctx, listing(f.feed, objects, asked))
 	return rev, nil
 }
 
@@ -112,13 +116,14 @@
 	if failed {
 		wait = probeWait
 	}
+	asked := bootclock.Now()
 	wctx, cancel := context.WithTimeout(ctx, wait+f.answerWithin)
 	defer cancel()
 	events, rev, err := f.store.Watch(wctx, f.prefix, after, wait)
 	if err != nil {
 		return after, err
 	}
-	f.send(ctx, changed{feed: f.feed, events: events})
+	f.send(ctx, changed{feed: f.feed, events: events, asked: asked})
 	return max(rev, after), nil
 }
 
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		level.Error(d.logger).Log("msg", "registration left out", "key", obj.Key, "revision", obj.Version, "err", err)
 		d.count("registrations_rejected")
+		if id := nameOf(obj.Key); d.instances[id] != nil && obj.Version > d.versions[id] {
+			d.versions[id] = obj.Version
+			d.drop(id, "registration cannot be read")
+		}
 		return
 	}
 	if went, ok := d.gone[i.ID]; obj.Version < d.versions[i.ID] || ok && obj.Version <= went.version {
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -50,6 +50,7 @@
 	begun := bootclock.Now()
 	f := d.follower(feedMembers)
 	for ctx.Err() == nil {
+		asked := bootclock.Now()
 		lctx, cancel := context.WithTimeout(ctx, f.answerWithin)
 		objects, _, err := f.store.List(lctx, f.prefix)
 		cancel()
@@ -58,7 +59,7 @@
 		case err != nil && !fault.Is(err, fault.NotFound):
 			f.send(ctx, lostStore{feedMembers, err})
 		case late || d.knowsFleet(members.Parse(objects)):
-			f.send(ctx, listing(feedMembers, objects))
+			f.send(ctx, listing(feedMembers, objects, asked))
 			return
 		}
 		pause(ctx, joinRetry)
@@ -192,10 +193,14 @@
 
 // wait is how long a watch of the configuration or the instances waits now.
 func (d *Discovery) wait() time.Duration {
+	wait := d.ownWait()
 	if d.View().Processes > members.FullMesh {
-		return min(d.ownWait(), time.Duration(sharedShare*float64(d.o.Within)))
+		wait = min(wait, time.Duration(sharedShare*float64(d.o.Within)))
 	}
-	return d.ownWait()
+	if d.o.Prove > 0 {
+		wait = min(wait, time.Duration(proveShare*float64(d.o.Prove)))
+	}
+	return wait
 }
 
 // slowWait is how long a watch of rules or members waits.
@@ -216,8 +221,8 @@
 }
 
 // listing is the change that a whole list is.
-func listing(s source, objects []objstore.Object) changed {
-	c := changed{feed: s, reset: true}
+func listing(s source, objects []objstore.Object, asked bootclock.Instant) changed {
+	c := changed{feed: s, reset: true, asked: asked}
 	for _, obj := range objects {
 		c.events = append(c.events, objstore.Event{Object: obj})
 	}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -34,6 +34,9 @@
 	feed.Update
 	// Age is how long ago the store confirmed to the scheduler that there was nothing newer.
 	Age time.Duration
+	// ProvenAt is until when the configuration is proven to have been the newest one, by the
+	// clock of this process.
+	ProvenAt bootclock.Instant
 	// StoreUp is false while the store does not answer there.
 	StoreUp    bool
 	Processes  int
@@ -55,6 +58,7 @@
 		if err == nil {
 			at, answered = f.Position, bootclock.Now()
 			d.send(ctx, followed{f})
+			d.proveAlone(ctx, f.ProvenAt)
 			continue
 		}
 		if bootclock.Since(answered) < aloneAfter {
@@ -73,6 +77,22 @@
 	}
 }
 
+// proveAlone asks the store itself whether the configuration is the newest one if those that
+// this process follows have not proven it for long: they may be cut off from the store, and
+// this process may not be.
+func (d *Discovery) proveAlone(ctx context.Context, provenAt bootclock.Instant) {
+	late := func(at bootclock.Instant) bool {
+		return bootclock.Since(at) > time.Duration(proveAloneShare*float64(d.o.Prove))
+	}
+	if d.o.Prove == 0 || !late(provenAt) || !late(d.View().ProvenAt) {
+		return
+	}
+	if _, err := d.follower(feedConfig).list(ctx); err != nil && ctx.Err() == nil {
+		level.Warn(d.logger).Log("msg", "configuration not proven", "proof_age", d.View().ProofAge().Round(time.Millisecond), "err", err)
+		pause(ctx, followRetry+rand.N(followRetry))
+	}
+}
+
 // adopt takes in what a scheduler says.
 func (d *Discovery) adopt(f Followed) {
 	if d.mode != following {
@@ -82,6 +102,7 @@
 	d.cur.StoreUp = f.StoreUp
 	at := bootclock.Now().Add(-f.Age)
 	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
+	d.cur.ProvenAt = max(d.cur.ProvenAt, f.ProvenAt)
 	for s, prefix := range map[source]string{feedConfig: d.o.Prefixes.Config, feedInstances: d.o.Prefixes.Instances, feedRules: d.o.Prefixes.Rules} {
 		c := changed{feed: s, reset: f.Full, settled: true}
 		for _, e := range f.Events {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,10 +46,13 @@
 	Scheduler scheduler.Scheduler
 	Placer    *placement.Placer
 	// Domain is the failure domain of this process.
-	Domain  string
-	Budget  BudgetBounds
-	Metrics metrics.Registry
-	Logger  log.Logger
+	Domain string
+	// MaxProofAge is how old the proof may be that the configuration is the newest one, for
+	// requests with a key to run: later, the key may have been taken away. 0 is no bound.
+	MaxProofAge time.Duration
+	Budget      BudgetBounds
+	Metrics     metrics.Registry
+	Logger      log.Logger
 }
 
 // Server is the handler of callers' requests.
@@ -108,7 +111,11 @@
 		return nil, refusal(http.StatusNotFound, "no-route",
 			fault.New(fault.NotFound, "no route for "+r.Host+r.URL.Path, "check the host name and the path"), 0)
 	}
-	q := &request{s: s, w: w, http: r, call: &call, route: route, arrived: arrived, avoid: map[string]bool{}, life: lifecycle.New(call.ID, s.o.Logger)}
+	workspace, rep := s.admit(view, route, call.Key)
+	if rep != nil {
+		return nil, rep
+	}
+	q := &request{s: s, w: w, http: r, call: &call, route: ranked(route, workspace), workspace: workspace, arrived: arrived, avoid: map[string]bool{}, life: lifecycle.New(call.ID, s.o.Logger)}
 	q.deadline = arrived.Add(wait(call.Wait, route.Timeout))
 	if rep := q.readBody(view.Config.Limits); rep != nil {
 		return nil, rep
@@ -180,7 +187,7 @@
 		version = v.Config.Version
 	}
 	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", r.Host, "path", r.URL.Path, "status", rep.status, "outcome", rep.code,
-		"config", version, "config_age", v.ConfigAge().Round(time.Millisecond), "err", rep.err)
+		"config", version, "config_age", v.ConfigAge().Round(time.Millisecond), "proof_age", v.ProofAge().Round(time.Millisecond), "err", rep.err)
 	rep.write(w)
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -32,6 +32,8 @@
 	pathModel  = "/model/"
 	// testPatience is how long callers wait for a first event there.
 	testPatience = time.Second
+	// testProofAge is how old the proof of the configuration may be.
+	testProofAge = time.Minute
 )
 
 // rig is a gateway in front of stand-ins.
@@ -76,7 +78,7 @@
 	placer := placement.New("a", nil, nil)
 	g := gateway.New(gateway.Options{
 		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: scheduler.Local(placer), Domain: "a",
-		Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
+		MaxProofAge: testProofAge, Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -13,7 +13,7 @@
 	p := &q.plan
 	kv := []any{
 		"msg", "decision", "request", q.call.ID, "send", q.sends + 1, "route", q.route.Name, "service", q.service, "config", q.version,
-		"config_age", v.ConfigAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
+		"workspace", q.workspaceName(), "config_age", v.ConfigAge().Round(time.Millisecond), "proof_age", v.ProofAge().Round(time.Millisecond), "instances_age", v.InstancesAge().Round(time.Millisecond),
 		"reason", p.Reason, "prompt", q.call.PromptTokens, "uncached", p.Uncached, "late", p.Late, "ahead", p.Ahead.Round(time.Millisecond), "read", p.Read.Round(time.Millisecond),
 		"left", time.Until(q.deadline).Round(time.Millisecond),
 	}
@@ -38,7 +38,7 @@
 	q.s.count("outcome." + outcome)
 	q.s.time("duration", took)
 	kv := []any{
-		"msg", "request", "request", q.call.ID, "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
+		"msg", "request", "request", q.call.ID, "workspace", q.workspaceName(), "route", q.route.Name, "service", q.service, "config", q.version, "outcome", outcome,
 		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.life.MayHaveRun(),
 		"read", q.readFor.Round(time.Millisecond), "took", took.Round(time.Millisecond),
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,15 +41,17 @@
 
 // request is the work on one request of a caller. It belongs to one goroutine.
 type request struct {
-	s        *Server
-	w        http.ResponseWriter
-	http     *http.Request
-	ctx      context.Context
-	call     *engine.Call
-	route    *fleet.Route
-	body     []byte
-	arrived  time.Time
-	deadline time.Time
+	s     *Server
+	w     http.ResponseWriter
+	http  *http.Request
+	ctx   context.Context
+	call  *engine.Call
+	route *fleet.Route
+	// workspace is the caller's, nil if it needs none and has none.
+	workspace *fleet.Workspace
+	body      []byte
+	arrived   time.Time
+	deadline  time.Time
 
 	service string
 	// sends counts sends to runners, runs those that may have begun there.
@@ -100,8 +102,12 @@
 	if route == nil {
 		return given("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), unknownRetry)
 	}
+	workspace, rep := q.s.admit(view, route, q.call.Key)
+	if rep != nil {
+		return given(rep.code, rep.err, rep.retryAfter)
+	}
 	first := q.service == ""
-	q.route, q.version = route, view.Config.Version
+	q.workspace, q.route, q.version = workspace, ranked(route, workspace), view.Config.Version
 	service := route.Pick(q.call.ID)
 	if service != q.service {
 		q.free() // what one service read is not for another
@@ -152,7 +158,7 @@
 // job describes the request to the placer.
 func (q *request) job(v *fleet.View) *placement.Job {
 	return &placement.Job{
-		Route: q.route, Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived),
+		Route: q.route, Ranked: q.workspace != nil && q.workspace.Ranked, Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived),
 		Domain: q.s.o.Domain, Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, NoRead: q.begun || q.source != nil,
 	}
 }
@@ -316,6 +322,7 @@
 }
 
 func (q *request) upstream(i *fleet.Instance, s engine.Send) upstream.Request {
+	s.Workspace = q.workspaceName()
 	return upstream.Request{
 		Address: i.Address, Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
 		Header:  q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -109,7 +109,7 @@
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
-		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance, Hide: platform.HideKeys, Prove: set.Bounds.MaxProofAge(),
 		Apply: set.Bounds.Apply.Std(), Within: set.Bounds.Within(), Settle: set.Bounds.Settle.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
@@ -117,6 +117,7 @@
 	d.buildShare(self)
 	d.gateway = gateway.New(gateway.Options{
 		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.asker, Placer: d.placer, Domain: set.Domain,
+		MaxProofAge: set.Bounds.MaxProofAge(),
 		Budget: gateway.BudgetBounds{
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
 			Processes: func() int { return d.discovery.View().Processes },
@@ -348,7 +349,7 @@
 		v := d.discovery.View()
 		d.placer.Retain(func(id string) bool { return v.Instances[id] != nil })
 		for id, i := range before {
-			if v.Instances[id] == nil {
+			if now := v.Instances[id]; now == nil || now.Born != i.Born {
 				d.client.Forget(i.Address)
 			}
 		}
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -15,6 +15,9 @@
 		Request: j.Call.ID, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
 		LeftUs: j.Left.Microseconds(), SpentUs: j.Spent.Microseconds(), NoRead: j.NoRead,
 	}
+	if j.Ranked {
+		out.Rank = uint32(max(j.Route.Rank, 0)) + 1
+	}
 	for _, p := range j.Call.Parts {
 		out.Parts = append(out.Parts, p.ID)
 		out.Tokens = append(out.Tokens, uint32(p.Tokens))
@@ -36,6 +39,11 @@
 	if route == nil || !known || len(m.GetParts()) != len(m.GetTokens()) {
 		return nil, fault.Newf(fault.NotFound, "ask another scheduler", "route %s to %s is not known here", m.GetRoute(), m.GetService())
 	}
+	if rank := m.GetRank(); rank > 0 {
+		own := *route
+		own.Rank = int(rank) - 1
+		route = &own
+	}
 	call := &engine.Call{ID: m.GetRequest(), PromptTokens: int(m.GetPromptTokens())}
 	for n, id := range m.GetParts() {
 		call.Parts = append(call.Parts, engine.Part{ID: id, Tokens: int(m.GetTokens()[n])})
@@ -46,7 +54,7 @@
 	}
 	return &placement.Job{
 		Route: route, Service: service, Call: call, Domain: m.GetDomain(), Left: micros(m.GetLeftUs()), Spent: micros(m.GetSpentUs()),
-		Permitted: v.Permitted(route.Name, service.Name), Avoid: avoid, NoRead: m.GetNoRead(),
+		Permitted: v.Permitted(route.Name, service.Name), Avoid: avoid, NoRead: m.GetNoRead(), Ranked: m.GetRank() > 0,
 	}, nil
 }
 
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
@@ -92,6 +94,7 @@
 func (c *Client) followOne(ctx context.Context, s members.Member, after feed.Position, wait time.Duration) (discovery.Followed, error) {
 	fctx, cancel := context.WithTimeout(ctx, wait+max(c.o.followWait(), leastSlack))
 	defer cancel()
+	asked := bootclock.Now()
 	resp, err := c.o.Transport.Call(fctx, s.Peer, &peerpb.Request{Body: &peerpb.Request_Follow{Follow: &peerpb.Follow{
 		Run: after.Run, Position: after.At, WaitMs: uint32(wait.Milliseconds()),
 	}}})
@@ -105,7 +108,10 @@
 		return discovery.Followed{}, err
 	}
 	c.directory.answered(s)
-	return decodeUpdate(resp.GetUpdate()), nil
+	f := decodeUpdate(resp.GetUpdate())
+	// The age is as of the answer, which was given after the question was asked.
+	f.ProvenAt = asked.Add(-time.Duration(resp.GetUpdate().GetProofAgeMs()) * time.Millisecond)
+	return f, nil
 }
 
 func decodeUpdate(m *peerpb.FollowUpdate) discovery.Followed {
@@ -137,11 +143,11 @@
 	if !s.o.View().Ready() {
 		return &peerpb.Response{Error: "scheduler is not ready"}
 	}
-	u := s.await(ctx, feed.Position{Run: m.GetRun(), At: m.GetPosition()}, min(time.Duration(m.GetWaitMs())*time.Millisecond, s.o.followWait()))
-	v := s.o.View()
+	u, v := s.await(ctx, feed.Position{Run: m.GetRun(), At: m.GetPosition()}, min(time.Duration(m.GetWaitMs())*time.Millisecond, s.o.followWait()))
 	out := &peerpb.FollowUpdate{
 		Run: u.Position.Run, Position: u.Position.At, Full: u.Full, AgeMs: max(v.ConfigAge(), v.InstancesAge()).Milliseconds(), StoreUp: v.StoreUp,
-		Processes: uint32(v.Processes),
+		ProofAgeMs: v.ProofAge().Milliseconds() + 1, // rounded up
+		Processes:  uint32(v.Processes),
 	}
 	for _, e := range u.Events {
 		out.Objects = append(out.Objects, &peerpb.MirrorObject{Key: e.Object.Key, Value: e.Object.Value, Version: int64(e.Object.Version), Deleted: e.Deleted})
@@ -157,21 +163,24 @@
 	return &peerpb.Response{Body: &peerpb.Response_Update{Update: out}}
 }
 
-// await waits for something that a copy lacks.
-func (s *Server) await(ctx context.Context, p feed.Position, wait time.Duration) feed.Update {
+// await waits for something that a copy lacks. The update has all that the returned view
+// has: the view is taken first, and what is in a view was in the feed before, so that the
+// view's ages hold for a copy with the update.
+func (s *Server) await(ctx context.Context, p feed.Position, wait time.Duration) (feed.Update, *fleet.View) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for over := false; ; {
+		v := s.o.View()
 		u, changed := s.feed.Since(p)
-		if u.Full || len(u.Events) > 0 {
-			return u
+		if over || u.Full || len(u.Events) > 0 {
+			return u, v
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return u
+			over = true
 		case <-ctx.Done():
-			return u
+			over = true
 		}
 	}
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -300,3 +300,37 @@
 		require.Equal(t, "b-far", f.Position.Run, fmt.Sprint("call ", n))
 	}
 }
+
+// TestProofIsAsOldAsTheQuestion checks what a follower may take for proven: not more than
+// was proven when it asked, however long its question was held or the answer was on its way,
+// and never for a configuration that it was not given.
+func TestProofIsAsOldAsTheQuestion(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	see([]*node{s, a}, []*node{s}, "ap1")
+	const age = 700 * time.Millisecond
+	v := *s.view.Load()
+	v.ProvenAt = bootclock.Now().Add(-age)
+	s.view.Store(&v)
+	f, err := a.Follow(context.Background(), feed.Position{})
+	require.NoError(t, err)
+	require.LessOrEqual(t, f.ProvenAt, v.ProvenAt)
+
+	// While the question is held, the scheduler learns of another configuration.
+	time.AfterFunc(a.Client.o.followWait()/5, func() {
+		s.feed.Put(objstore.Object{Key: "config/main", Version: 5})
+		next := v
+		next.ProvenAt = bootclock.Now()
+		s.view.Store(&next)
+	})
+	asked := bootclock.Now()
+	f, err = a.Follow(context.Background(), f.Position)
+	require.NoError(t, err)
+	require.Len(t, f.Events, 1)
+	require.Less(t, f.ProvenAt, asked.Add(a.Client.o.followWait()))
+
+	// A scheduler whose newer view was not in its feed yet when it answered proves nothing new.
+	for range 50 {
+		u, view := s.await(context.Background(), f.Position, 0)
+		require.False(t, view.ProvenAt > v.ProvenAt && u.Position.At < f.Position.At)
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -55,6 +55,21 @@
 	RetrySlack  float64        `json:"retrySlack"`
 	RetryWindow jsonc.Duration `json:"retryWindow"`
 	Lease       jsonc.Duration `json:"lease"`
+	// Revoke is 0 where no key is ever taken away.
+	Revoke jsonc.Duration `json:"revoke"`
+}
+
+// proofMargin is kept from the time after which a key that was taken away must not be used,
+// for what passes between the check of a request and its first byte to an instance.
+const proofMargin = 300 * time.Millisecond
+
+// MaxProofAge returns how old the proof may be that the configuration is the newest one,
+// for a request with a key to run; 0 is no bound.
+func (b *Bounds) MaxProofAge() time.Duration {
+	if b.Revoke == 0 {
+		return 0
+	}
+	return max(b.Revoke.Std()-proofMargin, b.Revoke.Std()/2)
 }
 
 // Within returns in what time a change in the store must have reached all processes.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -41,7 +41,10 @@
 
 // Job is a request to be placed.
 type Job struct {
-	Route   *fleet.Route
+	Route *fleet.Route
+	// Ranked is true if the rank of Route is not the operator's for the route but that of
+	// the caller's workspace.
+	Ranked  bool
 	Service fleet.Service
 	Call    *engine.Call
 	// Domain is the failure domain of the process that has the request; empty is that of
--- a/placement/state.go
+++ b/placement/state.go
@@ -53,6 +53,8 @@
 // state is what is known about one instance.
 type state struct {
 	id string
+	// born is that of the run that all this is about.
+	born int64
 	// own is what this process has in hand there.
 	own Load
 	// pace is how much longer the engine takes than the model says.
@@ -71,12 +73,24 @@
 	gap float64
 }
 
-func (p *Placer) state(i *fleet.Instance) *state { return p.stateOf(i.ID) }
+// state returns what is known about an instance. What was known of an earlier run of it is
+// forgotten but for the work in hand, which ends by itself.
+func (p *Placer) state(i *fleet.Instance) *state {
+	st := p.stateOf(i.ID)
+	if st.born != i.Born {
+		own := st.own
+		*st = *newState(i.ID)
+		st.born, st.own = i.Born, own
+	}
+	return st
+}
+
+func newState(id string) *state { return &state{id: id, pace: 1, cache: newPrefixCache()} }
 
 func (p *Placer) stateOf(id string) *state {
 	st := p.instances[id]
 	if st == nil {
-		st = &state{id: id, pace: 1, cache: newPrefixCache()}
+		st = newState(id)
 		p.instances[id] = st
 	}
 	return st
