Usage reported once, engines ordered: duties of one holder under one authority

Change: package duty takes the lease and the wait of a successor out of rolekeeper; roles, usage and engines ordered share it. Usage: each process counts what begins to run, by workspace in windows of true time, and tells a scheduler twice a second; the holder collects from all, writes the window into the store under a condition, and sends only what the store holds, in order, until it is taken. Package capacity decides how many engines of which kind; scaler orders. Spot engines take the place of lasting ones, so many that the loss of one domain leaves those that were there; lasting ones are given back only as spot engines serve.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,22 @@
 	HandleTTL time.Duration
 	// RoleChange is how long a change of role takes an engine away.
 	RoleChange time.Duration
+	// Scaling says how many engines may be ordered; nil if none may.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a service's engines in each failure domain, and says what
+// they cost.
+type Scaling struct {
+	// Least and Most hold for engines of both kinds together.
+	Least, Most int
+	// Startup is how long an engine takes until it serves.
+	Startup time.Duration
+	// SpotPrice is that of an engine that the platform may take away, as a share of another.
+	// It is 0 if there are none.
+	SpotPrice float64
+	// Prices are those of one engine by failure domain. Engines may be ordered there.
+	Prices map[string]float64
 }
 
 // Limits bound what a caller may send.
@@ -175,6 +191,8 @@
 	// Software is the version of the program that runs there.
 	Software string
 	Slots    int
+	// Spot instances may be taken away by the platform at short notice.
+	Spot bool
 	// Draining instances finish what they have.
 	Draining bool
 	// Role is empty for plain services.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,10 @@
 	// requests with a key to run: later, the key may have been taken away. 0 is no bound.
 	MaxProofAge time.Duration
 	Budget      BudgetBounds
-	Metrics     metrics.Registry
-	Logger      log.Logger
+	// Began is told of each request of a workspace that begins to run; it may be nil.
+	Began   func(workspace string)
+	Metrics metrics.Registry
+	Logger  log.Logger
 }
 
 // Server is the handler of callers' requests.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -63,7 +63,7 @@
 // relay passes an answer on.
 func (q *request) relay(a *upstream.Answer) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeSlack)) // without it the caller's own pace holds
-	if strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
+	if isStream(a) {
 		return q.relayEvents(a)
 	}
 	if q.begun {
@@ -124,8 +124,23 @@
 	}
 }
 
+// isStream reports whether an answer is a stream of events.
+func isStream(a *upstream.Answer) bool {
+	return strings.HasPrefix(a.Header.Get("Content-Type"), eventStream)
+}
+
+// countRun counts that the request has begun to run, once.
+func (q *request) countRun() {
+	if q.counted || q.workspace == nil || q.s.o.Began == nil {
+		return
+	}
+	q.counted = true
+	q.s.o.Began(q.workspace.Name)
+}
+
 func (q *request) begin(a *upstream.Answer) {
 	q.begun = true
+	q.countRun()
 	q.head(a)
 	q.w.WriteHeader(a.Status)
 	q.ticket.FirstEvent()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,6 +64,8 @@
 	events    int
 	// life says whether some instance may have begun the request.
 	life *lifecycle.Life
+	// counted is true once the request is known to have begun to run.
+	counted bool
 	// paid is true if the next send has been taken from the budget.
 	paid bool
 	// source is a prompt that was read and has not been used, sourceReader the
@@ -263,6 +265,9 @@
 	}
 	q.runs++
 	q.source = nil // taken by the runner
+	if !isStream(a) {
+		q.countRun() // the run of a stream begins with its first event
+	}
 	if !verdict.Genuine && a.Status < http.StatusMultipleChoices {
 		a.Close(false)
 		q.ticket.Run(placement.Failed)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -18,6 +18,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/duty"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/cachescan"
@@ -29,9 +30,11 @@
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
+	"github.com/rockdoor/rockdoor/internal/scaler"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/internal/usage"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
@@ -85,9 +88,14 @@
 	share     *loadshare.Sharer
 	asker     *scheduler.Client
 	scheduler *scheduler.Server
+	authority *duty.Authority
 	roles     *rolekeeper.Keeper
-	gateway   *gateway.Server
-	stopping  atomic.Bool
+	// duties are done while this process has the authority. usage is nil where usage is not
+	// reported.
+	duties   []func(context.Context)
+	usage    *usage.Sharer
+	gateway  *gateway.Server
+	stopping atomic.Bool
 
 	callers, readiness, operators *http.Server
 }
@@ -115,6 +123,7 @@
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
 	d.buildShare(self)
+	began := d.buildDuties(self)
 	d.gateway = gateway.New(gateway.Options{
 		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.asker, Placer: d.placer, Domain: set.Domain,
 		MaxProofAge: set.Bounds.MaxProofAge(),
@@ -122,7 +131,7 @@
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
 			Processes: func() int { return d.discovery.View().Processes },
 		},
-		Metrics: d.reg, Logger: d.logger,
+		Began: began, Metrics: d.reg, Logger: d.logger,
 	})
 	d.buildServers()
 	return d
@@ -131,10 +140,13 @@
 // buildShare builds what works together with the other gateways.
 func (d *Daemon) buildShare(self members.Member) {
 	d.transport = peer.NewTransport(&peerpb.Identity{Name: self.Name, Incarnation: self.Incarnation}, d, d.reg, d.logger)
+	d.authority = duty.New(duty.Options{
+		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin,
+		View: d.discovery.View, Heard: func() []string { return d.share.Heard() }, Logger: d.logger,
+	})
 	d.roles = rolekeeper.New(rolekeeper.Options{
-		Store: d.store, Prefix: platform.LeasePrefix, Self: self, TTL: d.set.Bounds.Lease.Std(), Apart: d.set.Bounds.Lease.Std() + apartMargin, Policy: d.set.RolePolicy,
-		Engines: platform.NewKeeper(d.client), Placer: d.placer, View: d.discovery.View,
-		Heard: func() []string { return d.share.Heard() }, Metrics: d.reg, Logger: d.logger,
+		Authority: d.authority, Policy: d.set.RolePolicy, Engines: platform.NewKeeper(d.client), Placer: d.placer, View: d.discovery.View,
+		Metrics: d.reg, Logger: d.logger,
 	})
 	d.share = loadshare.New(loadshare.Options{
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
@@ -144,6 +156,28 @@
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 }
 
+// buildDuties builds what one process at a time does for the deployment, and returns what is
+// told of each request that begins to run.
+func (d *Daemon) buildDuties(self members.Member) (began func(workspace string)) {
+	d.duties = append(d.duties, d.roles.Run)
+	api := platform.NewDuties(d.client, d.set.Duties.Address)
+	if d.set.Duties.Has(platform.DutyCapacity) {
+		s := scaler.New(scaler.Options{Authority: d.authority, Orderer: api, View: d.discovery.View, Metrics: d.reg, Logger: d.logger})
+		d.duties = append(d.duties, s.Run)
+	}
+	if !d.set.Duties.Has(platform.DutyUsage) {
+		return nil
+	}
+	ledger := usage.NewLedger(usage.Source{Process: self.Name, Incarnation: self.Incarnation}, d.set.Duties.UsageWindow.Std(), time.Now)
+	d.usage = usage.NewSharer(usage.SharerOptions{Ledger: ledger, Transport: d.transport, Keepers: d.asker.Others, Logger: d.logger})
+	r := usage.NewReporter(usage.ReporterOptions{
+		Store: d.store, Prefix: platform.UsagePrefix, Writer: self.Incarnation, Authority: d.authority, Biller: api, Ledger: ledger,
+		Collect: d.usage.Collect, Due: d.set.Duties.UsageDue.Std(), Now: time.Now, Metrics: d.reg, Logger: d.logger,
+	})
+	d.duties = append(d.duties, r.Run)
+	return ledger.Began
+}
+
 // mesh returns the schedulers, none if this process is not one.
 func (d *Daemon) mesh() []members.Member {
 	if v := d.discovery.View(); v.Scheduling {
@@ -165,8 +199,11 @@
 
 // HandlePeer implements peer.Handler.
 func (d *Daemon) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
-	if req.GetLoads() != nil {
+	switch {
+	case req.GetLoads() != nil:
 		return d.share.HandlePeer(ctx, req)
+	case d.usage != nil && (req.GetUsage() != nil || req.GetUsageQuery() != nil):
+		return d.usage.HandlePeer(ctx, req)
 	}
 	return d.scheduler.HandlePeer(ctx, req)
 }
@@ -220,7 +257,10 @@
 	g.Add(func() error { return d.scheduler.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.keepHouse(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.listCaches(background) }, func(error) { stopBackground() })
-	g.Add(func() error { return d.keepRoles(ctx, background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.doDuties(ctx, background) }, func(error) { stopBackground() })
+	if d.usage != nil {
+		g.Add(func() error { return d.usage.Run(background) }, func(error) { stopBackground() })
+	}
 	g.Add(func() error { return d.live(ctx, reload) }, func(error) { stopBackground() })
 	err = g.Run()
 	d.store.Close()
@@ -278,7 +318,11 @@
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.bounds.Load().Grace.Std()-exitMargin))
 	defer cancel()
 	go func() { _ = d.callers.Shutdown(ctx) }() // the requests in hand are what is waited for
-	if !d.emptied(ctx) {
+	empty := d.emptied(ctx)
+	if d.usage != nil {
+		d.usage.Share(ctx) // what has been counted must not go with this process
+	}
+	if !empty {
 		level.Warn(d.logger).Log("msg", "requests were still in hand at the end of the grace period", "in_hand", d.gateway.InHand())
 	}
 }
@@ -301,12 +345,12 @@
 	return true
 }
 
-// keepRoles keeps roles until the process is asked to stop. It returns when the
-// process may exit, since the end of one part ends all.
-func (d *Daemon) keepRoles(ctx, background context.Context) error {
-	err := d.roles.Run(ctx)
+// doDuties does duties until the process is asked to stop. It returns when the process may
+// exit, since the end of one part ends all.
+func (d *Daemon) doDuties(ctx, background context.Context) error {
+	d.authority.Run(ctx, d.duties...)
 	<-background.Done()
-	return err
+	return nil
 }
 
 // leave removes the registration, within the time that a stop has anyway.
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -1,6 +1,5 @@
-// Package rolekeeper has engines change their roles. One gateway holds the lease
-// for it; the next holder gives no order before every order of the one before it
-// is too old to conflict with its own.
+// Package rolekeeper has engines change their roles. The gateway that has the authority over
+// duties gives the orders.
 package rolekeeper
 
 import (
@@ -12,28 +11,19 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/duty"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
-	"github.com/rockdoor/rockdoor/lease"
-	"github.com/rockdoor/rockdoor/members"
-	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/roles"
 )
 
 const (
-	// candidates is how many gateways want the lease.
-	candidates = 2
 	// planEvery is how often roles are reviewed.
 	planEvery = 200 * time.Millisecond
-	// stepTimeout bounds one use of the store for the lease.
-	stepTimeout = time.Second
 	// orderTimeout bounds an order and the report that is read before it.
 	orderTimeout = 800 * time.Millisecond
-	// orderMargin is how long before the end of its grant a holder gives its last
-	// order.
-	orderMargin = 300 * time.Millisecond
 	// spreadTime is how long an engine is announced as changing before it gets the
 	// order, so that the other gateways send it nothing more.
 	spreadTime = 150 * time.Millisecond
@@ -49,26 +39,24 @@
 	// minAtOnce.
 	atOnceShare = 1.0 / 3
 	minAtOnce   = 4
-	// shard is the name of the lease.
-	shard = "roles"
 )
 
+// Authority gives the right to do duties.
+type Authority interface {
+	// Grant returns the right to act now, if this process has it.
+	Grant() (duty.Grant, bool)
+}
+
 // Options of a Keeper.
 type Options struct {
-	Store  objstore.Store
-	Prefix string
-	Self   members.Member
-	// TTL is the life of the lease, Apart the time that must pass between the
-	// orders of two holders.
-	TTL, Apart time.Duration
+	// Authority gives the right to order.
+	Authority Authority
 	// Policy is a name of package roles.
 	Policy  string
 	Engines engine.Keeper
 	Placer  *placement.Placer
 	// View returns the latest view. Only schedulers, which know the load, keep roles.
-	View func() *fleet.View
-	// Heard returns the other gateways that are heard.
-	Heard   func() []string
+	View    func() *fleet.View
 	Metrics metrics.Registry
 	Logger  log.Logger
 }
@@ -77,12 +65,8 @@
 type Keeper struct {
 	o      Options
 	logger log.Logger
-	lessee *lease.Lessee
 
-	// token and since are the grant under which this process gives orders and when
-	// it first saw that it had it. They belong to the goroutine of Run.
-	token    int64
-	since    time.Time
+	// policies and changed belong to the goroutine of Run.
 	policies map[string]roles.Policy
 	changed  map[string]time.Time
 
@@ -104,10 +88,6 @@
 func New(o Options) *Keeper {
 	return &Keeper{
 		o: o, logger: log.With(o.Logger, "component", "roles"),
-		lessee: lease.New(lease.Options{
-			Store: o.Store, Prefix: o.Prefix, Shard: shard, Holder: o.Self.Name, Incarnation: o.Self.Incarnation, Address: o.Self.Peer,
-			TTL: o.TTL, Logger: o.Logger,
-		}),
 		policies: map[string]roles.Policy{}, changed: map[string]time.Time{}, pending: map[string]*change{},
 	}
 }
@@ -134,13 +114,8 @@
 	return c != nil && c.announced
 }
 
-// Run keeps the lease and the roles until ctx ends, then gives the lease up.
-func (k *Keeper) Run(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.keepLease(ctx)
-	}()
+// Run keeps the roles until ctx ends and all orders are given.
+func (k *Keeper) Run(ctx context.Context) {
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -150,45 +125,7 @@
 			k.review(ctx)
 		}
 	}
-	<-done
 	k.giving.Wait()
-	k.release()
-	return nil
-}
-
-// release gives the lease up.
-func (k *Keeper) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
-	defer cancel()
-	if err := k.lessee.Release(ctx); err != nil {
-		level.Warn(k.logger).Log("msg", "lease not released", "err", err)
-	}
-}
-
-// keepLease wants the lease while this process is one of the candidates. A holder that is
-// no scheduler any more gives it up, since it does not see the load.
-func (k *Keeper) keepLease(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, held := k.lessee.Grant()
-		switch {
-		case held && !k.o.View().Scheduling:
-			k.release()
-		case held || k.candidate():
-			sctx, cancel := context.WithTimeout(ctx, stepTimeout)
-			if err := k.lessee.Step(sctx); err != nil && !fault.Is(err, fault.Conflict) {
-				level.Info(k.logger).Log("msg", "lease not stepped", "held", held, "err", err)
-			}
-			cancel()
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(k.lessee.Interval()):
-		}
-	}
-}
-
-func (k *Keeper) candidate() bool {
-	return k.o.View().Scheduling && members.Rank(shard, k.o.Self.Name, k.o.Heard()) < candidates
 }
 
 // review settles the orders in hand and, while this process holds the lease, gives
@@ -197,34 +134,20 @@
 func (k *Keeper) review(ctx context.Context) {
 	v := k.o.View()
 	k.settle(v)
-	mayOrder := k.authority()
+	grant, mayOrder := k.o.Authority.Grant()
 	if !v.Ready() || !v.Scheduling {
 		return
 	}
 	for name, service := range v.Config.Services {
 		if service.KVCapacity > 0 {
-			k.plan(ctx, v, name, mayOrder)
+			k.plan(ctx, v, name, grant, mayOrder)
 		}
 	}
 }
 
-// authority reports whether this process may give orders now.
-func (k *Keeper) authority() bool {
-	g, held := k.lessee.Grant()
-	switch {
-	case !held && k.token != 0:
-		level.Info(k.logger).Log("msg", "authority over roles lost", "token", k.token)
-		k.token = 0
-	case held && g.Token != k.token:
-		k.token, k.since = g.Token, time.Now()
-		level.Info(k.logger).Log("msg", "authority over roles", "token", g.Token, "orders_after", k.o.Apart)
-	}
-	return held && time.Since(k.since) >= k.o.Apart
-}
-
 // plan asks a service's policy for changes. Without mayOrder the policy only
 // observes.
-func (k *Keeper) plan(ctx context.Context, v *fleet.View, service string, mayOrder bool) {
+func (k *Keeper) plan(ctx context.Context, v *fleet.View, service string, grant duty.Grant, mayOrder bool) {
 	p := k.policies[service]
 	if p == nil {
 		var err error
@@ -241,9 +164,9 @@
 		if c == nil || !mayOrder || k.inHand() >= most {
 			return
 		}
-		level.Info(k.logger).Log("msg", "role decision", "service", service, "engine", c.Engine, "from", c.From, "to", c.To, "reason", c.Reason, "token", k.token)
+		level.Info(k.logger).Log("msg", "role decision", "service", service, "engine", c.Engine, "from", c.From, "to", c.To, "reason", c.Reason, "token", grant.Token)
 		metrics.GetOrRegisterCounter("roles.decisions", k.o.Metrics).Inc(1)
-		k.begin(ctx, v.Instances[c.Engine], c, v.Config.Services[service].RoleChange)
+		k.begin(ctx, v.Instances[c.Engine], c, grant, v.Config.Services[service].RoleChange)
 	}
 }
 
@@ -291,7 +214,7 @@
 }
 
 // begin gives an order in a goroutine of its own.
-func (k *Keeper) begin(ctx context.Context, i *fleet.Instance, c *roles.Change, takes time.Duration) {
+func (k *Keeper) begin(ctx context.Context, i *fleet.Instance, c *roles.Change, g duty.Grant, takes time.Duration) {
 	k.mu.Lock()
 	k.pending[i.ID] = &change{to: *c, announced: true, until: time.Now().Add(takes + changeSlack)}
 	k.mu.Unlock()
@@ -299,11 +222,11 @@
 	k.giving.Add(1)
 	go func() {
 		defer k.giving.Done()
-		k.give(ctx, i, c)
+		k.give(ctx, i, c, g)
 	}()
 }
 
-func (k *Keeper) give(ctx context.Context, i *fleet.Instance, c *roles.Change) {
+func (k *Keeper) give(ctx context.Context, i *fleet.Instance, c *roles.Change, g duty.Grant) {
 	select {
 	case <-ctx.Done():
 		k.forget(i.ID)
@@ -327,10 +250,8 @@
 		level.Warn(k.logger).Log("msg", "order not given", "engine", i.ID, "err", err)
 		return
 	}
-	g, _ := k.lessee.Grant()
 	err = k.o.Engines.Order(octx, i.Address, engine.RoleOrder{
-		Instance: i.ID, Role: c.To, Holder: k.o.Self.Name, Token: g.Token, Orders: report.Orders,
-		Check: func() error { return k.check(g) },
+		Instance: i.ID, Role: c.To, Holder: g.Holder, Token: g.Token, Orders: report.Orders, Check: g.Check,
 	})
 	level.Info(k.logger).Log("msg", "order", "engine", i.ID, "to", c.To, "token", g.Token, "orders", report.Orders, "err", err)
 	switch {
@@ -342,14 +263,6 @@
 	}
 }
 
-// check is the last step before an order is written.
-func (k *Keeper) check(g lease.Grant) error {
-	if !g.Valid(orderMargin) {
-		return fault.New(fault.Unavailable, "authority ends too soon for this order", "the next holder of the lease carries on")
-	}
-	return nil
-}
-
 // unanswered makes an engine take requests again whose order may or may not be
 // carried out. It gets no other order until that is settled.
 func (k *Keeper) unanswered(id string) {
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -13,12 +13,12 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/duty"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/internal/upstream"
-	"github.com/rockdoor/rockdoor/lease"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
@@ -95,17 +95,20 @@
 func (p *pool) keeper(name string) (*Keeper, func()) {
 	p.t.Helper()
 	store := platform.NewStore(p.address)
+	authority := duty.New(duty.Options{
+		Store: store, Prefix: platform.LeasePrefix, Self: members.Member{Name: name, Incarnation: name + "-1"}, TTL: testTTL, Apart: testApart,
+		View: p.view.Load, Heard: func() []string { return nil }, Logger: log.NewNopLogger(),
+	})
 	k := New(Options{
-		Store: store, Prefix: platform.LeasePrefix, Self: members.Member{Name: name, Incarnation: name + "-1"}, TTL: testTTL, Apart: testApart, Policy: roles.Packing,
-		Engines: platform.NewKeeper(upstream.New(metrics.NewRegistry())), Placer: placement.New("a", p.load, nil),
-		View: p.view.Load, Heard: func() []string { return nil }, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Authority: authority, Policy: roles.Packing, Engines: platform.NewKeeper(upstream.New(metrics.NewRegistry())), Placer: placement.New("a", p.load, nil),
+		View: p.view.Load, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		_ = k.Run(ctx)
+		authority.Run(ctx, k.Run)
 	}()
 	var once sync.Once
 	stop := func() { once.Do(func() { cancel(); wg.Wait(); store.Close() }) }
@@ -162,14 +165,19 @@
 // a holder that was paused until its grant ended does not write.
 func TestPausedHolderGivesNoOrder(t *testing.T) {
 	p := newPool(t, "decode")
-	k, _ := p.keeper("a")
-	require.Eventually(t, func() bool { _, held := k.lessee.Grant(); return held }, 2*time.Second, time.Millisecond)
-	g, _ := k.lessee.Grant()
-	require.NoError(t, k.check(lease.Grant{Token: g.Token, Until: g.Until.Add(time.Hour)}))
-	require.Error(t, k.check(lease.Grant{Token: g.Token, Until: g.Until.Add(-time.Hour)}))
+	k, stop := p.keeper("a")
+	var g duty.Grant
+	require.Eventually(t, func() bool {
+		var held bool
+		g, held = k.o.Authority.Grant()
+		return held
+	}, 2*time.Second, time.Millisecond)
+	require.NoError(t, g.Check())
+	stop() // nobody renews the lease any more
+	time.Sleep(testTTL)
+	require.Error(t, g.Check())
 	err := k.o.Engines.Order(context.Background(), p.view.Load().Instances["i-0"].Address, engine.RoleOrder{
-		Instance: "i-0", Role: engine.RolePrefill, Holder: "a", Token: g.Token,
-		Check: func() error { return k.check(lease.Grant{Token: g.Token, Until: g.Until.Add(-time.Hour)}) },
+		Instance: "i-0", Role: engine.RolePrefill, Holder: g.Holder, Token: g.Token, Check: g.Check,
 	})
 	require.Error(t, err)
 	require.Empty(t, p.orders())
@@ -246,9 +254,9 @@
 func TestOnlySchedulersHoldTheLease(t *testing.T) {
 	p := newPool(t, "prefill", "decode", "decode", "decode", "decode", "decode")
 	k, _ := p.keeper("a")
-	require.Eventually(t, func() bool { _, held := k.lessee.Grant(); return held }, 3*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { _, held := k.o.Authority.Grant(); return held }, 3*time.Second, 10*time.Millisecond)
 	v := *p.view.Load()
 	v.Scheduling = false
 	p.view.Store(&v)
-	require.Eventually(t, func() bool { _, held := k.lessee.Grant(); return !held }, 3*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { _, held := k.o.Authority.Grant(); return !held }, 3*time.Second, 10*time.Millisecond)
 }
--- /dev/null
+++ b/internal/scaler/scaler.go
@@ -0,0 +1,169 @@
+// Package scaler orders engines from the platform while this process has the authority for
+// it. How many is decided by package capacity.
+package scaler
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockdoor/rockdoor/capacity"
+	"github.com/rockdoor/rockdoor/duty"
+	"github.com/rockdoor/rockdoor/fleet"
+)
+
+const (
+	// reviewEvery is how often it is looked whether other engines are to be had.
+	reviewEvery = 250 * time.Millisecond
+	// orderTimeout bounds one order.
+	orderTimeout = 1500 * time.Millisecond
+	// failedPause is how long a failure domain is not asked again that has no engines to give,
+	// or from which there was no answer.
+	failedPause = time.Second
+	// startSlack is how long beyond the stated time engines may take to start, or to leave,
+	// before the order is repeated.
+	startSlack = 4 * time.Second
+)
+
+// Authority gives the right to do duties.
+type Authority interface {
+	// Grant returns the right to act now, if this process has it.
+	Grant() (duty.Grant, bool)
+}
+
+// Options of a Scaler.
+type Options struct {
+	Authority Authority
+	Orderer   capacity.Orderer
+	// View returns the latest view.
+	View    func() *fleet.View
+	Metrics metrics.Registry
+	Logger  log.Logger
+}
+
+// Scaler orders engines for all services that allow it.
+type Scaler struct {
+	o      Options
+	logger log.Logger
+	// policies are by service.
+	policies map[string]*capacity.Policy
+	// token is the grant under which orders were given.
+	token  int64
+	orders map[subject]given
+}
+
+// subject is what an order is about.
+type subject struct {
+	service, domain string
+	spot            bool
+}
+
+// given is the last order of a subject.
+type given struct {
+	engines int
+	// until is when it is repeated if it has not been carried out.
+	until time.Time
+}
+
+// New returns a scaler that has to be run.
+func New(o Options) *Scaler {
+	return &Scaler{o: o, logger: log.With(o.Logger, "component", "scaler"), policies: map[string]*capacity.Policy{}, orders: map[subject]given{}}
+}
+
+// Run orders engines until ctx ends.
+func (s *Scaler) Run(ctx context.Context) {
+	tick := time.NewTicker(reviewEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.review(ctx)
+		}
+	}
+}
+
+// review orders what is missing. While the store is away nobody knows what there is, and
+// nothing is ordered.
+func (s *Scaler) review(ctx context.Context) {
+	g, ok := s.o.Authority.Grant()
+	v := s.o.View()
+	if !ok || !v.Ready() || !v.StoreUp {
+		return
+	}
+	if g.Token != s.token {
+		s.token = g.Token
+		clear(s.orders) // others may have ordered since
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
+		if service := v.Config.Services[name]; service.Scaling != nil {
+			s.scale(ctx, g, v, &service)
+		}
+	}
+}
+
+func (s *Scaler) scale(ctx context.Context, g duty.Grant, v *fleet.View, service *fleet.Service) {
+	p := s.policies[service.Name]
+	if p == nil {
+		p = &capacity.Policy{}
+		s.policies[service.Name] = p
+	}
+	in := input(v, service)
+	targets := p.Decide(in)
+	if targets == nil {
+		return
+	}
+	for n, d := range in.Domains {
+		next := targets[n]
+		s.order(ctx, g, service, d, capacity.Order{Service: service.Name, Domain: d.Name, Engines: next.Spot, Spot: true}, d.Spot)
+		s.order(ctx, g, service, d, capacity.Order{Service: service.Name, Domain: d.Name, Engines: next.Lasting}, d.Lasting)
+	}
+}
+
+// input describes what a service has.
+func input(v *fleet.View, service *fleet.Service) capacity.Input {
+	in := capacity.Input{Now: time.Now(), Scaling: service.Scaling}
+	for _, name := range slices.Sorted(maps.Keys(service.Scaling.Prices)) {
+		d := capacity.Domain{Name: name, Price: service.Scaling.Prices[name]}
+		for _, i := range v.Usable(service.Name) {
+			switch {
+			case i.Domain != name:
+			case i.Spot:
+				d.Spot++
+			default:
+				d.Lasting++
+			}
+		}
+		in.Domains = append(in.Domains, d)
+	}
+	return in
+}
+
+// order gives an order unless it has been given, or is what there is.
+func (s *Scaler) order(ctx context.Context, g duty.Grant, service *fleet.Service, d capacity.Domain, o capacity.Order, present int) {
+	what := subject{o.Service, o.Domain, o.Spot}
+	last, ordered := s.orders[what]
+	switch {
+	case ordered && last.engines == o.Engines && (present == o.Engines || time.Now().Before(last.until)):
+		return
+	case !ordered && present == o.Engines:
+		return
+	}
+	octx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := s.o.Orderer.Order(octx, g, o)
+	level.Info(s.logger).Log("msg", "engines ordered", "service", o.Service, "domain", o.Domain, "spot", o.Spot, "engines", o.Engines,
+		"before", last.engines, "lasting", d.Lasting, "spot_present", d.Spot, "token", g.Token, "err", err)
+	metrics.GetOrRegisterCounter("scaler.orders", s.o.Metrics).Inc(1)
+	pause := service.Scaling.Startup + startSlack
+	if err != nil {
+		pause = failedPause
+	}
+	s.orders[what] = given{o.Engines, time.Now().Add(pause)}
+}
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,13 @@
 	return plan, t
 }
 
+// Others returns the schedulers in the order in which this process prefers them, without
+// itself.
+func (c *Client) Others() []members.Member {
+	all := c.o.View().Schedulers
+	return slices.DeleteFunc(c.directory.order(all, len(all)), func(m members.Member) bool { return m.Name == c.o.Self.Name })
+}
+
 // place asks one scheduler.
 func (c *Client) place(ctx context.Context, s members.Member, j *placement.Job) (placement.Plan, Ticket, error) {
 	c.reports.asked(s)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	_ "embed"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rockdoor/rockdoor/jsonc"
@@ -31,6 +33,7 @@
 	// Weight is how much work the process can take on for others, in shares of a core.
 	Weight float64    `json:"weight"`
 	Bounds Bounds     `json:"bounds"`
+	Duties Duties     `json:"duties"`
 	Log    GatewayLog `json:"log"`
 }
 
@@ -75,6 +78,24 @@
 // Within returns in what time a change in the store must have reached all processes.
 func (b *Bounds) Within() time.Duration { return min(b.Apply.Std(), b.Drain.Std()) }
 
+// Duties are what one process at a time does for the whole deployment, besides orders to
+// engines.
+type Duties struct {
+	// Address is that of the platform's API, empty if there is none.
+	Address string `json:"address"`
+	// Kinds are the names of the duties, separated by commas.
+	Kinds string `json:"kinds"`
+	// UsageWindow is the length of the windows in which usage is reported, UsageDue when
+	// after its end a window must have been reported.
+	UsageWindow jsonc.Duration `json:"usageWindow"`
+	UsageDue    jsonc.Duration `json:"usageDue"`
+}
+
+// Has reports whether a duty is among those of the deployment.
+func (d *Duties) Has(name string) bool {
+	return d.Address != "" && slices.Contains(strings.Split(d.Kinds, ","), name)
+}
+
 // GatewayLog says what a gateway logs.
 type GatewayLog struct {
 	Level          string `json:"level"`
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,190 @@
+package usage_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/duty"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetapi"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+	"github.com/rockdoor/rockdoor/internal/usage"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+const (
+	testWindow = 200 * time.Millisecond
+	testDue    = time.Second
+	testTTL    = 600 * time.Millisecond
+	testApart  = 300 * time.Millisecond
+)
+
+// bench is the store and the platform's API.
+type bench struct {
+	t     *testing.T
+	store *fleetstore.Server
+	api   *fleetapi.Server
+	// addresses are those of the store and of the API.
+	storeAt, apiAt string
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, store: fleetstore.New(), api: fleetapi.New()}
+	store, api := httptest.NewServer(b.store), httptest.NewServer(b.api)
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); api.CloseClientConnections(); api.Close() })
+	b.storeAt, b.apiAt = store.Listener.Addr().String(), api.Listener.Addr().String()
+	return b
+}
+
+// process is one that counts and may report.
+type process struct {
+	ledger    *usage.Ledger
+	authority *duty.Authority
+	stop      func()
+}
+
+// start starts a process. others returns the ledgers that are collected from.
+func (b *bench) start(name string, others func() []*usage.Ledger) *process {
+	b.t.Helper()
+	store := platform.NewStore(b.storeAt)
+	p := &process{ledger: usage.NewLedger(usage.Source{Process: name, Incarnation: name}, testWindow, time.Now)}
+	p.authority = duty.New(duty.Options{
+		Store: store, Prefix: platform.LeasePrefix, Self: members.Member{Name: name, Incarnation: name}, TTL: testTTL, Apart: testApart,
+		View: func() *fleet.View { return &fleet.View{Scheduling: true} }, Heard: func() []string { return nil }, Logger: log.NewNopLogger(),
+	})
+	r := usage.NewReporter(usage.ReporterOptions{
+		Store: store, Prefix: platform.UsagePrefix, Writer: name, Authority: p.authority, Ledger: p.ledger, Due: testDue, Now: time.Now,
+		Biller: platform.NewDuties(upstream.New(metrics.NewRegistry()), b.apiAt), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Collect: func(_ context.Context, window int64) bool {
+			for _, l := range others() {
+				p.ledger.Merge(l.Entries(window))
+			}
+			return true
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		p.authority.Run(ctx, r.Run)
+	}()
+	var once sync.Once
+	p.stop = func() { once.Do(func() { cancel(); wg.Wait(); store.Close() }) }
+	b.t.Cleanup(p.stop)
+	return p
+}
+
+// billed returns how often a workspace has been billed in all windows.
+func (b *bench) billed(workspace string) int {
+	n := 0
+	for _, counts := range b.api.Reports() {
+		n += counts[workspace]
+	}
+	return n
+}
+
+func none() []*usage.Ledger { return nil }
+
+func TestEachBeginIsBilledOnce(t *testing.T) {
+	b := newBench(t)
+	other := usage.NewLedger(usage.Source{Process: "o", Incarnation: "o"}, testWindow, time.Now)
+	p := b.start("p", func() []*usage.Ledger { return []*usage.Ledger{other} })
+	const each = 60
+	for n := range each {
+		p.ledger.Began("w")
+		other.Began("w")
+		if n%3 == 0 {
+			other.Began("v")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return b.billed("w") == 2*each && b.billed("v") == each/3 }, 5*time.Second, 10*time.Millisecond)
+	require.Empty(t, b.api.Conflicts())
+}
+
+// TestAWindowNeverHasTwoContents has holders change while windows are decided and sent: each
+// has counted other requests, answers of the store and of the API are lost, and late writes
+// are carried out after the next holder has read.
+func TestAWindowNeverHasTwoContents(t *testing.T) {
+	b := newBench(t)
+	var all []*process
+	for round, f := range []struct {
+		store fleetstore.Faults
+		api   fleetapi.Faults
+	}{
+		{}, {api: fleetapi.Faults{LoseAnswers: true}}, {store: fleetstore.Faults{LoseAnswers: true}}, {store: fleetstore.Faults{LateBy: 150 * time.Millisecond}}, {api: fleetapi.Faults{Down: true}}, {},
+	} {
+		name := string(rune('a' + round))
+		p := b.start(name, none)
+		all = append(all, p)
+		require.Eventually(t, func() bool { _, held := p.authority.Grant(); return held }, 6*time.Second, 5*time.Millisecond)
+		time.Sleep(testWindow)
+		b.store.SetFaults(f.store)
+		b.api.SetFaults(f.api)
+		for range 40 {
+			p.ledger.Began("w")
+			time.Sleep(10 * time.Millisecond)
+		}
+		b.store.SetFaults(fleetstore.Faults{})
+		b.api.SetFaults(fleetapi.Faults{})
+		if round < 5 {
+			p.stop()
+		}
+	}
+	last := time.Now()
+	require.Eventually(t, func() bool { _, held := b.api.Reports()[all[0].ledger.Window(last)]; return held }, 5*time.Second, 10*time.Millisecond)
+	require.Empty(t, b.api.Conflicts())
+	reports := b.api.Reports()
+	first := all[0].ledger.Window(last)
+	for window := range reports {
+		first = min(first, window)
+	}
+	for window := first; window <= all[0].ledger.Window(last); window++ {
+		require.Contains(t, reports, window, "windows are reported without a gap")
+	}
+}
+
+// TestCountsOutliveTheirProcess checks that what was told to another process is known there,
+// that telling it twice, late or to several changes nothing, and that a new run of a process
+// counts apart.
+func TestCountsOutliveTheirProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	ledger := func(process, incarnation string) *usage.Ledger {
+		return usage.NewLedger(usage.Source{Process: process, Incarnation: incarnation}, 5*time.Second, clock)
+	}
+	a, again, k1, k2 := ledger("a", "1"), ledger("a", "2"), ledger("k1", "1"), ledger("k2", "1")
+	a.Began("w")
+	early := a.TakeUnsent()
+	a.Began("w")
+	a.Began("v")
+	late := a.TakeUnsent()
+	require.Empty(t, a.TakeUnsent())
+	k1.Merge(late)
+	k1.Merge(early)
+	k2.Merge(early)
+	again.Began("w")
+	k2.Merge(again.TakeUnsent())
+	window := k1.Window(now)
+	require.Equal(t, map[string]int{"w": 2, "v": 1}, k1.Total(window))
+	k1.Merge(k2.Entries(window))
+	k1.Merge(k1.Entries(window))
+	require.Equal(t, map[string]int{"w": 3, "v": 1}, k1.Total(window))
+	a.SendAll()
+	require.Equal(t, late, a.TakeUnsent(), "another keeper gets all of it")
+	now = now.Add(10 * time.Minute)
+	k1.Began("w")
+	require.Empty(t, k1.Entries(window), "old windows are forgotten")
+	k1.Merge(late)
+	require.Empty(t, k1.Entries(window))
+}
