--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -52,13 +52,14 @@
 // store now and then.
 func (d *Discovery) followSchedulers(ctx context.Context) {
 	var at feed.Position
+	var proveNext bootclock.Instant
 	answered := bootclock.Now()
 	for ctx.Err() == nil {
 		f, err := d.o.Relay.Follow(ctx, at)
 		if err == nil {
 			at, answered = f.Position, bootclock.Now()
 			d.send(ctx, followed{f})
-			d.proveAlone(ctx, f.ProvenAt)
+			proveNext = d.proveAlone(ctx, f.ProvenAt, proveNext)
 			continue
 		}
 		if bootclock.Since(answered) < aloneAfter {
@@ -79,18 +80,18 @@
 
 // proveAlone asks the store itself whether the configuration is the newest one if those that
 // this process follows have not proven it for long: they may be cut off from the store, and
-// this process may not be.
-func (d *Discovery) proveAlone(ctx context.Context, provenAt bootclock.Instant) {
+// this process may not be. It does so from next on, and returns when it may do so again.
+func (d *Discovery) proveAlone(ctx context.Context, provenAt, next bootclock.Instant) bootclock.Instant {
 	late := func(at bootclock.Instant) bool {
 		return bootclock.Since(at) > time.Duration(proveAloneShare*float64(d.o.Prove))
 	}
-	if d.o.Prove == 0 || !late(provenAt) || !late(d.View().ProvenAt) {
-		return
+	if d.o.Prove == 0 || !late(provenAt) || !late(d.View().ProvenAt) || bootclock.Now() < next {
+		return next
 	}
 	if _, err := d.follower(feedConfig).list(ctx); err != nil && ctx.Err() == nil {
 		level.Warn(d.logger).Log("msg", "configuration not proven", "proof_age", d.View().ProofAge().Round(time.Millisecond), "err", err)
-		pause(ctx, followRetry+rand.N(followRetry))
 	}
+	return bootclock.Now().Add(alonePause + rand.N(alonePause))
 }
 
 // adopt takes in what a scheduler says.
