Time of day agreed by hosts; a copy that is behind takes no instance out

Two changes that share the messages between processes. 1. Usage is counted in windows of true time, and clocks jump by seconds on a part of the hosts. Schedulers tell each other their clocks with their digests and take the median, kept by the boot-time clock; the others take the schedulers'. A minority of wrong clocks cannot move it (property test). Ruled out: the store's answers (they carry no time). A whole copy now states the store's revision up to which it is complete; a registration that is newer stays.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // View is what a process believes at one moment. It is immutable.
@@ -21,6 +22,8 @@
 	// question was sent to the store, and its answer said so. An answer that was long on its
 	// way proves nothing of the time in which it arrived.
 	ProvenAt bootclock.Instant
+	// InstancesRevision is the store's revision up to which the registrations are known.
+	InstancesRevision objstore.Revision
 	// Listed is true once the registrations have been read for the first time.
 	Listed bool
 	// Instances has every registered instance by its ID.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -12,8 +14,10 @@
 
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/platform"
 )
 
@@ -27,13 +31,31 @@
 func start(t *testing.T) (*fleetstore.Server, func() *fleet.View) {
 	t.Helper()
 	fake := fleetstore.New()
+	return fake, startOn(t, fake, nil)
+}
+
+// startFollowing starts a process of a fleet in which another one is the scheduler.
+func startFollowing(t *testing.T, relay discovery.Relay) func() *fleet.View {
+	t.Helper()
+	fake := fleetstore.New()
+	for n := range members.FullMesh + 2 {
+		m := members.Member{Name: fmt.Sprint("m-", n), Incarnation: fmt.Sprint(n), Domain: "a", Weight: 1}
+		value, err := json.Marshal(m)
+		require.NoError(t, err)
+		fake.Set("rockdoor-members", m.Name, map[string]any{"write": "w", "value": json.RawMessage(value)})
+	}
+	return startOn(t, fake, relay)
+}
+
+func startOn(t *testing.T, fake *fleetstore.Server, relay discovery.Relay) func() *fleet.View {
+	t.Helper()
 	server := httptest.NewServer(fake)
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Listener.Addr().String())
 	self := members.Member{Name: "self", Incarnation: members.NewIncarnation(), Domain: "a"}
 	require.NoError(t, members.Register(context.Background(), store, platform.MemberPrefix, self))
 	d := discovery.New(discovery.Options{
-		Self: self, Run: self.Incarnation,
+		Self: self, Run: self.Incarnation, Relay: relay,
 		Store: store, Stale: store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
@@ -50,7 +72,7 @@
 		store.Close()
 		server.CloseClientConnections()
 	})
-	return fake, d.View
+	return d.View
 }
 
 func setConfig(fake *fleetstore.Server, version int) {
@@ -219,3 +241,40 @@
 		require.True(t, view().Takes("s", "i-2"))
 	}
 }
+
+// copies is a relay that hands out what a test puts in.
+type copies chan discovery.Followed
+
+// Follow implements discovery.Relay.
+func (c copies) Follow(ctx context.Context, _ feed.Position) (discovery.Followed, error) {
+	select {
+	case f := <-c:
+		return f, nil
+	case <-ctx.Done():
+		return discovery.Followed{}, ctx.Err()
+	}
+}
+
+// TestACopyThatIsBehindTakesNothingOut has a process change to a scheduler whose copy is older
+// than a registration that it knows: the instance stays, and a copy that is newer takes it
+// out for good.
+func TestACopyThatIsBehindTakesNothingOut(t *testing.T) {
+	relay := make(copies)
+	view := startFollowing(t, relay)
+	registered := func(id string, version int) objstore.Event {
+		return objstore.Event{Object: objstore.Object{Key: "servers/" + id, Version: objstore.Version(version), Value: []byte(`{"service": "s", "address": "10.0.0.1:80", "phase": "ready", "slots": 4}`)}}
+	}
+	whole := func(revision int, events ...objstore.Event) {
+		relay <- discovery.Followed{Update: feed.Update{Full: true, Events: events}, InstancesRevision: objstore.Revision(revision), Processes: 30, Schedulers: []members.Member{{Name: "other"}}}
+	}
+	whole(10, registered("i-1", 5), registered("i-2", 10))
+	eventually(t, func() bool { return len(view().Usable("s")) == 2 })
+	whole(9, registered("i-1", 5), registered("i-3", 9))
+	eventually(t, func() bool { return view().Takes("s", "i-3") })
+	require.True(t, view().Takes("s", "i-2"), "the copy may not have it yet")
+	whole(11, registered("i-1", 5), registered("i-3", 9))
+	eventually(t, func() bool { return !view().Takes("s", "i-2") })
+	whole(9, registered("i-1", 5), registered("i-2", 10), registered("i-4", 9))
+	eventually(t, func() bool { return view().Takes("s", "i-4") })
+	require.False(t, view().Takes("s", "i-2"), "it has gone")
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -27,6 +27,8 @@
 	reset bool
 	// asked is when the question was sent to the store.
 	asked bootclock.Instant
+	// revision is the one of the store up to which the events are complete.
+	revision objstore.Revision
 	// events are in the order in which they happened: an object may go and come
 	// back in one answer.
 	events []objstore.Event
@@ -107,7 +109,9 @@
 	if err != nil {
 		return rev, err
 	}
-	f.send(ctx, listing(f.feed, objects, asked))
+	c := listing(f.feed, objects, asked)
+	c.revision = rev
+	f.send(ctx, c)
 	return rev, nil
 }
 
@@ -123,8 +127,9 @@
 	if err != nil {
 		return after, err
 	}
-	f.send(ctx, changed{feed: f.feed, events: events, asked: asked})
-	return max(rev, after), nil
+	rev = max(rev, after)
+	f.send(ctx, changed{feed: f.feed, events: events, asked: asked, revision: rev})
+	return rev, nil
 }
 
 func (f *follower) send(ctx context.Context, event any) {
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -26,6 +26,8 @@
 	at      bootclock.Instant
 }
 
+// applyInstances takes in registrations. A copy of another process that was behind when this
+// one changed to it took engines out that had just registered, for up to a minute.
 func (d *Discovery) applyInstances(c changed) {
 	if c.reset {
 		d.cur.Listed = true
@@ -34,11 +36,13 @@
 			listed[nameOf(e.Object.Key)] = true
 		}
 		for id := range d.instances {
-			if !listed[id] {
+			// What another process has may be older than a registration that is known here.
+			if !listed[id] && (!c.settled || objstore.Version(c.revision) >= d.versions[id]) {
 				d.removeInstance(id, c.settled)
 			}
 		}
 	}
+	d.cur.InstancesRevision = max(d.cur.InstancesRevision, c.revision)
 	for _, e := range c.events {
 		if e.Deleted {
 			d.removeInstance(nameOf(e.Object.Key), c.settled)
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -10,6 +10,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -38,11 +39,14 @@
 	// clock of this process.
 	ProvenAt bootclock.Instant
 	// StoreUp is false while the store does not answer there.
-	StoreUp    bool
-	Processes  int
-	Schedulers []members.Member
-	Watchers   []members.Member
-	Mesh       []members.Member
+	StoreUp   bool
+	Processes int
+	// InstancesRevision is the store's revision up to which the scheduler knows the
+	// registrations.
+	InstancesRevision objstore.Revision
+	Schedulers        []members.Member
+	Watchers          []members.Member
+	Mesh              []members.Member
 }
 
 // followed is a Followed as an event.
@@ -105,7 +109,7 @@
 	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
 	d.cur.ProvenAt = max(d.cur.ProvenAt, f.ProvenAt)
 	for s, prefix := range map[source]string{feedConfig: d.o.Prefixes.Config, feedInstances: d.o.Prefixes.Instances, feedRules: d.o.Prefixes.Rules} {
-		c := changed{feed: s, reset: f.Full, settled: true}
+		c := changed{feed: s, reset: f.Full, settled: true, revision: f.InstancesRevision}
 		for _, e := range f.Events {
 			if kindOf(e.Object.Key) == prefix {
 				c.events = append(c.events, e)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -38,6 +38,7 @@
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/truetime"
 )
 
 const (
@@ -94,6 +95,7 @@
 	// reported.
 	duties   []func(context.Context)
 	usage    *usage.Sharer
+	clock    *truetime.Clock
 	gateway  *gateway.Server
 	stopping atomic.Bool
 
@@ -103,7 +105,7 @@
 // New builds a process that has to be run. file is where the settings came from,
 // dropped returns how many log lines were dropped.
 func New(set *settings.Gateway, file string, logger log.Logger, dropped func() int64) *Daemon {
-	d := &Daemon{set: set, file: file, dropped: dropped, reg: metrics.NewRegistry(), run: members.NewIncarnation()}
+	d := &Daemon{set: set, file: file, dropped: dropped, reg: metrics.NewRegistry(), run: members.NewIncarnation(), clock: truetime.New()}
 	d.logger = log.With(logger, "process", set.Name)
 	d.bounds.Store(&set.Bounds)
 	d.store = platform.NewStore(set.Store)
@@ -150,9 +152,9 @@
 	})
 	d.share = loadshare.New(loadshare.Options{
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
-		Members: func() []members.Member { return d.mesh() }, Logger: d.logger,
+		Members: func() []members.Member { return d.mesh() }, Clock: d.clock, Logger: d.logger,
 	})
-	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Within: d.set.Bounds.Within(), Metrics: d.reg, Logger: d.logger}
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 }
 
@@ -168,11 +170,11 @@
 	if !d.set.Duties.Has(platform.DutyUsage) {
 		return nil
 	}
-	ledger := usage.NewLedger(usage.Source{Process: self.Name, Incarnation: self.Incarnation}, d.set.Duties.UsageWindow.Std(), time.Now)
+	ledger := usage.NewLedger(usage.Source{Process: self.Name, Incarnation: self.Incarnation}, d.set.Duties.UsageWindow.Std(), d.clock.Now)
 	d.usage = usage.NewSharer(usage.SharerOptions{Ledger: ledger, Transport: d.transport, Keepers: d.asker.Others, Logger: d.logger})
 	r := usage.NewReporter(usage.ReporterOptions{
 		Store: d.store, Prefix: platform.UsagePrefix, Writer: self.Incarnation, Authority: d.authority, Biller: api, Ledger: ledger,
-		Collect: d.usage.Collect, Due: d.set.Duties.UsageDue.Std(), Now: time.Now, Metrics: d.reg, Logger: d.logger,
+		Collect: d.usage.Collect, Due: d.set.Duties.UsageDue.Std(), Now: d.clock.Now, Metrics: d.reg, Logger: d.logger,
 	})
 	d.duties = append(d.duties, r.Run)
 	return ledger.Began
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	t := s.told[peer]
 	s.mu.Unlock()
-	d := &peerpb.LoadDigest{SeenRead: t.seen}
+	d := &peerpb.LoadDigest{SeenRead: t.seen, ClockUs: s.o.Clock.Own().UnixMicro()}
 	for id, role := range s.o.Changing() {
 		d.Changing = append(d.Changing, &peerpb.RoleChange{Instance: id, Role: string(role)})
 	}
@@ -97,6 +97,9 @@
 
 // hear takes in a digest.
 func (s *Sharer) hear(from *peerpb.Identity, d *peerpb.LoadDigest) {
+	if d.GetClockUs() != 0 {
+		s.o.Clock.HearPeer(from.GetName(), time.UnixMicro(d.GetClockUs()))
+	}
 	for _, r := range s.fresh(from, d) {
 		s.o.Placer.Learn(decodeRead(r))
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -20,6 +20,7 @@
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/truetime"
 )
 
 const (
@@ -59,7 +60,9 @@
 	Changing func() map[string]engine.Role
 	// Members returns the gateways that tell each other, none if this is not one of them.
 	Members func() []members.Member
-	Logger  log.Logger
+	// Clock hears the clocks of the other gateways' hosts.
+	Clock  *truetime.Clock
+	Logger log.Logger
 }
 
 // Sharer exchanges digests with the other gateways.
@@ -83,6 +86,9 @@
 
 // New returns a sharer that has to be run.
 func New(o Options) *Sharer {
+	if o.Clock == nil {
+		o.Clock = truetime.New()
+	}
 	return &Sharer{
 		o: o, logger: log.With(o.Logger, "component", "loadshare"),
 		digests: map[string]digest{}, told: map[string]told{}, heardAt: map[string]time.Time{}, silent: peer.NewSilences(), calling: map[string]bool{}, sum: map[string]placement.Load{},
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/truetime"
 )
 
 const (
@@ -35,11 +36,19 @@
 	// Placer decides in this process.
 	Placer *placement.Placer
 	// Within is in what time a change in the store must have reached everybody.
-	Within  time.Duration
+	Within time.Duration
+	// Clock is the time of day that the schedulers agree on.
+	Clock   *truetime.Clock
 	Metrics metrics.Registry
 	Logger  log.Logger
 }
 
+func (o *Options) complete() {
+	if o.Clock == nil {
+		o.Clock = truetime.New()
+	}
+}
+
 // Client has the schedulers place requests. It implements Scheduler.
 type Client struct {
 	o         Options
@@ -54,6 +63,7 @@
 
 // NewClient returns a client that has to be run.
 func NewClient(o Options) *Client {
+	o.complete()
 	c := &Client{o: o, logger: log.With(o.Logger, "component", "scheduler"), local: Local(o.Placer)}
 	c.directory = &directory{self: o.Self, silences: peer.NewSilences(), logger: c.logger}
 	c.reports = newReporter(c)
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -109,6 +109,9 @@
 	}
 	c.directory.answered(s)
 	f := decodeUpdate(resp.GetUpdate())
+	if us := resp.GetUpdate().GetTimeUs(); us != 0 {
+		c.o.Clock.HearSource(time.UnixMicro(us))
+	}
 	// The age is as of the answer, which was given after the question was asked.
 	f.ProvenAt = asked.Add(-time.Duration(resp.GetUpdate().GetProofAgeMs()) * time.Millisecond)
 	return f, nil
@@ -118,7 +121,7 @@
 	f := discovery.Followed{
 		Update:  feed.Update{Position: feed.Position{Run: m.GetRun(), At: m.GetPosition()}, Full: m.GetFull()},
 		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
-		StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()),
+		StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()), InstancesRevision: objstore.Revision(m.GetInstancesRevision()),
 	}
 	for _, o := range m.GetObjects() {
 		f.Events = append(f.Events, objstore.Event{
@@ -147,7 +150,8 @@
 	out := &peerpb.FollowUpdate{
 		Run: u.Position.Run, Position: u.Position.At, Full: u.Full, AgeMs: max(v.ConfigAge(), v.InstancesAge()).Milliseconds(), StoreUp: v.StoreUp,
 		ProofAgeMs: v.ProofAge().Milliseconds() + 1, // rounded up
-		Processes:  uint32(v.Processes),
+		TimeUs:     s.o.Clock.Now().UnixMicro(), InstancesRevision: int64(v.InstancesRevision),
+		Processes: uint32(v.Processes),
 	}
 	for _, e := range u.Events {
 		out.Objects = append(out.Objects, &peerpb.MirrorObject{Key: e.Object.Key, Value: e.Object.Value, Version: int64(e.Object.Version), Deleted: e.Deleted})
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -54,6 +54,7 @@
 
 // NewServer returns a server that has others follow f. It has to be run.
 func NewServer(o Options, f *feed.Feed) *Server {
+	o.complete()
 	return &Server{
 		o: o, logger: log.With(o.Logger, "component", "scheduler"), feed: f,
 		// Numbers of an earlier run of this process must not be taken for those of this one.
--- /dev/null
+++ b/truetime/truetime_test.go
@@ -0,0 +1,55 @@
+package truetime
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+)
+
+// host is a clock whose parts a test sets.
+func host(wall *time.Time, boot *bootclock.Instant) *Clock {
+	c := New()
+	c.wall = func() time.Time { return *wall }
+	c.boot = func() bootclock.Instant { return *boot }
+	return c
+}
+
+// TestAMinorityOfWrongClocksDoesNotCount checks that the time stays between those of the
+// right clocks, whichever others are wrong, the own one as well, and however they jump.
+func TestAMinorityOfWrongClocksDoesNotCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		right := rapid.IntRange(2, 5).Draw(t, "right")
+		wrong := rapid.IntRange(0, right-1).Draw(t, "wrong")
+		true0, boot := time.Unix(1_000_000, 0), bootclock.Instant(time.Hour)
+		var walls []time.Time
+		for range right {
+			walls = append(walls, true0.Add(time.Duration(rapid.IntRange(-20, 20).Draw(t, "error"))*time.Millisecond))
+		}
+		for range wrong {
+			walls = append(walls, true0.Add(time.Duration(rapid.IntRange(-9000, 9000).Draw(t, "jump"))*time.Millisecond))
+		}
+		own := rapid.IntRange(0, len(walls)-1).Draw(t, "own")
+		c := host(&walls[own], &boot)
+		for n, w := range walls {
+			if n != own {
+				c.HearPeer(string(rune('a'+n)), w)
+			}
+		}
+		require.InDelta(t, 0, c.Now().Sub(true0).Seconds(), 0.0201)
+	})
+}
+
+func TestTheSourceGoesFirstWhileItIsHeard(t *testing.T) {
+	wall, boot := time.Unix(1000, 0), bootclock.Instant(time.Hour)
+	c := host(&wall, &boot)
+	c.HearSource(time.Unix(2000, 0))
+	boot = boot.Add(time.Second)
+	wall = time.Unix(3000, 0)
+	require.Equal(t, time.Unix(2001, 0), c.Now())
+	boot = boot.Add(heardFor)
+	require.Equal(t, wall, c.Now())
+}
