--- a/engine/serving.go
+++ b/engine/serving.go
@@ -72,6 +72,9 @@
 	FetchFrom string
 	// ResumeAfter is the id of the last event that was delivered.
 	ResumeAfter string
+	// Backup is the address of an engine that gets a copy of the run's memory as it grows,
+	// empty for none.
+	Backup string
 	// Workspace is the one that the caller's key belongs to, empty for none.
 	Workspace string
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,8 @@
 	HandleTTL time.Duration
 	// RoleChange is how long a change of role takes an engine away.
 	RoleChange time.Duration
+	// Backups is true if engines send a copy of a run's memory to another one as it grows.
+	Backups bool
 	// Scaling says how many engines may be ordered; nil if none may.
 	Scaling *Scaling
 }
--- /dev/null
+++ b/internal/gateway/backup.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/placement"
+)
+
+// chooseBackup returns the engine that is to get a copy of the run's memory as it grows, nil
+// for none. Only streams that may not run twice need one: others are resumed, and read again
+// what is lost. The copy is kept in another failure domain, since the engines of one may be
+// taken away together, and copies are spread over all engines there.
+func (q *request) chooseBackup(runner *fleet.Instance) *fleet.Instance {
+	v := q.s.o.View()
+	if q.route.Kind != fleet.Streaming || q.route.Resumable || !v.Config.Services[q.service].Backups {
+		return nil
+	}
+	var others []*fleet.Instance
+	for _, i := range v.Permitted(q.route.Name, q.service) {
+		if i.Role == engine.RoleMixed && i.Domain != runner.Domain && !q.avoid[i.ID] {
+			others = append(others, i)
+		}
+	}
+	return placement.Home(q.call.ID, others)
+}
+
+// goOn has the backup go on with a stream that was cut at its runner, after the last event
+// that the caller has. It is the same run for the platform, so that it is allowed for streams
+// that may not run twice. The first error stands if the backup cannot.
+func (q *request) goOn(cut error) (lifecycle.Outcome, error) {
+	backup := q.backup
+	q.backup = nil
+	if backup == nil || !q.begun || q.lastEvent == "" || q.gone || q.ctx.Err() != nil || !q.s.o.View().Takes(q.service, backup.ID) {
+		return lifecycle.Lost, cut
+	}
+	if !q.s.budget.extra(q.service) {
+		q.s.count("budget_empty")
+		return lifecycle.Lost, cut
+	}
+	a, err := q.s.o.Client.Do(q.ctx, q.upstream(backup, engine.Send{
+		Instance: backup.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, ResumeAfter: q.lastEvent,
+		Source: &engine.KVSource{Address: backup.Address, Handle: q.call.ID},
+	}))
+	q.sends++
+	if err == nil {
+		if verdict := q.s.o.Protocol.Judge(a.Status, a.Header); verdict.NotRun || !verdict.Genuine || !isStream(a) {
+			a.CloseUnread()
+			err = fault.Newf(fault.Unavailable, "the stream ends here", "backup %s answered %d", backup.ID, a.Status)
+		}
+	}
+	level.Info(q.s.o.Logger).Log("msg", "run goes on at its backup", "request", q.call.ID, "backup", backup.ID, "after", q.lastEvent, "cut", cut, "err", err)
+	if err != nil {
+		q.s.count("backup_failed")
+		return lifecycle.Lost, cut
+	}
+	q.s.count("backup_used")
+	return q.relayEvents(a)
+}
--- /dev/null
+++ b/internal/gateway/backup_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+)
+
+// TestACutRunGoesOnAtItsBackup replays the loss of the engines of one domain while streams
+// run there that may not run twice: each goes on in another domain after the last event that
+// its caller has, as the same run. Without a backup, or a second time, it ends cut.
+func TestACutRunGoesOnAtItsBackup(t *testing.T) {
+	const first = "id: 1\ndata: s-1\n\n"
+	const whole = first + "id: 2\ndata: s-2\n\nid: 3\ndata: s-3\n\nid: 4\ndata: s-4\n\n"
+	for _, c := range []struct {
+		name    string
+		domains map[string]string
+		// wanted is the answer if the engine that cuts is chosen.
+		wanted string
+	}{{"backup in another domain", map[string]string{"i-2": "b"}, whole}, {"no other domain", nil, first}} {
+		cuts, other := fleetengine.New("i-1", "decode"), fleetengine.New("i-2", "decode")
+		cuts.Events, other.Events = 4, 4
+		r := newRig(t, rigOptions{model: []*fleetengine.Engine{cuts, other}, domains: c.domains})
+		for len(cuts.Runs()) == 0 { // until it is chosen
+			cuts.Fail(fleetengine.CutMidEvent, 1)
+			before := len(other.Runs())
+			a := r.send(http.MethodPost, pathLong, "s", "x", nil)
+			if len(cuts.Runs()) == 0 {
+				require.Equal(t, whole, a.body, c.name)
+				continue
+			}
+			require.Equal(t, c.wanted, a.body, c.name)
+			require.Equal(t, c.wanted != whole, a.cut, c.name)
+			if c.domains == nil {
+				require.Empty(t, cuts.Runs()[0].Header.Get("X-Kv-Backup"))
+				require.Len(t, other.Runs(), before)
+				continue
+			}
+			require.NotEmpty(t, cuts.Runs()[0].Header.Get("X-Kv-Backup"))
+			after := other.Runs()[before:]
+			require.Len(t, after, 1)
+			require.Equal(t, "1", after[0].LastEvent)
+			require.Regexp(t, "/s$", after[0].Header.Get("X-Kv-Source"), "the copy of this very run")
+		}
+	}
+}
+
+// TestResumableStreamsNeedNoBackup checks that memory is copied only where it is needed.
+func TestResumableStreamsNeedNoBackup(t *testing.T) {
+	all := engines("decode", "i-1", "i-2")
+	for _, e := range all {
+		e.Events = 2
+	}
+	r := newRig(t, rigOptions{model: all, domains: map[string]string{"i-2": "b"}})
+	r.send(http.MethodPost, pathModel, "s", "x", nil)
+	for _, run := range append(all[0].Runs(), all[1].Runs()...) {
+		require.Empty(t, run.Header.Get("X-Kv-Backup"))
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -30,6 +31,8 @@
 	pathOnce   = "/once/"
 	pathStream = "/stream/"
 	pathModel  = "/model/"
+	// pathLong leads to streams that may not run twice.
+	pathLong = "/long/"
 	// testPatience is how long callers wait for a first event there.
 	testPatience = time.Second
 	// testProofAge is how old the proof of the configuration may be.
@@ -48,6 +51,8 @@
 	budget gateway.BudgetBounds
 	plain  []*fleetengine.Engine
 	model  []*fleetengine.Engine
+	// domains are those of instances that are not in domain a.
+	domains map[string]string
 }
 
 func newRig(t testing.TB, o rigOptions) *rig {
@@ -61,7 +66,7 @@
 		for _, e := range engines {
 			s := httptest.NewServer(e)
 			t.Cleanup(s.Close)
-			i := &fleet.Instance{ID: e.ID, Service: service, Address: s.Listener.Addr().String(), Domain: "a", Slots: 8}
+			i := &fleet.Instance{ID: e.ID, Service: service, Address: s.Listener.Addr().String(), Domain: cmp.Or(o.domains[e.ID], "a"), Slots: 8}
 			switch e.Stage() {
 			case "prefill":
 				i.Role = engine.RolePrefill
@@ -93,15 +98,16 @@
 			Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
 		}
 	}
+	long := route(pathLong, fleet.Streaming, "model", 1, false)
 	model := route(pathModel, fleet.Streaming, "model", 2, true)
 	model.Patience = testPatience
 	c := &fleet.Config{
 		Version: 1,
 		Routes: []fleet.Route{
 			route(pathSafe, fleet.Idempotent, "plain", 2, false), route(pathOnce, fleet.AtMostOnce, "plain", 1, false),
-			route(pathStream, fleet.Streaming, "plain", 1, false), model,
+			route(pathStream, fleet.Streaming, "plain", 1, false), model, long,
 		},
-		Services: map[string]fleet.Service{"plain": {Name: "plain"}, "model": {Name: "model", KVCapacity: 1000}},
+		Services: map[string]fleet.Service{"plain": {Name: "plain"}, "model": {Name: "model", KVCapacity: 1000, Backups: true}},
 		Limits:   fleet.Limits{BodyBytes: 1000},
 	}
 	c.Index()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,6 +62,8 @@
 	// lastEvent is the id of the last event that the caller got.
 	lastEvent string
 	events    int
+	// backup gets a copy of the run's memory, nil for none.
+	backup *fleet.Instance
 	// life says whether some instance may have begun the request.
 	life *lifecycle.Life
 	// counted is true once the request is known to have begun to run.
@@ -229,8 +231,10 @@
 		q.ticket = next
 		q.decision(view)
 	}
+	q.backup = q.chooseBackup(plan.Runner)
 	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
 		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: q.source, ResumeAfter: q.resumeAfter(),
+		Backup: addressOf(q.backup),
 	}))
 	q.sends++
 	q.sourceUses++
@@ -284,6 +288,7 @@
 	q.ticket.Run(q.verdictOn(res))
 	if res == lifecycle.Lost {
 		q.avoid[plan.Runner.ID] = true
+		return q.goOn(err)
 	}
 	return res, err
 }
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -253,6 +253,9 @@
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
+	if r.Header.Get("X-Kv-Backup") != "" {
+		handles.Store(id, true) // the backup can go on with the run, once
+	}
 	e.answer(w, r, run, fault)
 }
 
