--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -116,6 +116,65 @@
 	d.applied(left, 3, 2*time.Second)
 }
 
+// TestKeysThatAreTakenAwayInAnOutage takes keys away while no process reaches the store, and
+// while the processes that watch it for the others are killed: nothing runs with such a key
+// longer than the operator allows, callers are told to come back, and the keys that are left
+// are good again as soon as that is proven. It also covers a key that is given to another
+// workspace.
+func TestKeysThatAreTakenAwayInAnOutage(t *testing.T) {
+	const revoke = 2 * time.Second
+	d := newDeployment(t)
+	d.bound, d.revoke = "3s", revoke.String()
+	d.workspaces = map[string][]string{"w": {"gone", "kept"}, "v": {"moved"}}
+	d.configure(1, "/app/")
+	all := d.largeFleet()
+	status := func(p *process, key, id string) int {
+		got, _ := p.send("/app/x", id, http.Header{"Api-Key": {key}})
+		return got
+	}
+	for _, p := range all {
+		require.Equal(t, http.StatusOK, status(p, "gone", p.set.Name+"-1"))
+		require.Equal(t, http.StatusUnauthorized, status(p, "none", p.set.Name+"-2"))
+	}
+	d.store.SetFaults(fleetstore.Faults{Silent: true})
+	d.workspaces = map[string][]string{"w": {"kept", "moved"}, "v": {"new"}}
+	d.configure(2, "/app/")
+	taken := time.Now()
+	runs := func() (n int) {
+		for _, e := range d.engines {
+			n += len(e.Runs())
+		}
+		return n
+	}
+	watchers := 0
+	for _, p := range all[1:] {
+		if p.state(t).Scheduling && watchers == 0 {
+			watchers++
+			go p.kill()
+		}
+	}
+	time.Sleep(time.Until(taken.Add(revoke)))
+	before := runs()
+	for n, p := range all {
+		for _, key := range []string{"gone", "kept"} {
+			got := status(p, key, fmt.Sprint("o-", key, n))
+			require.Contains(t, []int{http.StatusServiceUnavailable, 0}, got, "0 is a process that was killed")
+		}
+	}
+	require.Equal(t, before, runs(), "nothing runs with a key that is not proven")
+	d.store.SetFaults(fleetstore.Faults{})
+	require.Eventually(t, func() bool { return status(all[0], "kept", "back") == http.StatusOK }, 5*time.Second, 50*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, status(all[0], "gone", "after"))
+	require.Equal(t, http.StatusOK, status(all[0], "moved", "moved"))
+	for _, e := range d.engines {
+		for _, run := range e.Runs() {
+			if run.ID == "moved" {
+				require.Equal(t, "w", run.Header.Get("X-Tenant"))
+			}
+		}
+	}
+}
+
 // TestALargeFleetStartsWithAStoreThatIsAway covers a start of all processes at once during
 // an outage.
 func TestALargeFleetStartsWithAStoreThatIsAway(t *testing.T) {
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetapi"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 )
@@ -30,13 +31,18 @@
 	store   *fleetstore.Server
 	address string
 	engines []*fleetengine.Engine
-	// bound is in what time its gateways must know of changes.
-	bound string
+	// bound is in what time its gateways must know of changes, revoke in what time a key that
+	// was taken away must be of no use.
+	bound, revoke string
+	// duties are the settings of the gateways' duties.
+	duties string
+	// workspaces are those of the configuration, with their keys.
+	workspaces map[string][]string
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: fleetstore.New(), bound: "600ms"}
+	d := &deployment{t: t, store: fleetstore.New(), bound: "600ms", revoke: "0s", duties: "{}"}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	d.address = server.Listener.Addr().String()
@@ -56,8 +62,12 @@
 }
 
 func (d *deployment) configure(version int, prefix string) {
+	var workspaces []map[string]any
+	for name, keys := range d.workspaces {
+		workspaces = append(workspaces, map[string]any{"name": name, "api_keys": keys})
+	}
 	d.store.Set("config", "main", map[string]any{
-		"version": version,
+		"version": version, "tenants": workspaces,
 		"routes": []map[string]any{
 			{"name": "r-app", "hostname": "h", "path_prefix": prefix, "type": "unsafe", "service": "app", "timeout_ms": 3000, "max_attempts": 1},
 			{"name": "r-llm", "hostname": "h", "path_prefix": "/llm/", "type": "streaming", "service": "llm", "timeout_ms": 3000, "target_latency_ms": 200, "max_attempts": 2, "resumable": true},
@@ -108,8 +118,8 @@
 	d.t.Helper()
 	ip := loopback()
 	text := fmt.Sprintf(`{"name": %q, "domain": "a", "listen": "%[2]s:8080", "readiness": "%[2]s:8081", "metrics": "%[2]s:9464", "peer": "%[2]s:7660", "store": %[3]q,
-		"bounds": {"apply": %[4]q, "settle": %[4]q, "drain": %[4]q, "grace": "3s", "notice": "300ms", "lease": "1s"}}`,
-		name, ip, d.address, d.bound)
+		"bounds": {"apply": %[4]q, "settle": %[4]q, "drain": %[4]q, "grace": "3s", "notice": "300ms", "lease": "1s", "revoke": %[5]q}, "duties": %[6]s}`,
+		name, ip, d.address, d.bound, d.revoke, d.duties)
 	file := filepath.Join(d.t.TempDir(), "settings.json")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	set, err := settings.LoadGateway(file)
@@ -313,3 +323,46 @@
 		}
 	}
 }
+
+// TestUsageOutlivesStops has gateways stop and one that holds the duty among them: each
+// request that ran is billed, once, under keys of two workspaces.
+func TestUsageOutlivesStops(t *testing.T) {
+	d := newDeployment(t)
+	api := fleetapi.New()
+	server := httptest.NewServer(api)
+	t.Cleanup(server.Close)
+	d.duties = fmt.Sprintf(`{"address": %q, "kinds": "metering,other", "usageWindow": "500ms", "usageDue": "1500ms"}`, server.Listener.Addr().String())
+	d.workspaces = map[string][]string{"w": {"k1"}, "v": {"k2"}}
+	d.configure(1, "/app/")
+	a, b, c := d.gateway("a"), d.gateway("b"), d.gateway("c")
+	sent := map[string]int{}
+	send := func(p *process, key, workspace string) {
+		id := fmt.Sprint(p.set.Name, "-", workspace, "-", sent[workspace])
+		status, body := p.send("/app/x", id, http.Header{"Api-Key": {key}})
+		require.Equal(t, http.StatusOK, status, body)
+		sent[workspace]++
+	}
+	for range 10 {
+		for _, p := range []*process{a, b, c} {
+			send(p, "k1", "w")
+		}
+		send(b, "k2", "v")
+		time.Sleep(40 * time.Millisecond)
+	}
+	a.kill()
+	b.kill()
+	for range 10 {
+		send(c, "k1", "w")
+	}
+	billed := func() map[string]int {
+		out := map[string]int{}
+		for _, counts := range api.Reports() {
+			for workspace, n := range counts {
+				out[workspace] += n
+			}
+		}
+		return out
+	}
+	require.Eventually(t, func() bool { return fmt.Sprint(billed()) == fmt.Sprint(sent) }, 12*time.Second, 50*time.Millisecond, "billed %v of %v", billed(), sent)
+	require.Empty(t, api.Conflicts())
+}
--- a/internal/standin/fleetstore/fleetstore.go
+++ b/internal/standin/fleetstore/fleetstore.go
@@ -155,6 +155,8 @@
 	s.mu.Unlock()
 	switch {
 	case f.Silent:
+		// Until the body has been read the server does not notice that the caller has gone.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case f.Down:
