A lease that is back is no licence if its holder had not acted under it

Change: what counts is whether anybody else has had the lease since this process acted. Test: TestALeaseThatIsBackIsNoLicence fails before (acts 0.77 s after the other holder instead of 1.5 s) and passes after; TestWhoHasToWait for the first holder, a resumed lease and a successor.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -58,8 +58,8 @@
 	// token is that of the grant seen last, since when it was seen first.
 	token int64
 	since bootclock.Instant
-	// acted is true once this process has had the right to act: a lease that it gets back
-	// after an outage of the store, before anybody else, needs no wait then.
+	// acted is true if this process has had the right to act and nobody else has had the lease
+	// since: one that it gets back after an outage of the store needs no wait then.
 	acted bool
 }
 
@@ -85,9 +85,10 @@
 		a.token = 0
 	case held && g.Token != a.token:
 		a.token, a.since = g.Token, bootclock.Now()
+		a.acted = a.acted && g.Resumed
 		level.Info(a.logger).Log("msg", "authority", "token", g.Token, "acts_after", a.o.Apart)
 	}
-	alone := g.Token == firstToken || g.Resumed && a.acted
+	alone := g.Token == firstToken || a.acted
 	may := held && (alone || bootclock.Since(a.since) >= a.o.Apart)
 	a.acted = a.acted || may
 	return Grant{Holder: a.o.Self.Name, Token: g.Token, lease: g}, may
