One interface for the right to do duties

Cause: read as a newcomer: the same interface stood in three packages, and a policy was handed a time that it did not use. Tests of the packages pass.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rockdoor/rockdoor/duty"
 	"github.com/rockdoor/rockdoor/fleet"
@@ -39,7 +38,6 @@
 
 // Input is what is decided by.
 type Input struct {
-	Now     time.Time
 	Scaling *fleet.Scaling
 	// Domains are those in which engines may be ordered.
 	Domains []Domain
--- a/capacity/policy_test.go
+++ b/capacity/policy_test.go
@@ -33,7 +33,7 @@
 func (w *world) run(p *Policy, d time.Duration) (fewest int) {
 	fewest = 1 << 30
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(250 * time.Millisecond) {
-		targets := p.Decide(Input{Now: w.now, Scaling: w.scaling, Domains: w.domains})
+		targets := p.Decide(Input{Scaling: w.scaling, Domains: w.domains})
 		all := 0
 		for n := range w.domains {
 			here := &w.domains[n]
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -33,6 +33,12 @@
 	shard = "duties"
 )
 
+// Granter gives the right to do duties.
+type Granter interface {
+	// Grant returns the right to act now, if this process has it.
+	Grant() (Grant, bool)
+}
+
 // Options of an Authority.
 type Options struct {
 	Store  objstore.Store
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -41,16 +41,10 @@
 	minAtOnce   = 4
 )
 
-// Authority gives the right to do duties.
-type Authority interface {
-	// Grant returns the right to act now, if this process has it.
-	Grant() (duty.Grant, bool)
-}
-
 // Options of a Keeper.
 type Options struct {
 	// Authority gives the right to order.
-	Authority Authority
+	Authority duty.Granter
 	// Policy is a name of package roles.
 	Policy  string
 	Engines engine.Keeper
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -30,15 +30,9 @@
 	startSlack = 4 * time.Second
 )
 
-// Authority gives the right to do duties.
-type Authority interface {
-	// Grant returns the right to act now, if this process has it.
-	Grant() (duty.Grant, bool)
-}
-
 // Options of a Scaler.
 type Options struct {
-	Authority Authority
+	Authority duty.Granter
 	Orderer   capacity.Orderer
 	// View returns the latest view.
 	View    func() *fleet.View
@@ -121,9 +115,6 @@
 	}
 	in := input(v, service)
 	targets := p.Decide(in)
-	if targets == nil {
-		return
-	}
 	for n, d := range in.Domains {
 		next := targets[n]
 		s.order(ctx, g, service, capacity.Order{Service: service.Name, Domain: d.Name, Engines: next.Spot, Spot: true}, d.Spot, d.Lasting)
@@ -133,7 +124,7 @@
 
 // input describes what a service has.
 func input(v *fleet.View, service *fleet.Service) capacity.Input {
-	in := capacity.Input{Now: time.Now(), Scaling: service.Scaling}
+	in := capacity.Input{Scaling: service.Scaling}
 	for _, name := range slices.Sorted(maps.Keys(service.Scaling.Prices)) {
 		d := capacity.Domain{Name: name, Price: service.Scaling.Prices[name]}
 		for _, i := range v.Usable(service.Name) {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -28,12 +28,6 @@
 	ReportUsage(ctx context.Context, g duty.Grant, r Report) error
 }
 
-// Authority gives the right to do duties.
-type Authority interface {
-	// Grant returns the right to act now, if this process has it.
-	Grant() (duty.Grant, bool)
-}
-
 // record is what has been decided, in the store. The first writer of a window wins, and
 // only what the store holds is sent, so that no window is ever billed twice with different
 // counts, whoever sends it and however often.
@@ -70,7 +64,7 @@
 	Prefix string
 	// Writer names this run of the process in what it writes.
 	Writer    string
-	Authority Authority
+	Authority duty.Granter
 	Biller    Biller
 	Ledger    *Ledger
 	// Collect gathers the counts of a window in the ledger, and reports whether they are
