A process whose watchers are all cut off looks at the store itself

They answered their followers all the same, with copies that got older; the fresher one that followers look for did not exist. An engine that had left got requests 3,017 ms after it had said so (bound 3,000), and a dropped route was used. Not new: only a process that found no scheduler at all looked itself. Change: a scheduler whose copy is older than 0.65 of the bound, another process at 0.8, reads configuration and registrations itself, at most every half to one second, 2.5 to 5 s after a question without an answer; what one scheduler finds its followers have at once. The question for a proof of keys becomes part of it. Test: discovery.TestAllWatchersAreCutOff fails before, passes after.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -24,8 +24,10 @@
 const (
 	apply     = 200 * time.Millisecond
 	lapseKept = 300 * time.Millisecond
-	soon      = 2 * time.Second
-	tick      = 5 * time.Millisecond
+	// within is in what time a change must have reached all processes of a fleet.
+	within = 2 * time.Second
+	soon   = 2 * time.Second
+	tick   = 5 * time.Millisecond
 )
 
 func start(t *testing.T) (*fleetstore.Server, func() *fleet.View) {
@@ -37,7 +39,11 @@
 // startFollowing starts a process of a fleet in which another one is the scheduler.
 func startFollowing(t *testing.T, relay discovery.Relay) func() *fleet.View {
 	t.Helper()
-	fake := fleetstore.New()
+	return followingOn(t, fleetstore.New(), relay)
+}
+
+func followingOn(t *testing.T, fake *fleetstore.Server, relay discovery.Relay) func() *fleet.View {
+	t.Helper()
 	for n := range members.FullMesh + 2 {
 		m := members.Member{Name: fmt.Sprint("m-", n), Incarnation: fmt.Sprint(n), Domain: "a", Weight: 1}
 		value, err := json.Marshal(m)
@@ -61,7 +67,7 @@
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
-		Apply: apply, Settle: apply, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Apply: apply, Settle: apply, Within: within, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -278,3 +284,38 @@
 	eventually(t, func() bool { return view().Takes("s", "i-4") })
 	require.False(t, view().Takes("s", "i-2"), "it has gone")
 }
+
+// TestAllWatchersAreCutOff has those that a process follows answer it with copies that get
+// older and older, as watchers do that are cut off from the store: the process learns of a
+// change from the store itself within the bound, and does not ask it all the time.
+func TestAllWatchersAreCutOff(t *testing.T) {
+	relay := make(copies)
+	fake := fleetstore.New()
+	view := followingOn(t, fake, relay)
+	setConfig(fake, 2)
+	setInstance(fake, "i-1", "draining")
+	cut := time.Now()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			f := discovery.Followed{Age: time.Since(cut), InstancesRevision: 1, Processes: 30, Schedulers: []members.Member{{Name: "other"}}, Update: feed.Update{Events: []objstore.Event{
+				{Object: objstore.Object{Key: "config/main", Version: 1, Value: []byte(`{"version": 1}`)}},
+				{Object: objstore.Object{Key: "servers/i-1", Version: 1, Value: []byte(`{"service": "s", "address": "10.0.0.1:80", "phase": "ready", "slots": 4}`)}},
+			}}}
+			select {
+			case relay <- f:
+				time.Sleep(10 * time.Millisecond)
+			case <-stop:
+				return
+			}
+		}
+	}()
+	require.Eventually(t, func() bool { return version(view()) == 1 && view().Takes("s", "i-1") }, within/2, tick)
+	require.Eventually(t, func() bool { return version(view()) == 2 && !view().Takes("s", "i-1") }, within-time.Since(cut), tick)
+	before := fake.Calls()
+	time.Sleep(within / 2)
+	require.LessOrEqual(t, fake.Calls()-before, 6)
+	require.Equal(t, int64(2), version(view()), "older copies change nothing")
+	require.False(t, view().Takes("s", "i-1"))
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
@@ -19,11 +20,16 @@
 	// at random.
 	aloneAfter = 1500 * time.Millisecond
 	alonePause = time.Second
-	// proveRetry is how long a process waits at the least, and at the most twice as long, until
-	// it asks the store again for a proof, proveFailedRetry after a question without an answer:
-	// then the schedulers most likely have none either, and will tell when they do.
-	proveRetry       = time.Second
-	proveFailedRetry = 2500 * time.Millisecond
+	// schedulerCopyShare and copyShare are the parts of Within from which on a copy is too old
+	// for a scheduler and for another process. Copies get half as old where nothing is lost, and
+	// a fresher one is looked for from 0.6 on; the rest of Within is for the store's answer.
+	schedulerCopyShare = 0.65
+	copyShare          = 0.8
+	// lookRetry is how long a process waits at the least, and at the most twice as long, until
+	// it looks again, lookFailedRetry after a question without an answer: then the schedulers
+	// most likely have none either, and will tell when they do.
+	lookRetry       = 500 * time.Millisecond
+	lookFailedRetry = 2500 * time.Millisecond
 	// followRetry is how long a process waits after a scheduler could not be followed.
 	followRetry = 100 * time.Millisecond
 )
@@ -61,14 +67,14 @@
 // store now and then.
 func (d *Discovery) followSchedulers(ctx context.Context) {
 	var at feed.Position
-	var proveNext bootclock.Instant
+	var lookNext bootclock.Instant
 	answered := bootclock.Now()
 	for ctx.Err() == nil {
 		f, err := d.o.Relay.Follow(ctx, at)
 		if err == nil {
 			at, answered = f.Position, bootclock.Now()
 			d.send(ctx, followed{f})
-			proveNext = d.proveAlone(ctx, f.ProvenAt, proveNext)
+			lookNext = d.lookItself(ctx, f, lookNext)
 			continue
 		}
 		if bootclock.Since(answered) < aloneAfter {
@@ -87,24 +93,47 @@
 	}
 }
 
-// proveAlone asks the store itself whether the configuration is the newest one if those that
-// this process follows have not proven it for long: they may be cut off from the store, and
-// this process may not be. It does so from next on, and returns when it may do so again.
-func (d *Discovery) proveAlone(ctx context.Context, provenAt, next bootclock.Instant) bootclock.Instant {
-	pause := proveRetry
-	late := func(at bootclock.Instant) bool {
-		return bootclock.Since(at) > time.Duration(proveAloneShare*float64(d.o.Prove))
+// lookItself asks the store if what this process follows is too old, or has not been proven
+// to be the newest for too long: those that watch the store for all may be cut off from it,
+// and this process may not be. All three watchers of 65 processes were on a played day, and
+// engines that had left got requests 0.03 s beyond the bound. f is what it was told last. It
+// looks from next on, and returns when it may do so again.
+func (d *Discovery) lookItself(ctx context.Context, f Followed, next bootclock.Instant) bootclock.Instant {
+	v := d.View()
+	age := min(f.Age, max(v.ConfigAge(), v.InstancesAge()))
+	proof := min(bootclock.Since(f.ProvenAt), v.ProofAge())
+	var wanted []source
+	switch {
+	case bootclock.Now() < next:
+	case age > d.oldest(v):
+		wanted = []source{feedInstances, feedConfig}
+	case d.o.Prove > 0 && proof > time.Duration(proveAloneShare*float64(d.o.Prove)):
+		wanted = []source{feedConfig}
 	}
-	if d.o.Prove == 0 || !late(provenAt) || !late(d.View().ProvenAt) || bootclock.Now() < next {
+	if wanted == nil {
 		return next
 	}
-	if _, err := d.follower(feedConfig).list(ctx); err != nil && ctx.Err() == nil {
-		level.Warn(d.logger).Log("msg", "configuration not proven", "proof_age", d.View().ProofAge().Round(time.Millisecond), "err", err)
-		pause = proveFailedRetry
+	pause := lookRetry
+	for _, s := range wanted {
+		if _, err := d.follower(s).list(ctx); err != nil && ctx.Err() == nil {
+			level.Warn(d.logger).Log("msg", "store does not answer either", "feed", s, "age", age.Round(time.Millisecond), "proof_age", proof.Round(time.Millisecond), "err", err)
+			pause = lookFailedRetry
+			break
+		}
 	}
 	return bootclock.Now().Add(pause + rand.N(pause))
 }
 
+// oldest returns how old a copy may get before a process looks itself. Schedulers are the
+// first: the others follow them, and have what they find at once.
+func (d *Discovery) oldest(v *fleet.View) time.Duration {
+	share := copyShare
+	if v.Scheduling {
+		share = schedulerCopyShare
+	}
+	return time.Duration(share * float64(d.o.Within))
+}
+
 // adopt takes in what a scheduler says.
 func (d *Discovery) adopt(f Followed) {
 	if d.mode != following {
