--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -30,7 +30,6 @@
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
-	"github.com/rockdoor/rockdoor/internal/scaler"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -158,28 +157,6 @@
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 }
 
-// buildDuties builds what one process at a time does for the deployment, and returns what is
-// told of each request that begins to run.
-func (d *Daemon) buildDuties(self members.Member) (began func(workspace string)) {
-	d.duties = append(d.duties, d.roles.Run)
-	api := platform.NewDuties(d.client, d.set.Duties.Address)
-	if d.set.Duties.Has(platform.DutyCapacity) {
-		s := scaler.New(scaler.Options{Authority: d.authority, Orderer: api, View: d.discovery.View, Metrics: d.reg, Logger: d.logger})
-		d.duties = append(d.duties, s.Run)
-	}
-	if !d.set.Duties.Has(platform.DutyUsage) {
-		return nil
-	}
-	ledger := usage.NewLedger(usage.Source{Process: self.Name, Incarnation: self.Incarnation}, d.set.Duties.UsageWindow.Std(), d.clock.Now)
-	d.usage = usage.NewSharer(usage.SharerOptions{Ledger: ledger, Transport: d.transport, Keepers: d.asker.Others, Logger: d.logger})
-	r := usage.NewReporter(usage.ReporterOptions{
-		Store: d.store, Prefix: platform.UsagePrefix, Writer: self.Incarnation, Authority: d.authority, Biller: api, Ledger: ledger,
-		Collect: d.usage.Collect, Due: d.set.Duties.UsageDue.Std(), Now: d.clock.Now, Metrics: d.reg, Logger: d.logger,
-	})
-	d.duties = append(d.duties, r.Run)
-	return ledger.Began
-}
-
 // mesh returns the schedulers, none if this process is not one.
 func (d *Daemon) mesh() []members.Member {
 	if v := d.discovery.View(); v.Scheduling {
@@ -347,14 +324,6 @@
 	return true
 }
 
-// doDuties does duties until the process is asked to stop. It returns when the process may
-// exit, since the end of one part ends all.
-func (d *Daemon) doDuties(ctx, background context.Context) error {
-	d.authority.Run(ctx, d.duties...)
-	<-background.Done()
-	return nil
-}
-
 // leave removes the registration, within the time that a stop has anyway.
 func (d *Daemon) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), d.bounds.Load().Notice.Std())
