--- a/internal/standin/fleetstore/product.go
+++ b/internal/standin/fleetstore/product.go
@@ -6,6 +6,9 @@
 const (
 	kindMembers = "rockdoor-members"
 	kindLeases  = "rockdoor-leases"
+	// dutiesLease is the name of the lease of those that give orders. The holder has that of
+	// former versions too, but so may a candidate that lost.
+	dutiesLease = "duties"
 )
 
 // Addresses replaces the addresses that a caller learns from the store. A nil function
@@ -56,7 +59,7 @@
 // Lease returns who holds the product's duties after a change, and the number of the grant.
 // It reports false for changes that grant nothing, as of a lease that cannot be read.
 func (c Change) Lease() (holder string, token int64, ok bool) {
-	if c.Kind != kindLeases || c.Deleted {
+	if c.Kind != kindLeases || c.Name != dutiesLease || c.Deleted {
 		return "", 0, false
 	}
 	var w struct {
