Soak: layouts of deployments, instances that leave often, short faults of watchers

In such a layout two instances leave a second, each process is stopped and started once, and processes that watch the store for the others meet short faults. The report says how near the promise came to its bound. Schedules of the default layout are as before.

--- a/cmd/rockdoor-lab/soak.go
+++ b/cmd/rockdoor-lab/soak.go
@@ -27,6 +27,8 @@
 			&cli.Float64Flag{Name: "minutes", Usage: "how long faults are put in", Value: soakMinutes},
 			&cli.IntFlag{Name: "processes", Usage: "how many gateways run", Value: soakProcesses},
 			&cli.IntFlag{Name: "callers", Usage: "how many callers each gateway has", Value: soakCallers},
+			&cli.DurationFlag{Name: "think", Usage: "mean `TIME` between an answer and a caller's next request; 0 is that of a small deployment"},
+			&cli.StringFlag{Name: "site", Usage: "`FILE` of the users' platform whose layout and bounds the run has; with --processes 0 as many as it has hosts"},
 			&cli.BoolFlag{Name: "regressions", Usage: "play all runs that ever failed instead of a seed"},
 			&cli.StringFlag{Name: "binary", Usage: "the rockdoor `FILE` to run; the one beside this program if empty"},
 			&cli.StringFlag{Name: "dir", Usage: "`DIRECTORY` for settings and logs; a temporary one if empty, kept if a promise was broken"},
@@ -36,16 +38,20 @@
 }
 
 func runSoak(c *cli.Context) error {
-	if n := c.Int("processes"); n < 1 || n > mostSoakProcesses {
-		return fmt.Errorf("give 1 to %d processes, not %d", mostSoakProcesses, n)
-	}
 	if !c.Bool("regressions") {
-		return playSoak(c, c.Uint64("seed"), c.Int("processes"), time.Duration(c.Float64("minutes")*float64(time.Minute)))
+		o := soak.Options{Seed: c.Uint64("seed"), Processes: c.Int("processes"), Length: time.Duration(c.Float64("minutes") * float64(time.Minute)), Bounds: soak.DefaultBounds}
+		if err := readSite(c.String("site"), &o); err != nil {
+			return err
+		}
+		if o.Processes < 1 || o.Processes > mostSoakProcesses {
+			return fmt.Errorf("give 1 to %d processes, not %d", mostSoakProcesses, o.Processes)
+		}
+		return playSoak(c, o)
 	}
 	failed := 0
 	for _, r := range soak.Regressions {
 		fmt.Fprintf(c.App.Writer, "seed %d, which failed since %s\n", r.Seed, r.Cause)
-		if err := playSoak(c, r.Seed, r.Processes, r.Length); err != nil {
+		if err := playSoak(c, soak.Options{Seed: r.Seed, Processes: r.Processes, Length: r.Length, Bounds: soak.DefaultBounds}); err != nil {
 			fmt.Fprintln(c.App.Writer, err)
 			failed++
 		}
@@ -56,8 +62,19 @@
 	return nil
 }
 
+// readSite takes the layout and the bounds from a site file, if one is named.
+func readSite(file string, o *soak.Options) (err error) {
+	if file == "" {
+		return nil
+	}
+	if o.Layout, o.Bounds, err = soak.ReadSite(file); err == nil && o.Processes == 0 {
+		o.Processes = len(o.Layout.Hosts)
+	}
+	return err
+}
+
 // playSoak plays one seed and prints its report.
-func playSoak(c *cli.Context, seed uint64, processes int, length time.Duration) error {
+func playSoak(c *cli.Context, o soak.Options) error {
 	binary, err := soakBinary(c.String("binary"))
 	if err != nil {
 		return err
@@ -66,10 +83,9 @@
 	if err != nil {
 		return err
 	}
-	r, err := soak.Run(c.Context, soak.Options{
-		Seed: seed, Processes: processes, CallersEach: c.Int("callers"), Length: length, Dir: dir,
-		Command: []string{binary}, Progress: c.App.Writer, Bounds: soak.DefaultBounds,
-	})
+	o.CallersEach, o.Think, o.Dir = c.Int("callers"), c.Duration("think"), dir
+	o.Command, o.Progress = []string{binary}, c.App.Writer
+	r, err := soak.Run(c.Context, o)
 	if err != nil {
 		return fmt.Errorf("the soak itself failed: %w", err)
 	}
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		c.send(c.next())
-		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(thinkTime)))
+		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(c.w.o.Think)))
 	}
 }
 
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -39,6 +39,7 @@
 }
 
 func newChecker(o Options, f *Facts, healed time.Time) *checker {
+	o.complete()
 	o.Bounds = o.checked()
 	c := &checker{o: o, f: f, calls: map[string]*Call{}, arrivals: map[string][]*Arrival{}, healed: healed}
 	for _, call := range f.Calls {
--- a/internal/lab/soak/check_arrivals.go
+++ b/internal/lab/soak/check_arrivals.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -76,16 +77,23 @@
 		}
 	}
 	p.Cases = len(left)
+	latest := time.Duration(0)
 	for _, a := range c.f.Arrivals {
 		at, ok := left[a.Instance]
 		call := c.calls[a.ID]
 		if !ok || call == nil || a.At.Before(at) {
 			continue
 		}
-		if a.Status != http.StatusMisdirectedRequest && a.At.Sub(at) > c.o.Bounds.Drain && c.inTouch(call.Gateway, a.At) {
-			p.breach(a.ID, "%s: reached %s %s after it began to leave, from %s", a.ID, a.Instance, a.At.Sub(at), gatewayName(call.Gateway))
+		if a.Status == http.StatusMisdirectedRequest || !c.inTouch(call.Gateway, a.At) {
+			continue
+		}
+		after := a.At.Sub(at)
+		latest = max(latest, after)
+		if after > c.o.Bounds.Drain {
+			p.breach(a.ID, "%s: reached %s %s after it began to leave, from %s", a.ID, a.Instance, after, gatewayName(call.Gateway))
 		}
 	}
+	p.Closest = fmt.Sprintf(" (the last after %s)", latest.Round(time.Millisecond))
 	return p
 }
 
--- a/internal/lab/soak/check_config.go
+++ b/internal/lab/soak/check_config.go
@@ -26,7 +26,7 @@
 		switch call.Kind {
 		case Mark:
 			for _, a := range c.arrivals[call.ID] {
-				service := meant(a)
+				service := c.meant(a)
 				out = append(out, c.sight(call, a.At, func(index int) bool { return markService(index) == service }))
 			}
 		case Only:
@@ -48,8 +48,8 @@
 
 // meant returns the service that a request was sent to: that of the instance it names, since
 // another one may run at the address by now and answers 421.
-func meant(a *Arrival) string {
-	if named := serviceOf(a.Meant); named != "" {
+func (c *checker) meant(a *Arrival) string {
+	if named := c.o.Layout.serviceOf(a.Meant); named != "" {
 		return named
 	}
 	return a.Service
--- /dev/null
+++ b/internal/lab/soak/grown.go
@@ -0,0 +1,73 @@
+package soak
+
+import "time"
+
+const (
+	// stayTime is how long an instance of a large layout stays on average. Of some hundred, two
+	// leave each second, so that a run of half a minute has some fifty to judge.
+	stayTime = 50 * time.Second
+	// watcherEvery is the mean time between two faults of processes that watch the store for the
+	// others, watcherFault the longest: the others leave one that is stale for longer.
+	watcherEvery = 2 * time.Second
+	watcherFault = 2500 * time.Millisecond
+	// rollBegin and rollShare say when all processes are stopped and started again in turn, as
+	// parts of a run.
+	rollBegin = 0.3
+	rollShare = 0.3
+)
+
+// leaveActions are the ways in which instances leave.
+var leaveActions = []weighted{
+	{5, instanceFault(FaultDrain, 1, leaves)},
+	{5, instanceFault(FaultRemove, 1, leaves)},
+	{1, instanceFault(FaultCrash, 1, leaves)},
+	{1, instanceFault(FaultReuse, 1, leaves)},
+}
+
+// leaves reports whether instances of a service leave more often than by the other faults. The
+// services of marks have one instance each.
+func leaves(service string) bool { return service == serviceApp || service == serviceModels }
+
+// leaves returns instances that leave, and others that take their places.
+func (s *scheduler) leaves(length time.Duration) []Action {
+	every := stayTime / time.Duration(len(s.layout.Places))
+	var out []Action
+	for at := s.upTo(2 * every); at < length; at += s.upTo(2 * every) {
+		a := s.pickFrom(leaveActions)
+		a.At = at
+		out = append(out, a)
+	}
+	return out
+}
+
+// watcherActions are short faults of what a process has to do with the store.
+var watcherActions = []weighted{
+	{2, func(s *scheduler) Action { return Action{Fault: FaultStoreSome} }},
+	{2, func(s *scheduler) Action { return Action{Fault: FaultReset, Party: partyStore} }},
+	{2, func(s *scheduler) Action {
+		return Action{Fault: FaultSilence, Party: partyStore, Conditions: Conditions{CutThere: true, CutBack: true}}
+	}},
+	{1, func(s *scheduler) Action { return Action{Fault: FaultFreeze} }},
+}
+
+// watcherFaults returns short faults of processes that watch the store for the others.
+func (s *scheduler) watcherFaults(length time.Duration) []Action {
+	var out []Action
+	for at := s.upTo(2 * watcherEvery); at < length; at += s.upTo(2 * watcherEvery) {
+		a := s.pickFrom(watcherActions)
+		a.At, a.Watcher, a.Gateways, a.For = at, true, []int{s.rng.IntN(s.processes)}, s.upTo(watcherFault)
+		out = append(out, a)
+	}
+	return out
+}
+
+// roll returns planned stops of all processes, one after the other.
+func (s *scheduler) roll(length time.Duration) []Action {
+	gap := time.Duration(rollShare * float64(length) / float64(s.processes))
+	var out []Action
+	for n, process := range s.rng.Perm(s.processes) {
+		at := time.Duration(rollBegin*float64(length)) + time.Duration(n)*gap
+		out = append(out, Action{At: at, Fault: FaultStop, Gateways: []int{process}, For: s.upTo(time.Second)})
+	}
+	return out
+}
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -44,7 +44,7 @@
 // place is an address at which one instance after the other runs, as the platform gives the
 // addresses of those that ended to others.
 type place struct {
-	workload
+	Place
 	w       *world
 	number  int
 	address string
@@ -61,47 +61,15 @@
 	listener net.Listener
 }
 
-// engineStages are the stages of a deployment's engines at their start.
-var engineStages = []string{
-	fleetengine.StagePrefill, fleetengine.StagePrefill,
-	fleetengine.StageDecode, fleetengine.StageDecode, fleetengine.StageDecode, fleetengine.StageDecode,
-}
-
-// workload is what runs at a place.
-type workload struct{ service, stage string }
-
-// workloads are those of a deployment's places, by their numbers.
-var workloads = makeWorkloads()
-
-func makeWorkloads() []workload {
-	out := []workload{{service: serviceApp}, {service: serviceApp}, {service: serviceApp}}
-	for n := range markServices {
-		out = append(out, workload{service: markService(n)})
-	}
-	for _, stage := range engineStages {
-		out = append(out, workload{serviceModels, stage})
-	}
-	return out
-}
-
 func instanceID(place, start int) string { return fmt.Sprintf("i-%d-%d", place, start) }
 
-// serviceOf returns the service of an instance, empty if there is none with the id.
-func serviceOf(id string) string {
-	var place, start int
-	if _, err := fmt.Sscanf(id, "i-%d-%d", &place, &start); err != nil || place >= len(workloads) {
-		return ""
-	}
-	return workloads[place].service
-}
-
-func newPlace(w *world, number int, runs workload) (*place, error) {
+func newPlace(w *world, number int, runs Place) (*place, error) {
 	// A port that the system gives out could be taken by a connection while nothing runs here.
 	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", w.subnet, instancesHost, instancesPort+number))
 	if err != nil {
 		return nil, err
 	}
-	p := &place{workload: runs, w: w, number: number, address: l.Addr().String()}
+	p := &place{Place: runs, w: w, number: number, address: l.Addr().String()}
 	p.start()
 	p.serve(l)
 	return p, nil
@@ -119,15 +87,15 @@
 func (p *place) start() {
 	p.mu.Lock()
 	p.starts++
-	e := fleetengine.New(instanceID(p.number, p.starts), p.stage)
+	e := fleetengine.New(instanceID(p.number, p.starts), p.Stage)
 	e.Work, e.RoleChange, e.OrderDelay = workTime, roleChange, lateOrder
-	if p.service == serviceModels {
+	if p.Service == serviceModels {
 		e.Events, e.Gap = streamEvents, eventGap
 	}
 	e.Changed = func(stage string) { p.write(e, stage) }
 	p.now, p.draining, p.gone = e, false, false
 	p.mu.Unlock()
-	p.write(e, p.stage)
+	p.write(e, p.Stage)
 }
 
 // write writes the registration of an instance if it is still the one that runs here.
@@ -138,7 +106,7 @@
 		return
 	}
 	p.w.store.Register(e.ID, fleetstore.Registration{
-		Service: p.service, Stage: stage, Address: p.address, Domain: domain(p.number), Slots: instanceSlots, Draining: p.draining,
+		Service: p.Service, Stage: stage, Address: p.address, Domain: p.Domain, Slots: instanceSlots, Draining: p.draining,
 	})
 }
 
@@ -272,7 +240,7 @@
 
 func (p *place) request(e *fleetengine.Engine, w http.ResponseWriter, r *http.Request, in fleetengine.Arrival) {
 	rec := &recorder{ResponseWriter: w, status: http.StatusOK}
-	a := &Arrival{Arrival: in, Instance: e.ID, Service: p.service, At: time.Now()}
+	a := &Arrival{Arrival: in, Instance: e.ID, Service: p.Service, At: time.Now()}
 	p.w.facts.note(func() { p.w.facts.Arrivals = append(p.w.facts.Arrivals, a) })
 	done := false
 	defer func() {
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -12,6 +12,8 @@
 type Options struct {
 	Seed      uint64
 	Processes int
+	// Layout is what the deployment consists of; DefaultLayout if it is nil.
+	Layout *Layout
 	// Length is how long faults are put in. The start and the end are not part of it.
 	Length time.Duration
 	// Dir takes the settings and logs of the processes.
@@ -24,6 +26,8 @@
 	Progress io.Writer
 	// CallersEach is how many callers each process has.
 	CallersEach int
+	// Think is the mean time between an answer and a caller's next request; thinkTime if it is 0.
+	Think time.Duration
 	// Bounds are what the deployment demands of the processes.
 	Bounds Bounds
 	// Slack is by how much longer than the bounds say a thing may take, for machines that are
@@ -31,6 +35,16 @@
 	Slack float64
 }
 
+// complete puts in what was left out.
+func (o *Options) complete() {
+	if o.Layout == nil {
+		o.Layout = DefaultLayout
+	}
+	if o.Think == 0 {
+		o.Think = thinkTime
+	}
+}
+
 // checked returns the bounds by which a run is judged.
 func (o *Options) checked() Bounds {
 	b := o.Bounds
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -54,10 +54,6 @@
 func (g *gateway) logFile() string         { return filepath.Join(g.w.o.Dir, g.name()+".log") }
 func (g *gateway) clockFile() string       { return filepath.Join(g.w.o.Dir, g.name()+".clock") }
 func gatewayName(number int) string        { return fmt.Sprintf("gateway-%d", number) }
-func domain(number int) string             { return string(rune('a' + number%domains)) }
-
-// domains is how many failure domains there are.
-const domains = 3
 
 // setClock has the clock of the process, and of those that take its place, be wrong.
 func (g *gateway) setClock(by time.Duration) error {
@@ -73,16 +69,16 @@
 
 // writeSettings writes the settings file as the platform does.
 func (g *gateway) writeSettings() error {
-	b := g.w.o.Bounds
+	b, host := g.w.o.Bounds, g.w.o.Layout.host(g.number)
 	text := fmt.Sprintf(`{
   "name": %q, "domain": %q, "store": %q,
-  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q,
+  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "weight": %v,
   "bounds": {"apply": %q, "settle": %q, "drain": %q, "grace": %q, "notice": %q, "lease": %q,
     "retryRatio": %v, "retrySlack": %v, "retryWindow": %q},
   "duties": {"address": %q, "kinds": "metering", "usageWindow": "1s", "usageDue": "4s"},
 }
-`, g.name(), domain(g.number), g.w.storeLink(g).Address,
-		g.address(portCallers), g.address(portReadiness), g.address(portMetrics), g.address(portPeers),
+`, g.name(), host.Domain, g.w.storeLink(g).Address,
+		g.address(portCallers), g.address(portReadiness), g.address(portMetrics), g.address(portPeers), host.Weight,
 		b.Apply, b.Contact, b.Drain, b.Grace, b.Notice, b.Lease, b.RetryRatio, g.slack, b.RetryWindow, g.w.apiLink(g).Address)
 	if err := os.WriteFile(g.settingsFile(), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", g.name(), err)
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -24,6 +24,8 @@
 	Name     string
 	Cases    int
 	Breaches []Breach
+	// Closest says how near the closest case came to its bound, where that can be said.
+	Closest string
 }
 
 // Report tells what a run was and found.
@@ -58,7 +60,7 @@
 	fmt.Fprintf(w, "answers: %s\n", counts(r.Answers))
 	fmt.Fprintf(w, "faults: %s\n", counts(r.Faults))
 	for _, p := range r.Promises {
-		fmt.Fprintf(w, "%-9s %8d cases  %s\n", verdict(p), p.Cases, p.Name)
+		fmt.Fprintf(w, "%-9s %8d cases  %s%s\n", verdict(p), p.Cases, p.Name, p.Closest)
 		for n, b := range p.Breaches {
 			if n == mostShown {
 				fmt.Fprintf(w, "          and %d more\n", len(p.Breaches)-n)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -49,7 +49,7 @@
 	stopProgress := w.tellProgress()
 	stopCallers := w.call(op)
 	time.Sleep(warmUp)
-	actions := Schedule(o.Seed, o.Processes, o.Length)
+	actions := Schedule(o.Seed, o.Processes, w.o.Layout, o.Length)
 	w.play(op, actions)
 	healed, err := w.heal()
 	stopCallers()
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -77,9 +77,11 @@
 	At    time.Duration
 	Fault Fault
 	// Gateways are the processes that it strikes, Party is at the other end of a link. With
-	// Holder set, it strikes the process that holds the duties then, if there is one.
+	// Holder set, it strikes the process that holds the duties then, if there is one, and with
+	// Watcher one of those that watch the store for the others.
 	Gateways []int
 	Holder   bool
+	Watcher  bool
 	Party    string
 	// Place is that of the instance, Other that of a second one, Service that of all of a
 	// service.
@@ -152,11 +154,12 @@
 type scheduler struct {
 	rng       *rand.Rand
 	processes int
+	layout    *Layout
 }
 
 // Schedule returns the actions that a seed stands for, in order of their times.
-func Schedule(seed uint64, processes int, length time.Duration) []Action {
-	s := &scheduler{rng: rand.New(rand.NewPCG(seed, 0)), processes: processes}
+func Schedule(seed uint64, processes int, layout *Layout, length time.Duration) []Action {
+	s := &scheduler{rng: rand.New(rand.NewPCG(seed, 0)), processes: processes, layout: layout}
 	var out []Action
 	for at := time.Duration(0); at < length; at += waveLength + s.upTo(pauseLength) {
 		for range leastActions + s.rng.IntN(mostActions-leastActions+1) {
@@ -172,6 +175,9 @@
 		}
 		out = append(out, a)
 	}
+	if layout.grown() {
+		out = slices.Concat(out, s.leaves(length), s.watcherFaults(length), s.roll(length))
+	}
 	out = slices.DeleteFunc(out, func(a Action) bool { return a.At >= length })
 	slices.SortStableFunc(out, func(a, b Action) int { return int(a.At - b.At) })
 	return out
@@ -307,11 +313,12 @@
 // instanceFault strikes one instance of a service that suits.
 func instanceFault(f Fault, count int, suits func(service string) bool) func(*scheduler) Action {
 	return func(s *scheduler) Action {
-		place := s.rng.IntN(len(workloads))
-		for !suits(workloads[place].service) {
-			place = s.rng.IntN(len(workloads))
+		places := s.layout.Places
+		place := s.rng.IntN(len(places))
+		for !suits(places[place].Service) {
+			place = s.rng.IntN(len(places))
 		}
-		return Action{Fault: f, Place: place, Other: s.rng.IntN(len(workloads)), Count: 1 + s.rng.IntN(count), For: 100*time.Millisecond + s.upTo(longestFault)}
+		return Action{Fault: f, Place: place, Other: s.rng.IntN(len(places)), Count: 1 + s.rng.IntN(count), For: 100*time.Millisecond + s.upTo(longestFault)}
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -51,7 +51,7 @@
 
 // TestScheduleIsFixedBySeed checks that a seed can be played again.
 func TestScheduleIsFixedBySeed(t *testing.T) {
-	a, b := Schedule(7, 8, time.Minute), Schedule(7, 8, time.Minute)
+	a, b := Schedule(7, 8, DefaultLayout, time.Minute), Schedule(7, 8, DefaultLayout, time.Minute)
 	require.Equal(t, a, b)
-	require.NotEqual(t, a, Schedule(8, 8, time.Minute))
+	require.NotEqual(t, a, Schedule(8, 8, DefaultLayout, time.Minute))
 }
--- a/internal/lab/soak/strike.go
+++ b/internal/lab/soak/strike.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
+	"github.com/rockdoor/rockdoor/internal/gatewayd"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetapi"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
@@ -35,6 +38,9 @@
 	if a.Holder {
 		a.Gateways = w.holder(a.Gateways)
 	}
+	if a.Watcher {
+		a.Gateways = w.watcher(a.Gateways)
+	}
 	d := &Disturbance{Fault: a.Fault, Gateways: a.Gateways, From: time.Now(), To: time.Now().Add(a.For)}
 	w.facts.note(func() { w.facts.Disturbances = append(w.facts.Disturbances, d) })
 	w.event("%s", a)
@@ -73,6 +79,35 @@
 	return others
 }
 
+// statusTimeout bounds the question who watches the store.
+const statusTimeout = 200 * time.Millisecond
+
+// watcher returns one of the processes that watch the store for the others, as the first
+// process that answers names them, the given ones if none does.
+func (w *world) watcher(others []int) []int {
+	client := &http.Client{Timeout: statusTimeout}
+	defer client.CloseIdleConnections()
+	for _, n := range w.readyProcesses() {
+		var st gatewayd.Status
+		resp, err := client.Get("http://" + w.gates[n].address(portMetrics) + "/status")
+		if err != nil {
+			continue // it is frozen, or has just ended
+		}
+		err = json.NewDecoder(resp.Body).Decode(&st)
+		_ = resp.Body.Close() // has been read
+		if err != nil || len(st.Watchers) == 0 {
+			continue
+		}
+		name := st.Watchers[others[0]%len(st.Watchers)]
+		for _, g := range w.gates {
+			if g.name() == name {
+				return []int{g.number}
+			}
+		}
+	}
+	return others
+}
+
 func (w *world) strikeProcess(g *gateway, a Action, d *Disturbance) {
 	switch a.Fault {
 	case FaultFreeze:
@@ -248,7 +283,7 @@
 // shed has all instances of a service refuse every n-th request for a time.
 func (w *world) shed(a Action, every int) {
 	for _, p := range w.places {
-		if p.service != a.Service {
+		if p.Service != a.Service {
 			continue
 		}
 		p.instance().FailEvery(fleetengine.Shed, every)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -56,6 +56,7 @@
 }
 
 func newWorld(ctx context.Context, o Options) (*world, error) {
+	o.complete()
 	pid := os.Getpid()
 	w := &world{
 		o: o, subnet: fmt.Sprintf("127.%d.%d", 220+pid%30, pid/30%250), facts: newFacts(), store: fleetstore.New(), api: fleetapi.New(),
@@ -68,7 +69,7 @@
 	w.events = events
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.store.Observe(w.storeChanged)
-	for number, runs := range workloads {
+	for number, runs := range o.Layout.Places {
 		p, err := newPlace(w, number, runs)
 		if err != nil {
 			return nil, err
