Tests that fail: an engine is given up without a last look, and then for good (known red)

Played again, six copies at once, 17 of 29,160 cases fail. The time of a state is compared after the step that gave the order to go back, so a step that takes long ends the state without a look at what it did; and each round begins the minute anew after which a stuck engine is tried again. Change: two tests that bring this about without load. Figures: both fail each time. Conclusion: a fault of the completion service's orders, not of the test.

--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -207,3 +208,47 @@
 	err := x.ChangeRole(context.Background(), Target{Name: "e"}, engine.RoleMixed, engine.RolePrefill, "test")
 	require.True(t, fault.Is(err, fault.Conflict))
 }
+
+// slowEngine is one whose answers to orders take longer than a change may.
+type slowEngine struct{ *fakeEngine }
+
+func (e slowEngine) Give(ctx context.Context, g lease.Grant, address string, o engine.Order) error {
+	err := e.fakeEngine.Give(ctx, g, address, o)
+	time.Sleep(4 * changeTimeout)
+	return err
+}
+
+const changeTimeout = 5 * time.Millisecond
+
+// An engine had gone back, but its answer to the order to do so had taken longer than a change
+// may. It was given up as stuck without another look: in CI, beside other packages' tests, 1 of
+// 400 cases ended with "engine e does not come back from an order" after 2 s of rounds, and 17 of
+// some 29,000 where six copies of the test ran at once.
+func TestAnEngineIsLookedAtOnceMoreBeforeItIsStuck(t *testing.T) {
+	s, e := memstore.New(), &fakeEngine{role: engine.RoleMixed, crash: true}
+	x := executor(s, e, 1)
+	x.o.Giver = slowEngine{e}
+	target := Target{Name: "e", ChangeTimeout: changeTimeout}
+	require.NoError(t, x.ChangeRole(context.Background(), target, engine.RoleMixed, engine.RoleDecode, "test"))
+	require.Equal(t, charts.OrderFailed, record(t, s).State)
+	require.False(t, e.halfway)
+}
+
+// A stuck engine is tried again a minute after it was found stuck. Each round of the holder began
+// that minute anew, so that an engine that had come back meanwhile stayed out of service for as
+// long as somebody looked after it.
+func TestAStuckEngineIsTriedAgain(t *testing.T) {
+	s, e := memstore.New(), &fakeEngine{role: engine.RoleDecode, halfway: true}
+	rec := Record{
+		Engine: "e", From: engine.RoleMixed, Holder: "1", State: charts.OrderStuck, Since: time.Now().Add(-2 * time.Minute),
+		Order: engine.Order{ID: "o", Token: 1, Kind: engine.OrderRole, Role: engine.RoleDecode},
+	}
+	value, err := json.Marshal(rec)
+	require.NoError(t, err)
+	_, err = s.Put(context.Background(), KeyPrefix+"e", value, 0, "w")
+	require.NoError(t, err)
+	_, err = executor(s, e, 1).Recover(context.Background(), Target{Name: "e"})
+	require.NoError(t, err)
+	require.False(t, e.halfway)
+	require.Equal(t, charts.OrderFailed, record(t, s).State)
+}
