--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -316,3 +316,30 @@
 	}
 	require.False(t, view().Takes("s", "i-1"), "it left %s ago", time.Since(removed))
 }
+
+// heldBack answers from what the store holds when a question comes, and tells it later.
+func heldBack(fake http.Handler, by time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		fake.ServeHTTP(answer, r)
+		time.Sleep(by)
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // a caller that is gone needs no answer
+	})
+}
+
+// The age of what is believed counted from when an answer was taken in. Answers that were 30 ms on
+// their way made copies 30 ms younger than they were; an answer may take three quarters of a second where
+// changes must be in force within three, and what others copy is judged by that age.
+func TestAnAnswerIsAsOldAsItsWay(t *testing.T) {
+	const way = 30 * time.Millisecond
+	fake := fleetstore.New()
+	setConfig(fake, 1)
+	view := startOn(t, heldBack(fake, way), nil)
+	eventually(t, func() bool { return view().Ready() })
+	for begun := time.Now(); time.Since(begun) < 4*apply; time.Sleep(time.Millisecond) {
+		v := view()
+		require.GreaterOrEqual(t, v.InstancesAge(), way)
+		require.GreaterOrEqual(t, v.ConfigAge(), way)
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -57,6 +58,20 @@
 	domains map[string]string
 	// spot is true if the platform may take the instances away.
 	spot bool
+	// placed is told of each plan before it is carried out; it may be nil.
+	placed func(r *rig, p placement.Plan)
+}
+
+// observed is a scheduler whose plans are told.
+type observed struct {
+	scheduler.Scheduler
+	placed func(p placement.Plan)
+}
+
+func (o observed) Place(ctx context.Context, j *placement.Job) (placement.Plan, scheduler.Ticket) {
+	p, t := o.Scheduler.Place(ctx, j)
+	o.placed(p)
+	return p, t
 }
 
 func newRig(t testing.TB, o rigOptions) *rig {
@@ -86,8 +101,12 @@
 	reg := metrics.NewRegistry()
 	r.reg = reg
 	placer := placement.New("a", nil, nil)
+	schedules := scheduler.Local(placer)
+	if o.placed != nil {
+		schedules = observed{schedules, func(p placement.Plan) { o.placed(r, p) }}
+	}
 	g := gateway.New(gateway.Options{
-		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: scheduler.Local(placer), Domain: "a",
+		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
 		MaxProofAge: testProofAge, Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	s := httptest.NewServer(g)
@@ -119,6 +138,17 @@
 	return c
 }
 
+// leave has an instance state that it is leaving.
+func (r *rig) leave(id string) {
+	v := *r.view.Load()
+	v.Instances = maps.Clone(v.Instances)
+	left := *v.Instances[id]
+	left.Draining = true
+	v.Instances[id] = &left
+	v.Index()
+	r.view.Store(&v)
+}
+
 // answer is what a caller got.
 type answer struct {
 	status int
