A last look before a request is written; answers are as old as their way; an unreadable list of leaving hosts changes nothing

A decision lies up to half a second and a starved process's wait before the first byte; ages counted from when an answer was taken in; the completion service took a list that it could not read for an empty one and swallowed the error. Change: the last step before a write looks whether the instance still takes requests; an answer counts as of its question and the wait that it asked for; the last readable list of leaving hosts stays, with a log line, and the registrar writes it anew.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -271,12 +271,7 @@
 
 // readState takes the orders and the leaving hosts from the mirror.
 func (l *Loop) readState() {
-	l.leaving = map[string]bool{}
-	if obj, ok := l.o.Mirror.Get(LeavingKey); ok {
-		for _, a := range ParseLeaving(obj) {
-			l.leaving[a] = true
-		}
-	}
+	l.readLeaving()
 	l.orders = map[string]orders.Record{}
 	for _, obj := range l.o.Mirror.List(orders.KeyPrefix) {
 		rec, err := orders.ParseRecord(obj)
@@ -288,6 +283,25 @@
 	}
 }
 
+// readLeaving takes the leaving hosts from the mirror. A list that cannot be read leaves the last
+// one in force: without one, hosts that leave would get requests again.
+func (l *Loop) readLeaving() {
+	obj, ok := l.o.Mirror.Get(LeavingKey)
+	if !ok {
+		l.leaving = nil
+		return
+	}
+	hosts, err := ParseLeaving(obj)
+	if err != nil {
+		level.Error(l.logger).Log("msg", "leaving hosts not understood", "version", obj.Version, "err", err)
+		return
+	}
+	l.leaving = make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		l.leaving[host] = true
+	}
+}
+
 // loadNewest starts to load the configuration of the mirrored head if it is
 // newer than the one in force and no load is under way.
 func (l *Loop) loadNewest(ctx context.Context) {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
@@ -86,11 +87,13 @@
 // LeavingKey is where the IP numbers of leaving hosts are kept, as a JSON list.
 const LeavingKey = "state/leaving"
 
-// ParseLeaving reads the list at LeavingKey; what cannot be read is empty.
-func ParseLeaving(obj objstore.Object) []string {
-	leaving := []string{}
-	_ = json.Unmarshal(obj.Value, &leaving)
-	return leaving
+// ParseLeaving reads the list at LeavingKey. The error is of kind Invalid.
+func ParseLeaving(obj objstore.Object) ([]string, error) {
+	var leaving []string
+	if err := json.Unmarshal(obj.Value, &leaving); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "list of leaving hosts at "+obj.Key+" cannot be read", "check who else writes to it; the registrar writes it again")
+	}
+	return leaving, nil
 }
 
 // contact is what heartbeats have told about one member.
--- a/internal/daemon/warden.go
+++ b/internal/daemon/warden.go
@@ -61,7 +61,11 @@
 	}
 	slices.Sort(leaving)
 	obj, known := d.mirror.Get(control.LeavingKey)
-	if slices.Equal(control.ParseLeaving(obj), leaving) && (known || len(leaving) == 0) {
+	if len(leaving) == 0 && !known {
+		return nil
+	}
+	// One that cannot be read is written again.
+	if before, err := control.ParseLeaving(obj); err == nil && slices.Equal(before, leaving) {
 		return nil
 	}
 	value, err := json.Marshal(leaving)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -194,7 +194,7 @@
 	case lostStore:
 		d.lost(e)
 	case changed:
-		d.answered(e.feed, e.asked)
+		d.answered(e)
 		d.apply(e)
 	case followed:
 		d.adopt(e.Followed)
@@ -220,9 +220,11 @@
 	d.cur.StoreUp = false
 }
 
-// answered records that the store has answered a question that was asked then.
-func (d *Discovery) answered(f source, asked bootclock.Instant) {
-	now := bootclock.Now()
+// answered records that the store has answered a question. Others go by the age of what it said, which
+// counts from when it can have been given at the latest: answers held back by 30 ms made copies that
+// were taken for 1 ms old.
+func (d *Discovery) answered(c changed) {
+	f, now := c.feed, bootclock.Now()
 	if f == feedInstances {
 		d.confirmedAt, d.absence = d.cur.InstancesAt, false
 	}
@@ -237,10 +239,10 @@
 	d.cur.StoreUp = len(d.down) == 0
 	switch f {
 	case feedConfig:
-		d.cur.ConfigAt = now
-		d.cur.ProvenAt = max(d.cur.ProvenAt, asked)
+		d.cur.ConfigAt = max(d.cur.ConfigAt, c.confirmed)
+		d.cur.ProvenAt = max(d.cur.ProvenAt, c.asked)
 	case feedInstances:
-		d.cur.InstancesAt = now
+		d.cur.InstancesAt = max(d.cur.InstancesAt, c.confirmed)
 	}
 }
 
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -25,8 +25,9 @@
 	settled bool
 	// reset is true if events holds everything that exists.
 	reset bool
-	// asked is when the question was sent to the store.
-	asked bootclock.Instant
+	// asked is when the question was sent to the store, confirmed is as of when its answer is
+	// known to hold: that it took longer than it was asked to wait may have been its way.
+	asked, confirmed bootclock.Instant
 	// revision is the one of the store up to which the events are complete.
 	revision objstore.Revision
 	// events are in the order in which they happened: an object may go and come
@@ -150,7 +151,7 @@
 		return after, err
 	}
 	rev = max(rev, after)
-	f.send(ctx, changed{feed: f.feed, events: events, asked: asked, revision: rev})
+	f.send(ctx, changed{feed: f.feed, events: events, asked: asked, confirmed: min(bootclock.Now(), asked.Add(wait)), revision: rev})
 	return rev, nil
 }
 
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -229,7 +229,7 @@
 
 // listing is the change that a whole list is.
 func listing(s source, objects []objstore.Object, asked bootclock.Instant) changed {
-	c := changed{feed: s, reset: true, asked: asked}
+	c := changed{feed: s, reset: true, asked: asked, confirmed: asked}
 	for _, obj := range objects {
 		c.events = append(c.events, objstore.Event{Object: obj})
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -338,9 +338,19 @@
 		Header:  q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
 		Matches: func(h http.Header) bool { return q.s.o.Protocol.Matches(q.call.ID, h) },
 		MaxIdle: q.maxIdle(),
+		Check:   func() error { return q.mayStillRun(i) },
 	}
 }
 
+// mayStillRun is the last look before a request is written: an instance may have left since the
+// decision, which lies questions to schedulers and a new connection back, up to half a second.
+func (q *request) mayStillRun(i *fleet.Instance) error {
+	if q.s.o.View().Takes(q.service, i.ID) {
+		return nil
+	}
+	return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
+}
+
 // maxIdle returns how many unused connections to one instance this process keeps: half
 // of its share of those that the instance takes from all callers together. It returns
 // 0 if the configuration states no bound.
