--- a/duty/history_test.go
+++ b/duty/history_test.go
@@ -96,6 +96,25 @@
 	return c
 }
 
+// beginning is in what time after the start of all processes at once the troubles of a start come:
+// the first writes of the leases.
+const beginning = 150 * time.Millisecond
+
+// drawStart draws a course in which two or more candidates start at the same moment, and all that goes
+// wrong goes wrong with the first writes.
+func drawStart(t *rapid.T) course {
+	c := drawCourse(t)
+	rng := rand.New(rand.NewPCG(c.seed, 2))
+	kinds := []kind{pause, killed, stopped, cutStore, storeLost, storeLate}
+	c.former = min(c.former, c.machines-2)
+	for n := range c.troubles {
+		c.troubles[n].kind = kinds[rng.IntN(len(kinds))]
+		c.troubles[n].at = time.Duration(rng.Int64N(int64(beginning)))
+	}
+	slices.SortStableFunc(c.troubles, func(a, b trouble) int { return int(a.at - b.at) })
+	return c
+}
+
 // fleetOf is the processes of a course.
 type fleetOf struct {
 	w        *world
@@ -233,12 +252,25 @@
 // again the duties are done. A course lasts 100 s of virtual time. Goroutines that wake at the
 // same moment do so in any order, so a seed need not give quite the same course again.
 func TestHistoriesOfHolders(t *testing.T) {
+	t.Parallel()
+	checkHistories(t, drawCourse)
+}
+
+// TestHistoriesOfHoldersThatStartTogether plays courses in which candidates start together, as
+// TestHistoriesOfHolders does. One that loses the duties may have taken the lease of former versions
+// under a higher token, and keep it.
+func TestHistoriesOfHoldersThatStartTogether(t *testing.T) {
+	t.Parallel()
+	checkHistories(t, drawStart)
+}
+
+func checkHistories(t *testing.T, draw func(*rapid.T) course) {
 	courses, calls, grants, failed := 0, 0, 0, 0
 	t.Cleanup(func() {
 		t.Logf("%d courses, %d calls, %d grants of the lease; the first course that failed: %d", courses, calls, grants, failed)
 	})
 	rapid.Check(t, func(rt *rapid.T) {
-		c := drawCourse(rt)
+		c := draw(rt)
 		var w *world
 		synctest.Test(t, func(*testing.T) { w = play(c) })
 		courses++
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -98,10 +98,15 @@
 	return slices.ContainsFunc(arrivals, func(a *Arrival) bool { return a.Broke })
 }
 
-func (p *Promise) breach(request, format string, args ...any) {
-	p.Breaches = append(p.Breaches, Breach{request, fmt.Sprintf(format, args...)})
+// breach adds a case, whose signs in the logs may be added to it.
+func (p *Promise) breach(request, format string, args ...any) *Breach {
+	p.Breaches = append(p.Breaches, Breach{Request: request, What: fmt.Sprintf(format, args...)})
+	return &p.Breaches[len(p.Breaches)-1]
 }
 
+// signs says what the lines of the logs hold that tell of a breach.
+func (b *Breach) signs(all ...string) { b.Signs = append(b.Signs, all...) }
+
 // servedAfter returns the share of requests that were answered whole, of those that were sent
 // after a time and not left, and how many there were.
 func (c *checker) servedAfter(at time.Time) (share float64, of int) {
--- a/internal/lab/soak/check_arrivals.go
+++ b/internal/lab/soak/check_arrivals.go
@@ -96,7 +96,7 @@
 		after := a.At.Sub(at)
 		latest = max(latest, after)
 		if after > c.o.Bounds.Drain {
-			p.breach(a.ID, "%s: reached %s %s after it began to leave, from %s", a.ID, a.Instance, after, gatewayName(call.Gateway))
+			p.breach(a.ID, "%s: reached %s %s after it began to leave, from %s", a.ID, a.Instance, after, gatewayName(call.Gateway)).signs("id=" + a.Instance + " ")
 		}
 	}
 	p.Closest = fmt.Sprintf(" (%d later arrivals judged, %d excused, the last after %s)", judged, excused, latest.Round(time.Millisecond))
--- a/internal/lab/soak/check_orders.go
+++ b/internal/lab/soak/check_orders.go
@@ -72,9 +72,9 @@
 		}
 		switch {
 		case granted.IsZero() || granted.After(o.At):
-			p.breach("", "an order to %s from %s with token %d, which it was never granted", o.To, o.Holder, o.Token)
+			p.breach("", "an order to %s from %s with token %d, which it was never granted", o.To, o.Holder, o.Token).signs("component=duty", "component=lease")
 		case !over.IsZero() && o.At.After(over) && !c.heldUp(o):
-			p.breach("", "an order to %s from %s with token %d came %s after another took the lease", o.To, o.Holder, o.Token, o.At.Sub(over))
+			p.breach("", "an order to %s from %s with token %d came %s after another took the lease", o.To, o.Holder, o.Token, o.At.Sub(over)).signs("component=duty", "component=lease")
 		}
 	}
 	return p
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +19,8 @@
 	// Request is the id of a request for rockdoor trace, empty if it concerns none.
 	Request string
 	What    string
+	// Signs are what the lines of the processes' logs hold that tell of it, besides the request.
+	Signs []string
 }
 
 // Promise is what was checked, on how many cases, with those that broke it.
@@ -70,6 +74,7 @@
 			if b.Request != "" {
 				fmt.Fprintf(w, "          rockdoor trace %s %s/gateway-*.log\n", b.Request, r.Dir)
 			}
+			b.writeLog(w, r.Dir)
 		}
 	}
 	fmt.Fprintf(w, "after the last fault %.0f%% of the requests were answered whole\n", 100*r.Served)
@@ -94,3 +99,40 @@
 	}
 	return strings.Join(out, ", ")
 }
+
+const (
+	// mostLines is how many lines of the logs are shown of a breach, the last ones, and lineLength how
+	// much of each.
+	mostLines  = 12
+	lineLength = 400
+)
+
+// writeLog writes what the processes' logs say of a breach, since a machine that plays the soak
+// may not be kept.
+func (b *Breach) writeLog(w io.Writer, dir string) {
+	signs := b.Signs
+	if b.Request != "" {
+		signs = append(slices.Clone(signs), "request="+b.Request)
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "gateway-*.log"))
+	if err != nil || len(signs) == 0 {
+		return // the pattern is a constant
+	}
+	var lines []string
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			fmt.Fprintf(w, "          %s cannot be read: %s\n", file, err)
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if slices.ContainsFunc(signs, func(sign string) bool { return strings.Contains(line, sign) }) {
+				lines = append(lines, strings.TrimSpace(line[:min(len(line), lineLength)]))
+			}
+		}
+	}
+	slices.Sort(lines) // they begin with their times
+	for _, line := range lines[max(0, len(lines)-mostLines):] {
+		fmt.Fprintf(w, "          | %s\n", line)
+	}
+}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -37,8 +37,15 @@
 	require.NoError(t, err)
 	bounds := DefaultBounds
 	bounds.Grace, bounds.Notice, bounds.Recovery = 5*time.Second, time.Second, 4*time.Second
+	dir, err := os.MkdirTemp("", "rockdoor-soak-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if !t.Failed() { // the logs of a run that failed are kept
+			require.NoError(t, os.RemoveAll(dir))
+		}
+	})
 	r, err := Run(context.Background(), Options{
-		Seed: 4, Processes: shortProcesses, CallersEach: 2, Length: shortLength, Dir: t.TempDir(), Command: []string{self}, Env: []string{childVariable + "=1"},
+		Seed: 4, Processes: shortProcesses, CallersEach: 2, Length: shortLength, Dir: dir, Command: []string{self}, Env: []string{childVariable + "=1"},
 		Bounds: bounds, Slack: shortSlack,
 	})
 	require.NoError(t, err)
