Stand-in of the store: it comes back from an older copy

Change: Restore drops what was written since, gives revisions out again, refuses watches from revisions that it does not have (410), and counts eras in Store-Era; a text in its place can be set.

--- a/internal/standin/fleetstore/fleetstore.go
+++ b/internal/standin/fleetstore/fleetstore.go
@@ -72,8 +72,15 @@
 	observe   func(Change)
 	// undo is what the changes of the last undoTime replaced.
 	undo []replaced
+	// era counts how often the store has come back from a copy; 0 if it does not say.
+	era int64
+	// eraText takes the place of the era in answers if it is not empty.
+	eraText string
 }
 
+// headerEra is in all answers of a store that counts its eras.
+const headerEra = "Store-Era"
+
 // replaced is what an object was before a change.
 type replaced struct {
 	kind, name string
@@ -118,6 +125,52 @@
 	s.wake()
 }
 
+// SetEra has the store count its eras, from this one on.
+func (s *Server) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// SetEraText has answers say something else than the era; an empty text ends that.
+func (s *Server) SetEraText(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eraText = text
+}
+
+// Restore has the store come back as it was some time ago, at the most undoTime: what was written since
+// is gone, and revisions are given out again. A new era begins.
+func (s *Server) Restore(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-by)
+	kinds := slices.Collect(maps.Keys(s.objects))
+	objects, rev := map[string]map[string]object{}, s.rev
+	for _, kind := range kinds {
+		objects[kind], rev = s.asOf(kind, at)
+	}
+	s.objects, s.rev = objects, rev
+	s.undo = slices.DeleteFunc(s.undo, func(u replaced) bool { return u.at.After(at) })
+	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.rev > rev })
+	s.forgotten = min(s.forgotten, rev)
+	s.era++
+	s.wake()
+}
+
+// eraNow returns what answers say of the era, empty for nothing.
+func (s *Server) eraNow() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.eraText != "":
+		return s.eraText
+	case s.era == 0:
+		return ""
+	}
+	return strconv.FormatInt(s.era, 10)
+}
+
 // Calls returns how many calls were made.
 func (s *Server) Calls() int {
 	s.mu.Lock()
--- a/internal/standin/fleetstore/front.go
+++ b/internal/standin/fleetstore/front.go
@@ -56,6 +56,7 @@
 	f.s.calls++
 	f.s.mu.Unlock()
 	faults := f.now()
+	w = &eraWriter{ResponseWriter: w, s: f.s}
 	switch {
 	case faults.Silent:
 		// Until the body has been read the server does not notice that the caller has gone.
@@ -87,6 +88,30 @@
 	}
 }
 
+// eraWriter adds the era to the head of an answer, as of when the answer is given.
+type eraWriter struct {
+	http.ResponseWriter
+	s       *Server
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if era := w.s.eraNow(); era != "" && !w.written {
+		w.Header().Set(headerEra, era)
+	}
+	w.written = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(p []byte) (int, error) {
+	if !w.written {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
 // shown returns an object as this caller sees it.
 func (f *Front) shown(kind string, o object) object {
 	if len(o.Spec) > 0 {
@@ -146,7 +171,7 @@
 		deaf := f.now().DeafWatches
 		f.s.mu.Lock()
 		_, rev := f.s.asOf(kind, time.Now().Add(-staleBy))
-		events, gone, changed := f.s.after(kind, since, rev), since < f.s.forgotten, f.s.changed
+		events, gone, changed := f.s.after(kind, since, rev), since < f.s.forgotten || since > f.s.rev, f.s.changed
 		f.s.mu.Unlock()
 		rev = max(rev, since)
 		switch {
