One order over eras of the store: versions, conditions, leases, usage

Cause: a store that comes back from an older copy gives revisions out again; conditions of before hold for other writes, a token is granted twice, a window of usage is decided anew. Change: a version or revision holds the era above the store's number, so that each comparison, in any process and in messages of any version, goes by era first. The adapter decodes it, refuses answers of earlier eras, and sends no condition of an earlier one. A lease ends at the first answer of a new era; a successor waits the lease's life from then on; tokens begin above all of earlier eras. A holder sends windows that it decided again word for word; what another one may have decided is passed over: billed once goes before billed at all. Weighed against a reset of all that is known at a new era: that forgets who has left.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -38,6 +38,8 @@
 	Next int64 `json:"next"`
 	// Pending are decided windows that may not have been taken yet, in their order.
 	Pending []Report `json:"pending"`
+	// Era is that of the store in which the record was written.
+	Era int64 `json:"era,omitempty"`
 }
 
 const (
@@ -89,6 +91,8 @@
 	token   int64
 	record  record
 	version objstore.Version
+	// decided are the windows that this process decided last, at the most maxPending, in their order.
+	decided []Report
 }
 
 // NewReporter returns a reporter that has to be run.
@@ -133,11 +137,38 @@
 		}
 		r.record, r.version = rec, obj.Version
 	}
+	r.restore(objstore.EraOf(r.o.Store))
 	r.token = g.Token
 	level.Info(r.logger).Log("msg", "usage taken over", "token", g.Token, "next", r.record.Next, "pending", len(r.record.Pending))
 	return true
 }
 
+// restore makes up for what a store that came back from an older copy lost of the record. Windows that
+// this process decided are sent again, word for word. Others that could have been decided by now
+// may have been, by a process that is gone, with counts that nobody knows: they are passed over, since a window that
+// is billed twice with different counts is worse than one that is not billed.
+func (r *Reporter) restore(era int64) {
+	if r.record.Era == era {
+		return
+	}
+	next := r.record.Next
+	for _, known := range r.decided {
+		if known.Window >= r.record.Next {
+			r.record.Pending = append(slices.Clip(r.record.Pending), known)
+			r.record.Next = known.Window + 1
+		}
+	}
+	skipped := r.record.Next
+	for r.o.Ledger.age(r.record.Next) >= r.part(decideShare) {
+		r.record.Next++
+	}
+	if r.record.Next > skipped {
+		level.Error(r.logger).Log("msg", "usage lost", "from", skipped, "until", r.record.Next-1, "reason", "the store came back from an older copy; another process may have reported it", "era", era)
+	}
+	level.Info(r.logger).Log("msg", "record of usage restored", "era", era, "record_era", r.record.Era, "next", next, "now", r.record.Next, "pending", len(r.record.Pending))
+	r.record.Era = era
+}
+
 // send sends what has been decided, in order.
 func (r *Reporter) send(ctx context.Context, g duty.Grant) {
 	for len(r.record.Pending) > 0 {
@@ -170,7 +201,8 @@
 		return false
 	}
 	counts := r.o.Ledger.Total(window)
-	next := record{Next: window + 1, Pending: append(slices.Clip(r.record.Pending), Report{window, counts})}
+	report := Report{window, counts}
+	next := record{Next: window + 1, Pending: append(slices.Clip(r.record.Pending), report), Era: r.record.Era}
 	value, err := json.Marshal(next)
 	if err != nil {
 		level.Error(r.logger).Log("msg", "record of usage cannot be written", "err", err)
@@ -188,6 +220,8 @@
 		return false
 	}
 	r.record, r.version = next, obj.Version
+	r.decided = append(r.decided, report)
+	r.decided = r.decided[max(0, len(r.decided)-maxPending):]
 	level.Info(r.logger).Log("msg", "usage decided", "window", window, "workspaces", len(counts), "requests", total(counts), "complete", complete, "age", age.Round(time.Millisecond), "token", g.Token)
 	return true
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -188,3 +188,48 @@
 	k1.Merge(late)
 	require.Empty(t, k1.Entries(window))
 }
+
+// The store comes back from copies that lack what was decided, and the lease, again and again, while holders
+// live, end and change, each of which has counted other requests. A window was then decided anew with
+// other counts, and two holders acted under the same token.
+func TestAWindowNeverHasTwoContentsWhereTheStoreComesBackOlder(t *testing.T) {
+	b := newBench(t)
+	b.store.SetEra(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begin := func(p *process, workspace string) {
+		for ctx.Err() == nil {
+			p.ledger.Began(workspace)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	a := b.start("a", none)
+	go begin(a, "w")
+	held := func() bool { return len(b.api.Reports()) > 2 }
+	require.Eventually(t, held, 10*time.Second, 5*time.Millisecond)
+	for round := range 5 {
+		p := b.start(string(rune('b'+round)), none)
+		go begin(p, "w")
+		time.Sleep(3 * testWindow)
+		if round%2 == 1 {
+			a.stop()
+			a = p
+		}
+		b.store.Restore(time.Duration(round+1) * testWindow)
+		time.Sleep(4*testTTL + testApart)
+	}
+	last := a.ledger.Window(time.Now())
+	require.Eventually(t, func() bool { _, done := b.api.Reports()[last]; return done }, 10*time.Second, 10*time.Millisecond, "usage is reported again")
+	require.Empty(t, b.api.Conflicts())
+	holders := map[int64]string{}
+	token := int64(0)
+	for _, c := range b.api.Calls() {
+		require.GreaterOrEqual(t, c.Token, token, "tokens rise over eras")
+		token = c.Token
+		if holder, used := holders[token]; used {
+			require.Equal(t, holder, c.Holder, "token %d", token)
+		}
+		holders[token] = c.Holder
+	}
+	require.Greater(t, len(holders), 3)
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -113,6 +113,11 @@
 	seen    objstore.Version
 	seenAt  bootclock.Instant
 	waiting string
+	// era is that of the store in which the grant was given, seenEra the newest one that was seen,
+	// since eraAt.
+	era     int64
+	seenEra int64
+	eraAt   bootclock.Instant
 }
 
 // New returns a Lessee that does not hold the lease yet.
@@ -126,10 +131,15 @@
 	return &Lessee{o: o, logger: log.With(o.Logger, "component", "lease", "shard", o.Shard)}
 }
 
-// Grant returns the authority in force, if any.
+// Grant returns the authority in force, if any. One of an earlier era of the store is none: what the
+// store came back with may lack it, and another process may get the lease.
 func (l *Lessee) Grant() (Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.grant.Token != 0 && objstore.EraOf(l.o.Store) != l.era {
+		level.Warn(l.logger).Log("msg", "lease is of an earlier era of the store", "token", l.grant.Token, "era", l.era)
+		l.grant = Grant{}
+	}
 	return l.grant, l.grant.Valid(0)
 }
 
@@ -167,6 +177,10 @@
 		return err
 	}
 	at := l.o.Now()
+	era := objstore.EraOf(l.o.Store)
+	if !l.settled(era, at) {
+		return nil
+	}
 	var rec Record
 	if err == nil {
 		if jerr := json.Unmarshal(obj.Value, &rec); jerr != nil {
@@ -176,14 +190,39 @@
 			return nil
 		}
 	}
-	token, err := l.token(ctx, max(rec.Token+1, least))
+	token, err := l.token(ctx, max(rec.Token+1, least, objstore.TokenBase(era)+1))
 	if err != nil {
 		return err
 	}
 	next := Record{
 		Holder: l.o.Holder, Incarnation: l.o.Incarnation, Address: l.o.Address, Token: token, TTL: jsonc.Duration(l.o.TTL), Heir: l.o.Heir,
 	}
-	return l.take(ctx, obj.Version, next, rec.Holder == l.o.Holder && rec.Incarnation == l.o.Incarnation)
+	l.mu.Lock()
+	same := l.era == era
+	l.mu.Unlock()
+	return l.take(ctx, obj.Version, next, era, same && rec.Holder == l.o.Holder && rec.Incarnation == l.o.Incarnation)
+}
+
+// settled reports whether the store has been in its era for so long that all grants of earlier ones
+// have ended, as far as this process has seen: the copy that the store came back with need not say
+// who has the lease. A store that counts no eras never loses a grant, and a lease with an heir is
+// not waited for.
+func (l *Lessee) settled(era int64, at bootclock.Instant) bool {
+	if era == 0 || l.o.Heir != "" {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era != l.seenEra {
+		l.seenEra, l.eraAt = era, at
+		level.Info(l.logger).Log("msg", "store's era", "era", era)
+	}
+	left := l.o.TTL + Drift(l.o.TTL) - at.Sub(l.eraAt)
+	if left <= 0 {
+		return true
+	}
+	l.waiting = "grants of earlier eras of the store, for " + left.Round(time.Millisecond).String()
+	return false
 }
 
 // drop ends the grant in force.
@@ -241,15 +280,18 @@
 	l.waiting = what
 }
 
-// take writes a record and, if that succeeds, holds the lease from before the
-// write was sent. resumed is that of the grant.
-func (l *Lessee) take(ctx context.Context, v objstore.Version, rec Record, resumed bool) error {
+// take writes a record and, if that succeeds in the same era of the store, holds the lease from before
+// the write was sent. resumed is that of the grant.
+func (l *Lessee) take(ctx context.Context, v objstore.Version, rec Record, era int64, resumed bool) error {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "lease cannot be encoded", "report this as a defect")
 	}
 	sent := l.o.Now()
 	obj, err := objstore.PutSettled(ctx, l.o.Store, l.o.Prefix+l.o.Shard, value, v, l.o.Holder+"/"+ulid.Make().String())
+	if err == nil && obj.Version.Era() != era {
+		err = fault.New(fault.Conflict, "store came back from an older copy while the lease was written", "it is tried again")
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -258,6 +300,7 @@
 		}
 		return err
 	}
+	l.era = era
 	if l.grant.Token != rec.Token {
 		level.Info(l.logger).Log("msg", "lease held", "token", rec.Token)
 	}
@@ -268,10 +311,10 @@
 
 func (l *Lessee) renew(ctx context.Context) error {
 	l.mu.Lock()
-	v, rec, resumed := l.version, l.record, l.grant.Resumed
+	v, rec, era, resumed := l.version, l.record, l.era, l.grant.Resumed
 	l.mu.Unlock()
 	rec.Renewal++
-	return l.take(ctx, v, rec, resumed)
+	return l.take(ctx, v, rec, era, resumed)
 }
 
 // Release gives the lease up in writing, so that a successor need not wait.
--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -22,6 +22,12 @@
 // nil. The errors are of the kinds that objstore.Store documents. The body cannot
 // be read twice, so that the transport never repeats a write by itself.
 func Do(ctx context.Context, client *http.Client, method, url string, body []byte, out any) error {
+	return DoHeaded(ctx, client, method, url, body, out, func(http.Header) error { return nil })
+}
+
+// DoHeaded is Do that shows the head of each answer to a function first, whose error takes the
+// place of the answer.
+func DoHeaded(ctx context.Context, client *http.Client, method, url string, body []byte, out any, head func(http.Header) error) error {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
@@ -38,6 +44,9 @@
 		return lost(err, method, sent.Load())
 	}
 	defer resp.Body.Close()
+	if err := head(resp.Header); err != nil {
+		return err
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return lost(err, method, true)
--- a/objstore/platform.go
+++ b/objstore/platform.go
@@ -13,11 +13,12 @@
 // MaxValueBytes is the largest value that the object API holds.
 const MaxValueBytes = 1 << 20
 
-// Version identifies one write of an object. Versions are only compared for
-// equality. The zero Version stands for an object that does not exist.
+// Version identifies one write of an object and orders it among the others, over all eras of
+// the store. The zero Version stands for an object that does not exist.
 type Version int64
 
-// Revision orders all writes of the object API. It is used to resume a watch.
+// Revision orders all writes of the object API, over all eras of the store. It is used to resume a
+// watch.
 type Revision int64
 
 // Object is one stored object.
--- a/objstore/settle.go
+++ b/objstore/settle.go
@@ -24,10 +24,12 @@
 	op := func() (Object, error) {
 		obj, err := s.Put(ctx, key, value, ifVersion, writeID)
 		switch {
+		case err == nil && ofOlderEra(ifVersion, obj):
+			return Object{}, backoff.Permanent(overtaken(key))
 		case err == nil:
 			return obj, nil
 		case fault.Is(err, fault.Conflict) && sentBefore:
-			return readBack(ctx, s, key, value, writeID)
+			return readBack(ctx, s, key, value, ifVersion, writeID)
 		case fault.Is(err, fault.Unknown):
 			sentBefore = true
 			return Object{}, err
@@ -52,10 +54,23 @@
 	return fault.Wrap(err, fault.Unknown, "write of "+key+" is not settled", "read "+key+" before writing it again")
 }
 
+// ofOlderEra reports whether a write was made on a condition of an earlier era of the store than the one
+// in which it was carried out: there the same number may stand for another write.
+func ofOlderEra(ifVersion Version, written Object) bool {
+	return ifVersion != 0 && ifVersion.Era() != written.Version.Era()
+}
+
+func overtaken(key string) error {
+	return fault.Newf(fault.Conflict, "read it again and repeat the change", "%s is of a store that came back from an older copy", key)
+}
+
 // readBack decides what became of a write after a repeat of it met a conflict.
-func readBack(ctx context.Context, s Store, key string, value []byte, writeID string) (Object, error) {
+func readBack(ctx context.Context, s Store, key string, value []byte, ifVersion Version, writeID string) (Object, error) {
 	obj, err := s.Get(ctx, key)
 	if err == nil && obj.WriteID == writeID && bytes.Equal(obj.Value, value) {
+		if ofOlderEra(ifVersion, obj) {
+			return Object{}, backoff.Permanent(overtaken(key))
+		}
 		return obj, nil
 	}
 	if err != nil && !fault.Is(err, fault.NotFound) {
