What is believed over a restore of the store

Cause: of a store that came back older, words were taken for older than what was known until its revisions had passed the former ones, and what it lacks for gone. Change: a new era is logged, counted and shown. The configuration never goes back, and one written anew under the number of a lost one counts. Rules stay until they are applied again. An instance that said it leaves, or went, does not come back with the copy; one that the copy lacks has the time to write again. Copies of peers of an earlier era are left out.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -41,6 +41,8 @@
 	Scheduling bool
 	// StoreUp is false while the store does not answer.
 	StoreUp bool
+	// Era counts how often the store has come back from an older copy, 0 if it does not say.
+	Era int64
 
 	usable map[string][]*Instance
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,6 +5,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"sync/atomic"
@@ -45,6 +46,9 @@
 	// Missing is called when this process may not be registered any more; nil if nobody
 	// wants to know.
 	Missing func()
+	// Restored is called when the store came back from an older copy, which may lack the registration of this
+	// process; nil if nobody wants to know.
+	Restored func()
 	// Store bounds each page of a list by AnswerWithin.
 	Store objstore.Store
 	// Stale is the same store for what may be seconds old: rules and members.
@@ -110,14 +114,21 @@
 
 	// The rest belongs to the goroutine of Run.
 	cur       fleet.View
+	era       era
 	instances map[string]*fleet.Instance
 	// versions are those of the instances, gone the versions at which instances went.
 	versions map[string]objstore.Version
 	gone     map[string]departure
 	// rulesVersion is that of the rules, or the store's revision at which there were none.
 	rulesVersion objstore.Version
+	rulesObject  objstore.Object
+	// configObject is the configuration in force as it was read.
+	configObject objstore.Object
 	members      map[string]members.Member
-	down         map[source]bool
+	// unlisted are members that a copy with which the store came back lacks, and that have time to
+	// register again.
+	unlisted map[string]bool
+	down     map[source]bool
 	// joined is true once this process has read the members.
 	joined bool
 	mode   mode
@@ -151,6 +162,9 @@
 	if d.o.Missing == nil {
 		d.o.Missing = func() {}
 	}
+	if d.o.Restored == nil {
+		d.o.Restored = func() {}
+	}
 	if d.o.Hide == nil {
 		d.o.Hide = func(obj objstore.Object) objstore.Object { return obj }
 	}
@@ -194,6 +208,7 @@
 	case lostStore:
 		d.lost(e)
 	case changed:
+		d.seeEra(e.revision, "store")
 		d.answered(e)
 		d.apply(e)
 	case followed:
@@ -276,10 +291,10 @@
 			d.count("configs_rejected")
 			continue
 		}
-		if d.cur.Config != nil && cfg.Version <= d.cur.Config.Version {
+		if d.cur.Config != nil && !d.replaces(cfg, obj) {
 			continue
 		}
-		d.cur.Config = cfg
+		d.cur.Config, d.configObject = cfg, obj
 		if !c.settled { // another process has hidden what it told
 			obj = d.o.Hide(obj)
 		}
@@ -288,14 +303,23 @@
 	}
 }
 
+// replaces reports whether a configuration takes the place of the one in force. It never goes back, also
+// if the store does. One that the operator has written anew under the number of one that the store
+// lost goes before that.
+func (d *Discovery) replaces(cfg *fleet.Config, obj objstore.Object) bool {
+	anew := obj.Version.Era() > d.configObject.Version.Era() && !d.era.ofCopy(obj.Version) && !bytes.Equal(obj.Value, d.configObject.Value)
+	return cfg.Version > d.cur.Config.Version || cfg.Version == d.cur.Config.Version && anew
+}
+
 func (d *Discovery) applyMembers(c changed) {
 	if !c.reset && len(c.events) == 0 {
 		return
 	}
 	if c.reset {
-		d.members = map[string]members.Member{}
+		d.resetMembers()
 	}
 	for _, e := range c.events {
+		delete(d.unlisted, e.Object.Key)
 		if e.Deleted {
 			delete(d.members, e.Object.Key)
 			continue
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -105,6 +105,10 @@
 	if went, ok := d.gone[i.ID]; obj.Version < d.versions[i.ID] || ok && obj.Version <= went.version {
 		return false // word that is older than what is known, from another source
 	}
+	if d.leftBefore(i, obj.Version) {
+		level.Info(d.logger).Log("msg", "instance of the copy has left", "id", i.ID, "revision", obj.Version.Number(), "era", obj.Version.Era())
+		return false
+	}
 	d.versions[i.ID] = obj.Version
 	old := d.instances[i.ID]
 	if old != nil && *old == *i {
@@ -130,7 +134,7 @@
 	if i == nil || i.Lapsed && !settled {
 		return
 	}
-	if !settled && !i.Draining && d.storeWasAway() {
+	if !settled && !i.Draining && (d.justRestored() || d.storeWasAway()) {
 		d.lapse(i)
 		return
 	}
@@ -147,7 +151,7 @@
 // reached an instance beyond the bound, after three watchers had been cut off for 1.1 s.
 func (d *Discovery) lapse(i *fleet.Instance) {
 	now := bootclock.Now()
-	l := lapse{until: now.Add(d.o.LapseKept), absence: d.absence}
+	l := lapse{until: now.Add(d.o.LapseKept), absence: d.absence || d.justRestored()}
 	if !l.absence {
 		l.until = min(l.until, d.confirmedAt.Add(time.Duration(lapseShare*float64(d.o.Within))))
 	}
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -112,6 +112,7 @@
 	if d.mode != watching {
 		return
 	}
+	d.dropUnlisted()
 	d.nameSchedulers()
 	d.chooseMode(ctx)
 	d.publish()
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -229,6 +229,10 @@
 
 // takeIn takes in the copy of another process.
 func (d *Discovery) takeIn(f Followed) {
+	d.seeEra(f.InstancesRevision, "another process")
+	if f.InstancesRevision != 0 && f.InstancesRevision.Era() < d.era.number {
+		return // of a process that has not seen that the store came back
+	}
 	at := bootclock.Now().Add(-f.Age)
 	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
 	d.cur.ProvenAt = max(d.cur.ProvenAt, f.ProvenAt)
--- a/internal/discovery/rules.go
+++ b/internal/discovery/rules.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/go-kit/log/level"
@@ -37,12 +38,24 @@
 	d.putRules(objstore.Object{Key: obj.Key, Version: max(obj.Version, d.rulesVersion+1)})
 }
 
+// keepRules leaves the rules in force that an operator was told to be, where the store came back from a copy
+// that may be older. They hold until an operator applies rules again.
+func (d *Discovery) keepRules(obj objstore.Object) {
+	if !bytes.Equal(obj.Value, d.rulesObject.Value) {
+		level.Error(d.logger).Log("msg", "rules of the store's copy left out, apply the rules again", "revision", obj.Version.Number(), "era", obj.Version.Era(), "in_force", d.rulesVersion.Number())
+	}
+}
+
 // putRules adopts rules, or, without a value, that there are none, if that is newer. Rules
 // that cannot be read leave the last good ones in force.
 func (d *Discovery) putRules(obj objstore.Object) {
 	if obj.Version <= d.rulesVersion {
 		return
 	}
+	if d.rulesVersion.Era() < obj.Version.Era() && d.era.ofCopy(obj.Version) {
+		d.keepRules(obj)
+		return
+	}
 	var rules *fleet.Rules
 	if len(obj.Value) > 0 {
 		var err error
@@ -57,6 +70,6 @@
 	case d.cur.Rules != nil:
 		level.Info(d.logger).Log("msg", "rules removed", "revision", obj.Version)
 	}
-	d.cur.Rules, d.rulesVersion = rules, obj.Version
+	d.cur.Rules, d.rulesVersion, d.rulesObject = rules, obj.Version, obj
 	d.feed.Put(obj)
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -110,13 +110,17 @@
 	d.logger = log.With(logger, "process", set.Name)
 	d.bounds.Store(&set.Bounds)
 	d.store = platform.NewStore(set.Store).AnswerWithin(discovery.AnswerWithin(set.Bounds.Apply.Std()))
+	d.store.OnOddEra(func(text string) {
+		level.Error(d.logger).Log("msg", "era of the store cannot be used, the one known before is taken", "text", text)
+	})
 	self := members.Member{
 		Name: set.Name, Incarnation: members.NewIncarnation(), Host: set.Name, Domain: set.Domain,
 		Peer: set.Peer, Admin: set.Metrics, Listen: set.Listen, Weight: set.Weight,
 	}
 	d.discovery = discovery.New(discovery.Options{
 		Self: self, Run: d.run, Relay: d, Silent: func(name string) bool { return d.share.Silent(name) }, Missing: func() { d.share.CheckRegistration() },
-		Store: d.store, Stale: d.store.Stale(),
+		Restored: func() { d.share.RegisterAnew() },
+		Store:    d.store, Stale: d.store.Stale(),
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
 		},
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -28,7 +28,9 @@
 	ConfigAgeMs    int64 `json:"configAgeMs"`
 	InstancesAgeMs int64 `json:"instancesAgeMs"`
 	StoreUp        bool  `json:"storeUp"`
-	Members        int   `json:"members"`
+	// Era counts how often the store has come back from an older copy, 0 if it does not say.
+	Era     int64 `json:"era"`
+	Members int   `json:"members"`
 	// Scheduling is true if the process works for the others, Schedulers names those that
 	// do, Watchers those of them that watch the store, Heard those of the others that it hears.
 	Scheduling bool             `json:"scheduling"`
@@ -76,7 +78,7 @@
 	v := d.discovery.View()
 	st := Status{
 		Name: d.set.Name, Run: d.run, Ready: v.Ready(), Stopping: d.stopping.Load(), InHand: d.gateway.InHand(),
-		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(), StoreUp: v.StoreUp,
+		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(), StoreUp: v.StoreUp, Era: v.Era,
 		Members: v.Processes, Scheduling: v.Scheduling, Schedulers: members.Names(v.Schedulers), Watchers: members.Names(v.Watchers), Heard: d.share.Heard(), Instances: []InstanceStatus{},
 	}
 	if v.Config != nil {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -75,6 +75,8 @@
 	logger log.Logger
 	// missing has an entry if this process may have lost its registration.
 	missing chan struct{}
+	// restored has an entry if the store came back from a copy that may lack it.
+	restored chan struct{}
 	// again is registerAgain, except in tests.
 	again time.Duration
 	// left is true once this process takes its registration back.
@@ -100,7 +102,7 @@
 		o.Clock = truetime.New()
 	}
 	return &Sharer{
-		o: o, logger: log.With(o.Logger, "component", "loadshare"), missing: make(chan struct{}, 1), again: registerAgain,
+		o: o, logger: log.With(o.Logger, "component", "loadshare"), missing: make(chan struct{}, 1), restored: make(chan struct{}, 1), again: registerAgain,
 		digests: map[string]digest{}, told: map[string]told{}, heardAt: map[string]time.Time{}, silent: peer.NewSilences(), calling: map[string]bool{}, sum: map[string]placement.Load{},
 	}
 }
@@ -251,6 +253,15 @@
 	}
 }
 
+// RegisterAnew has this process register again if the store, which came back from an older copy, lacks
+// its registration.
+func (s *Sharer) RegisterAnew() {
+	select {
+	case s.restored <- struct{}{}:
+	default: // it is being looked after
+	}
+}
+
 // stayRegistered registers this process, and again whenever its registration may be gone.
 func (s *Sharer) stayRegistered(ctx context.Context) {
 	s.register(ctx)
@@ -260,8 +271,12 @@
 		case <-ctx.Done():
 			return
 		case <-s.missing:
+			if time.Since(registered) <= s.again {
+				continue
+			}
+		case <-s.restored:
 		}
-		if s.left.Load() || time.Since(registered) <= s.again {
+		if s.left.Load() {
 			continue
 		}
 		level.Info(s.logger).Log("msg", "registering again")
