Soak: the store comes back from an older copy; a refused prompt accuses nobody

Cause: the store's eras were met by tests only. Change: in grown layouts the store comes back once or twice from a copy of up to 6 s before; operator and instances write again within 2 s, in any order, and what is gone lapses again.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -243,3 +243,17 @@
 	f.Disturbances[0].Gateways = []int{1}
 	require.NotEmpty(t, c.leavingGetNothing().Breaches)
 }
+
+// An engine's address had been given to another service's instance. The prompt that was sent to the engine,
+// by its name, was refused with 421, and the check took it for one that ran there: "s2-c30-27:
+// /stream-once/27 ran at i-13-2 of app", while the process said "engine i-8-1 has lost its address".
+func TestAPromptAtAReusedAddressAccusesNobody(t *testing.T) {
+	f := madeUp()
+	_, a := f.answeredCall("r", StreamOnce, 40)
+	read := *a
+	read.At, read.Read, read.Ran, read.Status, read.Service, read.Meant = at(39.9), true, false, http.StatusMisdirectedRequest, serviceApp, "i-8-1"
+	f.Arrivals = append(f.Arrivals, &read)
+	require.Empty(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).routed().Breaches)
+	read.Status = http.StatusOK
+	require.Len(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).routed().Breaches, 1)
+}
--- a/internal/lab/soak/grown.go
+++ b/internal/lab/soak/grown.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// stayTime is how long an instance of a large layout stays on average. Of some hundred, two
@@ -13,6 +16,12 @@
 	// storeWideShare is the part of a run, its first one, that has faults of the store for all
 	// processes. Nobody is in touch then: with them all through a run, no arrival was judged.
 	storeWideShare = 0.25
+	// mostRestores is how often the store comes back from an older copy in a run at the most, oldestCopy
+	// how much older it is at the most, and writtenAgain in what time what the operator and the instances wrote is written
+	// again: about two seconds, by the users' pages.
+	mostRestores = 2
+	oldestCopy   = 6 * time.Second
+	writtenAgain = 2 * time.Second
 	// rollBegin and rollShare say when all processes are stopped and started again in turn, as
 	// parts of a run.
 	rollBegin = 0.3
@@ -23,6 +32,46 @@
 	return time.Duration(storeWideShare * float64(length))
 }
 
+// restores returns at what times the store comes back from an older copy, among the faults of the store for
+// all processes. For says how much older the copy is.
+func (s *scheduler) restores(length time.Duration) []Action {
+	var out []Action
+	for range 1 + s.rng.IntN(mostRestores) {
+		out = append(out, Action{At: s.upTo(storeWideUntil(length)), Fault: FaultStoreRestore, For: s.upTo(oldestCopy)})
+	}
+	return out
+}
+
+// restore has the store come back from an older copy. The operator and the instances write again, in any
+// order; registrations of instances that are gone lapse again.
+func (w *world) restore(op *operator, by time.Duration) {
+	w.store.Restore(by)
+	w.later(rand.N(writtenAgain), op.again)
+	for _, p := range w.places {
+		w.later(rand.N(writtenAgain), p.again)
+	}
+}
+
+// again writes the newest configuration again.
+func (o *operator) again() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.w.store.Configure(configuration(o.index))
+}
+
+// again writes what the registration of the present instance was, and lets those of earlier ones lapse.
+func (p *place) again() {
+	p.mu.Lock()
+	e, starts, gone := p.now, p.starts, p.gone
+	p.mu.Unlock()
+	for n := range starts {
+		if id := instanceID(p.number, n+1); id != e.ID || gone {
+			p.w.store.Deregister(id)
+		}
+	}
+	p.write(e, e.Stage())
+}
+
 // leaveActions are the ways in which instances leave.
 var leaveActions = []weighted{
 	{5, instanceFault(FaultDrain, 1, leaves)},
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -40,6 +40,8 @@
 	FaultStoreForget Fault = "store-forgets"
 	FaultStoreSome   Fault = "store-turns-some-away"
 	FaultStoreStale  Fault = "store-stale"
+	// FaultStoreRestore has the store come back from an older copy.
+	FaultStoreRestore Fault = "store-restored"
 )
 
 // Faults of instances and of the platform's API.
@@ -177,7 +179,7 @@
 	}
 	if layout.grown() {
 		out = slices.DeleteFunc(out, func(a Action) bool { return slices.Contains(storeWide, a.Fault) && a.At > storeWideUntil(length) })
-		out = slices.Concat(out, s.leaves(length), s.watcherFaults(length), s.roll(length))
+		out = slices.Concat(out, s.leaves(length), s.watcherFaults(length), s.restores(length), s.roll(length))
 	}
 	out = slices.DeleteFunc(out, func(a Action) bool { return a.At >= length })
 	slices.SortStableFunc(out, func(a, b Action) int { return int(a.At - b.At) })
--- a/internal/lab/soak/strike.go
+++ b/internal/lab/soak/strike.go
@@ -56,6 +56,8 @@
 	case FaultAPI:
 		w.api.SetFaults(fleetapi.Faults{LoseAnswers: true})
 		w.later(a.For, func() { w.api.SetFaults(fleetapi.Faults{}) })
+	case FaultStoreRestore:
+		w.restore(op, a.For)
 	case FaultStoreSome, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLoses, FaultStoreLate, FaultStoreDeaf, FaultStoreStale, FaultStoreForget:
 		w.strikeStore(a, d)
 	default:
--- a/internal/lab/soak/touch.go
+++ b/internal/lab/soak/touch.go
@@ -6,7 +6,7 @@
 )
 
 // storeWide are the faults that strike the store for all processes.
-var storeWide = []Fault{FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLoses, FaultStoreLate, FaultStoreDeaf, FaultStoreForget, FaultStoreStale}
+var storeWide = []Fault{FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLoses, FaultStoreLate, FaultStoreDeaf, FaultStoreForget, FaultStoreStale, FaultStoreRestore}
 
 // planned are changes that a process must bear without any grace.
 var planned = []Fault{FaultConfig, FaultReload}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -69,6 +69,9 @@
 	w.events = events
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.store.Observe(w.storeChanged)
+	if o.Layout.grown() {
+		w.store.SetEra(1) // its schedule has the store come back from older copies
+	}
 	for number, runs := range o.Layout.Places {
 		p, err := newPlace(w, number, runs)
 		if err != nil {
