A list that took long is brought up to date before it is taken in

Cause: an answer is as old as its way; a list of many pages is as old as all of them. Change: one watch without a wait after a list that took more than 50 ms.

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -68,6 +68,9 @@
 	// probeWait is how long a watch waits after a failed one, so that the store's
 	// return is seen soon.
 	probeWait = 50 * time.Millisecond
+	// catchUpWait is how long a watch waits that brings a long list up to date: the least that a store
+	// takes.
+	catchUpWait = time.Millisecond
 	// listMost bounds a whole list; Options.Store bounds each of its pages. A list of 3,000
 	// engines has 60 pages, which take 12 s from a store that answers in 200 ms.
 	listMost = 15 * time.Second
@@ -134,8 +137,27 @@
 	}
 	c := listing(f.feed, objects, asked)
 	c.revision = rev
+	if bootclock.Since(asked) > probeWait {
+		f.catchUp(ctx, &c)
+	}
 	f.send(ctx, c)
-	return rev, nil
+	return c.revision, nil
+}
+
+// catchUp adds to a list that took long what has changed since its first page. Without it the list is as
+// old as it took, and too old for those that follow this process: each listed by itself. A failure
+// leaves the list as it is; the watch that follows shows it.
+func (f *follower) catchUp(ctx context.Context, c *changed) {
+	asked := bootclock.Now()
+	wctx, cancel := context.WithTimeout(ctx, f.answerWithin)
+	defer cancel()
+	events, rev, err := f.store.Watch(wctx, f.prefix, c.revision, catchUpWait)
+	if err != nil {
+		level.Info(f.logger).Log("msg", "list not brought up to date", "feed", f.feed, "took", bootclock.Since(c.asked).Round(time.Millisecond), "err", err)
+		return
+	}
+	c.events = append(c.events, events...)
+	c.asked, c.confirmed, c.revision = asked, asked, max(rev, c.revision)
 }
 
 func (f *follower) watch(ctx context.Context, after objstore.Revision, failed bool) (objstore.Revision, error) {
