Copies of an earlier era of the store are not waited for

Cause: what a process of an earlier era told was left out, but its young age kept the process that follows it from looking at the store: it would have stayed as it was, also under a scheduler of a version that counts no eras. Change: the age of a copy that is left out counts for nothing.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -8,7 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 // before is how much older the copy is with which the store comes back in these tests.
@@ -112,3 +115,33 @@
 	fake.Set("rockdoor-rules", "main", map[string]any{"write": "w", "value": json.RawMessage(onlyB)})
 	eventually(t, func() bool { return permits(see(), "b") })
 }
+
+// A process that knows of the store's return gets nothing from one that does not, as one that is cut off or of a
+// version that counts no eras: its copies are young, but they are of what the store was before. It looks at
+// the store itself.
+func TestCopiesOfAnEarlierEraAreNotWaitedFor(t *testing.T) {
+	fake := fleetstore.New()
+	fake.SetEra(2)
+	relay := make(copies)
+	see := followingOn(t, fake, relay)
+	setConfig(fake, 1)
+	tell(relay, true, int(objstore.InEra(2, 30)), objstore.Event{Object: objstore.Object{
+		Key: "config/main", Version: objstore.Version(objstore.InEra(2, 30)), Value: []byte(`{"version": 1}`),
+	}})
+	eventually(t, func() bool { return version(see()) == 1 })
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			f := discovery.Followed{Age: time.Millisecond, InstancesRevision: 7, Processes: 30, Schedulers: []members.Member{{Name: "other"}}}
+			select {
+			case relay <- f:
+				time.Sleep(10 * time.Millisecond)
+			case <-stop:
+				return
+			}
+		}
+	}()
+	setConfig(fake, 2)
+	require.Eventually(t, func() bool { return version(see()) == 2 }, within, tick)
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -77,6 +77,11 @@
 	Mesh              []members.Member
 }
 
+// before reports whether a copy is of a process that has not seen an era of the store.
+func (f *Followed) before(era int64) bool {
+	return f.InstancesRevision != 0 && f.InstancesRevision.Era() < era
+}
+
 // followed is a Followed as an event.
 type followed struct{ Followed }
 
@@ -147,8 +152,10 @@
 // it may do so again.
 func (d *Discovery) lookItself(ctx context.Context, f Followed, next bootclock.Instant) bootclock.Instant {
 	v := d.View()
-	age := min(f.Age, v.Age())
-	proof := min(bootclock.Since(f.ProvenAt), v.ProofAge())
+	age, proof := v.Age(), v.ProofAge()
+	if !f.before(v.Era) { // what is left out makes this process no younger
+		age, proof = min(age, f.Age), min(proof, bootclock.Since(f.ProvenAt))
+	}
 	var wanted []source
 	switch {
 	case bootclock.Now() < next:
@@ -230,8 +237,8 @@
 // takeIn takes in the copy of another process.
 func (d *Discovery) takeIn(f Followed) {
 	d.seeEra(f.InstancesRevision, "another process")
-	if f.InstancesRevision != 0 && f.InstancesRevision.Era() < d.era.number {
-		return // of a process that has not seen that the store came back
+	if f.before(d.era.number) {
+		return
 	}
 	at := bootclock.Now().Add(-f.Age)
 	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
