--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -95,8 +95,8 @@
 			if _, err := call(c, http.MethodGet, "/status", nil, nil, &st); err != nil {
 				return err
 			}
-			fmt.Fprintf(c.App.Writer, "%s  ready %t  in hand %d  configuration %d (%d ms old)  instances %d ms old  store up %t  scheduler %t  %d processes, %d schedulers, %d of the others heard, watchers %s\n\n",
-				st.Name, st.Ready, st.InHand, st.Config, st.ConfigAgeMs, st.InstancesAgeMs, st.StoreUp, st.Scheduling, st.Members, len(st.Schedulers), len(st.Heard), strings.Join(st.Watchers, ", "))
+			fmt.Fprintf(c.App.Writer, "%s  ready %t  in hand %d  configuration %d (%d ms old)  instances %d ms old  store up %t, era %d  scheduler %t  %d processes, %d schedulers, %d of the others heard, watchers %s\n\n",
+				st.Name, st.Ready, st.InHand, st.Config, st.ConfigAgeMs, st.InstancesAgeMs, st.StoreUp, st.Era, st.Scheduling, st.Members, len(st.Schedulers), len(st.Heard), strings.Join(st.Watchers, ", "))
 			t := newTable(c, "INSTANCE", "SERVICE", "DOMAIN", "ROLE", "STATE", "REQUESTS", "STARTING", "PROMPTS", "LATE")
 			for _, i := range st.Instances {
 				t.AppendRow([]any{i.ID, i.Service, i.Domain, i.Role, instanceState(i), i.Load.Requests, i.Load.Starting, i.Load.Unread.All().Prompts, i.Load.Unread.Late().Prompts})
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -46,8 +46,8 @@
 	// Missing is called when this process may not be registered any more; nil if nobody
 	// wants to know.
 	Missing func()
-	// Restored is called when the store came back from an older copy, which may lack the registration of this
-	// process; nil if nobody wants to know.
+	// Restored is called when the store came back from an older copy, which may lack the
+	// registration of this process; nil if nobody wants to know.
 	Restored func()
 	// Store bounds each page of a list by AnswerWithin.
 	Store objstore.Store
@@ -303,9 +303,9 @@
 	}
 }
 
-// replaces reports whether a configuration takes the place of the one in force. It never goes back, also
-// if the store does. One that the operator has written anew under the number of one that the store
-// lost goes before that.
+// replaces reports whether a configuration takes the place of the one in force. It never goes
+// back, also if the store does. One that the operator has written anew under the number of one
+// that the store lost goes before that.
 func (d *Discovery) replaces(cfg *fleet.Config, obj objstore.Object) bool {
 	anew := obj.Version.Era() > d.configObject.Version.Era() && !d.era.ofCopy(obj.Version) && !bytes.Equal(obj.Value, d.configObject.Value)
 	return cfg.Version > d.cur.Config.Version || cfg.Version == d.cur.Config.Version && anew
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -328,9 +328,10 @@
 	})
 }
 
-// The age of what is believed counted from when an answer was taken in. Answers that were 30 ms on
-// their way made copies 30 ms younger than they were; an answer may take three quarters of a second where
-// changes must be in force within three, and what others copy is judged by that age.
+// The age of what is believed counted from when an answer was taken in. Answers that were 30 ms
+// on their way made copies 30 ms younger than they were; an answer may take three quarters of a
+// second where changes must be in force within three, and what others copy is judged by that
+// age.
 func TestAnAnswerIsAsOldAsItsWay(t *testing.T) {
 	const way = 30 * time.Millisecond
 	fake := fleetstore.New()
--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -46,8 +46,9 @@
 	}
 }
 
-// registerSpread is over how long a time the processes of a fleet look whether they are still registered,
-// after the store came back from an older copy: 295 looks are some 200 calls a second.
+// registerSpread is over how long a time the processes of a fleet look whether they are still
+// registered, after the store came back from an older copy: 295 looks are some 200 calls a
+// second.
 const registerSpread = 1500 * time.Millisecond
 
 // registerAgain has this process look whether the copy has its registration.
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -21,9 +21,10 @@
 	fake.Set("servers", id, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": phase, "slots": slots})
 }
 
-// restored starts a process on a store, has it learn of changes, and has the store come back from a copy that
-// lacks them: i-drains was ready in it, i-gone was there, i-new was not, and i-often had been changed less
-// often, so that its next changes get revisions that were given out before.
+// restored starts a process on a store, has it learn of changes, and has the store come back
+// from a copy that lacks them: i-drains was ready in it, i-gone was there, i-new was not, and
+// i-often had been changed less often, so that its next changes get revisions that were given
+// out before.
 func restored(t *testing.T) (*fleetstore.Server, func() *fleet.View) {
 	fake := fleetstore.New()
 	fake.SetEra(3)
@@ -51,9 +52,9 @@
 	return fake, see
 }
 
-// A store that comes back from an older copy gives revisions out again. What it said then was taken for
-// older than what had been known, until its revisions had passed the former ones: here an instance that says
-// that it leaves went on getting requests.
+// A store that comes back from an older copy gives revisions out again. What it said then was
+// taken for older than what had been known, until its revisions had passed the former ones:
+// here an instance that says that it leaves went on getting requests.
 func TestAStoreComesBackFromAnOlderCopy(t *testing.T) {
 	fake, see := restored(t)
 	setInstance(fake, "i-often", "draining")
@@ -116,9 +117,9 @@
 	eventually(t, func() bool { return permits(see(), "b") })
 }
 
-// A process that knows of the store's return gets nothing from one that does not, as one that is cut off or of a
-// version that counts no eras: its copies are young, but they are of what the store was before. It looks at
-// the store itself.
+// A process that knows of the store's return gets nothing from one that does not, as one that
+// is cut off or of a version that counts no eras: its copies are young, but they are of what
+// the store was before. It looks at the store itself.
 func TestCopiesOfAnEarlierEraAreNotWaitedFor(t *testing.T) {
 	fake := fleetstore.New()
 	fake.SetEra(2)
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -144,9 +144,9 @@
 	return c.revision, nil
 }
 
-// catchUp adds to a list that took long what has changed since its first page. Without it the list is as
-// old as it took, and too old for those that follow this process: each listed by itself. A failure
-// leaves the list as it is; the watch that follows shows it.
+// catchUp adds to a list that took long what has changed since its first page. Without it the
+// list is as old as it took, and too old for those that follow this process: each listed by
+// itself. A failure leaves the list as it is; the watch that follows shows it.
 func (f *follower) catchUp(ctx context.Context, c *changed) {
 	asked := bootclock.Now()
 	wctx, cancel := context.WithTimeout(ctx, f.answerWithin)
--- a/internal/discovery/rules.go
+++ b/internal/discovery/rules.go
@@ -38,8 +38,8 @@
 	d.putRules(objstore.Object{Key: obj.Key, Version: max(obj.Version, d.rulesVersion+1)})
 }
 
-// keepRules leaves the rules in force that an operator was told to be, where the store came back from a copy
-// that may be older. They hold until an operator applies rules again.
+// keepRules leaves the rules in force that an operator was told to be, where the store came
+// back from a copy that may be older. They hold until an operator applies rules again.
 func (d *Discovery) keepRules(obj objstore.Object) {
 	if !bytes.Equal(obj.Value, d.rulesObject.Value) {
 		level.Error(d.logger).Log("msg", "rules of the store's copy left out, apply the rules again", "revision", obj.Version.Number(), "era", obj.Version.Era(), "in_force", d.rulesVersion.Number())
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -28,16 +28,26 @@
 	c := newChecker(w.o, w.facts, healed)
 	c.reports = w.api.Calls()
 	r := c.summary()
-	for _, p := range []func() Promise{
-		c.answersAreWhole, c.refusalsAreTrue, c.atMostOnce, c.unchanged, c.routed, c.notDenied, c.answered, c.inTime,
-		c.configurationInForce, c.configurationNeverBack, c.leavingGetNothing, c.budget, c.deadlines, c.goneIsOver, c.runsGoOnAlone,
-		c.oneHolder, c.authority, c.windowsHaveOneContent, c.stopsCutNothing, c.processesLive, c.logsAreClean, c.recovers,
+	for _, p := range []struct {
+		check func() Promise
+		// rate is how many cases a run must have, for each process and minute of faults.
+		rate float64
+	}{
+		{c.answersAreWhole, 100}, {c.refusalsAreTrue, 5}, {c.atMostOnce, 30}, {c.unchanged, 100}, {c.routed, 100}, {c.notDenied, 100},
+		{c.answered, 30}, {c.inTime, 0}, {c.configurationInForce, 10}, {c.configurationNeverBack, 20}, {c.leavingGetNothing, leaveRate},
+		{c.budget, 0}, {c.deadlines, 30}, {c.goneIsOver, 2}, {c.runsGoOnAlone, 0}, {c.oneHolder, 1}, {c.authority, 1},
+		{c.windowsHaveOneContent, 1}, {c.stopsCutNothing, 2}, {c.processesLive, 1}, {c.logsAreClean, 1}, {c.recovers, 3},
 	} {
-		r.Promises = append(r.Promises, p())
+		promise := p.check()
+		promise.Least = int(p.rate * c.o.Length.Minutes() * float64(c.o.Processes))
+		r.Promises = append(r.Promises, promise)
 	}
 	return r
 }
 
+// leaveRate is how many instances must leave, for each process and minute: of two, one proved nothing.
+const leaveRate = 1.5
+
 func newChecker(o Options, f *Facts, healed time.Time) *checker {
 	o.complete()
 	o.Bounds = o.checked()
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -244,9 +244,10 @@
 	require.NotEmpty(t, c.leavingGetNothing().Breaches)
 }
 
-// An engine's address had been given to another service's instance. The prompt that was sent to the engine,
-// by its name, was refused with 421, and the check took it for one that ran there: "s2-c30-27:
-// /stream-once/27 ran at i-13-2 of app", while the process said "engine i-8-1 has lost its address".
+// An engine's address had been given to another service's instance. The prompt that was sent to
+// the engine, by its name, was refused with 421, and the check took it for one that ran there:
+// "s2-c30-27: /stream-once/27 ran at i-13-2 of app", while the process said "engine i-8-1 has
+// lost its address".
 func TestAPromptAtAReusedAddressAccusesNobody(t *testing.T) {
 	f := madeUp()
 	_, a := f.answeredCall("r", StreamOnce, 40)
--- a/internal/lab/soak/grown.go
+++ b/internal/lab/soak/grown.go
@@ -16,9 +16,10 @@
 	// storeWideShare is the part of a run, its first one, that has faults of the store for all
 	// processes. Nobody is in touch then: with them all through a run, no arrival was judged.
 	storeWideShare = 0.25
-	// mostRestores is how often the store comes back from an older copy in a run at the most, oldestCopy
-	// how much older it is at the most, and writtenAgain in what time what the operator and the instances wrote is written
-	// again: about two seconds, by the users' pages.
+	// mostRestores is how often the store comes back from an older copy in a run at the most,
+	// oldestCopy how much older it is at the most, and writtenAgain in what time what the
+	// operator and the instances wrote is written again: about two seconds, by the users'
+	// pages.
 	mostRestores = 2
 	oldestCopy   = 6 * time.Second
 	writtenAgain = 2 * time.Second
@@ -32,8 +33,8 @@
 	return time.Duration(storeWideShare * float64(length))
 }
 
-// restores returns at what times the store comes back from an older copy, among the faults of the store for
-// all processes. For says how much older the copy is.
+// restores returns at what times the store comes back from an older copy, among the faults of
+// the store for all processes. For says how much older the copy is.
 func (s *scheduler) restores(length time.Duration) []Action {
 	var out []Action
 	for range 1 + s.rng.IntN(mostRestores) {
@@ -42,8 +43,8 @@
 	return out
 }
 
-// restore has the store come back from an older copy. The operator and the instances write again, in any
-// order; registrations of instances that are gone lapse again.
+// restore has the store come back from an older copy. The operator and the instances write
+// again, in any order; registrations of instances that are gone lapse again.
 func (w *world) restore(op *operator, by time.Duration) {
 	w.store.Restore(by)
 	w.later(rand.N(writtenAgain), op.again)
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -28,6 +28,8 @@
 	Name     string
 	Cases    int
 	Breaches []Breach
+	// Least is how many cases there must be for the run to say something of the promise.
+	Least int
 	// Closest says how near the closest case came to its bound, where that can be said.
 	Closest string
 }
@@ -58,6 +60,16 @@
 	return out
 }
 
+// unproved returns how many promises had too few cases.
+func (r *Report) unproved() (n int) {
+	for _, p := range r.Promises {
+		if p.Cases < p.Least {
+			n++
+		}
+	}
+	return n
+}
+
 // Write writes the report as text.
 func (r *Report) Write(w io.Writer) {
 	fmt.Fprintf(w, "seed %d: %d processes, faults for %s, %d requests, %d arrivals at instances\n", r.Seed, r.Processes, r.Length, r.Calls, r.Arrivals)
@@ -79,15 +91,18 @@
 	}
 	fmt.Fprintf(w, "after the last fault %.0f%% of the requests were answered whole\n", 100*r.Served)
 	if len(r.Broken()) == 0 {
-		fmt.Fprintf(w, "seed %d: all promises kept\n", r.Seed)
+		fmt.Fprintf(w, "seed %d: all promises kept, %d of them with too few cases to prove anything\n", r.Seed, r.unproved())
 		return
 	}
 	fmt.Fprintf(w, "seed %d: BROKEN, logs are in %s\n", r.Seed, r.Dir)
 }
 
 func verdict(p Promise) string {
-	if len(p.Breaches) > 0 {
+	switch {
+	case len(p.Breaches) > 0:
 		return "BROKEN"
+	case p.Cases < p.Least:
+		return "unproved"
 	}
 	return "kept"
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -143,10 +143,11 @@
 	return true
 }
 
-// restore makes up for what a store that came back from an older copy lost of the record. Windows that
-// this process decided are sent again, word for word. Others that could have been decided by now
-// may have been, by a process that is gone, with counts that nobody knows: they are passed over, since a window that
-// is billed twice with different counts is worse than one that is not billed.
+// restore makes up for what a store that came back from an older copy lost of the record.
+// Windows that this process decided are sent again, word for word. Others that could have been
+// decided by now may have been, by a process that is gone, with counts that nobody knows: they
+// are passed over, since a window that is billed twice with different counts is worse than one
+// that is not billed.
 func (r *Reporter) restore(era int64) {
 	if r.record.Era == era {
 		return
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -189,9 +189,9 @@
 	require.Empty(t, k1.Entries(window))
 }
 
-// The store comes back from copies that lack what was decided, and the lease, again and again, while holders
-// live, end and change, each of which has counted other requests. A window was then decided anew with
-// other counts, and two holders acted under the same token.
+// The store comes back from copies that lack what was decided, and the lease, again and again,
+// while holders live, end and change, each of which has counted other requests. A window was
+// then decided anew with other counts, and two holders acted under the same token.
 func TestAWindowNeverHasTwoContentsWhereTheStoreComesBackOlder(t *testing.T) {
 	b := newBench(t)
 	b.store.SetEra(1)
--- a/objstore/settle.go
+++ b/objstore/settle.go
@@ -54,8 +54,8 @@
 	return fault.Wrap(err, fault.Unknown, "write of "+key+" is not settled", "read "+key+" before writing it again")
 }
 
-// ofOlderEra reports whether a write was made on a condition of an earlier era of the store than the one
-// in which it was carried out: there the same number may stand for another write.
+// ofOlderEra reports whether a write was made on a condition of an earlier era of the store
+// than the one in which it was carried out: there the same number may stand for another write.
 func ofOlderEra(ifVersion Version, written Object) bool {
 	return ifVersion != 0 && ifVersion.Era() != written.Version.Era()
 }
