--- a/internal/lab/soak/check_process.go
+++ b/internal/lab/soak/check_process.go
@@ -59,7 +59,8 @@
 		case e.Why == "SIGTERM" && !e.Overdue && e.Code != 0:
 			p.breach("", "%s ended with code %d %s after SIGTERM, %s after its start", gatewayName(e.Gateway), e.Code, e.Signal, e.At.Sub(started))
 		case e.Overdue && !c.f.disturbed(e.Gateway, e.At.Add(-c.o.Bounds.Grace-time.Second), e.At, besideStops):
-			p.breach("", "%s outlived its grace period", gatewayName(e.Gateway))
+			p.breach("", "%s outlived its grace period: it ended %s after it was asked to, with code %d %s",
+				gatewayName(e.Gateway), e.At.Sub(e.Asked), e.Code, e.Signal).signs("process=" + gatewayName(e.Gateway) + " msg=sto")
 		}
 	}
 	return p
--- a/internal/lab/soak/facts.go
+++ b/internal/lab/soak/facts.go
@@ -122,8 +122,9 @@
 	Code int
 	// Signal is the one that it died of, empty if it exited.
 	Signal string
-	// Overdue is true if it had to be killed after the grace period.
+	// Overdue is true if it had to be killed after the grace period, Asked is when it was asked to end.
 	Overdue bool
+	Asked   time.Time
 }
 
 // Facts are what callers, instances and the store saw. They are safe for concurrent use.
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -35,6 +35,7 @@
 	// why is the signal that ends this life, overdue that it outlived the grace period.
 	why     string
 	overdue bool
+	asked   time.Time
 	// frozen counts the freezes that have not ended.
 	frozen int
 	slack  float64
@@ -123,7 +124,7 @@
 		}
 	}
 	g.mu.Lock()
-	e.Why, e.Overdue = g.why, g.overdue
+	e.Why, e.Overdue, e.Asked = g.why, g.overdue, g.asked
 	close(ended)
 	g.mu.Unlock()
 	g.w.facts.note(func() { g.w.facts.Exits = append(g.w.facts.Exits, e) })
@@ -197,7 +198,7 @@
 	if !g.running() || g.why != "" {
 		return
 	}
-	g.why = "SIGTERM"
+	g.why, g.asked = "SIGTERM", time.Now()
 	g.signal(syscall.SIGTERM)
 	ended := g.ended
 	g.w.later(g.w.o.Bounds.Grace, func() {
