Soak: a process that ended with a code had exited before it was killed

Where the report says how it ended: after 8.65 s, with code 0. The signal at 8 s leaves none, so that it had exited before.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -258,3 +258,15 @@
 	read.Status = http.StatusOK
 	require.Len(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).routed().Breaches, 1)
 }
+
+// Beside other work, processes that had logged their stop after 2.7 s were still there 8 s
+// after they were asked to end, and counted as having outlived their grace period: "it ended
+// 8.65s after it was asked to, with code 0". The signal at the end of that period leaves no
+// code: they had exited before it.
+func TestAProcessThatHasExitedAccusesNobody(t *testing.T) {
+	f := madeUp()
+	f.Exits = []Exit{{Gateway: 0, Life: 1, At: at(48.65), Asked: at(40), Why: "SIGTERM", Overdue: true}}
+	require.Empty(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).processesLive().Breaches)
+	f.Exits[0].Code = 2
+	require.Len(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).processesLive().Breaches, 1)
+}
