Test of the soak's links: the link knows its connections before they are reset

Cause: traced: both ends were there before the link had noted the connections, so that the reset met none and the test waited for ever (goroutine dump: Read at the end of the test, both ways of the link reading). Change: a byte passes first. What is asked is as before.

--- a/internal/lab/soak/link_test.go
+++ b/internal/lab/soak/link_test.go
@@ -73,6 +73,8 @@
 	require.ErrorIs(t, err, io.EOF)
 
 	l, near, far := pair(t)
+	send(t, near, "x")
+	receive(t, far, "x") // the link knows the connections now: it had none to reset on a busy machine
 	l.Reset()
 	for _, c := range []net.Conn{near, far} {
 		_, err := c.Read(make([]byte, 1))
