One piece of code for what stood twice: rules and their version, look-ups and schedules of the soak, a test's talker

Change: the version comes from the object; named, often and keepTelling serve both places each; the description is gone.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -119,9 +119,9 @@
 	// versions are those of the instances, gone the versions at which instances went.
 	versions map[string]objstore.Version
 	gone     map[string]departure
-	// rulesVersion is that of the rules, or the store's revision at which there were none.
-	rulesVersion objstore.Version
-	rulesObject  objstore.Object
+	// rulesObject is the rules in force as they were read. Without a value there are none, and its
+	// version is the store's revision at which that was so.
+	rulesObject objstore.Object
 	// configObject is the configuration in force as it was read.
 	configObject objstore.Object
 	members      map[string]members.Member
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -100,8 +100,10 @@
 	fake.Set("config", "main", map[string]any{"version": version})
 }
 
-func setInstance(fake *fleetstore.Server, id, phase string) {
-	fake.Set("servers", id, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": phase, "slots": 4})
+func setInstance(fake *fleetstore.Server, id, phase string) { setSlots(fake, id, phase, 4) }
+
+func setSlots(fake *fleetstore.Server, id, phase string, slots int) {
+	fake.Set("servers", id, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": phase, "slots": slots})
 }
 
 func version(v *fleet.View) int64 {
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -17,10 +17,6 @@
 // before is how much older the copy is with which the store comes back in these tests.
 const before = 300 * time.Millisecond
 
-func setRoleless(fake *fleetstore.Server, id, phase string, slots int) {
-	fake.Set("servers", id, map[string]any{"service": "s", "address": "10.0.0.1:80", "phase": phase, "slots": slots})
-}
-
 // restored starts a process on a store, has it learn of changes, and has the store come back
 // from a copy that lacks them: i-drains was ready in it, i-gone was there, i-new was not, and
 // i-often had been changed less often, so that its next changes get revisions that were given
@@ -37,7 +33,7 @@
 	time.Sleep(before)
 	copied := time.Now()
 	for n := range 20 {
-		setRoleless(fake, "i-often", "ready", 5+n)
+		setSlots(fake, "i-often", "ready", 5+n)
 	}
 	setConfig(fake, 2)
 	setInstance(fake, "i-drains", "draining")
@@ -130,19 +126,9 @@
 		Key: "config/main", Version: objstore.Version(objstore.InEra(2, 30)), Value: []byte(`{"version": 1}`),
 	}})
 	eventually(t, func() bool { return version(see()) == 1 })
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		for {
-			f := discovery.Followed{Age: time.Millisecond, InstancesRevision: 7, Processes: 30, Schedulers: []members.Member{{Name: "other"}}}
-			select {
-			case relay <- f:
-				time.Sleep(10 * time.Millisecond)
-			case <-stop:
-				return
-			}
-		}
-	}()
+	keepTelling(t, relay, func() discovery.Followed {
+		return discovery.Followed{Age: time.Millisecond, InstancesRevision: 7, Processes: 30, Schedulers: []members.Member{{Name: "other"}}}
+	})
 	setConfig(fake, 2)
 	require.Eventually(t, func() bool { return version(see()) == 2 }, within, tick)
 }
--- a/internal/discovery/relay_test.go
+++ b/internal/discovery/relay_test.go
@@ -72,13 +72,19 @@
 // tellOlder has a process hear, until the test ends, what a scheduler has that was cut off from
 // the store at a time: a copy that gets older and older.
 func tellOlder(t *testing.T, relay copies, cut time.Time, events ...objstore.Event) {
+	keepTelling(t, relay, func() discovery.Followed {
+		return discovery.Followed{Age: time.Since(cut), InstancesRevision: 1, Processes: 30, Schedulers: []members.Member{{Name: "other"}}, Update: feed.Update{Events: events}}
+	})
+}
+
+// keepTelling has a process hear, until the test ends, what a scheduler has.
+func keepTelling(t *testing.T, relay copies, has func() discovery.Followed) {
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
 	go func() {
 		for {
-			f := discovery.Followed{Age: time.Since(cut), InstancesRevision: 1, Processes: 30, Schedulers: []members.Member{{Name: "other"}}, Update: feed.Update{Events: events}}
 			select {
-			case relay <- f:
+			case relay <- has():
 				time.Sleep(10 * time.Millisecond)
 			case <-stop:
 				return
--- a/internal/discovery/rules.go
+++ b/internal/discovery/rules.go
@@ -32,27 +32,27 @@
 // deleteRules takes in that the rules were deleted. The object's version may still be that of
 // its last change, and the deletion has a later one.
 func (d *Discovery) deleteRules(obj objstore.Object) {
-	if obj.Version < d.rulesVersion {
+	if obj.Version < d.rulesObject.Version {
 		return
 	}
-	d.putRules(objstore.Object{Key: obj.Key, Version: max(obj.Version, d.rulesVersion+1)})
+	d.putRules(objstore.Object{Key: obj.Key, Version: max(obj.Version, d.rulesObject.Version+1)})
 }
 
 // keepRules leaves the rules in force that an operator was told to be, where the store came
 // back from a copy that may be older. They hold until an operator applies rules again.
 func (d *Discovery) keepRules(obj objstore.Object) {
 	if !bytes.Equal(obj.Value, d.rulesObject.Value) {
-		level.Error(d.logger).Log("msg", "rules of the store's copy left out, apply the rules again", "revision", obj.Version.Number(), "era", obj.Version.Era(), "in_force", d.rulesVersion.Number())
+		level.Error(d.logger).Log("msg", "rules of the store's copy left out, apply the rules again", "revision", obj.Version.Number(), "era", obj.Version.Era(), "in_force", d.rulesObject.Version.Number())
 	}
 }
 
 // putRules adopts rules, or, without a value, that there are none, if that is newer. Rules
 // that cannot be read leave the last good ones in force.
 func (d *Discovery) putRules(obj objstore.Object) {
-	if obj.Version <= d.rulesVersion {
+	if obj.Version <= d.rulesObject.Version {
 		return
 	}
-	if d.rulesVersion.Era() < obj.Version.Era() && d.era.ofCopy(obj.Version) {
+	if d.rulesObject.Version.Era() < obj.Version.Era() && d.era.ofCopy(obj.Version) {
 		d.keepRules(obj)
 		return
 	}
@@ -70,6 +70,6 @@
 	case d.cur.Rules != nil:
 		level.Info(d.logger).Log("msg", "rules removed", "revision", obj.Version)
 	}
-	d.cur.Rules, d.rulesVersion, d.rulesObject = rules, obj.Version, obj
+	d.cur.Rules, d.rulesObject = rules, obj
 	d.feed.Put(obj)
 }
--- a/internal/lab/soak/grown.go
+++ b/internal/lab/soak/grown.go
@@ -29,6 +29,7 @@
 	rollShare = 0.3
 )
 
+// storeWideUntil returns until when a run has faults of the store for all processes.
 func storeWideUntil(length time.Duration) time.Duration {
 	return time.Duration(storeWideShare * float64(length))
 }
@@ -88,9 +89,14 @@
 // leaves returns instances that leave, and others that take their places.
 func (s *scheduler) leaves(length time.Duration) []Action {
 	every := stayTime / time.Duration(len(s.layout.Places))
+	return s.often(every, length, func() Action { return s.pickFrom(leaveActions) })
+}
+
+// often returns actions with a mean time between two.
+func (s *scheduler) often(every, length time.Duration, next func() Action) []Action {
 	var out []Action
 	for at := s.upTo(2 * every); at < length; at += s.upTo(2 * every) {
-		a := s.pickFrom(leaveActions)
+		a := next()
 		a.At = at
 		out = append(out, a)
 	}
@@ -109,13 +115,11 @@
 
 // watcherFaults returns short faults of processes that watch the store for the others.
 func (s *scheduler) watcherFaults(length time.Duration) []Action {
-	var out []Action
-	for at := s.upTo(2 * watcherEvery); at < length; at += s.upTo(2 * watcherEvery) {
+	return s.often(watcherEvery, length, func() Action {
 		a := s.pickFrom(watcherActions)
-		a.At, a.Watcher, a.Gateways, a.For = at, true, []int{s.rng.IntN(s.processes)}, s.upTo(watcherFault)
-		out = append(out, a)
-	}
-	return out
+		a.Watcher, a.Gateways, a.For = true, []int{s.rng.IntN(s.processes)}, s.upTo(watcherFault)
+		return a
+	})
 }
 
 // roll returns planned stops of all processes, one after the other.
--- a/internal/lab/soak/layout.go
+++ b/internal/lab/soak/layout.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -174,12 +173,3 @@
 		}
 	}
 }
-
-// domainsOf returns the names of the domains, for the report.
-func (l *Layout) String() string {
-	seen := map[string]int{}
-	for _, h := range l.Hosts {
-		seen[h.Domain]++
-	}
-	return fmt.Sprintf("%d instances, hosts by domain: %s", len(l.Places), strings.TrimPrefix(fmt.Sprint(seen), "map"))
-}
--- a/internal/lab/soak/strike.go
+++ b/internal/lab/soak/strike.go
@@ -72,7 +72,11 @@
 	if len(w.facts.Leases) == 0 {
 		return others
 	}
-	name := w.facts.Leases[len(w.facts.Leases)-1].Holder
+	return w.named(w.facts.Leases[len(w.facts.Leases)-1].Holder, others)
+}
+
+// named returns the process with a name, others if there is none.
+func (w *world) named(name string, others []int) []int {
 	for _, g := range w.gates {
 		if g.name() == name {
 			return []int{g.number}
@@ -100,12 +104,7 @@
 		if err != nil || len(st.Watchers) == 0 {
 			continue
 		}
-		name := st.Watchers[others[0]%len(st.Watchers)]
-		for _, g := range w.gates {
-			if g.name() == name {
-				return []int{g.number}
-			}
-		}
+		return w.named(st.Watchers[others[0]%len(st.Watchers)], others)
 	}
 	return others
 }
