Sight: the line of a request that failed names its fingerprint

Cause: each try of a caller has its own id, so that logs could not tell that one request came again and ended one engine after the other; the hypotheses (nobody blames the request; engines end of overload) could not be told apart. Change: the fingerprint, a hash of workspace, method, host, path and body, in the line of each request that may have run and was not served.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/quarantine"
 )
 
 // decision writes the line that says why an attempt goes where it goes.
@@ -32,6 +33,11 @@
 	level.Debug(q.s.o.Logger).Log(kv...)
 }
 
+// fingerprint returns what is the same in each try of the request.
+func (q *request) fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(q.workspaceName(), q.http.Method, q.http.Host, q.http.RequestURI, q.body)
+}
+
 // log writes the line that tells the outcome.
 func (q *request) log(outcome string, err error) {
 	took := time.Since(q.arrived)
@@ -45,6 +51,9 @@
 	if q.plan.Runner != nil {
 		kv = append(kv, "runner", q.plan.Runner.ID)
 	}
+	if q.life.MayHaveRun() && err != nil {
+		kv = append(kv, "fingerprint", q.fingerprint())
+	}
 	if err == nil {
 		level.Debug(q.s.o.Logger).Log(kv...)
 		return
