Test that fails: the completion service sends on what ends its servers (known red)

Cause: the same as at the gateways; no process compares two requests. Change: stand-ins of servers that crash for both services (package crash), a test with three real processes.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/cli"
+	"github.com/rockdoor/rockdoor/internal/standin/crash"
 	"github.com/rockdoor/rockdoor/internal/standin/engined"
 	"github.com/rockdoor/rockdoor/internal/standin/platformd"
 	"github.com/rockdoor/rockdoor/internal/standin/serviced"
@@ -49,6 +51,8 @@
 	engines int
 	fencing bool
 	timing  engined.Timing
+	// deadly is the body of a call that crashes the servers of the service, empty for none.
+	deadly string
 	// wanted roles, by engine name.
 	roles map[string]string
 }
@@ -64,8 +68,11 @@
 	stores   []*cutter
 	engines  []*engined.Server
 	services []*serviced.Server
-	config   string
-	procs    []*process
+	// crashes are the hosts of servers that can crash, deadly counts the calls that crash them.
+	crashes []*crash.Host
+	deadly  atomic.Int64
+	config  string
+	procs   []*process
 }
 
 // process is one entry process.
@@ -107,7 +114,11 @@
 	for i := range 3 {
 		s := serviced.New(fmt.Sprintf("s%d", i), time.Millisecond)
 		f.services = append(f.services, s)
-		f.listen(fmt.Sprintf("%s.%d:8000", f.net, 200+i), s)
+		if address := fmt.Sprintf("%s.%d:8000", f.net, 200+i); o.deadly != "" {
+			f.crashing(address, s)
+		} else {
+			f.listen(address, s)
+		}
 	}
 	f.config = f.configuration(o.roles)
 	t.Cleanup(f.stopAll)
@@ -137,6 +148,29 @@
 	return address
 }
 
+// crashing serves h at an address until a deadly call crashes it; it is soon back.
+func (f *fleet) crashing(address string, h http.Handler) {
+	host, err := crash.NewHost(address, time.Second, func(_ string, crash func()) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			if string(body) == f.o.deadly {
+				f.deadly.Add(1)
+				go crash() // it closes this connection too
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			h.ServeHTTP(w, r)
+		})
+	})
+	require.NoError(f.t, err)
+	f.t.Cleanup(host.Close)
+	f.crashes = append(f.crashes, host)
+}
+
 func domain(i int) string { return fmt.Sprintf("d%d", i%3) }
 
 // configuration of the fleet, with the wanted roles of engines.
--- a/internal/gatewayd/deadly_test.go
+++ b/internal/gatewayd/deadly_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/internal/standin/crash"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 )
 
@@ -30,7 +31,7 @@
 
 // crashing are engines that crash when they run a request, and are soon back under another id.
 type crashing struct {
-	hosts []*fleetengine.Host
+	hosts []*crash.Host
 
 	mu      sync.Mutex
 	engines []*fleetengine.Engine
@@ -43,7 +44,7 @@
 	d.t.Helper()
 	c := &crashing{present: map[string]string{}}
 	for range n {
-		h, err := fleetengine.NewHost(500*time.Millisecond, func(address string) *fleetengine.Engine { return c.start(d, address) })
+		h, err := crash.NewHost("127.0.0.1:0", 500*time.Millisecond, func(address string, crash func()) http.Handler { return c.start(d, address, crash) })
 		require.NoError(d.t, err)
 		d.t.Cleanup(h.Close)
 		c.hosts = append(c.hosts, h)
@@ -51,11 +52,11 @@
 	return c
 }
 
-func (c *crashing) start(d *deployment, address string) *fleetengine.Engine {
+func (c *crashing) start(d *deployment, address string, crash func()) *fleetengine.Engine {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := fleetengine.New(fmt.Sprint("c-", len(c.engines)), "decode")
-	e.Events, e.Deadly = 3, deadlyBody
+	e.Events, e.Deadly, e.Crash = 3, deadlyBody, crash
 	if gone := c.present[address]; gone != "" {
 		d.store.Remove("servers", gone)
 	}
--- a/internal/standin/fleetengine/host.go
+++ b/internal/standin/crash/crash.go
@@ -1,4 +1,5 @@
-package fleetengine
+// Package crash keeps stand-ins for servers that can crash and are started again.
+package crash
 
 import (
 	"net"
@@ -7,12 +8,12 @@
 	"time"
 )
 
-// Host keeps one engine at an address, and starts another one there after it has crashed, as
-// a supervisor does. It is safe for concurrent use.
+// Host keeps one server at an address, and starts another one there after it has crashed, as a
+// supervisor does. It is safe for concurrent use.
 type Host struct {
 	address string
-	// start returns the engine that is to run at the address now.
-	start func(address string) *Engine
+	// start returns what is to run at the address now, which may call crash.
+	start func(address string, crash func()) http.Handler
 	// away is how long nothing listens after a crash.
 	away time.Duration
 
@@ -22,10 +23,9 @@
 	closed  bool
 }
 
-// NewHost listens on a free port of the loopback address and serves the first engine of start
-// there.
-func NewHost(away time.Duration, start func(address string) *Engine) (*Host, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// NewHost listens at an address, whose port may be 0, and serves what start returns there.
+func NewHost(address string, away time.Duration, start func(address string, crash func()) http.Handler) (*Host, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -35,9 +35,7 @@
 }
 
 func (h *Host) serve(l net.Listener) {
-	e := h.start(h.address)
-	e.Crash = h.crash
-	server := &http.Server{Handler: e}
+	server := &http.Server{Handler: h.start(h.address, h.crash)}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
@@ -76,14 +74,14 @@
 	h.serve(l)
 }
 
-// Crashes returns how often the engines have crashed.
+// Crashes returns how often the server has crashed.
 func (h *Host) Crashes() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.crashes
 }
 
-// Close ends the engine for good.
+// Close ends the server for good.
 func (h *Host) Close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
