The completion service refuses calls that end their servers, with the same code

What callers saw: a call that crashed each server that ran it was sent on for as long as it came. Cause: the same as at the gateways; what failed was held against the servers only. Change: package suspects finds out whether an instance ended under a request and tells the others, for both services; the completion service keeps a table, and its processes tell up to 16 members each.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -44,6 +44,11 @@
 // Close drops idle connections.
 func (r *Runner) Close() { r.client.Close() }
 
+// Refuses reports whether an address refuses connections.
+func (r *Runner) Refuses(ctx context.Context, address string) bool {
+	return r.client.Refuses(ctx, address)
+}
+
 // Attempt is one try. It is used by one goroutine.
 type Attempt struct {
 	chart  *statechart.Instance
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -27,11 +28,13 @@
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/mirror"
 	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/objstore/httpapi"
 	"github.com/rockdoor/rockdoor/orders"
+	"github.com/rockdoor/rockdoor/quarantine"
 	"github.com/rockdoor/rockdoor/routing"
 	"github.com/rockdoor/rockdoor/statechart"
 )
@@ -61,12 +64,14 @@
 	loop      *control.Loop
 	heart     *control.Heart
 	transport *peer.Transport
-	reporter  *control.Reporter
-	tracker   *routing.Tracker
-	entry     *entry.Server
-	admin     *admin.Server
-	manager   *controller.Manager
-	claims    *claimPart
+	// told is what the processes tell each other of calls that end their targets.
+	told     *suspects.Sharer
+	reporter *control.Reporter
+	tracker  *routing.Tracker
+	entry    *entry.Server
+	admin    *admin.Server
+	manager  *controller.Manager
+	claims   *claimPart
 
 	callers   *http.Server
 	operators *http.Server
@@ -121,8 +126,10 @@
 
 func (d *Daemon) buildServers() {
 	d.claims = d.newClaimPart()
+	table := quarantine.NewTable()
+	d.told = suspects.New(suspects.Options{Run: d.self.Incarnation, Table: table, Transport: d.transport, Peers: d.others, Logger: d.logger})
 	d.entry = entry.New(entry.Options{
-		Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Process: d.process(), Claims: d.claims,
+		Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Process: d.process(), Claims: d.claims, Quarantine: table,
 		Metrics: d.reg, Logger: d.logger,
 	})
 	d.admin = admin.New(admin.Options{
@@ -143,6 +150,22 @@
 	}
 }
 
+// maxTold bounds how many others this process tells what is new; these tell others.
+const maxTold = 16
+
+// others returns the members that live, without this process: all of a small fleet, some drawn
+// at random of a large one.
+func (d *Daemon) others() []members.Member {
+	var out []members.Member
+	for _, m := range d.loop.Snapshot().Members {
+		if m.Health.Living() && !m.Self {
+			out = append(out, m.Member)
+		}
+	}
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	return out[:min(maxTold, len(out))]
+}
+
 // isWatcher decides by the members that this process believes to be alive.
 func (d *Daemon) isWatcher() bool {
 	var alive []members.Member
@@ -155,13 +178,16 @@
 }
 
 // HandlePeer implements peer.Handler.
-func (d *Daemon) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
+func (d *Daemon) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
 	if resp := d.heart.Answer(req); resp != nil {
 		return resp
 	}
 	if resp := d.claims.answer(req); resp != nil {
 		return resp
 	}
+	if req.GetCrashes() != nil {
+		return d.told.HandlePeer(ctx, req)
+	}
 	return &peerpb.Response{Error: "call is not known"}
 }
 
@@ -196,6 +222,7 @@
 	add(d.reporter.Run)
 	add(d.claims.keeper.Run)
 	add(d.ward)
+	add(d.told.Run)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
 	g.Add(func() error { return httpserve.Serve(background, d.operators, listeners.admin) }, func(error) { stopBackground(); closeServer(d.operators) })
 	g.Add(func() error { return httpserve.Serve(background, d.callers, listeners.callers) }, func(error) { stopBackground(); closeServer(d.callers) })
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -32,6 +32,7 @@
 	codeDeadline     = "deadline_exceeded"
 	codeKeyMismatch  = "idempotency_key_reused"
 	codeKeyInUse     = "idempotency_key_in_use"
+	codeQuarantined  = "request_ends_targets"
 	codeClaimMissing = "claim_not_granted"
 )
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -91,6 +91,9 @@
 // Choose implements lifecycle.Steps. It counts the call at the target that it finds.
 func (r *run) Choose() *reply {
 	r.readApart()
+	if rep := r.quarantined(); rep != nil {
+		return rep
+	}
 	if r.ctx.Err() != nil {
 		return refusal(http.StatusGatewayTimeout, codeDeadline,
 			fault.New(fault.Exhausted, "deadline passed before a target was found", "allow more time with "+HeaderDeadline), noTargetWait)
@@ -230,6 +233,7 @@
 	if r.delivered > 0 {
 		header.Set(openai.ResumeHeader, strconv.Itoa(r.delivered))
 	}
+	sent := time.Now()
 	a := r.s.runner.Start(r.ctx, attempt.Spec{
 		ID: r.c.id + "-" + strconv.Itoa(r.attempts), Address: t.Address,
 		Method: r.c.method, URI: r.c.uri, Header: header, Body: r.c.body,
@@ -238,6 +242,7 @@
 		r.relay(a, r.work)
 	}
 	done(a.State(), a.Err())
+	r.observe(a.State(), sent)
 	r.s.count("attempts."+string(a.State()), r.c)
 	return outcomeOf(a.State()), a.Err()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,8 @@
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/limits"
 	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/suspects"
+	"github.com/rockdoor/rockdoor/quarantine"
 	"github.com/rockdoor/rockdoor/routing"
 	"github.com/rockdoor/rockdoor/selector"
 )
@@ -40,9 +42,12 @@
 	// Process identifies this run of the process to the others.
 	Process string
 	// Claims grants requests with an idempotency key.
-	Claims  Claims
-	Metrics metrics.Registry
-	Logger  log.Logger
+	Claims Claims
+	// Quarantine knows which calls end the targets that run them; without one this process
+	// alone learns it.
+	Quarantine *quarantine.Table
+	Metrics    metrics.Registry
+	Logger     log.Logger
 }
 
 // Server is the handler of callers' requests.
@@ -52,6 +57,7 @@
 	gate     *limits.Gate
 	runner   *attempt.Runner
 	breakers *breakers
+	watch    *suspects.Watch
 	retries  *limits.RetryBudget
 	outcomes *outcomes
 	lengths  *lengths
@@ -62,6 +68,9 @@
 
 // New returns a server.
 func New(o Options) *Server {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.NewTable()
+	}
 	s := &Server{
 		o:        o,
 		gate:     limits.NewGate(o.Settings.Limits.Requests, o.Settings.Limits.UrgentReserve),
@@ -72,6 +81,7 @@
 		lengths:  newLengths(),
 		policies: map[string]routing.Policy{},
 	}
+	s.watch = &suspects.Watch{Table: o.Quarantine, Refuses: s.runner.Refuses, Logger: o.Logger}
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
 	r.HandleFunc(pathChat, s.complete).Methods(http.MethodPost)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
+	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/quarantine"
@@ -65,6 +66,7 @@
 type Server struct {
 	o        Options
 	budget   *budget
+	watch    *suspects.Watch
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -74,7 +76,10 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTable()
 	}
-	return &Server{o: o, budget: newBudget(o.Budget)}
+	return &Server{
+		o: o, budget: newBudget(o.Budget),
+		watch: &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
+	}
 }
 
 // ApplyRetries replaces the bounds of the retry budget but for its window.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -193,7 +193,7 @@
 		retry = unknownRetry
 	}
 	if q.plan.Reason == placement.ReasonQuarantined {
-		return refusedBy(nil, retry)
+		return refusedBy(quarantine.Verdict{RetryAfter: retry, Ended: []string{"known to " + q.plan.By}})
 	}
 	err := fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(q.plan.Reason), "ask again after the time in Retry-After")
 	return given(string(q.plan.Reason), err, retry)
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -31,7 +31,9 @@
 		t.convicted[worst.f] = true
 		explained := worst.ended
 		for _, c := range candidates {
-			c.ended = slices.DeleteFunc(slices.Clone(c.ended), func(i string) bool { return slices.Contains(explained, i) })
+			c.ended = slices.DeleteFunc(slices.Clone(c.ended), func(e numbered) bool {
+				return slices.ContainsFunc(explained, func(x numbered) bool { return x.same(e.Observation) })
+			})
 		}
 	}
 	return t.convicted
@@ -40,15 +42,14 @@
 // candidate is a request that may be to blame for the ends of instances.
 type candidate struct {
 	f     Fingerprint
-	ended []string
+	ended []numbered
 	// ran is how long it had been at the instances when they ended, in all.
 	ran time.Duration
 }
 
 func newCandidate(f Fingerprint, ends []numbered) *candidate {
-	c := &candidate{f: f}
+	c := &candidate{f: f, ended: ends}
 	for _, e := range ends {
-		c.ended = append(c.ended, e.Instance)
 		c.ran += e.Ran
 	}
 	return c
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -20,6 +20,9 @@
 	trialTime = 10 * time.Second
 	// suspectFor is how long an end is remembered of a request that is not refused.
 	suspectFor = 10 * time.Minute
+	// sameEnd is how far apart observations of one end may lie. Targets of the completion
+	// service keep their names when they start again.
+	sameEnd = 2 * time.Second
 	// maxSuspects bounds the requests that are remembered.
 	maxSuspects = 4096
 	// maxEnds bounds the ends that are remembered of one request.
@@ -86,6 +89,13 @@
 	Observation
 }
 
+// same reports whether two observations are of one end: several processes may have had the
+// request there.
+func (n numbered) same(o Observation) bool {
+	apart := n.At.Sub(o.At)
+	return n.Instance == o.Instance && max(apart, -apart) < sameEnd
+}
+
 // NewTable returns a table that knows nothing.
 func NewTable() *Table {
 	return &Table{now: bootclock.Now, suspects: map[Fingerprint]*suspect{}, news: make(chan struct{}, 1)}
@@ -137,7 +147,7 @@
 		s = &suspect{}
 		t.makeRoom()
 		t.suspects[o.Request] = s
-	case slices.ContainsFunc(s.ends, func(n numbered) bool { return n.Instance == o.Instance }):
+	case slices.ContainsFunc(s.ends, func(n numbered) bool { return n.same(o) }):
 		return
 	}
 	t.last++
