What is told of ends comes to rest

Cause: ages are told without the way of their message, so that a receiver takes an observation for a little later than its sender; a later good run counted as news, and was told back, without end. More ends than are kept did the same. Change: a good run is news only if ends came before it; beyond those that are kept, only a later end is. Test: TestWhatIsToldComesToRest, failed before (never at rest in 1 s, 3 processes), with it at rest at once.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -136,18 +136,20 @@
 	}
 }
 
-// take takes an observation in unless it is known. Good runs matter only of suspects. The
-// caller holds the lock.
+// take takes an observation in unless it is known or says nothing new. What others tell seems
+// later than it was by the way of their messages, so that no later time alone may be news: all
+// would tell each other the same without end. The caller holds the lock.
 func (t *Table) take(o Observation) {
 	s := t.suspects[o.Request]
-	switch {
-	case o.Instance == "" && (s == nil || s.sound.number > 0 && s.sound.At >= o.At):
-		return
-	case s == nil:
+	if s == nil && o.Instance == "" {
+		return // nothing speaks against it
+	}
+	if s == nil {
 		s = &suspect{}
 		t.makeRoom()
 		t.suspects[o.Request] = s
-	case slices.ContainsFunc(s.ends, func(n numbered) bool { return n.same(o) }):
+	}
+	if !s.isNews(o) {
 		return
 	}
 	t.last++
@@ -164,6 +166,19 @@
 	}
 }
 
+// isNews reports whether an observation changes anything: a good run after an end, or another
+// end; if as many as are kept are known, a later one.
+func (s *suspect) isNews(o Observation) bool {
+	if o.Instance == "" {
+		since := s.since()
+		return len(since) > 0 && o.At > since[0].At
+	}
+	if slices.ContainsFunc(s.ends, func(n numbered) bool { return n.same(o) }) {
+		return false
+	}
+	return len(s.ends) < maxEnds || o.At > s.lastEnd().Add(sameEnd)
+}
+
 // makeRoom forgets what is old, and the suspect with the fewest and oldest ends if there are
 // too many. The caller holds the lock.
 func (t *Table) makeRoom() {
