Sight: what instances say of themselves is logged

Cause: that an instance says in its answers that it leaves, or asks for rest, appeared in no line, so that the hypotheses could not be told apart (not read, or read and lost). Change: the adapter decodes both; package notice holds what was said, one line when it is new. Nothing acts on it yet.

--- a/engine/serving.go
+++ b/engine/serving.go
@@ -88,6 +88,11 @@
 	Replaced bool
 	// Genuine is true if the answer bears the seal of an instance.
 	Genuine bool
+	// Leaving is true if the instance says that it leaves, whatever its registration says.
+	Leaving bool
+	// Rest is for how long an instance that turned the request away wants nothing more from
+	// this process, 0 if it does not say.
+	Rest time.Duration
 }
 
 // Protocol translates between the product and what callers and instances speak.
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -47,13 +47,13 @@
 		level.Info(q.s.o.Logger).Log("msg", "run does not go on", "request", q.call.ID, "backup", backup.ID, "err", err)
 		return lifecycle.Lost, cut
 	}
-	a, err := q.s.o.Client.Do(q.ctx, q.upstream(backup, engine.Send{
+	a, verdict, err := q.exchange(q.ctx, backup, engine.Send{
 		Instance: backup.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, ResumeAfter: q.lastEvent,
 		Source: &engine.KVSource{Address: backup.Address, Handle: q.call.ID},
-	}))
+	})
 	q.sends++
 	if err == nil {
-		if verdict := q.s.o.Protocol.Judge(a.Status, a.Header); verdict.NotRun || !verdict.Genuine || !isStream(a) {
+		if verdict.NotRun || !verdict.Genuine || !isStream(a) {
 			a.CloseUnread()
 			err = fault.Newf(fault.Unavailable, "the stream ends here", "backup %s answered %d", backup.ID, a.Status)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -67,6 +68,7 @@
 	o        Options
 	budget   *budget
 	watch    *suspects.Watch
+	notices  *notice.Board
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -78,13 +80,17 @@
 	}
 	return &Server{
 		o: o, budget: newBudget(o.Budget),
-		watch: &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
+		notices: notice.NewBoard(o.Logger),
+		watch:   &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
 	}
 }
 
 // ApplyRetries replaces the bounds of the retry budget but for its window.
 func (s *Server) ApplyRetries(ratio, slack float64) { s.budget.allow(ratio, slack) }
 
+// Retain forgets what instances have said, but for those whose runs keep names.
+func (s *Server) Retain(keep func(run string) bool) { s.notices.Retain(keep) }
+
 // InHand returns the number of requests that are being served.
 func (s *Server) InHand() int64 { return s.inHand.Load() }
 
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/upstream"
+)
+
+// exchange sends the request to an instance, and takes in what the head of the answer says of the
+// instance.
+func (q *request) exchange(ctx context.Context, i *fleet.Instance, s engine.Send) (*upstream.Answer, engine.Verdict, error) {
+	a, err := q.s.o.Client.Do(ctx, q.upstream(i, s))
+	if err != nil {
+		return nil, engine.Verdict{}, err
+	}
+	v := q.s.o.Protocol.Judge(a.Status, a.Header)
+	if v.Replaced {
+		return a, v, nil // another instance says it of itself
+	}
+	if v.Leaving {
+		q.s.notices.Leaves(i.Run(), q.call.ID)
+	}
+	if v.Rest > 0 {
+		q.s.notices.Rests(i.Run(), q.call.ID, v.Rest)
+	}
+	return a, v, nil
+}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -26,16 +26,16 @@
 	begun := time.Now()
 	ctx, cancel := context.WithDeadline(q.ctx, q.firstBy())
 	defer cancel()
-	a, err := q.s.o.Client.Do(ctx, q.upstream(plan.Reader, engine.Send{
+	a, verdict, err := q.exchange(ctx, plan.Reader, engine.Send{
 		Instance: plan.Reader.ID, Left: time.Until(q.firstBy()), Rank: plan.Rank, ReadOnly: true, FetchFrom: addressOf(plan.FetchFrom),
-	}))
+	})
 	if err != nil {
 		if q.paid = fault.Is(err, fault.Unavailable); !q.paid { // something may have arrived at the engine
 			q.broke(plan.Reader)
 		}
 		return q.unread(plan, ticket, q.blame(err), err)
 	}
-	if q.s.o.Protocol.Judge(a.Status, a.Header).Replaced {
+	if verdict.Replaced {
 		a.CloseUnread()
 		return q.unread(plan, ticket, placement.Replaced, fault.Newf(fault.Unavailable, "another engine is tried", "engine %s has lost its address", plan.Reader.ID))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -244,10 +244,10 @@
 		q.decision(view)
 	}
 	q.backup = q.chooseBackup(plan.Runner)
-	a, err := q.s.o.Client.Do(q.ctx, q.upstream(plan.Runner, engine.Send{
+	a, verdict, err := q.exchange(q.ctx, plan.Runner, engine.Send{
 		Instance: plan.Runner.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, Source: q.source, ResumeAfter: q.resumeAfter(),
 		Backup: addressOf(q.backup),
-	}))
+	})
 	q.sends++
 	q.sourceUses++
 	if err != nil {
@@ -261,12 +261,11 @@
 		q.broke(plan.Runner)
 		return lifecycle.Lost, err
 	}
-	return q.receive(a, plan)
+	return q.receive(a, verdict, plan)
 }
 
 // receive judges the head of an answer and passes the answer on.
-func (q *request) receive(a *upstream.Answer, plan *placement.Plan) (lifecycle.Outcome, error) {
-	verdict := q.s.o.Protocol.Judge(a.Status, a.Header)
+func (q *request) receive(a *upstream.Answer, verdict engine.Verdict, plan *placement.Plan) (lifecycle.Outcome, error) {
 	if verdict.NotRun {
 		a.CloseUnread()
 		outcome := placement.Failed
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -389,6 +389,11 @@
 	periodic.Run(ctx, housekeeping, func(context.Context) {
 		v := d.discovery.View()
 		d.placer.Retain(func(id string) bool { return v.Instances[id] != nil })
+		runs := map[string]bool{}
+		for _, i := range v.Instances {
+			runs[i.Run()] = true
+		}
+		d.gateway.Retain(func(run string) bool { return runs[run] })
 		for id, i := range before {
 			if now := v.Instances[id]; now == nil || now.Born != i.Born {
 				d.client.Forget(i.Address)
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,98 @@
+// Package notice keeps what instances have told this process in their answers: that they
+// leave, and for how long they want nothing. An instance says so before its registration does,
+// and also while nobody can read or write registrations.
+package notice
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/bootclock"
+)
+
+// Board holds what the instances have said. It is safe for concurrent use.
+type Board struct {
+	logger log.Logger
+
+	mu  sync.Mutex
+	all map[string]*said // by run of an instance
+}
+
+// said is what one run of an instance has said.
+type said struct {
+	leaving bool
+	// restUntil is when the instance wants requests again.
+	restUntil bootclock.Instant
+}
+
+// NewBoard returns a board that logs what is new.
+func NewBoard(logger log.Logger) *Board {
+	return &Board{logger: logger, all: map[string]*said{}}
+}
+
+// Leaves takes in that a run of an instance says that it leaves. It does not come back.
+func (b *Board) Leaves(instance, request string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(instance)
+	if s.leaving {
+		return
+	}
+	s.leaving = true
+	level.Info(b.logger).Log("msg", "instance says that it leaves", "instance", instance, "request", request)
+}
+
+// Rests takes in that a run of an instance wants nothing for a while.
+func (b *Board) Rests(instance, request string, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(instance)
+	until := bootclock.Now().Add(d)
+	if until <= s.restUntil {
+		return
+	}
+	s.restUntil = until
+	level.Info(b.logger).Log("msg", "instance asks for rest", "instance", instance, "request", request, "for", d)
+}
+
+func (b *Board) of(instance string) *said {
+	s := b.all[instance]
+	if s == nil {
+		s = &said{}
+		b.all[instance] = s
+	}
+	return s
+}
+
+// Leaving reports whether a run of an instance has said that it leaves.
+func (b *Board) Leaving(instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.all[instance]
+	return s != nil && s.leaving
+}
+
+// Rest returns for how long a run of an instance still wants nothing.
+func (b *Board) Rest(instance string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.all[instance]
+	if s == nil {
+		return 0
+	}
+	return max(s.restUntil.Sub(bootclock.Now()), 0)
+}
+
+// Retain forgets all runs but those that keep names.
+func (b *Board) Retain(keep func(instance string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for instance := range b.all {
+		if !keep(instance) {
+			delete(b.all, instance)
+		}
+	}
+}
