--- a/internal/standin/fleetengine/arrival.go
+++ b/internal/standin/fleetengine/arrival.go
@@ -20,6 +20,8 @@
 
 const (
 	headerID = "X-Request-Id"
+	// headerLeaving is set on the answers of an instance that leaves.
+	headerLeaving = "Server-Leaving"
 	// headerNotRun is set on answers to requests that an instance did not run.
 	headerNotRun = "X-Not-Executed"
 )
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -64,6 +65,10 @@
 	Work, Gap time.Duration
 	// Changed is told of each change of the stage. It may be nil.
 	Changed func(stage string)
+	// Leaving has the engine say in its answers that it leaves, Rest is what it asks for with
+	// each request that it sheds. They are set before it is used, or by SetLeaving.
+	Leaving bool
+	Rest    time.Duration
 	// Deadly is the body of a request that crashes the engine when it begins to run, empty
 	// for none. Crash then ends the process that the engine stands for.
 	Deadly string
@@ -77,6 +82,7 @@
 	asked   int
 	runs    []Run
 	reads   []Run
+	shed    []Run
 	freed   []string
 	handles map[string]string // handle to request id
 	next    int
@@ -117,6 +123,16 @@
 // Runs returns the requests that were run.
 func (e *Engine) Runs() []Run { return e.copyOf(&e.runs) }
 
+// Refused returns the requests that were shed.
+func (e *Engine) Refused() []Run { return e.copyOf(&e.shed) }
+
+// note records a request.
+func (e *Engine) note(run Run, in *[]Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*in = append(*in, run)
+}
+
 // Reads returns the requests whose prompts were read for another engine.
 func (e *Engine) Reads() []Run { return e.copyOf(&e.reads) }
 
@@ -158,8 +174,25 @@
 	return e.fault
 }
 
+// SetLeaving has the engine say in its answers from now on that it leaves.
+func (e *Engine) SetLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Leaving = true
+}
+
+// sayLeaving adds what the engine says of itself to an answer.
+func (e *Engine) sayLeaving(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.sayLeaving(w)
 	switch {
 	case r.URL.Path == "/report":
 		e.report(w)
@@ -251,6 +284,10 @@
 	}
 	fault := e.takeFault()
 	if fault == Shed {
+		e.note(run, &e.shed)
+		if e.Rest > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(e.Rest.Seconds(), 'f', 3, 64))
+		}
 		notRun(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -267,9 +304,7 @@
 		notRun(w, http.StatusServiceUnavailable)
 		return
 	}
-	e.mu.Lock()
-	e.runs = append(e.runs, run)
-	e.mu.Unlock()
+	e.note(run, &e.runs)
 	if e.Deadly != "" && run.Body == e.Deadly {
 		go e.Crash() // it closes this connection too
 		<-r.Context().Done()
