An instance that says in its answers that it leaves gets no more

What callers saw: requests were sent, more than 2 s after its own word, to an instance that was about to end. Cause: only registrations were looked at; while the store is away an instance cannot change its own. Change: a process that has had an answer of a run of an instance which says so sends nothing more there: not by its own decision, nor by a scheduler's, to which it names the instance, nor in the last look before a request is written; nor is a backup kept there. Why it holds: the word is taken from the head of the answer, before anything of it is passed on, and kept for as long as that run is registered.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
@@ -27,3 +28,16 @@
 	}
 	return a, v, nil
 }
+
+// unwilling returns the instances that are not to get the request: those that failed it, and those
+// that have said that they leave. It names them also to another process that decides, which
+// may not have heard them.
+func (q *request) unwilling(permitted []*fleet.Instance) map[string]bool {
+	out := maps.Clone(q.avoid)
+	for _, i := range permitted {
+		if q.s.notices.Leaving(i.Run()) {
+			out[i.ID] = true
+		}
+	}
+	return out
+}
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -20,7 +20,14 @@
 func prompts(n int) http.Header { return prompt(fmt.Sprintf("%x", 100+n)) }
 
 // TestNothingIsSentToAnInstanceThatSaysItLeaves has an instance say in its answers that it leaves,
-// while its registration still says that it serves.
+// while its registration still says that it serves. Requests went on to such an instance for as
+// long as its registration stood: only that was looked at, and the store could not take the
+// instance's word for twelve seconds. Its answers had said so all the while; two seconds after
+// the first of them
+//
+//	msg=decision instances_age=5.247s reason=least-work runner=i-9d729b78ce
+//
+// sent another one there.
 func TestNothingIsSentToAnInstanceThatSaysItLeaves(t *testing.T) {
 	engines := func(stages ...string) (out []*fleetengine.Engine) {
 		for n, stage := range stages {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -170,9 +170,11 @@
 
 // job describes the request to the placer.
 func (q *request) job(v *fleet.View) *placement.Job {
+	permitted := v.Permitted(q.route.Name, q.service)
 	return &placement.Job{
-		Route: q.route, Ranked: q.workspace != nil && q.workspace.Ranked, Workspace: q.workspaceName(), Service: v.Config.Services[q.service], Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived),
-		Fingerprint: q.asked(), Domain: q.s.o.Domain, Permitted: v.Permitted(q.route.Name, q.service), Avoid: q.avoid, NoRead: q.begun || q.source != nil,
+		Route: q.route, Ranked: q.workspace != nil && q.workspace.Ranked, Workspace: q.workspaceName(), Service: v.Config.Services[q.service],
+		Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived), Fingerprint: q.asked(), Domain: q.s.o.Domain,
+		Permitted: permitted, Avoid: q.unwilling(permitted), NoRead: q.begun || q.source != nil,
 	}
 }
 
@@ -364,10 +366,10 @@
 	if rep := q.quarantined(); rep != nil {
 		return fault.Wrap(rep.err, fault.Unavailable, "not sent", "the request is refused")
 	}
-	if q.s.o.View().Takes(q.service, i.ID) {
-		return nil
+	if q.s.notices.Leaving(i.Run()) || !q.s.o.View().Takes(q.service, i.ID) {
+		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
 	}
-	return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
+	return nil
 }
 
 // maxIdle returns how many unused connections to one instance this process keeps: half
