--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -59,3 +62,60 @@
 		})
 	}
 }
+
+// restAsked is what an instance asks for here, restWay how long requests may be on their way when
+// it does.
+const (
+	restAsked = 1200 * time.Millisecond
+	restWay   = 100 * time.Millisecond
+)
+
+// TestInstanceThatAsksForRestGetsIt has an instance turn requests away and ask for rest.
+func TestInstanceThatAsksForRestGetsIt(t *testing.T) {
+	plain := []*fleetengine.Engine{fleetengine.New("a", ""), fleetengine.New("b", "")}
+	r := newRig(t, rigOptions{plain: plain})
+	rests := plain[0]
+	rests.Rest = restAsked
+	rests.Fail(fleetengine.Shed, -1)
+	send := func(id string) { r.send(http.MethodPost, pathSafe, id, id, nil) }
+	for n := 0; arrivals(rests) == 0 && n < 100; n++ {
+		send(fmt.Sprint("a-", n))
+	}
+	asked := time.Now()
+	time.Sleep(restWay)
+	before := arrivals(rests)
+	plain[1].Work = 20 * time.Millisecond // what rests is the least loaded of the two
+	var wg sync.WaitGroup
+	for c := range 8 {
+		wg.Go(func() {
+			for n := 0; time.Since(asked) < restAsked-restWay; n++ {
+				send(fmt.Sprint("b-", c, "-", n))
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, before, arrivals(rests), "it had asked for rest")
+	rests.Fail(fleetengine.None, 0)
+	require.Eventually(t, func() bool { send(fmt.Sprint("c-", time.Now().UnixNano())); return len(rests.Runs()) > 0 }, 10*time.Second, 5*time.Millisecond, "its rest is over")
+}
+
+// TestAllInstancesRest has no instance that wants a request: it is refused at once, and told when
+// the first of them wants some again.
+func TestAllInstancesRest(t *testing.T) {
+	plain := []*fleetengine.Engine{fleetengine.New("a", ""), fleetengine.New("b", "")}
+	r := newRig(t, rigOptions{plain: plain})
+	for _, e := range plain {
+		e.Rest = 30 * time.Second
+		e.Fail(fleetengine.Shed, -1)
+	}
+	for n := range 10 {
+		r.send(http.MethodPost, pathSafe, fmt.Sprint("a-", n), "x", nil)
+	}
+	require.Equal(t, 1, arrivals(plain[0]))
+	require.Equal(t, 1, arrivals(plain[1]))
+	a := r.send(http.MethodPost, pathSafe, "b", "x", nil)
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, after, 25.0)
+}
--- a/internal/gatewayd/notice_test.go
+++ b/internal/gatewayd/notice_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 )
 
@@ -46,3 +48,32 @@
 		})
 	}
 }
+
+// TestInstanceAsksForRestInAFleet has an instance ask each process that it turns away for rest: each
+// may send it nothing more, and the others, which it did not ask, may.
+func TestInstanceAsksForRestInAFleet(t *testing.T) {
+	const sends = 12
+	for name, start := range noticeStarts {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.bound = "3s"
+			all := start(d)
+			d.engines[0].Rest = time.Minute
+			d.engines[0].Fail(fleetengine.Shed, -1)
+			for n := range sends {
+				for _, p := range all {
+					p.send("/app/x", fmt.Sprint(p.set.Name, "/", n), nil)
+				}
+			}
+			reached := map[string]int{}
+			for _, run := range d.engines[0].Refused() {
+				process, _, _ := strings.Cut(run.ID, "/")
+				reached[process]++
+			}
+			require.NotEmpty(t, reached)
+			for process, n := range reached {
+				require.Equal(t, 1, n, "%s was asked for a minute of rest", process)
+			}
+		})
+	}
+}
