--- a/internal/standin/serviced/serviced.go
+++ b/internal/standin/serviced/serviced.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/rockdoor/rockdoor/engine/openai"
 )
 
 const maxBody = 1 << 20
@@ -22,6 +25,8 @@
 	CutInBody bool `json:"cutInBody"`
 	// Silent accepts calls and says nothing.
 	Silent bool `json:"silent"`
+	// RestSeconds refuses calls with 503 and asks for that much rest.
+	RestSeconds int `json:"restSeconds"`
 }
 
 // Run is the record of one call.
@@ -99,6 +104,12 @@
 		<-r.Context().Done()
 		return
 	}
+	if f.RestSeconds > 0 {
+		w.Header().Set(openai.NotRunHeader, "1")
+		w.Header().Set("Retry-After", strconv.Itoa(f.RestSeconds))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(s.delay)
 	if f.CutBeforeHeaders {
 		panic(http.ErrAbortHandler)
