The completion service gives targets the rest that they ask for

What callers saw: calls were sent on to a target that had asked for rest, and cost a retry each. Change: a target that turns a call away with 503 and Retry-After gets nothing from this process until then; if all rest, calls are refused at once with the time of the first.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/tmaxmax/go-sse"
@@ -14,6 +15,7 @@
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/statechart"
 )
@@ -117,6 +119,14 @@
 // Header returns the header of the answer.
 func (a *Attempt) Header() http.Header { return a.answer.Header }
 
+// RestAsked returns for how long the target wants nothing more, 0 if it does not say.
+func (a *Attempt) RestAsked() time.Duration {
+	if a.answer == nil {
+		return 0
+	}
+	return notice.RestAsked(a.Status(), a.Header())
+}
+
 // Length returns the length of the answer's body in bytes, -1 if unknown.
 func (a *Attempt) Length() int64 { return a.answer.Length }
 
--- a/internal/entry/phases.go
+++ b/internal/entry/phases.go
@@ -73,6 +73,7 @@
 	if a.State() == charts.AttemptAnswering {
 		_, _ = a.ReadAll(bufferedAnswer, func(body []byte) error { return r.takeExport(a, body) })
 	}
+	r.heed(t, a)
 	if a.State() != charts.AttemptComplete {
 		level.Info(r.s.o.Logger).Log("msg", "prompt not read apart", "request", r.c.id, "target", t.Name, "state", a.State(), "err", a.Err())
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -108,7 +108,7 @@
 	}
 	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
 	if work == nil {
-		return r.noTarget(len(permitted), full)
+		return r.noTarget(permitted, full)
 	}
 	r.work, r.target = work, t
 	return nil
@@ -163,9 +163,9 @@
 }
 
 // noTarget returns the reply to a call for which there is no target.
-func (r *run) noTarget(permitted, full int) *reply {
+func (r *run) noTarget(permitted []*config.Target, full int) *reply {
 	switch {
-	case permitted == 0:
+	case len(permitted) == 0:
 		return refusal(http.StatusServiceUnavailable, codeNoTarget,
 			fault.New(fault.Unavailable, "no active target is permitted for this request", "see why with: rockdoor explain"), noTargetWait)
 	case full > 0:
@@ -173,7 +173,7 @@
 			fault.New(fault.Exhausted, "all permitted targets are full", "ask again after the time in Retry-After"), r.s.drainTime(r.c))
 	}
 	return refusal(http.StatusServiceUnavailable, codeNoTarget,
-		fault.New(fault.Unavailable, "all permitted targets failed", "ask again after the time in Retry-After"), noTargetWait)
+		fault.New(fault.Unavailable, "all permitted targets failed or rest", "ask again after the time in Retry-After"), r.restLeft(permitted, noTargetWait))
 }
 
 // room returns how many requests a target may have in hand for the call to be
@@ -186,7 +186,7 @@
 // this call, and how many have no room.
 func (r *run) candidates(permitted []*config.Target, fits func(*config.Target) bool) (cands []routing.Candidate, full int) {
 	for _, t := range permitted {
-		if r.avoid[t.Name] || !fits(t) {
+		if r.avoid[t.Name] || r.s.notices.Rest(t.Name) > 0 || !fits(t) {
 			continue
 		}
 		load := r.s.load(t, r.c)
@@ -243,6 +243,7 @@
 	}
 	done(a.State(), a.Err())
 	r.observe(a.State(), sent)
+	r.heed(t, a)
 	r.s.count("attempts."+string(a.State()), r.c)
 	return outcomeOf(a.State()), a.Err()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/limits"
+	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/quarantine"
@@ -58,6 +59,7 @@
 	runner   *attempt.Runner
 	breakers *breakers
 	watch    *suspects.Watch
+	notices  *notice.Board
 	retries  *limits.RetryBudget
 	outcomes *outcomes
 	lengths  *lengths
@@ -76,6 +78,7 @@
 		gate:     limits.NewGate(o.Settings.Limits.Requests, o.Settings.Limits.UrgentReserve),
 		runner:   attempt.NewRunner(o.Metrics),
 		breakers: newBreakers(),
+		notices:  notice.NewBoard(o.Logger),
 		retries:  limits.NewRetryBudget(),
 		outcomes: newOutcomes(),
 		lengths:  newLengths(),
