A process that starts asks at once which requests end engines

What callers saw: in a roll of eight processes a request that had ended four engines ended six more: each process sent it on in its first second, in which it knew nothing. Cause: what was known was asked for each second, first one second after the start. Change: a process that has heard nobody asks every 20 ms, for two seconds at most.

--- a/internal/gatewayd/deadly_test.go
+++ b/internal/gatewayd/deadly_test.go
@@ -132,3 +132,24 @@
 		})
 	}
 }
+
+// TestProcessThatStartsKnowsOfRequestsThatEndEngines starts a process after a request has ended
+// engines. Each process of a roll had it end one or two more in its first second: ten engines of twelve.
+func TestProcessThatStartsKnowsOfRequestsThatEndEngines(t *testing.T) {
+	// startsWithin is in what time it knows.
+	const startsWithin = 200 * time.Millisecond
+	d := newDeployment(t)
+	c := d.crashing(8)
+	all := []*process{d.gateway("a"), d.gateway("b")}
+	for n := 0; c.crashes() < enginesEnd; n++ {
+		all[n%len(all)].sendBody("/llm/x", fmt.Sprint("d-", n), deadlyBody, nil)
+		time.Sleep(deadlyEvery)
+	}
+	young := d.gateway("c")
+	time.Sleep(startsWithin)
+	before := c.arrivals(d)
+	for n := range 5 {
+		young.sendBody("/llm/x", fmt.Sprint("y-", n), deadlyBody, nil)
+	}
+	require.Equal(t, before, c.arrivals(d))
+}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,9 +23,13 @@
 	// gather is how long what is observed is collected before it is told: all requests in hand
 	// at an engine break off together when it ends.
 	gather = 10 * time.Millisecond
-	// askEvery is how often one other process is asked for what was missed. A process that has
-	// just started knows nothing before.
+	// askEvery is how often one other process is asked for what was missed.
 	askEvery = time.Second
+	// askFirst is how often others are asked by a process that has just started and knows nothing,
+	// until one has answered, or for firstTime: it would have requests end engines that all others
+	// refuse.
+	askFirst  = 20 * time.Millisecond
+	firstTime = 2 * time.Second
 	// callTimeout bounds one exchange.
 	callTimeout = 500 * time.Millisecond
 	// maxNews bounds the observations of one message; the rest follows with the next.
@@ -46,6 +51,8 @@
 type Sharer struct {
 	o      Options
 	logger log.Logger
+	// heard is true once another process has answered.
+	heard atomic.Bool
 
 	mu   sync.Mutex
 	told map[string]told // by peer
@@ -67,8 +74,9 @@
 
 // Run tells others what is new at once, and asks one of them each second, until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
-	tick := time.NewTicker(askEvery)
+	tick := time.NewTicker(askFirst)
 	defer tick.Stop()
+	begun, first := bootclock.Now(), true
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -76,6 +84,10 @@
 			time.Sleep(gather)
 			s.tell(ctx, s.o.Peers())
 		case <-tick.C:
+			if first && (s.heard.Load() || bootclock.Since(begun) > firstTime) {
+				first = false
+				tick.Reset(askEvery)
+			}
 			if peers := s.o.Peers(); len(peers) > 0 {
 				s.tell(ctx, []members.Member{peers[rand.IntN(len(peers))]})
 			}
@@ -100,6 +112,7 @@
 		return
 	}
 	s.hear(resp.GetFrom().GetName(), resp.GetCrashes())
+	s.heard.Store(true)
 }
 
 // HandlePeer implements peer.Handler.
