--- /dev/null
+++ b/internal/cli/quarantine.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/rockdoor/rockdoor/internal/gatewayd"
+)
+
+func gatewayQuarantine() *cli.Command {
+	return &cli.Command{
+		Name: "quarantine", Usage: "list requests under which instances have ended, or let one run again",
+		Description: example("A request is refused after three instances have ended under it. With --clear it may run again at all gateways.",
+			"rockdoor gateway quarantine --admin 10.1.0.22:9464"),
+		Flags: []cli.Flag{adminFlag(), &cli.StringFlag{Name: "clear", Usage: "`FINGERPRINT` of the request that may run again"}},
+		Action: func(c *cli.Context) error {
+			if f := c.String("clear"); f != "" {
+				_, err := call(c, http.MethodDelete, "/quarantine/"+url.PathEscape(f), nil, nil, nil)
+				return err
+			}
+			var all []gatewayd.SuspectStatus
+			if _, err := call(c, http.MethodGet, "/quarantine", nil, nil, &all); err != nil {
+				return err
+			}
+			t := newTable(c, "FINGERPRINT", "REFUSED FOR", "LAST END", "ENDED")
+			for _, s := range all {
+				refused := "-"
+				if s.Refused {
+					refused = seconds(s.RefusedForMs)
+				}
+				t.AppendRow([]any{s.Fingerprint, refused, seconds(s.LastEndMs) + " ago", strings.Join(s.Ended, " ")})
+			}
+			t.Render()
+			return nil
+		},
+	}
+}
+
+func seconds(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
+}
--- a/internal/gatewayd/deadly_test.go
+++ b/internal/gatewayd/deadly_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,4 +153,21 @@
 		young.sendBody("/llm/x", fmt.Sprint("y-", n), deadlyBody, nil)
 	}
 	require.Equal(t, before, c.arrivals(d))
+
+	var known []SuspectStatus
+	young.get(t, "/quarantine", &known)
+	require.Len(t, known, 1)
+	require.True(t, known[0].Refused)
+	for fingerprint, want := range map[string]int{"odd": http.StatusBadRequest, strings.Repeat("0", 32): http.StatusNotFound, known[0].Fingerprint: http.StatusOK} {
+		req, err := http.NewRequest(http.MethodDelete, "http://"+young.set.Metrics+"/quarantine/"+fingerprint, nil)
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, want, resp.StatusCode, fingerprint)
+	}
+	require.Eventually(t, func() bool {
+		all[0].get(t, "/quarantine", &known)
+		return !known[0].Refused
+	}, 2*time.Second, 10*time.Millisecond, "it may run again at all processes")
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -235,6 +235,8 @@
 	operators.HandleFunc("/metrics", d.metrics).Methods(http.MethodGet)
 	operators.HandleFunc("/status", d.status).Methods(http.MethodGet)
 	operators.HandleFunc("/explain", d.explain).Methods(http.MethodGet)
+	operators.HandleFunc("/quarantine", d.quarantine).Methods(http.MethodGet)
+	operators.HandleFunc("/quarantine/{fingerprint}", d.clearQuarantine).Methods(http.MethodDelete)
 	d.operators = httpServer(operators)
 }
 
--- /dev/null
+++ b/internal/gatewayd/quarantine.go
@@ -0,0 +1,52 @@
+package gatewayd
+
+import (
+	"net/http"
+
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/quarantine"
+)
+
+// SuspectStatus is what a gateway knows of a request under which instances have ended.
+type SuspectStatus struct {
+	Fingerprint string   `json:"fingerprint"`
+	Ended       []string `json:"ended"`
+	LastEndMs   int64    `json:"lastEndMs"`
+	// Refused is true if it gets to no instance, for RefusedForMs more.
+	Refused      bool  `json:"refused"`
+	RefusedForMs int64 `json:"refusedForMs"`
+}
+
+// quarantine lists the requests under which instances have ended.
+func (d *Daemon) quarantine(w http.ResponseWriter, _ *http.Request) {
+	out := []SuspectStatus{}
+	for _, s := range d.suspects.Suspects() {
+		out = append(out, SuspectStatus{
+			Fingerprint: s.Request.String(), Ended: s.Verdict.Ended, LastEndMs: s.LastEnd.Milliseconds(),
+			Refused: s.Verdict.Refused, RefusedForMs: s.Verdict.RetryAfter.Milliseconds(),
+		})
+	}
+	d.answer(w, http.StatusOK, out)
+}
+
+// clearQuarantine has a request run again, at all processes: an operator's word counts as a good run.
+func (d *Daemon) clearQuarantine(w http.ResponseWriter, r *http.Request) {
+	f, err := quarantine.ParseFingerprint(mux.Vars(r)["fingerprint"])
+	if err != nil {
+		d.answer(w, http.StatusBadRequest, admin.ErrorBody{Kind: fault.Invalid, Message: err.Error()})
+		return
+	}
+	v := d.suspects.Look(f)
+	if len(v.Ended) == 0 {
+		err := fault.Newf(fault.NotFound, "list them with: rockdoor gateway quarantine", "no instance has ended under %s", f)
+		d.answer(w, http.StatusNotFound, admin.ErrorBody{Kind: fault.NotFound, Message: err.Error()})
+		return
+	}
+	d.suspects.Sound(f)
+	level.Warn(d.logger).Log("msg", "request cleared by an operator", "fingerprint", f, "refused", v.Refused)
+	d.answer(w, http.StatusOK, struct{}{})
+}
