A request that is refused gets its trial; what instances said outlasts a lapsed registration

Seen on reading the diff: the last look before a request is written judged it again, took the trial for a second try beside the first and refused it, so that a request was refused for good; and what an instance had said was forgotten as soon as its registration lapsed, which it does while the store is away. Change: the decision says that this try is the trial, and the last look asks only what has become known since; notices of runs that are not registered are kept for five minutes and the rest that was asked for. The second point is read, not run.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rockdoor/rockdoor/internal/charts"
@@ -25,7 +26,7 @@
 	if !v.Refused {
 		return nil
 	}
-	return refusal(http.StatusServiceUnavailable, codeQuarantined, suspects.Refusal(v), v.RetryAfter)
+	return refusal(http.StatusServiceUnavailable, codeQuarantined, suspects.Refusal(strings.Join(v.Ended, ", ")), v.RetryAfter)
 }
 
 // observe takes in how an attempt at the target ended that was sent at a time. A target that was
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/platform"
+	"github.com/rockdoor/rockdoor/quarantine"
 )
 
 const (
@@ -56,6 +57,8 @@
 	model  []*fleetengine.Engine
 	// domains are those of instances that are not in domain a.
 	domains map[string]string
+	// quarantine knows which requests end instances; it may be nil.
+	quarantine *quarantine.Table
 	// spot is true if the platform may take the instances away.
 	spot bool
 	// placed is told of each plan before it is carried out; it may be nil.
@@ -107,7 +110,7 @@
 	}
 	g := gateway.New(gateway.Options{
 		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
-		MaxProofAge: testProofAge, Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
+		MaxProofAge: testProofAge, Quarantine: o.quarantine, Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"strings"
+	"time"
+
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/suspects"
@@ -34,14 +37,20 @@
 		return nil
 	}
 	v := q.s.o.Quarantine.Judge(q.fingerprint())
+	q.trial = v.Trial
 	if !v.Refused {
 		return nil
 	}
-	return refusedBy(v)
+	return refusedBy(strings.Join(v.Ended, ", "), v.RetryAfter)
+}
+
+func refusedBy(known string, retryAfter time.Duration) *reply {
+	return given(codeQuarantined, suspects.Refusal(known), retryAfter)
 }
 
-func refusedBy(v quarantine.Verdict) *reply {
-	return given(codeQuarantined, suspects.Refusal(v), v.RetryAfter)
+// convicted reports whether it has become known since the decision that the request ends instances.
+func (q *request) convicted() bool {
+	return !q.trial && !q.s.o.Quarantine.Empty() && q.s.o.Quarantine.Look(q.fingerprint()).Refused
 }
 
 // broke takes in that the connection to an instance that may have been at work on the request broke.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -88,6 +88,8 @@
 	writeErr error
 	// sentAt is when it was sent to an instance last.
 	sentAt bootclock.Instant
+	// trial is true if the request may run though instances have ended under it.
+	trial bool
 	// print is the fingerprint once it was asked for.
 	print quarantine.Fingerprint
 }
@@ -198,7 +200,7 @@
 		retry = unknownRetry
 	}
 	if q.plan.Reason == placement.ReasonQuarantined {
-		return refusedBy(quarantine.Verdict{RetryAfter: retry, Ended: []string{"known to " + q.plan.By}})
+		return refusedBy("known to "+q.plan.By, retry)
 	}
 	err := fault.New(fault.Unavailable, "no instance of "+q.service+" takes the request: "+string(q.plan.Reason), "ask again after the time in Retry-After")
 	return given(string(q.plan.Reason), err, retry)
@@ -366,10 +368,9 @@
 // It may also have become known meanwhile that the request ends the instances that run it.
 func (q *request) mayStillRun(i *fleet.Instance) error {
 	q.sentAt = bootclock.Now()
-	if rep := q.quarantined(); rep != nil {
-		return fault.Wrap(rep.err, fault.Unavailable, "not sent", "the request is refused")
-	}
 	switch {
+	case q.convicted():
+		return fault.New(fault.Unavailable, "instances have ended under the request since the decision", "the request is refused")
 	case q.s.notices.Leaving(i.Run()), !q.s.o.View().Takes(q.service, i.ID):
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
 	case q.s.notices.Rest(i.Run()) > 0:
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -13,6 +13,9 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 )
 
+// keptFor is for how long at the least what an instance has said is kept.
+const keptFor = 5 * time.Minute
+
 // Board holds what the instances have said. It is safe for concurrent use.
 type Board struct {
 	logger log.Logger
@@ -24,6 +27,8 @@
 // said is what one run of an instance has said.
 type said struct {
 	leaving bool
+	// heard is when it said something new last.
+	heard bootclock.Instant
 	// restUntil is when the instance wants requests again.
 	restUntil bootclock.Instant
 }
@@ -41,7 +46,7 @@
 	if s.leaving {
 		return
 	}
-	s.leaving = true
+	s.leaving, s.heard = true, bootclock.Now()
 	level.Info(b.logger).Log("msg", "instance says that it leaves", "instance", instance, "request", request)
 }
 
@@ -54,7 +59,7 @@
 	if until <= s.restUntil {
 		return
 	}
-	s.restUntil = until
+	s.restUntil, s.heard = until, bootclock.Now()
 	level.Info(b.logger).Log("msg", "instance asks for rest", "instance", instance, "request", request, "for", d)
 }
 
@@ -89,12 +94,13 @@
 // Unwilling reports whether a run of an instance wants nothing now: it leaves or rests.
 func (b *Board) Unwilling(instance string) bool { return b.Leaving(instance) || b.Rest(instance) > 0 }
 
-// Retain forgets all runs but those that keep names.
+// Retain forgets the runs that keep does not name, and that have said nothing for a while:
+// registrations lapse while the store is away, and come back.
 func (b *Board) Retain(keep func(instance string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for instance := range b.all {
-		if !keep(instance) {
+	for instance, s := range b.all {
+		if !keep(instance) && bootclock.Since(s.heard) > keptFor && s.restUntil < bootclock.Now() {
 			delete(b.all, instance)
 		}
 	}
--- a/internal/suspects/watch.go
+++ b/internal/suspects/watch.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Refusal returns the error for a request that is refused by a verdict.
-func Refusal(v quarantine.Verdict) error {
+// Refusal returns the error for a request that is refused, where by says how that is known.
+func Refusal(by string) error {
 	return fault.Newf(fault.Denied, "check the request; it is tried again after the time in Retry-After",
-		"instances ended while they ran this request: %s", strings.Join(v.Ended, ", "))
+		"instances ended while they ran this request: %s", by)
 }
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -57,5 +57,14 @@
 
 // compare orders candidates by how much speaks against them.
 func (c *candidate) compare(d *candidate) int {
-	return cmp.Or(cmp.Compare(len(c.ended), len(d.ended)), cmp.Compare(d.ran/time.Duration(max(len(d.ended), 1)), c.ran/time.Duration(max(len(c.ended), 1))), bytes.Compare(c.f[:], d.f[:]))
+	return cmp.Or(
+		cmp.Compare(len(c.ended), len(d.ended)),
+		cmp.Compare(d.meanRun(), c.meanRun()),
+		bytes.Compare(c.f[:], d.f[:]),
+	)
+}
+
+// meanRun returns how long it had been at an instance in the mean.
+func (c *candidate) meanRun() time.Duration {
+	return c.ran / time.Duration(max(len(c.ended), 1))
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -44,8 +44,9 @@
 	// Refused is true if it may not, RetryAfter when asking again makes sense.
 	Refused    bool
 	RetryAfter time.Duration
-	// Convicted is true if the request is to blame. One try may run after its time.
-	Convicted bool
+	// Convicted is true if the request is to blame, Trial if this try may run all the same, since
+	// its time has passed.
+	Convicted, Trial bool
 	// Ended are the instances that ended under it.
 	Ended []string
 }
@@ -101,6 +102,9 @@
 	return &Table{now: bootclock.Now, suspects: map[Fingerprint]*suspect{}, news: make(chan struct{}, 1)}
 }
 
+// SetClock replaces the clock. It is called before the table is used.
+func (t *Table) SetClock(now func() bootclock.Instant) { t.now = now }
+
 // News has an entry when something new was observed or told.
 func (t *Table) News() <-chan struct{} { return t.news }
 
@@ -225,7 +229,7 @@
 	defer t.mu.Unlock()
 	v := t.verdict(f)
 	if v.Convicted && !v.Refused {
-		t.suspects[f].trial = t.now()
+		v.Trial, t.suspects[f].trial = true, t.now()
 	}
 	return v
 }
