--- a/internal/cachescan/cachescan.go
+++ b/internal/cachescan/cachescan.go
@@ -1,8 +1,7 @@
 // Package cachescan asks engines, once in the life of a process, what their prefix
 // caches keep. A process learns of later reads from its own work and from its peers; what
-// was read before it started only the engines know, if the other processes were lost too.
-// From 2 to 6 s after a loss of all processes 0.89 of the worth was earned with it, 0.70
-// without (one played day); 18 lists take 25 to 40 ms.
+// was read before it started only the engines know, if the other processes were lost too:
+// without it, prompts that an engine keeps are read again elsewhere.
 package cachescan
 
 import (
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -15,10 +15,8 @@
 
 // chooseBackup returns the engine that is to get a copy of the run's memory as it grows, nil
 // for none. Only streams that may not run twice need one: others are resumed, and read again
-// what is lost. And only those at engines that the platform may take away: where it does,
-// whole days earn 0.024 more of their worth with copies, and where it does not they earn 0.035
-// less, since copies wait in the way of prompts that are moved (means of played days). The
-// copy is kept in another failure domain, since those of one are taken away together, and
+// what is lost. And only those at engines that the platform may take away: elsewhere copies cost
+// more, as they wait in the way of prompts that are moved, than they save. The copy is kept in another failure domain, since those of one are taken away together, and
 // copies are spread over all engines there.
 func (q *request) chooseBackup(runner *fleet.Instance) *fleet.Instance {
 	v := q.s.o.View()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,8 +27,7 @@
 	// an instance cannot use.
 	minLeft = 20 * time.Millisecond
 	// refusalTime is how long before a caller leaves it is refused, so that it hears of
-	// it: some tens of ms on the way and at a busy process. Of 1,374 long prompts 195 were
-	// never answered without it and 129 with it, on one played day of faults.
+	// it: some tens of ms on the way and at a busy process.
 	refusalTime = 60 * time.Millisecond
 	// unknownRetry is when to come back if no instance is known.
 	unknownRetry = 500 * time.Millisecond
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -204,8 +204,8 @@
 }
 
 // keepOpen gives up the tickets of a client that it does not list. Their ends, or the answers
-// with which they were given, were lost: a scheduler that was stopped for 4 s counted 75
-// requests at five instances for the next minute, and refused all that came.
+// with which they were given, were lost: a scheduler that was stopped for a while would
+// count them at its instances for the next minute, and refuse all that come.
 func (s *Server) keepOpen(from *peerpb.Identity, open []uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,7 +176,7 @@
 }
 
 // writers are kept for later requests: the library allocates one for each request that is not
-// written to one, which was 0.13 of the bytes allocated on the path of a short request.
+// written to one.
 var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
 func (a *Answer) write(req *http.Request) {
--- a/placement/breaker.go
+++ b/placement/breaker.go
@@ -13,9 +13,8 @@
 )
 
 // breaker keeps requests away from an instance that fails all of them. One that refuses
-// at once never has work in hand, so that it looks like the least loaded of all. On one
-// played day of faults engines refused 684 sends without it, nearly all of them one such
-// engine, and 224 requests were given up with the retry budget used up; with it 263 and none.
+// at once never has work in hand, so that it looks like the least loaded of all, and would
+// use the retry budget up.
 type breaker struct {
 	// failed counts the attempts in a row that failed, failedAt is when the last did.
 	failed   int
--- a/placement/model.go
+++ b/placement/model.go
@@ -161,9 +161,8 @@
 
 // Ahead returns how long an engine is busy before it reads a new prompt at a rank, in
 // ms: the prompts of this rank and the more urgent ones are read first, and one of the
-// others that is being read is finished. With all prompts counted 0.70 of the short urgent
-// ones are in time, with these 0.96 (replay of a load of mostly reading, 1.2 times what the
-// readers can do).
+// others that is being read is finished. With all prompts counted, short urgent ones would be
+// late behind long ones that they pass.
 func (m *Model) Ahead(u *Unread, rank int) float64 {
 	if !m.policy.Has(RankedQueue) {
 		return m.Busy(u.All())
--- a/placement/reader.go
+++ b/placement/reader.go
@@ -18,8 +18,8 @@
 	// have given way there.
 	fetchedCost = 0.15
 	// targetShare is the part of the latency target within which an answer must be
-	// expected for the request not to be late. Estimates err by some 30 ms: without
-	// a margin two of five requests on the edge were late, by their logs.
+	// expected for the request not to be late. Estimates err: without
+	// a margin requests on the edge are late.
 	targetShare = 0.85
 	// strangerRead is how much longer, in ms, the home of a subject may take than
 	// another engine: what nobody keeps is best kept in one place.
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -59,8 +59,7 @@
 }
 
 // keep records that the reader keeps the prompt. Were it taken for kept from its placement on,
-// others would fetch it from there before it is read, which costs 0.0145 of the worth (standard
-// error 0.0018, replay of a restart under long prompts). The caller holds the lock.
+// others would fetch it from there before it is read. The caller holds the lock.
 func (t *Ticket) keep() {
 	t.reader.read(t.parts, t.own)
 	t.p.reads.add(Read{t.reader.id, t.parts, t.own}, t.p.now())
@@ -100,8 +99,7 @@
 	if !t.late {
 		r.measure(toMillis(took), t.expected)
 	}
-	// A read that waited for another process's tells nothing of the engine: with such
-	// reads estimates err by 0.30 instead of 0.19 (replay of a load of mostly reading).
+	// A read that waited for another process's tells nothing of the engine.
 	if !t.p.policy.Has(CleanSamples) || t.alone(r) {
 		t.model.Observe(t.reading.Unread.All().Work, took)
 	}
--- a/roles/packing.go
+++ b/roles/packing.go
@@ -38,8 +38,7 @@
 	// queueLimit is the queue, in ms, from which another reader is worth having.
 	queueLimit = 40.0
 	// waitFor and crowdedFor are how long prompts must have waited, or generating
-	// engines been too few, before a role changes. With 300 ms instead of 700 the mean
-	// worth of played days rises by 0.004 (54 days, standard error 0.002).
+	// engines been too few, before a role changes: prompts that wait are late sooner.
 	waitFor    = 300 * time.Millisecond
 	crowdedFor = 700 * time.Millisecond
 	// shiftFor is how long prompts must have waited before an engine with more than
@@ -53,10 +52,8 @@
 	learnTime  = 4 * time.Second
 	learnShare = 0.6
 	// readersPerGateway bounds how many engines read before the first request, besides
-	// learnShare: the prompts of one gateway kept 0.06 to 1 engines reading on five
-	// deployments (worked out from their rates). With readers in advance the mean worth of
-	// played days of a load that is mostly reading rises by 0.024 (12 days, standard error
-	// 0.004); without this bound 3,000 engines before 300 idle gateways got 900 orders.
+	// learnShare, so that the first prompts find readers; without the bound a large fleet of idle
+	// engines would get an order each.
 	readersPerGateway = 1
 	// minGenerating engines, and the share minGeneratingShare of all, are kept, so
 	// that the loss of one, or of a slow link, stops nothing: each takes over the
