--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -31,9 +31,12 @@
 }
 
 // unwilling returns the instances that are not to get the request: those that failed it, and those
-// that have said that they leave, or that they want nothing from this process now. It names them also to another process that decides, which
-// may not have heard them.
+// that have said that they leave, or that they want nothing from this process now. Another
+// process that decides is told of them, since it may not have heard them.
 func (q *request) unwilling(permitted []*fleet.Instance) map[string]bool {
+	if q.s.notices.Empty() {
+		return q.avoid
+	}
 	out := maps.Clone(q.avoid)
 	for _, i := range permitted {
 		if q.s.notices.Unwilling(i.Run()) {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -72,6 +72,13 @@
 	return s
 }
 
+// Empty reports whether no instance has said anything, so that none needs to be looked up.
+func (b *Board) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.all) == 0
+}
+
 // Leaving reports whether a run of an instance has said that it leaves.
 func (b *Board) Leaving(instance string) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/notice/notice_test.go
@@ -0,0 +1,32 @@
+package notice
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBoard(t *testing.T) {
+	b := NewBoard(log.NewNopLogger())
+	require.True(t, b.Empty())
+	b.Leaves("a@1", "r")
+	b.Rests("b", "r", time.Hour)
+	b.Rests("b", "r", time.Minute)
+	require.True(t, b.Unwilling("a@1"))
+	require.False(t, b.Unwilling("a@2"), "a later run has said nothing")
+	require.Greater(t, b.Rest("b"), 59*time.Minute, "the longer one holds")
+	b.Retain(func(string) bool { return false })
+	require.True(t, b.Leaving("a@1"), "its registration may come back")
+}
+
+func TestRestAsked(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"3": 3 * time.Second, "0.5": 500 * time.Millisecond, "1e99": maxRest, "": 0, "-1": 0, "NaN": 0, "soon": 0,
+	} {
+		require.Equal(t, want, RestAsked(http.StatusServiceUnavailable, http.Header{"Retry-After": {text}}), text)
+	}
+	require.Zero(t, RestAsked(http.StatusOK, http.Header{"Retry-After": {"3"}}))
+}
