--- a/internal/entry/rest.go
+++ b/internal/entry/rest.go
@@ -18,11 +18,9 @@
 // restLeft returns when the first of the targets that rest wants calls again, otherwise if none
 // rests.
 func (r *run) restLeft(permitted []*config.Target, otherwise time.Duration) time.Duration {
-	left := time.Duration(0)
+	var names []string
 	for _, t := range permitted {
-		if rest := r.s.notices.Rest(t.Name); rest > 0 && (left == 0 || rest < left) {
-			left = rest
-		}
+		names = append(names, t.Name)
 	}
-	return cmp.Or(left, otherwise)
+	return cmp.Or(r.s.notices.FirstRest(names), otherwise)
 }
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -16,8 +16,9 @@
 // chooseBackup returns the engine that is to get a copy of the run's memory as it grows, nil
 // for none. Only streams that may not run twice need one: others are resumed, and read again
 // what is lost. And only those at engines that the platform may take away: elsewhere copies cost
-// more, as they wait in the way of prompts that are moved, than they save. The copy is kept in another failure domain, since those of one are taken away together, and
-// copies are spread over all engines there.
+// more, as they wait in the way of prompts that are moved, than they save. The copy is kept in
+// another failure domain, since those of one are taken away together, and copies are spread over
+// all engines there.
 func (q *request) chooseBackup(runner *fleet.Instance) *fleet.Instance {
 	v := q.s.o.View()
 	if !runner.Spot || q.route.Kind != fleet.Streaming || q.route.Resumable || !v.Config.Services[q.service].Backups {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -49,11 +49,9 @@
 // restLeft returns when the first of the instances that may run the request and rest wants some
 // again, 0 if none rests.
 func (q *request) restLeft() time.Duration {
-	left := time.Duration(0)
+	var runs []string
 	for _, i := range q.s.o.View().Permitted(q.route.Name, q.service) {
-		if rest := q.s.notices.Rest(i.Run()); rest > 0 && (left == 0 || rest < left) {
-			left = rest
-		}
+		runs = append(runs, i.Run())
 	}
-	return left
+	return q.s.notices.FirstRest(runs)
 }
--- a/internal/gatewayd/deadly_test.go
+++ b/internal/gatewayd/deadly_test.go
@@ -100,10 +100,7 @@
 // that a fleet wrote in twenty seconds, 55 bore one fingerprint and no other was borne by more
 // than two; 30 engines had ended, and each of them had been running that request.
 func TestRequestThatEndsItsEngines(t *testing.T) {
-	for name, start := range map[string]func(d *deployment) []*process{
-		"few":   func(d *deployment) []*process { return []*process{d.gateway("a"), d.gateway("b"), d.gateway("c")} },
-		"large": func(d *deployment) []*process { return d.largeFleet() },
-	} {
+	for name, start := range fleetStarts {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			d.bound = "3s"
--- a/internal/gatewayd/notice_test.go
+++ b/internal/gatewayd/notice_test.go
@@ -13,9 +13,9 @@
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 )
 
-// noticeStarts are the fleets in which instances say something of themselves: one in which each
-// process decides for itself, and one in which a few decide for all.
-var noticeStarts = map[string]func(d *deployment) []*process{
+// fleetStarts start the two kinds of fleets: one in which each process decides for itself, and one
+// in which a few decide for all.
+var fleetStarts = map[string]func(d *deployment) []*process{
 	"few":   func(d *deployment) []*process { return []*process{d.gateway("a"), d.gateway("b"), d.gateway("c")} },
 	"large": func(d *deployment) []*process { return d.largeFleet() },
 }
@@ -24,7 +24,7 @@
 // from the store.
 func TestInstanceSaysItLeavesWhileTheStoreIsAway(t *testing.T) {
 	const sends = 12
-	for name, start := range noticeStarts {
+	for name, start := range fleetStarts {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			d.bound = "3s"
@@ -53,7 +53,7 @@
 // may send it nothing more, and the others, which it did not ask, may.
 func TestInstanceAsksForRestInAFleet(t *testing.T) {
 	const sends = 12
-	for name, start := range noticeStarts {
+	for name, start := range fleetStarts {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			d.bound = "3s"
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -98,6 +98,18 @@
 	return max(s.restUntil.Sub(bootclock.Now()), 0)
 }
 
+// FirstRest returns for how long the one of some runs that rests the shortest still wants nothing, 0
+// if none rests.
+func (b *Board) FirstRest(instances []string) time.Duration {
+	first := time.Duration(0)
+	for _, instance := range instances {
+		if rest := b.Rest(instance); rest > 0 && (first == 0 || rest < first) {
+			first = rest
+		}
+	}
+	return first
+}
+
 // Unwilling reports whether a run of an instance wants nothing now: it leaves or rests.
 func (b *Board) Unwilling(instance string) bool { return b.Leaving(instance) || b.Rest(instance) > 0 }
 
