Processes read the rate that an instance limits itself to, and log when it begins, changes and ends

Change: engine.RateLimit is decoded in the adapter, package ratelimit keeps the newest statement of each run of an instance, logs a line when a limit begins, ends and (at most once a second) changes, and counts the limits in force. The completion service reads a header of its own, at the head of an answer and no more at its end. Nothing acts on it yet. The stand-ins can name a limit. Conclusion: sight only.

--- a/engine/openai/openai.go
+++ b/engine/openai/openai.go
@@ -27,6 +27,9 @@
 	KVTokensHeader = "X-Kv-Tokens"
 	// NotRunHeader marks a refusal of an engine that has not begun the request.
 	NotRunHeader = "X-Not-Run"
+	// RateLimitHeader has the requests a second that a target takes from all entry hosts together,
+	// in its answers for as long as it limits them.
+	RateLimitHeader = "X-Rate-Limit"
 )
 
 // PhasePrefill is the value of PhaseHeader.
--- a/engine/serving.go
+++ b/engine/serving.go
@@ -93,6 +93,8 @@
 	// Rest is for how long an instance that turned the request away wants nothing more from
 	// this process, 0 if it does not say.
 	Rest time.Duration
+	// RateLimit is what the answer says of the rate of requests that the instance takes.
+	RateLimit RateLimit
 }
 
 // Protocol translates between the product and what callers and instances speak.
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/charts"
@@ -127,6 +128,15 @@
 	return notice.RestAsked(a.Status(), a.Header())
 }
 
+// RateLimit returns what the target says of the rate of requests that it takes, false if it has not
+// answered.
+func (a *Attempt) RateLimit() (engine.RateLimit, bool) {
+	if a.answer == nil {
+		return engine.RateLimit{}, false
+	}
+	return engine.ReadRateLimit(a.Header().Get(openai.RateLimitHeader)), true
+}
+
 // Length returns the length of the answer's body in bytes, -1 if unknown.
 func (a *Attempt) Length() int64 { return a.answer.Length }
 
--- a/internal/entry/phases.go
+++ b/internal/entry/phases.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/openai"
@@ -66,14 +67,15 @@
 	header := r.c.header.Clone()
 	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
 	header.Set(openai.PhaseHeader, openai.PhasePrefill)
+	sentAt := bootclock.Now()
 	a := r.s.runner.Start(r.ctx, attempt.Spec{
 		ID: r.c.id + "-p" + strconv.Itoa(r.attempts), Address: t.Address,
 		Method: r.c.method, URI: r.c.uri, Header: header, Body: r.c.body,
 	})
+	r.heed(t, a, sentAt)
 	if a.State() == charts.AttemptAnswering {
 		_, _ = a.ReadAll(bufferedAnswer, func(body []byte) error { return r.takeExport(a, body) })
 	}
-	r.heed(t, a)
 	if a.State() != charts.AttemptComplete {
 		level.Info(r.s.o.Logger).Log("msg", "prompt not read apart", "request", r.c.id, "target", t.Name, "state", a.State(), "err", a.Err())
 	}
--- a/internal/entry/rest.go
+++ b/internal/entry/rest.go
@@ -4,15 +4,20 @@
 	"cmp"
 	"time"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/internal/attempt"
 )
 
-// heed takes in whether the target of an attempt asks for rest.
-func (r *run) heed(t *config.Target, a *attempt.Attempt) {
+// heed takes in what the target of an attempt says of itself: whether it asks for rest, and whether it
+// limits the rate of requests.
+func (r *run) heed(t *config.Target, a *attempt.Attempt, sent bootclock.Instant) {
 	if rest := a.RestAsked(); rest > 0 {
 		r.s.notices.Rests(t.Name, r.c.id, rest)
 	}
+	if l, answered := a.RateLimit(); answered {
+		r.s.limits.Heard(t.Name, r.c.id, l, sent)
+	}
 }
 
 // restLeft returns when the first of the targets that rest wants calls again, otherwise if none
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/claims"
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine/openai"
@@ -233,17 +234,17 @@
 	if r.delivered > 0 {
 		header.Set(openai.ResumeHeader, strconv.Itoa(r.delivered))
 	}
-	sent := time.Now()
+	sent, sentAt := time.Now(), bootclock.Now()
 	a := r.s.runner.Start(r.ctx, attempt.Spec{
 		ID: r.c.id + "-" + strconv.Itoa(r.attempts), Address: t.Address,
 		Method: r.c.method, URI: r.c.uri, Header: header, Body: r.c.body,
 	})
+	r.heed(t, a, sentAt)
 	if a.State() == charts.AttemptAnswering {
 		r.relay(a, r.work)
 	}
 	done(a.State(), a.Err())
 	r.observe(a.State(), sent)
-	r.heed(t, a)
 	r.s.count("attempts."+string(a.State()), r.c)
 	return outcomeOf(a.State()), a.Err()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/limits"
 	"github.com/rockdoor/rockdoor/internal/notice"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/quarantine"
@@ -47,8 +48,11 @@
 	// Quarantine knows which calls end the targets that run them; without one this process
 	// alone learns it.
 	Quarantine *quarantine.Table
-	Metrics    metrics.Registry
-	Logger     log.Logger
+	// Limits are the rates that targets limit themselves to; without any this process alone
+	// keeps them.
+	Limits  *ratelimit.Table
+	Metrics metrics.Registry
+	Logger  log.Logger
 }
 
 // Server is the handler of callers' requests.
@@ -60,6 +64,7 @@
 	breakers *breakers
 	watch    *suspects.Watch
 	notices  *notice.Board
+	limits   *ratelimit.Table
 	retries  *limits.RetryBudget
 	outcomes *outcomes
 	lengths  *lengths
@@ -73,12 +78,16 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTable()
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTable(o.Metrics, o.Logger)
+	}
 	s := &Server{
 		o:        o,
 		gate:     limits.NewGate(o.Settings.Limits.Requests, o.Settings.Limits.UrgentReserve),
 		runner:   attempt.NewRunner(o.Metrics),
 		breakers: newBreakers(),
 		notices:  notice.NewBoard(o.Logger),
+		limits:   o.Limits,
 		retries:  limits.NewRetryBudget(),
 		outcomes: newOutcomes(),
 		lengths:  newLengths(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/notice"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -57,6 +58,9 @@
 	// Quarantine knows which requests end the instances that run them; without one this
 	// process alone learns it.
 	Quarantine *quarantine.Table
+	// Limits are the rates that instances limit themselves to; without any this process alone
+	// keeps them.
+	Limits *ratelimit.Table
 	// Began is told of each request of a workspace that begins to run; it may be nil.
 	Began   func(workspace string)
 	Metrics metrics.Registry
@@ -69,6 +73,7 @@
 	budget   *budget
 	watch    *suspects.Watch
 	notices  *notice.Board
+	limits   *ratelimit.Table
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -78,10 +83,13 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTable()
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTable(o.Metrics, o.Logger)
+	}
 	return &Server{
 		o: o, budget: newBudget(o.Budget),
-		notices: notice.NewBoard(o.Logger),
-		watch:   &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
+		notices: notice.NewBoard(o.Logger), limits: o.Limits,
+		watch: &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
 	}
 }
 
@@ -89,7 +97,10 @@
 func (s *Server) ApplyRetries(ratio, slack float64) { s.budget.allow(ratio, slack) }
 
 // Retain forgets what instances have said, but for those whose runs keep names.
-func (s *Server) Retain(keep func(run string) bool) { s.notices.Retain(keep) }
+func (s *Server) Retain(keep func(run string) bool) {
+	s.notices.Retain(keep)
+	s.limits.Retain(keep)
+}
 
 // InHand returns the number of requests that are being served.
 func (s *Server) InHand() int64 { return s.inHand.Load() }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -27,6 +27,7 @@
 	if v.Rest > 0 {
 		q.s.notices.Rests(i.Run(), q.call.ID, v.Rest)
 	}
+	q.s.limits.Heard(i.Run(), q.call.ID, v.RateLimit, q.sentAt)
 	return a, v, nil
 }
 
--- a/internal/standin/fleetengine/arrival.go
+++ b/internal/standin/fleetengine/arrival.go
@@ -22,6 +22,8 @@
 	headerID = "X-Request-Id"
 	// headerLeaving is set on the answers of an instance that leaves.
 	headerLeaving = "Server-Leaving"
+	// headerRateLimit is set on the answers of an instance that limits the rate of requests.
+	headerRateLimit = "Server-Limit"
 	// headerNotRun is set on answers to requests that an instance did not run.
 	headerNotRun = "X-Not-Executed"
 )
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -43,6 +43,8 @@
 
 // Run is one request that was run or read.
 type Run struct {
+	// At is when it arrived.
+	At        time.Time
 	ID        string
 	Path      string
 	Header    http.Header
@@ -74,7 +76,9 @@
 	Deadly string
 	Crash  func()
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// limit is what the engine names as its rate limit, empty for none.
+	limit   string
 	stage   string
 	fault   Fault
 	faults  int
@@ -181,18 +185,28 @@
 	e.Leaving = true
 }
 
-// sayLeaving adds what the engine says of itself to an answer.
-func (e *Engine) sayLeaving(w http.ResponseWriter) {
+// SetRateLimit has the engine name a rate limit in its answers from now on, none if it is empty.
+func (e *Engine) SetRateLimit(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = text
+}
+
+// sayState adds what the engine says of itself to an answer.
+func (e *Engine) sayState(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.Leaving {
 		w.Header().Set(headerLeaving, "1")
 	}
+	if e.limit != "" {
+		w.Header().Set(headerRateLimit, e.limit)
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.sayLeaving(w)
+	e.sayState(w)
 	switch {
 	case r.URL.Path == "/report":
 		e.report(w)
@@ -277,7 +291,7 @@
 		return
 	}
 	a := ReadArrival(r, body)
-	run := Run{ID: a.ID, Path: a.Path, Header: r.Header.Clone(), Body: a.Body, LastEvent: r.Header.Get("Last-Event-Id")}
+	run := Run{At: time.Now(), ID: a.ID, Path: a.Path, Header: r.Header.Clone(), Body: a.Body, LastEvent: r.Header.Get("Last-Event-Id")}
 	if !e.meant(a) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/standin/serviced/serviced.go
+++ b/internal/standin/serviced/serviced.go
@@ -27,6 +27,8 @@
 	Silent bool `json:"silent"`
 	// RestSeconds refuses calls with 503 and asks for that much rest.
 	RestSeconds int `json:"restSeconds"`
+	// RateLimit is named in all answers as the rate limit, empty for none.
+	RateLimit string `json:"rateLimit"`
 }
 
 // Run is the record of one call.
@@ -104,6 +106,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if f.RateLimit != "" {
+		w.Header().Set(openai.RateLimitHeader, f.RateLimit)
+	}
 	if f.RestSeconds > 0 {
 		w.Header().Set(openai.NotRunHeader, "1")
 		w.Header().Set("Retry-After", strconv.Itoa(f.RestSeconds))
