--- /dev/null
+++ b/internal/entry/ratelimit_test.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+)
+
+// TestTargetThatLimitsItsRate has a target name a rate limit in its answers. It got as many calls as
+// the other one.
+func TestTargetThatLimitsItsRate(t *testing.T) {
+	const during, most = 2 * time.Second, 1 + 1.2*5*2
+	limits := map[string]struct {
+		limit func(f *fleet)
+		send  func(f *fleet, n int) got
+		runs  func(f *fleet) int
+	}{
+		"a service": {
+			func(f *fleet) { f.services[0].SetFaults(serviced.Faults{RateLimit: "5"}) },
+			func(f *fleet, n int) got { return f.do(http.MethodPost, "/alerts/x", fmt.Sprint(n)) },
+			func(f *fleet) int { return len(f.services[0].Runs()) },
+		},
+		"an engine": {
+			func(f *fleet) { f.engines[0].SetFaults(engined.Faults{RateLimit: "5"}) },
+			func(f *fleet, _ int) got { return f.chat("notes", false) },
+			func(f *fleet) int { return len(f.engines[0].Runs()) },
+		},
+	}
+	for name, c := range limits {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			c.limit(f)
+			for n, begun := 0, time.Now(); time.Since(begun) < during; n++ {
+				got := c.send(f, n)
+				require.Equal(t, http.StatusOK, got.status, got.body)
+			}
+			require.NotZero(t, c.runs(f))
+			require.LessOrEqual(t, float64(c.runs(f)), most, "in %s", during)
+		})
+	}
+}
+
+// TestAllTargetsLimitTheirRate refuses calls at once, with a time to come back.
+func TestAllTargetsLimitTheirRate(t *testing.T) {
+	f := start(t)
+	for _, s := range f.services {
+		s.SetFaults(serviced.Faults{RateLimit: "0.5"})
+	}
+	refused := 0
+	for n := range 20 {
+		got := f.do(http.MethodPost, "/alerts/x", fmt.Sprint(n))
+		if got.status == http.StatusOK {
+			continue
+		}
+		refused++
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+	}
+	require.Greater(t, refused, 10)
+}
+
+// TestReaderThatLimitsItsRate has the engine that reads prompts apart name a rate limit.
+func TestReaderThatLimitsItsRate(t *testing.T) {
+	f := start(t)
+	f.engines[0].SetRole(engine.RolePrefill)
+	f.engines[0].SetFaults(engined.Faults{RateLimit: "5"})
+	f.snapshot.Reports = map[string]control.Report{"e0": {Status: engine.Status{Role: engine.RolePrefill}}}
+	body := fmt.Sprintf(`{"model": "notes", "max_tokens": 1, "messages": [{"role": "user", "content": %q}]}`, strings.Repeat("word ", 600))
+	const during, most = 2 * time.Second, 1 + 1.2*5*2
+	for begun := time.Now(); time.Since(begun) < during; {
+		got := f.do(http.MethodPost, pathChat, body)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	require.NotZero(t, len(f.engines[0].Runs()))
+	require.LessOrEqual(t, float64(len(f.engines[0].Runs())), most)
+}
--- /dev/null
+++ b/internal/gatewayd/ratelimit_test.go
@@ -0,0 +1,102 @@
+package gatewayd
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+)
+
+const (
+	// rateWindow is the time in which an instance that names a rate may get it, as often as rateUse.
+	rateWindow = 4 * time.Second
+	rateUse    = 1.2
+	// ratesHeard is how long after its first answer with a limit an instance is owed it by all.
+	ratesHeard = 500 * time.Millisecond
+	// rateTime is for how long requests are sent.
+	rateTime = 10 * time.Second
+)
+
+// sendTo has all processes send requests to a path, each sendGap one, for some time.
+func sendTo(all []*process, path string, header http.Header, sendGap, during time.Duration) {
+	stop := sendAlways(len(all), func(id string, _ int) {
+		var c int
+		_, _ = fmt.Sscanf(id, "%d-", &c) // the ids begin with the number of the caller
+		all[c].send(path, fmt.Sprint(all[c].set.Name, "/", id), header)
+		time.Sleep(sendGap)
+	})
+	time.Sleep(during)
+	stop()
+}
+
+// arrivedAt returns when requests arrived at an engine, in order.
+func arrivedAt(e *fleetengine.Engine) []time.Time {
+	var out []time.Time
+	for _, run := range slices.Concat(e.Runs(), e.Reads(), e.Refused()) {
+		out = append(out, run.At)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// mostWithin returns the most that arrived within any window that begins from a time on.
+func mostWithin(arrived []time.Time, from time.Time, window time.Duration) (most int) {
+	for n, at := range arrived {
+		if at.Before(from) {
+			continue
+		}
+		end, _ := slices.BinarySearchFunc(arrived, at.Add(window), time.Time.Compare)
+		most = max(most, end-n)
+	}
+	return most
+}
+
+// countBetween returns how many arrived from a time until another.
+func countBetween(arrived []time.Time, from, until time.Time) (n int) {
+	for _, at := range arrived {
+		if !at.Before(from) && at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRateLimitHoldsForTheSumOfAllProcesses has an instance name how many requests a second it takes
+// from all processes together. Each of seven processes went on as before, and the instance got three
+// times as many as it had named. A process that kept the whole of it by itself would have sent as
+// many as all may.
+func TestRateLimitHoldsForTheSumOfAllProcesses(t *testing.T) {
+	const sendGap = 150 * time.Millisecond
+	for _, c := range []struct {
+		fleet string
+		rate  float64
+		most  float64
+	}{
+		{"few", 5, rateUse * 5 * 4},
+		{"large", 5, rateUse * 5 * 4},
+		{"large", 0.5, 1.5*0.5*4 + 5}, // less than one request a process and window
+	} {
+		t.Run(fmt.Sprint(c.fleet, " at ", c.rate), func(t *testing.T) {
+			d := newDeployment(t)
+			d.bound = "3s"
+			all := fleetStarts[c.fleet](d)
+			limited := d.engines[0]
+			limited.SetRateLimit(strconv.FormatFloat(c.rate, 'f', -1, 64))
+			begun := time.Now()
+			sendTo(all, "/app/x", nil, sendGap, rateTime)
+			arrived := arrivedAt(limited)
+			require.NotEmpty(t, arrived)
+			most := mostWithin(arrived, arrived[0].Add(ratesHeard), rateWindow)
+			used := countBetween(arrived, begun.Add(rateTime-rateWindow), begun.Add(rateTime))
+			t.Logf("%d in all, at most %d in %s, the last %s %d", len(arrived), most, rateWindow, rateWindow, used)
+			require.LessOrEqual(t, float64(most), c.most, "in %s, of a limit of %v a second", rateWindow, c.rate)
+			require.GreaterOrEqual(t, float64(used), 0.9*c.rate*rateWindow.Seconds()-1, "it takes that many")
+		})
+	}
+}
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -42,6 +42,8 @@
 	Silent bool `json:"silent"`
 	// Refuse answers 503 without running.
 	Refuse bool `json:"refuse"`
+	// RateLimit is named in all answers as the rate limit, empty for none.
+	RateLimit string `json:"rateLimit"`
 	// Garbage answers with bytes that are no answer.
 	Garbage bool `json:"garbage"`
 	// CrashInOrder leaves the engine half-changed in its next order.
@@ -159,6 +161,9 @@
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
+	if f.RateLimit != "" {
+		w.Header().Set(openai.RateLimitHeader, f.RateLimit)
+	}
 	prompt := req.PromptText()
 	phase, kv := r.Header.Get(openai.PhaseHeader), r.Header.Get(openai.KVHeader)
 	if f.Refuse || !s.accepts(phase, kv, answer.Tokens(prompt)) {
