Gateways keep the rate that an instance names, by the sum of all of them

Cause: the header with the rate was read nowhere. And nothing could have kept a bound on the sum of all processes: what an instance says was kept by each alone. Change: package ratelimit. What an instance says is told to all processes that decide where requests run; one of them, the keeper (of those that hear each other the one with the least name), grants the requests that each may send, in proportion to its demand. Grants end after 0.3 s by a clock that counts suspensions, what lapsed is given back; a keeper that takes over waits for the grants of the one before and begins with half of the rate; where the deciders don't hear each other, each side grants its part. A placement takes a grant for the engine that reads and for the one that runs, so every send counts: first ones, repeats, reads, runs after reads. A run that goes on at a backup takes one too. While all limit their rate, requests are refused at once. A send that is withheld for the instance's sake is no failure of the instance any more, for rests too. Weighed: equal parts for each process (0.02 a second each at 6.4 a second and 295 processes, or 295 bursts of one); parts by demand told in digests (each process would have to believe the others' figures at the same moment). One keeper's sum is exact.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -79,7 +79,7 @@
 		o.Quarantine = quarantine.NewTable()
 	}
 	if o.Limits == nil {
-		o.Limits = ratelimit.NewTable(o.Metrics, o.Logger)
+		o.Limits = ratelimit.NewTable(o.Process, o.Metrics, o.Logger)
 	}
 	s := &Server{
 		o:        o,
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -46,6 +46,7 @@
 		level.Info(q.s.o.Logger).Log("msg", "run does not go on", "request", q.call.ID, "backup", backup.ID, "err", err)
 		return lifecycle.Lost, cut
 	}
+	q.plan.Granted = true // by mayGoOn, if a grant is needed
 	a, verdict, err := q.exchange(q.ctx, backup, engine.Send{
 		Instance: backup.ID, Left: time.Until(q.deadline), Rank: q.route.Rank, ResumeAfter: q.lastEvent,
 		Source: &engine.KVSource{Address: backup.Address, Handle: q.call.ID},
@@ -78,6 +79,8 @@
 	switch {
 	case !takes:
 		return fault.New(fault.Unavailable, "backup has left, generates no more or is not permitted any more", "the stream ends here")
+	case !q.s.limits.Request(backup.Run()):
+		return fault.New(fault.Unavailable, "backup limits its rate of requests and takes no more now", "the stream ends here")
 	case !q.s.budget.extra(q.service):
 		q.s.count("budget_empty")
 		return fault.New(fault.Exhausted, "retry budget is empty", "the stream ends here")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,8 +58,7 @@
 	// Quarantine knows which requests end the instances that run them; without one this
 	// process alone learns it.
 	Quarantine *quarantine.Table
-	// Limits are the rates that instances limit themselves to; without any this process alone
-	// keeps them.
+	// Limits are the rates that instances limit themselves to. The Placer keeps them too.
 	Limits *ratelimit.Table
 	// Began is told of each request of a workspace that begins to run; it may be nil.
 	Began   func(workspace string)
@@ -84,7 +83,7 @@
 		o.Quarantine = quarantine.NewTable()
 	}
 	if o.Limits == nil {
-		o.Limits = ratelimit.NewTable(o.Metrics, o.Logger)
+		o.Limits = ratelimit.NewTable("", o.Metrics, o.Logger)
 	}
 	return &Server{
 		o: o, budget: newBudget(o.Budget),
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -104,13 +105,15 @@
 	reg := metrics.NewRegistry()
 	r.reg = reg
 	placer := placement.New("a", nil, nil)
+	limits := ratelimit.NewTable("g", reg, log.NewNopLogger())
+	placer.SetLimiter(limits)
 	schedules := scheduler.Local(placer)
 	if o.placed != nil {
 		schedules = observed{schedules, func(p placement.Plan) { o.placed(r, p) }}
 	}
 	g := gateway.New(gateway.Options{
 		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
-		MaxProofAge: testProofAge, Quarantine: o.quarantine, Budget: o.budget, Metrics: reg, Logger: log.NewNopLogger(),
+		MaxProofAge: testProofAge, Quarantine: o.quarantine, Budget: o.budget, Limits: limits, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -87,6 +87,8 @@
 	writeErr error
 	// sentAt is when it was sent to an instance last.
 	sentAt bootclock.Instant
+	// withheld is true if the last send was not made since its instance wants no more now.
+	withheld bool
 	// trial is true if the request may run though instances have ended under it.
 	trial bool
 	// print is the fingerprint once it was asked for.
@@ -314,10 +316,10 @@
 }
 
 // blame says what an attempt that failed tells of the instance. A caller that
-// left says nothing of it.
+// left says nothing of it, and neither does what was not sent for its sake.
 func (q *request) blame(err error) placement.Outcome {
 	switch {
-	case q.ctx.Err() != nil:
+	case q.ctx.Err() != nil, q.withheld:
 		return placement.Sound
 	case fault.Is(err, fault.Unavailable):
 		return placement.Unreachable
@@ -366,14 +368,18 @@
 // decision, which lies questions to schedulers and a new connection back, up to half a second.
 // It may also have become known meanwhile that the request ends the instances that run it.
 func (q *request) mayStillRun(i *fleet.Instance) error {
-	q.sentAt = bootclock.Now()
+	q.sentAt, q.withheld = bootclock.Now(), false
 	switch {
 	case q.convicted():
 		return fault.New(fault.Unavailable, "instances have ended under the request since the decision", "the request is refused")
 	case q.s.notices.Leaving(i.Run()), !q.s.o.View().Takes(q.service, i.ID):
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
 	case q.s.notices.Rest(i.Run()) > 0:
+		q.withheld = true
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has asked for rest since it was chosen", i.ID)
+	case !q.plan.Granted && q.s.limits.Withholds(i.Run(), q.plan.By):
+		q.withheld = true
+		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has limited its rate since it was chosen", i.ID)
 	}
 	return nil
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -31,6 +31,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/periodic"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/settings"
@@ -92,8 +93,11 @@
 	share     *loadshare.Sharer
 	// suspects are requests under which instances have ended, told is what the processes tell
 	// each other of them.
-	suspects  *quarantine.Table
-	told      *suspects.Sharer
+	suspects *quarantine.Table
+	told     *suspects.Sharer
+	// limits are the rates that instances limit themselves to, grants is how the processes share them.
+	limits    *ratelimit.Table
+	grants    *ratelimit.Sharer
 	asker     *scheduler.Client
 	scheduler *scheduler.Server
 	authority *duty.Authority
@@ -136,6 +140,8 @@
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChanging)
 	d.suspects = quarantine.NewTable()
+	d.limits = ratelimit.NewTable(self.Name, d.reg, d.logger)
+	d.placer.SetLimiter(d.limits)
 	d.buildShare(self)
 	began := d.buildDuties(self)
 	d.gateway = gateway.New(gateway.Options{
@@ -145,7 +151,7 @@
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
 			Processes: func() int { return d.discovery.View().Processes },
 		},
-		Quarantine: d.suspects, Began: began, Metrics: d.reg, Logger: d.logger,
+		Quarantine: d.suspects, Limits: d.limits, Began: began, Metrics: d.reg, Logger: d.logger,
 	})
 	d.buildServers()
 	return d
@@ -168,7 +174,8 @@
 	})
 	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Quarantine: d.suspects, Hears: d.hears, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
-	d.told = suspects.New(suspects.Options{Run: d.run, Table: d.suspects, Transport: d.transport, Peers: d.tellSuspects, Logger: d.logger})
+	d.told = suspects.New(suspects.Options{Run: d.run, Table: d.suspects, Transport: d.transport, Peers: d.tellWhom, Logger: d.logger})
+	d.grants = ratelimit.NewSharer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Tell: d.tellWhom, Logger: d.logger})
 }
 
 // hears reports whether another scheduler tells this one of its work.
@@ -182,18 +189,23 @@
 	return nil
 }
 
-// suspectPeers is how many schedulers a process that is none tells of requests that end
-// instances.
-const suspectPeers = 2
+// deciders returns the processes that decide where requests run.
+func (d *Daemon) deciders() ratelimit.Deciders {
+	v := d.discovery.View()
+	return ratelimit.Deciders{All: v.Mesh, Heard: d.share.Heard(), Processes: v.Processes}
+}
+
+// toldSchedulers is how many schedulers a process that is none tells of what it sees of instances.
+const toldSchedulers = 2
 
-// tellSuspects returns whom this process tells of requests that end instances: the schedulers
-// tell each other, and another process those that it asks first.
-func (d *Daemon) tellSuspects() []members.Member {
+// tellWhom returns whom this process tells of what it sees of instances: the schedulers tell each
+// other, and another process those that it asks first.
+func (d *Daemon) tellWhom() []members.Member {
 	others := d.asker.Others()
 	if d.discovery.View().Scheduling {
 		return others
 	}
-	return others[:min(suspectPeers, len(others))]
+	return others[:min(toldSchedulers, len(others))]
 }
 
 // Follow implements discovery.Relay.
@@ -219,6 +231,8 @@
 		return d.share.HandlePeer(ctx, req)
 	case req.GetCrashes() != nil:
 		return d.told.HandlePeer(ctx, req)
+	case req.GetRateLimits() != nil:
+		return d.grants.HandlePeer(ctx, req)
 	case d.usage != nil && (req.GetUsage() != nil || req.GetUsageQuery() != nil):
 		return d.usage.HandlePeer(ctx, req)
 	}
@@ -271,6 +285,7 @@
 	}
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
 	g.Add(func() error { return d.told.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.grants.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.share.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.asker.Run(background) }, func(error) { stopBackground() })
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -26,7 +26,7 @@
 
 func newTestTable(logger log.Logger) (*Table, *testClock) {
 	c := &testClock{at: bootclock.Instant(time.Hour)}
-	t := NewTable(metrics.NewRegistry(), logger)
+	t := NewTable("p-0", metrics.NewRegistry(), logger)
 	t.now = c.now
 	return t, c
 }
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -73,7 +73,7 @@
 	return &peerpb.Placed{
 		Ticket: ticket, Reader: idOf(p.Reader), Runner: idOf(p.Runner), FetchFrom: idOf(p.FetchFrom), Reason: string(p.Reason),
 		Uncached: uint32(p.Uncached), AheadUs: p.Ahead.Microseconds(), ReadUs: p.Read.Microseconds(), Rank: uint32(p.Rank), Late: p.Late,
-		RetryAfterUs: p.RetryAfter.Microseconds(),
+		RetryAfterUs: p.RetryAfter.Microseconds(), Granted: p.Granted,
 	}
 }
 
@@ -89,7 +89,7 @@
 func decodePlan(m *peerpb.Placed, j *placement.Job) (placement.Plan, error) {
 	p := placement.Plan{
 		Reason: placement.Reason(m.GetReason()), Uncached: int(m.GetUncached()), Ahead: micros(m.GetAheadUs()), Read: micros(m.GetReadUs()),
-		Rank: int(m.GetRank()), Late: m.GetLate(), RetryAfter: micros(m.GetRetryAfterUs()),
+		Rank: int(m.GetRank()), Late: m.GetLate(), RetryAfter: micros(m.GetRetryAfterUs()), Granted: m.GetGranted(),
 	}
 	var err error
 	for _, part := range []struct {
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	if err == nil {
-		plan.Runner = next.Runner
+		plan.Runner, plan.Granted = next.Runner, next.Granted
 		return t
 	}
 	t.Cancel()
@@ -53,7 +53,7 @@
 	again := *j
 	again.NoRead = true
 	next, other := t.c.Place(ctx, &again)
-	plan.Runner, plan.By = next.Runner, next.By
+	plan.Runner, plan.By, plan.Granted = next.Runner, next.By, next.Granted
 	if other == nil {
 		plan.Reason, plan.RetryAfter = next.Reason, next.RetryAfter
 	}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -60,6 +60,8 @@
 		return "has lost its address to another"
 	case !p.allows(st, p.now()):
 		return "fails all that it gets"
+	case !p.withinLimit(i):
+		return "limits its rate of requests and takes no more now"
 	case i.Role != engine.RolePrefill && p.full(&j.Service, i, st):
 		return "is full"
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -38,6 +38,9 @@
 	ReasonHopeless Reason = "hopeless"
 	// ReasonQuarantined means that instances end under the request.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonLimited means that all permitted instances limit their rate of requests, and take no more
+	// now.
+	ReasonLimited Reason = "rate-limited"
 	// ReasonLate is the engine that has the least to read in all: no engine is
 	// expected to answer in time.
 	ReasonLate Reason = "too-late"
@@ -96,6 +99,8 @@
 	Late bool
 	// RetryAfter is when to come back, if the request is refused.
 	RetryAfter time.Duration
+	// Granted is true if the next send was counted against a rate limit of its instance.
+	Granted bool
 }
 
 const (
@@ -126,6 +131,7 @@
 	shares    map[string]*shares // by service
 	peers     func(id string) Load
 	changing  func(*fleet.Instance) bool
+	limiter   Limiter
 }
 
 // New returns a placer for a process in a failure domain. peers tells what the
@@ -151,6 +157,10 @@
 // before the placer is used, where the same course must come again.
 func (p *Placer) SetRandom(random func() float64) { p.random = random }
 
+// SetLimiter states who knows the rate limits of instances; without it there are none. It is called
+// before the placer is used.
+func (p *Placer) SetLimiter(l Limiter) { p.limiter = l }
+
 // SetPolicy states which mechanisms are in force; without it all are. It is called before
 // the placer is used.
 func (p *Placer) SetPolicy(policy Policy) { p.policy = policy }
@@ -187,6 +197,7 @@
 	readers, runners := p.split(j)
 	plan := Plan{Uncached: j.Call.PromptTokens, Reason: ReasonNone}
 	if len(runners) == 0 {
+		p.explainNone(&plan, j)
 		return plan, nil
 	}
 	t := &Ticket{
@@ -194,7 +205,7 @@
 		tokens: j.Call.PromptTokens, parts: partsOf(j.Call), own: j.Call.PromptTokens - j.Call.SharedTokens(), begun: p.now(),
 	}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.NoRead && p.policy.Has(Apart) {
-		if p.chooseReader(&plan, j, t.parts, readers); plan.Reader == nil {
+		if p.chooseReader(&plan, j, t.parts, readers); plan.Reader == nil || !p.take(plan.Reader, &plan) {
 			return plan, nil
 		}
 		t.read(&plan)
@@ -204,7 +215,7 @@
 		plan.Reason, plan.RetryAfter = ReasonHopeless, fullRetry
 		return plan, nil
 	}
-	if p.chooseRunner(&plan, j, runners); plan.Runner == nil {
+	if p.chooseRunner(&plan, j, runners); plan.Runner == nil || !p.take(plan.Runner, &plan) {
 		return plan, nil
 	}
 	t.run(plan.Runner, j.Service.KVCapacity > 0)
@@ -219,10 +230,12 @@
 	p.settleDomain(j)
 	reason := plan.Reason
 	plan.Reason = ReasonNone
-	if _, runners := p.split(j); len(runners) > 0 {
-		p.chooseRunner(plan, j, runners)
+	_, runners := p.split(j)
+	if len(runners) == 0 {
+		p.explainNone(plan, j)
+		return false
 	}
-	if plan.Runner == nil {
+	if p.chooseRunner(plan, j, runners); plan.Runner == nil || !p.take(plan.Runner, plan) {
 		return false
 	}
 	plan.Reason = reason
@@ -252,7 +265,7 @@
 	for _, i := range j.Permitted {
 		st := p.state(i)
 		switch {
-		case j.Avoid[i.ID] || p.changing(i) || st.replaced || !allowed(st):
+		case j.Avoid[i.ID] || p.changing(i) || st.replaced || !allowed(st) || !p.withinLimit(i):
 		case i.Role == engine.RolePrefill:
 			readers = append(readers, i)
 		default:
--- a/placement/runner.go
+++ b/placement/runner.go
@@ -33,7 +33,7 @@
 		if p.full(&j.Service, r, st) {
 			continue
 		}
-		score := p.runnerScore(j, r, st, usual) + p.random()*tieBreak
+		score := p.runnerScore(j, r, st, usual) + p.tie(r)
 		if spare[r.ID] {
 			score += spareShare * float64(r.Slots)
 		}
