--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/members"
@@ -65,7 +66,9 @@
 	heart     *control.Heart
 	transport *peer.Transport
 	// told is what the processes tell each other of calls that end their targets.
-	told     *suspects.Sharer
+	told *suspects.Sharer
+	// grants is how the processes share the rates that targets limit themselves to.
+	grants   *ratelimit.Sharer
 	reporter *control.Reporter
 	tracker  *routing.Tracker
 	entry    *entry.Server
@@ -128,8 +131,10 @@
 	d.claims = d.newClaimPart()
 	table := quarantine.NewTable()
 	d.told = suspects.New(suspects.Options{Run: d.self.Incarnation, Table: table, Transport: d.transport, Peers: d.others, Logger: d.logger})
+	limits := ratelimit.NewTable(d.self.Name, d.reg, d.logger)
+	d.grants = ratelimit.NewSharer(ratelimit.Options{Self: d.self.Name, Table: limits, Transport: d.transport, Deciders: d.deciders, Tell: d.others, Logger: d.logger})
 	d.entry = entry.New(entry.Options{
-		Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Process: d.process(), Claims: d.claims, Quarantine: table,
+		Settings: d.set, Snapshot: d.loop.Snapshot, Tracker: d.tracker, Process: d.process(), Claims: d.claims, Quarantine: table, Limits: limits,
 		Metrics: d.reg, Logger: d.logger,
 	})
 	d.admin = admin.New(admin.Options{
@@ -166,6 +171,19 @@
 	return out[:min(maxTold, len(out))]
 }
 
+// deciders returns all members, each of which decides where its calls run.
+func (d *Daemon) deciders() ratelimit.Deciders {
+	var out ratelimit.Deciders
+	for _, m := range d.loop.Snapshot().Members {
+		out.All = append(out.All, m.Member)
+		if m.Health.Living() {
+			out.Heard = append(out.Heard, m.Name)
+		}
+	}
+	out.Processes = len(out.All)
+	return out
+}
+
 // isWatcher decides by the members that this process believes to be alive.
 func (d *Daemon) isWatcher() bool {
 	var alive []members.Member
@@ -185,8 +203,11 @@
 	if resp := d.claims.answer(req); resp != nil {
 		return resp
 	}
-	if req.GetCrashes() != nil {
+	switch {
+	case req.GetCrashes() != nil:
 		return d.told.HandlePeer(ctx, req)
+	case req.GetRateLimits() != nil:
+		return d.grants.HandlePeer(ctx, req)
 	}
 	return &peerpb.Response{Error: "call is not known"}
 }
@@ -223,6 +244,7 @@
 	add(d.claims.keeper.Run)
 	add(d.ward)
 	add(d.told.Run)
+	add(d.grants.Run)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
 	g.Add(func() error { return httpserve.Serve(background, d.operators, listeners.admin) }, func(error) { stopBackground(); closeServer(d.operators) })
 	g.Add(func() error { return httpserve.Serve(background, d.callers, listeners.callers) }, func(error) { stopBackground(); closeServer(d.callers) })
--- /dev/null
+++ b/internal/e2e/ratelimit_test.go
@@ -0,0 +1,81 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+)
+
+// TestRateLimitHoldsForTheSumOfAllEntryProcesses has a server of a service name how many calls a second it
+// takes from all entry processes together, while one of these is suspended and goes on, and then is
+// killed and starts again: the one that grants the calls to the others. Each process sent as many as it
+// got.
+func TestRateLimitHoldsForTheSumOfAllEntryProcesses(t *testing.T) {
+	const (
+		entries = 4
+		rate    = 5.0
+		use     = 1.2
+		window  = 4 * time.Second
+		heard   = 500 * time.Millisecond
+		sendGap = 30 * time.Millisecond
+		pause   = 2500 * time.Millisecond
+	)
+	f := startFleet(t, options{entries: entries, engines: 1})
+	limited := f.services[0]
+	limited.SetFaults(serviced.Faults{RateLimit: fmt.Sprint(rate)})
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range entries {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(sendGap):
+					f.call(i, http.MethodPost, "/alerts/x", fmt.Sprint(i, "-", n))
+				}
+			}
+		})
+	}
+	begun := time.Now()
+	f.await("the limit is known", func() bool { return len(limited.Runs()) > 0 })
+	time.Sleep(window)
+	f.procs[0].signal(syscall.SIGSTOP)
+	time.Sleep(pause)
+	f.procs[0].signal(syscall.SIGCONT)
+	time.Sleep(pause)
+	f.procs[0].kill()
+	time.Sleep(pause)
+	f.start(0)
+	f.awaitReady(0)
+	steady := time.Now().Add(pause + window)
+	time.Sleep(time.Until(steady.Add(window)))
+	close(stopped)
+	wg.Wait()
+	var at []time.Time
+	for _, run := range limited.Runs() {
+		at = append(at, run.Start)
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	most, used := 0, 0
+	for n, from := range at {
+		if from.After(steady) {
+			used++
+		}
+		end, _ := slices.BinarySearchFunc(at, from.Add(window), time.Time.Compare)
+		if from.Sub(at[0]) >= heard {
+			most = max(most, end-n)
+		}
+	}
+	t.Logf("%d calls in %s, at most %d in %s, %d in the last", len(at), time.Since(begun).Round(time.Second), most, window, used)
+	require.LessOrEqual(t, float64(most), use*rate*window.Seconds())
+	require.GreaterOrEqual(t, float64(used), 0.9*rate*window.Seconds()-1)
+}
--- a/internal/entry/rest.go
+++ b/internal/entry/notice.go
@@ -20,12 +20,19 @@
 	}
 }
 
-// restLeft returns when the first of the targets that rest wants calls again, otherwise if none
-// rests.
-func (r *run) restLeft(permitted []*config.Target, otherwise time.Duration) time.Duration {
+// wantedAgain returns when the first of the targets that rest or limit their rate wants calls again,
+// otherwise if none does.
+func (r *run) wantedAgain(permitted []*config.Target, otherwise time.Duration) time.Duration {
 	var names []string
+	first := time.Duration(0)
 	for _, t := range permitted {
 		names = append(names, t.Name)
+		if after := r.s.limits.RetryAfter(t.Name); after > 0 && (first == 0 || after < first) {
+			first = after
+		}
 	}
-	return cmp.Or(r.s.notices.FirstRest(names), otherwise)
+	if rest := r.s.notices.FirstRest(names); rest > 0 && (first == 0 || rest < first) {
+		first = rest
+	}
+	return cmp.Or(first, otherwise)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -156,10 +156,16 @@
 		}
 		t := d.Chosen.Target
 		limit := r.room(t) - r.c.snapshot.PeerLoads[t.Name].Requests
-		if work := r.s.o.Tracker.Begin(t.Name, cost, limit); work != nil {
-			r.logDecision(d, len(permitted), phase)
-			return work, t, full
+		work := r.s.o.Tracker.Begin(t.Name, cost, limit)
+		if work == nil {
+			continue
+		}
+		if _, ok := r.s.limits.Take(t.Name); !ok {
+			work.End()
+			continue
 		}
+		r.logDecision(d, len(permitted), phase)
+		return work, t, full
 	}
 }
 
@@ -174,7 +180,7 @@
 			fault.New(fault.Exhausted, "all permitted targets are full", "ask again after the time in Retry-After"), r.s.drainTime(r.c))
 	}
 	return refusal(http.StatusServiceUnavailable, codeNoTarget,
-		fault.New(fault.Unavailable, "all permitted targets failed or rest", "ask again after the time in Retry-After"), r.restLeft(permitted, noTargetWait))
+		fault.New(fault.Unavailable, "all permitted targets failed, rest or limit their rate", "ask again after the time in Retry-After"), r.wantedAgain(permitted, noTargetWait))
 }
 
 // room returns how many requests a target may have in hand for the call to be
@@ -195,7 +201,7 @@
 			full++
 			continue
 		}
-		if !r.s.o.Snapshot().Available(t) {
+		if !r.s.o.Snapshot().Available(t) || !r.s.limits.Allows(t.Name) {
 			continue
 		}
 		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
