Operators list the instances that limit their rate; metrics of what is sent there and passed over

Change: GET /limits and rockdoor gateway limits: instance, rate, since when, when heard last, what this process would send, who the keeper is and which part of each rate it may grant. Counters ratelimit.taken and ratelimit.denied. explain names such an instance already.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -32,7 +32,7 @@
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name: "gateway", Usage: "run and look at gateways on the users' platform",
-		Subcommands: []*cli.Command{gatewayServe(), gatewayCheck(), gatewayStatus(), gatewayExplain(), gatewayQuarantine()},
+		Subcommands: []*cli.Command{gatewayServe(), gatewayCheck(), gatewayStatus(), gatewayExplain(), gatewayQuarantine(), gatewayLimits()},
 	}
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -250,6 +250,7 @@
 	operators.HandleFunc("/status", d.status).Methods(http.MethodGet)
 	operators.HandleFunc("/explain", d.explain).Methods(http.MethodGet)
 	operators.HandleFunc("/quarantine", d.quarantine).Methods(http.MethodGet)
+	operators.HandleFunc("/limits", d.rateLimits).Methods(http.MethodGet)
 	operators.HandleFunc("/quarantine/{fingerprint}", d.clearQuarantine).Methods(http.MethodDelete)
 	d.operators = httpServer(operators)
 }
--- a/internal/gatewayd/ratelimit_test.go
+++ b/internal/gatewayd/ratelimit_test.go
@@ -90,6 +90,11 @@
 			limited.SetRateLimit(strconv.FormatFloat(c.rate, 'f', -1, 64))
 			begun := time.Now()
 			sendTo(all, "/app/x", nil, sendGap, rateTime)
+			var st LimitsStatus
+			all[0].get(t, "/limits", &st)
+			require.Len(t, st.Limits, 1)
+			require.Equal(t, limited.ID, st.Limits[0].Instance)
+			require.Equal(t, c.rate, st.Limits[0].PerSecond)
 			arrived := arrivedAt(limited)
 			require.NotEmpty(t, arrived)
 			most := mostWithin(arrived, arrived[0].Add(ratesHeard), rateWindow)
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -102,6 +102,9 @@
 
 	// limits counts the limits in force: nothing is looked up while it is 0.
 	limits atomic.Int64
+	// taken and denied count requests to limited instances: those that were sent, and the choices in
+	// which an instance was passed over.
+	taken, denied metrics.Counter
 	// wake has an entry when there is something to tell or to ask.
 	wake chan struct{}
 
@@ -117,6 +120,7 @@
 	t := &Table{
 		self: self, logger: log.With(logger, "component", "ratelimit"), now: bootclock.Now, wake: make(chan struct{}, 1),
 		all: map[string]*entry{}, news: map[string]bool{},
+		taken: metrics.GetOrRegisterCounter("ratelimit.taken", reg), denied: metrics.GetOrRegisterCounter("ratelimit.denied", reg),
 	}
 	t.fleet = alone{self}
 	_ = reg.Register("ratelimit.instances", metrics.NewFunctionalGauge(t.limits.Load))
@@ -252,9 +256,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.limited(run)
-	if e == nil {
+	if e == nil || t.allows(e) {
 		return true
 	}
+	t.denied.Inc(1)
+	return false
+}
+
+// allows reports whether a request may be sent to a limited run. The caller holds the lock.
+func (t *Table) allows(e *entry) bool {
 	now := t.now()
 	passed := now.Sub(e.demandAt).Seconds()
 	e.demandAt = now
@@ -281,13 +291,24 @@
 	if e == nil {
 		return false, true
 	}
+	if ok = t.spend(e); ok {
+		t.taken.Inc(1)
+	}
+	return ok, ok
+}
+
+// spend counts a request to a limited run, and reports false if it may not be sent. The caller holds the
+// lock.
+func (t *Table) spend(e *entry) bool {
 	now := t.now()
 	if b := t.bucketOf(e, now); b != nil {
-		ok = b.draw(t.self)
-		return ok, ok
+		return b.draw(t.self)
 	}
-	ok = e.spend(now)
-	return ok, ok
+	if e.hold(now) == 0 {
+		return false
+	}
+	e.grants[0].requests--
+	return true
 }
 
 // Request counts a request that no placement has considered before it is sent, as Allows and Take do.
@@ -362,15 +383,6 @@
 	return requests
 }
 
-// spend takes one request from the grants.
-func (e *entry) spend(now bootclock.Instant) bool {
-	if e.hold(now) == 0 {
-		return false
-	}
-	e.grants[0].requests--
-	return true
-}
-
 // Learn takes in what another process says of a run of an instance.
 func (t *Table) Learn(run, process string, s Statement) {
 	t.mu.Lock()
@@ -466,6 +478,17 @@
 	return out
 }
 
+// Wanted returns how many requests a second this process wants to send to a run.
+func (t *Table) Wanted(run string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.limited(run)
+	if e == nil {
+		return 0
+	}
+	return e.demand * decay(t.now().Sub(e.demandAt).Seconds()) / shareTime.Seconds()
+}
+
 // statements returns what is known of the runs that a message names.
 func (t *Table) statements(named []*peerpb.RateLimit) map[string]Statement {
 	t.mu.Lock()
