Soak: instances limit their rate, and the sum over all processes is checked

Cause: no fault of the soak was a word of an instance's answers, so that no run could show a limit that is not kept. Change: every two seconds an instance begins to name a rate of 0.5 to 10 a second for 5 to 12 s. The check counts, in each window of 4 s, the arrivals from processes in touch that had passed on such an answer half a second before, and allows what the users' rule does.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -35,6 +35,7 @@
 	}{
 		{c.answersAreWhole, 100}, {c.refusalsAreTrue, 5}, {c.atMostOnce, 30}, {c.unchanged, 100}, {c.routed, 100}, {c.notDenied, 100},
 		{c.answered, 30}, {c.inTime, 0}, {c.configurationInForce, 10}, {c.configurationNeverBack, 20}, {c.leavingGetNothing, leaveRate},
+		{c.rateLimits, limitRate},
 		{c.budget, 0}, {c.deadlines, 30}, {c.goneIsOver, 2}, {c.runsGoOnAlone, 0}, {c.oneHolder, 1}, {c.authority, 1},
 		{c.windowsHaveOneContent, 1}, {c.stopsCutNothing, 2}, {c.processesLive, 1}, {c.logsAreClean, 1}, {c.recovers, 3},
 	} {
@@ -48,6 +49,9 @@
 // leaveRate is how many instances must leave, for each process and minute: of two, one proved nothing.
 const leaveRate = 1.5
 
+// limitRate is how many instances must have limited their rate, for each process and minute.
+const limitRate = 0.5
+
 func newChecker(o Options, f *Facts, healed time.Time) *checker {
 	o.complete()
 	o.Bounds = o.checked()
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -134,6 +134,12 @@
 			f.Leavings = []Leaving{{"i-1", at(30)}}
 			f.answeredCall("r", Once, 40)
 		}},
+		"over a rate limit": {(*checker).rateLimits, func(f *Facts) {
+			f.Limits = []*Limit{{"i-1", 2, at(36), at(60)}}
+			_, told := f.answeredCall("q", Once, 37)
+			told.Headed, told.Limited = told.Ended, true
+			many(f, 18, Once, func(c *Call, _ *Arrival) { c.Gateway = 0 })
+		}},
 		"over budget": {(*checker).budget, func(f *Facts) {
 			many(f, 30, Repeat, func(_ *Call, a *Arrival) { f.again(a, 0.01) })
 		}},
@@ -244,6 +250,19 @@
 	require.NotEmpty(t, c.leavingGetNothing().Breaches)
 }
 
+// What an instance named counts only for processes that had been told, and were in touch.
+func TestARateLimitHoldsForThoseThatWereTold(t *testing.T) {
+	f := madeUp()
+	f.Limits = []*Limit{{"i-1", 2, at(36), at(60)}}
+	many(f, 18, Once, func(*Call, *Arrival) {})
+	require.Empty(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).rateLimits().Breaches)
+	_, told := f.answeredCall("q", Once, 37)
+	told.Headed, told.Limited = told.Ended, true
+	require.Len(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).rateLimits().Breaches, 1)
+	f.Disturbances = []*Disturbance{{Fault: FaultFreeze, Gateways: []int{0}, From: at(38), To: at(39)}}
+	require.Empty(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).rateLimits().Breaches)
+}
+
 // An engine's address had been given to another service's instance. The prompt that was sent to
 // the engine, by its name, was refused with 421, and the check took it for one that ran there:
 // "s2-c30-27: /stream-once/27 ran at i-13-2 of app", while the process said "engine i-8-1 has
--- a/internal/lab/soak/facts.go
+++ b/internal/lab/soak/facts.go
@@ -74,6 +74,9 @@
 	Broke  bool
 	// Ran is true if it began to run.
 	Ran bool
+	// Headed is when its answer began, zero if it did not. Limited is true if that named a rate limit.
+	Headed  time.Time
+	Limited bool
 }
 
 // Order is a call that only the holder of the duties makes.
@@ -136,6 +139,7 @@
 	Leases       []Lease
 	Applied      []Applied
 	Leavings     []Leaving
+	Limits       []*Limit
 	Disturbances []*Disturbance
 	Exits        []Exit
 	Starts       map[int][]time.Time
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -246,6 +246,7 @@
 	defer func() {
 		p.w.facts.note(func() {
 			a.Ended, a.Status, a.Broke = time.Now(), rec.status, a.Broke || !done
+			a.Headed, a.Limited = rec.headed, fleetengine.NamesLimit(rec.Header())
 			a.Ran = !a.Read && !fleetengine.NotRun(rec.status, rec.Header())
 		})
 	}()
@@ -253,17 +254,32 @@
 	done = true
 }
 
-// recorder notes the status of an answer.
+// recorder notes the status of an answer, and when it began.
 type recorder struct {
 	http.ResponseWriter
 	status int
+	// headed is when the answer began.
+	headed time.Time
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (r *recorder) WriteHeader(status int) {
 	r.status = status
+	r.begin()
 	r.ResponseWriter.WriteHeader(status)
 }
 
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(b []byte) (int, error) {
+	r.begin()
+	return r.ResponseWriter.Write(b)
+}
+
+func (r *recorder) begin() {
+	if r.headed.IsZero() {
+		r.headed = time.Now()
+	}
+}
+
 // Unwrap lets http.ResponseController find what the server offers.
 func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -95,6 +95,8 @@
 	// For is how long the fault lasts.
 	For        time.Duration
 	Conditions Conditions
+	// Rate is what an instance names as its limit, in requests a second.
+	Rate float64
 	// Clock is by how much the clock of a process is wrong.
 	Clock time.Duration
 }
@@ -181,6 +183,7 @@
 		out = slices.DeleteFunc(out, func(a Action) bool { return slices.Contains(storeWide, a.Fault) && a.At > storeWideUntil(length) })
 		out = slices.Concat(out, s.leaves(length), s.watcherFaults(length), s.restores(length), s.roll(length))
 	}
+	out = append(out, limits(seed, layout, length)...)
 	out = slices.DeleteFunc(out, func(a Action) bool { return a.At >= length })
 	slices.SortStableFunc(out, func(a, b Action) int { return int(a.At - b.At) })
 	return out
--- a/internal/lab/soak/strike.go
+++ b/internal/lab/soak/strike.go
@@ -268,6 +268,8 @@
 		w.later(servesOn+a.For, func() { p.crash(0) })
 	case FaultReuse:
 		p.exchange(w.places[a.Other])
+	case FaultLimit:
+		p.limit(a.Rate, a.For)
 	case FaultRemove:
 		p.remove()
 		w.later(servesOn, func() { p.crash(0) })
--- a/internal/standin/fleetengine/arrival.go
+++ b/internal/standin/fleetengine/arrival.go
@@ -72,6 +72,9 @@
 	return status == http.StatusMisdirectedRequest || h.Get(headerNotRun) != ""
 }
 
+// NamesLimit reports whether the head of an answer names a rate limit.
+func NamesLimit(h http.Header) bool { return h.Get(headerRateLimit) != "" }
+
 // IsOrder reports whether a call is an order.
 func IsOrder(r *http.Request) bool { return r.URL.Path == "/order" }
 
