Requests wait a moment for a grant, and a runner is reserved before a prompt is read, where all instances limit their rates

If all runners limit their rates, a request of one is taken before the prompt is read. A new limit is granted at 0.7 for its first 4 s (was: 0.5, after each change of the keeper too). Retry-After is what wants to be sent over what the limited instances together take.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -201,7 +201,7 @@
 			full++
 			continue
 		}
-		if !r.s.o.Snapshot().Available(t) || !r.s.limits.Allows(t.Name) {
+		if !r.s.o.Snapshot().Available(t) || !r.s.limits.Allows(t.Name, false) {
 			continue
 		}
 		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
--- a/internal/gatewayd/ratelimit_test.go
+++ b/internal/gatewayd/ratelimit_test.go
@@ -26,10 +26,11 @@
 
 // sendTo has all processes send requests to a path, each sendGap one, for some time.
 func sendTo(all []*process, path string, header http.Header, sendGap, during time.Duration) {
+	run := time.Now().UnixNano()
 	stop := sendAlways(len(all), func(id string, _ int) {
 		var c int
 		_, _ = fmt.Sscanf(id, "%d-", &c) // the ids begin with the number of the caller
-		all[c].send(path, fmt.Sprint(all[c].set.Name, "/", id), header)
+		all[c].send(path, fmt.Sprint(all[c].set.Name, "/", run, "/", id), header)
 		time.Sleep(sendGap)
 	})
 	time.Sleep(during)
@@ -107,6 +108,60 @@
 	}
 }
 
+// TestWhatAllLimitedInstancesTakeIsUsed has all instances of a service limit their rates while more is
+// wanted. Requests were refused at processes that had no grant at that moment, while grants lapsed at
+// others, and prompts were read for which no engine that runs took a request: 0.25 of the worth of a day.
+func TestWhatAllLimitedInstancesTakeIsUsed(t *testing.T) {
+	const (
+		rate    = 20.0
+		callers = 5 // of each process
+		sendGap = 120 * time.Millisecond
+		most    = 0.1 // of the prompts are read for nothing
+	)
+	for name, c := range map[string]struct {
+		path    string
+		header  http.Header
+		limits  []string // of the engines, in order
+		runners []int
+		rate    float64
+	}{
+		"runs":  {"/app/x", nil, []string{"20", "20"}, []int{0, 1}, 2 * rate},
+		"reads": {"/llm/x", longPrompt, []string{"", "", "12", "20"}, []int{3}, rate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.bound = "3s"
+			all := fleetStarts["few"](d)
+			for n, limit := range c.limits {
+				d.engines[n].SetRateLimit(limit)
+			}
+			var senders []*process
+			for range callers {
+				senders = append(senders, all...)
+			}
+			begun := time.Now()
+			sendTo(senders, c.path, c.header, sendGap, rateTime)
+			from, until := begun.Add(rateTime-rateWindow), begun.Add(rateTime)
+			used, read := 0, countBetween(arrivedAt(d.engines[2]), from, until)
+			for _, n := range c.runners {
+				used += countBetween(arrivedAt(d.engines[n]), from, until)
+			}
+			t.Logf("%d in %s, %d prompts read apart", used, rateWindow, read)
+			require.LessOrEqual(t, float64(used), rateUse*c.rate*rateWindow.Seconds())
+			require.GreaterOrEqual(t, float64(used), 0.9*c.rate*rateWindow.Seconds())
+			if c.header != nil {
+				fetched := 0
+				for _, run := range d.engines[3].Runs() {
+					if run.Header.Get("X-Kv-Source") != "" && run.At.After(from) && run.At.Before(until) {
+						fetched++
+					}
+				}
+				require.LessOrEqual(t, float64(read-fetched), most*float64(read)+1, "%d of %d prompts were read for a run", fetched, read)
+			}
+		})
+	}
+}
+
 // TestRateLimitHoldsWhileSchedulersAreLost kills the processes that decide for all others while an instance
 // names a rate limit: the others decide alone until some of them take their places, and the two that
 // were killed start again and know nothing.
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -14,10 +14,10 @@
 	leastRate = 0.25
 	// burstTime is how long a keeper saves up what nobody has asked for, above one request.
 	burstTime = 400 * time.Millisecond
-	// startTime is for how long a keeper grants only startShare of a limit: what others have granted or
-	// sent just before is still part of what an instance gets in such a time.
+	// startTime is for how long only startShare of a new limit is granted: what was sent just before it is
+	// still part of what an instance gets in such a time.
 	startTime  = 4 * time.Second
-	startShare = 0.5
+	startShare = 0.7
 	// shareTime is over how long demand and grants of a process are smoothed.
 	shareTime = time.Second
 	// idleMost is how much of a time in which nobody wanted to send counts for what is due.
@@ -29,9 +29,9 @@
 // bucket is what a keeper grants of one limit: requests at its rate, to each process in proportion to
 // its demand.
 type bucket struct {
-	// opensAt is when the first is granted, at when it was filled last.
-	opensAt, at bootclock.Instant
-	level       float64
+	// at is when it was filled last.
+	at    bootclock.Instant
+	level float64
 	// most is the level up to which the bucket is filled, mostBack that with what lapsed.
 	most, mostBack float64
 	askers         []*asker
@@ -44,8 +44,9 @@
 	demand, granted float64
 }
 
+// newBucket returns a bucket that grants nothing before a time.
 func newBucket(opensAt bootclock.Instant) *bucket {
-	return &bucket{opensAt: opensAt, at: opensAt}
+	return &bucket{at: opensAt}
 }
 
 // fill adds what has become due at a rate, and ages demand and grants. Grants live for a time.
@@ -55,9 +56,6 @@
 		return
 	}
 	b.at = now
-	if now.Sub(b.opensAt) < startTime {
-		rate *= startShare
-	}
 	b.most = max(1, rate*burstTime.Seconds())
 	b.mostBack = b.most + max(1, rate*life.Seconds())
 	b.level = max(b.level, min(b.level+rate*min(passed, idleMost.Seconds()), b.most))
--- a/internal/ratelimit/history_test.go
+++ b/internal/ratelimit/history_test.go
@@ -145,7 +145,7 @@
 
 // request has a process try to send one request; the answer names the limit.
 func (h *history) request(n *node) {
-	if !n.table.Allows("i") {
+	if !n.table.Allows("i", false) {
 		return
 	}
 	if _, ok := n.table.Take("i"); !ok {
--- a/internal/ratelimit/sharer.go
+++ b/internal/ratelimit/sharer.go
@@ -19,12 +19,12 @@
 
 const (
 	// gather is how long what is new is collected before it is told.
-	gather = 10 * time.Millisecond
+	gather = 5 * time.Millisecond
 	// minAsk and maxAsk bound how often the keeper is asked, perAsker stretches that with the number of
 	// those that ask. Grants must not have ended before the next ones arrive.
-	minAsk   = 30 * time.Millisecond
+	minAsk   = 10 * time.Millisecond
 	maxAsk   = grantLife / 2
-	perAsker = 2500 * time.Microsecond
+	perAsker = time.Millisecond
 	// repeatEvery is how often one other process is told all limits, which may have missed some.
 	repeatEvery = time.Second
 	// askFirst is how often a process that has just started asks for all limits, until one has
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -248,35 +248,49 @@
 	return nil
 }
 
-// Allows reports whether a request may be sent to a run of an instance. It counts as demand.
-func (t *Table) Allows(run string) bool {
+// Allows reports whether a request may be sent to a run of an instance. It counts as demand, unless it
+// has been counted before.
+func (t *Table) Allows(run string, counted bool) bool {
 	if t.limits.Load() == 0 {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.limited(run)
-	if e == nil || t.allows(e) {
+	if e == nil {
 		return true
 	}
-	t.denied.Inc(1)
-	return false
-}
-
-// allows reports whether a request may be sent to a limited run. The caller holds the lock.
-func (t *Table) allows(e *entry) bool {
 	now := t.now()
-	passed := now.Sub(e.demandAt).Seconds()
-	e.demandAt = now
-	e.demand = e.demand*decay(passed) + 1
-	if b := t.bucketOf(e, now); b != nil {
+	b := t.bucketOf(e, now)
+	if !counted {
+		e.demand = e.demand*decay(now.Sub(e.demandAt).Seconds()) + 1
+		e.demandAt = now
+	}
+	allowed := false
+	switch {
+	case b == nil:
+		t.ask(e, counted)
+		allowed = e.hold(now) > 0
+	case !counted:
 		b.want(t.self, 1)
-		return b.has(t.self)
+		allowed = b.has(t.self)
+	default:
+		allowed = b.has(t.self)
 	}
-	if e.wanted++; e.wanted == 1 {
+	if !allowed && !counted {
+		t.denied.Inc(1)
+	}
+	return allowed
+}
+
+// ask has the keeper asked for one more request, or again for one that has been counted.
+func (t *Table) ask(e *entry, counted bool) {
+	if !counted || e.wanted == 0 {
+		e.wanted++
+	}
+	if e.wanted == 1 {
 		t.signal()
 	}
-	return e.hold(now) > 0
 }
 
 // Take counts a request that is about to be sent to a run of an instance. Granted is true if the run
@@ -313,7 +327,7 @@
 
 // Request counts a request that no placement has considered before it is sent, as Allows and Take do.
 func (t *Table) Request(run string) (ok bool) {
-	if !t.Allows(run) {
+	if !t.Allows(run, false) {
 		return false
 	}
 	_, ok = t.Take(run)
@@ -367,7 +381,11 @@
 		e.bucket = newBucket(opensAt)
 		e.grants, e.lapsed = nil, 0
 	}
-	e.bucket.fill(now, max(e.PerSecond, leastRate)*t.fleet.Part(), e.life())
+	rate := max(e.PerSecond, leastRate) * t.fleet.Part()
+	if now.Sub(e.Began) < startTime {
+		rate *= startShare
+	}
+	e.bucket.fill(now, rate, e.life())
 	return e.bucket
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,8 +43,8 @@
 type local struct{ placer *placement.Placer }
 
 // Place implements Scheduler.
-func (l local) Place(_ context.Context, j *placement.Job) (placement.Plan, Ticket) {
-	plan, t := l.placer.Place(j)
+func (l local) Place(ctx context.Context, j *placement.Job) (placement.Plan, Ticket) {
+	plan, t := place(ctx, l.placer, j)
 	if t == nil {
 		return plan, nil
 	}
@@ -57,8 +57,8 @@
 }
 
 // PlaceRead implements Ticket.
-func (t localTicket) PlaceRead(_ context.Context, j *placement.Job, plan *placement.Plan) Ticket {
-	if !t.placer.PlaceRead(j, plan, t.Ticket) {
+func (t localTicket) PlaceRead(ctx context.Context, j *placement.Job, plan *placement.Plan) Ticket {
+	if !placeRead(ctx, t.placer, j, plan, t.Ticket) {
 		return nil
 	}
 	return t
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -111,9 +111,9 @@
 	case req.GetFollow() != nil:
 		return s.follow(ctx, req.GetFollow())
 	case req.GetPlace() != nil:
-		return s.place(from, req.GetPlace())
+		return s.place(ctx, from, req.GetPlace())
 	case req.GetPlaceRead() != nil:
-		return s.placeRead(from, req.GetPlaceRead())
+		return s.placeRead(ctx, from, req.GetPlaceRead())
 	case req.GetReports() != nil:
 		s.take(from, req.GetReports().GetReports())
 		if req.GetReports().GetAllOpen() {
@@ -140,7 +140,7 @@
 	c.heard = time.Now()
 }
 
-func (s *Server) place(from *peerpb.Identity, m *peerpb.Place) *peerpb.Response {
+func (s *Server) place(ctx context.Context, from *peerpb.Identity, m *peerpb.Place) *peerpb.Response {
 	begun := time.Now()
 	job, err := decodeJob(m, s.o.View())
 	if err != nil {
@@ -150,7 +150,7 @@
 		plan := placement.Plan{Reason: placement.ReasonQuarantined, RetryAfter: v.RetryAfter}
 		return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, 0)}}
 	}
-	plan, t := s.o.Placer.Place(job)
+	plan, t := place(ctx, s.o.Placer, job)
 	number := uint64(0)
 	if t != nil {
 		number = s.keep(from, t)
@@ -188,7 +188,7 @@
 	}
 }
 
-func (s *Server) placeRead(from *peerpb.Identity, m *peerpb.PlaceRead) *peerpb.Response {
+func (s *Server) placeRead(ctx context.Context, from *peerpb.Identity, m *peerpb.PlaceRead) *peerpb.Response {
 	job, err := decodeJob(m.GetJob(), s.o.View())
 	if err != nil {
 		return &peerpb.Response{Error: err.Error()}
@@ -199,7 +199,7 @@
 	}
 	t.Read(true, placement.Sound)
 	var plan placement.Plan
-	s.o.Placer.PlaceRead(job, &plan, t)
+	placeRead(ctx, s.o.Placer, job, &plan, t)
 	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, m.GetTicket())}}
 }
 
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -33,6 +33,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.settleDomain(j)
+	j.Waiting = true // it is no demand
 	readers, runners := p.split(j)
 	usual := p.usualGap(runners)
 	keepers := p.keepers(j, partsOf(j.Call), readers)
@@ -60,7 +61,7 @@
 		return "has lost its address to another"
 	case !p.allows(st, p.now()):
 		return "fails all that it gets"
-	case !p.withinLimit(i):
+	case !p.withinLimit(j, i):
 		return "limits its rate of requests and takes no more now"
 	case i.Role != engine.RolePrefill && p.full(&j.Service, i, st):
 		return "is full"
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
+	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fleet"
 )
 
@@ -10,8 +12,9 @@
 type Limiter interface {
 	// Limited reports whether a run limits its rate.
 	Limited(run string) bool
-	// Allows reports whether a request may be sent to a run now. It counts as demand.
-	Allows(run string) bool
+	// Allows reports whether a request may be sent to a run now. It counts as demand, unless it has
+	// been counted before.
+	Allows(run string, counted bool) bool
 	// Take counts a request that is sent to a run. Granted is true if the run limits its rate; ok is
 	// false if the request may not be sent.
 	Take(run string) (granted, ok bool)
@@ -20,9 +23,9 @@
 	RetryAfter(run string) time.Duration
 }
 
-// withinLimit reports whether an instance's rate limit lets a request through.
-func (p *Placer) withinLimit(i *fleet.Instance) bool {
-	return p.limiter == nil || !p.policy.Has(RateLimits) || p.limiter.Allows(i.Run())
+// withinLimit reports whether an instance's rate limit lets a job through.
+func (p *Placer) withinLimit(j *Job, i *fleet.Instance) bool {
+	return p.limiter == nil || !p.policy.Has(RateLimits) || p.limiter.Allows(i.Run(), j.Waiting)
 }
 
 // tie returns what decides between instances that are as fit, at random so that processes which see the
@@ -50,19 +53,49 @@
 	return true
 }
 
-// explainNone says of a plan without an instance whether that is due to rate limits, and when the
-// first of the limited instances takes some again.
+// reserve takes a request of a runner before a prompt is read, if all runners limit their rates: prompts
+// that were read would else wait for what others take meanwhile. If none takes one more, the plan has
+// no instance.
+func (p *Placer) reserve(t *Ticket, plan *Plan, j *Job, runners []*fleet.Instance) bool {
+	if p.limiter == nil || slices.ContainsFunc(runners, func(r *fleet.Instance) bool { return !p.limiter.Limited(r.Run()) }) {
+		return true
+	}
+	run := *plan
+	if p.chooseRunner(&run, j, runners); run.Runner == nil || !p.take(run.Runner, &run) {
+		*plan = Plan{Reason: run.Reason, RetryAfter: run.RetryAfter, Uncached: plan.Uncached}
+		return false
+	}
+	t.reserved = run.Runner.ID
+	return true
+}
+
+// reserved returns the runner that was reserved for a job, nil if there is none or it is not to be used
+// any more.
+func (p *Placer) reserved(t *Ticket, j *Job) *fleet.Instance {
+	if t.reserved == "" {
+		return nil
+	}
+	for _, i := range j.Permitted {
+		if st := p.state(i); i.ID == t.reserved && !j.Avoid[i.ID] && !p.changing(i) && !st.replaced && i.Role != engine.RolePrefill {
+			return i
+		}
+	}
+	return nil
+}
+
+// explainNone says of a plan without an instance whether that is due to rate limits, and when to come
+// back: the limited instances together take what wants to be sent in the harmonic sum of their times.
 func (p *Placer) explainNone(plan *Plan, j *Job) {
 	if p.limiter == nil {
 		return
 	}
+	perSecond := 0.0
 	for _, i := range j.Permitted {
-		after := p.limiter.RetryAfter(i.Run())
-		if after == 0 || j.Avoid[i.ID] {
-			continue
-		}
-		if plan.Reason != ReasonLimited || after < plan.RetryAfter {
-			plan.Reason, plan.RetryAfter = ReasonLimited, after
+		if after := p.limiter.RetryAfter(i.Run()); after > 0 && !j.Avoid[i.ID] {
+			perSecond += 1 / after.Seconds()
 		}
 	}
+	if perSecond > 0 {
+		plan.Reason, plan.RetryAfter = ReasonLimited, max(time.Duration(float64(time.Second)/perSecond), minRetry)
+	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,6 +70,8 @@
 	Permitted []*fleet.Instance
 	// Avoid holds the IDs of instances that failed this request.
 	Avoid map[string]bool
+	// Waiting is true if the job has been tried before and waits for rate limits.
+	Waiting bool
 	// NoRead is true if the prompt is not to be read apart: it has been read, or
 	// the request goes on after events that were delivered.
 	NoRead bool
@@ -205,7 +207,7 @@
 		tokens: j.Call.PromptTokens, parts: partsOf(j.Call), own: j.Call.PromptTokens - j.Call.SharedTokens(), begun: p.now(),
 	}
 	if j.Call.PromptTokens >= longPrompt && len(readers) > 0 && !j.NoRead && p.policy.Has(Apart) {
-		if p.chooseReader(&plan, j, t.parts, readers); plan.Reader == nil || !p.take(plan.Reader, &plan) {
+		if p.chooseReader(&plan, j, t.parts, readers); plan.Reader == nil || !p.reserve(t, &plan, j, runners) || !p.take(plan.Reader, &plan) {
 			return plan, nil
 		}
 		t.read(&plan)
@@ -229,6 +231,11 @@
 	defer p.mu.Unlock()
 	p.settleDomain(j)
 	reason := plan.Reason
+	if plan.Runner = p.reserved(t, j); plan.Runner != nil {
+		plan.Granted = true
+		t.run(plan.Runner, false)
+		return true
+	}
 	plan.Reason = ReasonNone
 	_, runners := p.split(j)
 	if len(runners) == 0 {
@@ -265,7 +272,7 @@
 	for _, i := range j.Permitted {
 		st := p.state(i)
 		switch {
-		case j.Avoid[i.ID] || p.changing(i) || st.replaced || !allowed(st) || !p.withinLimit(i):
+		case j.Avoid[i.ID] || p.changing(i) || st.replaced || !allowed(st) || !p.withinLimit(j, i):
 		case i.Role == engine.RolePrefill:
 			readers = append(readers, i)
 		default:
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -24,6 +24,9 @@
 	busy float64
 	// running is what it adds to the runner's.
 	running Load
+	// reserved is the ID of a runner that limits its rate and of which a request has been taken for
+	// the time when the prompt has been read, empty for none.
+	reserved string
 	// late is true if the prompt is read when no others wait.
 	late  bool
 	begun time.Time
