The completion service waits a moment for a grant too; the division of rates in virtual time, with waits

Change: a call that only rate limits keep away waits for 25 ms at most, as at the gateways. What lapsed long ago is not given back, as it would be sent in another time than it became due in. The test in virtual time waits as the services do and has no real timers.

--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rockdoor/rockdoor/bootclock"
@@ -20,6 +21,11 @@
 	}
 }
 
+// limited reports whether some of the targets limit their rate.
+func (r *run) limited(permitted []*config.Target) bool {
+	return slices.ContainsFunc(permitted, func(t *config.Target) bool { return r.s.limits.Limited(t.Name) })
+}
+
 // wantedAgain returns when the first of the targets that rest or limit their rate wants calls again,
 // otherwise if none does.
 func (r *run) wantedAgain(permitted []*config.Target, otherwise time.Duration) time.Duration {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,6 +18,7 @@
 	"github.com/rockdoor/rockdoor/internal/attempt"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/routing"
 	"github.com/rockdoor/rockdoor/statechart"
 )
@@ -55,6 +56,8 @@
 	whole bool
 	// claim is held if the call has an idempotency key.
 	claim *claims.Claim
+	// waiting is true while the call waits for the rate limits of its targets.
+	waiting bool
 	// target of the last attempt, and the work that it is there.
 	target *config.Target
 	work   *routing.Work
@@ -108,6 +111,12 @@
 		return rep
 	}
 	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
+	for waited := time.Duration(0); work == nil && r.limited(permitted) && waited < ratelimit.GrantWait; waited += ratelimit.GrantPoll {
+		time.Sleep(ratelimit.GrantPoll)
+		r.waiting = true
+		work, t, full = r.pick(permitted, cost, r.runsWhole, phaseRun)
+	}
+	r.waiting = false
 	if work == nil {
 		return r.noTarget(permitted, full)
 	}
@@ -201,7 +210,7 @@
 			full++
 			continue
 		}
-		if !r.s.o.Snapshot().Available(t) || !r.s.limits.Allows(t.Name, false) {
+		if !r.s.o.Snapshot().Available(t) || !r.s.limits.Allows(t.Name, r.waiting) {
 			continue
 		}
 		cands = append(cands, routing.Candidate{Target: t, Load: load, Rates: routing.DefaultRates, Broken: r.s.breakers.broken(t.Name)})
--- a/internal/ratelimit/history_test.go
+++ b/internal/ratelimit/history_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,7 +26,9 @@
 	// wayMost is how long a message is on its way at most, silentAfter when a process is taken for gone.
 	wayMost     = 5 * time.Millisecond
 	silentAfter = 500 * time.Millisecond
-	step        = time.Millisecond
+	// hearEvery is how often processes hear each other.
+	hearEvery = 80 * time.Millisecond
+	step      = time.Millisecond
 )
 
 // history is a fleet in virtual time before one instance that limits its rate. All processes decide.
@@ -33,7 +36,7 @@
 	clock   *testClock
 	random  *rand.Rand
 	nodes   []*node
-	waiting []delivery
+	waiting deliveries
 	// sent are the times at which requests were sent, sentBy how many each process sent.
 	sent   []bootclock.Instant
 	sentBy map[string]int
@@ -58,8 +61,9 @@
 	until bootclock.Instant // frozen until then
 	// heardAt is when each other process was heard last.
 	heardAt []bootclock.Instant
-	asked   bootclock.Instant
-	share   float64 // of the demand
+	// asked is when it asked its keeper last, heard when it heard the others.
+	asked, heard bootclock.Instant
+	share        float64 // of the demand
 }
 
 func newHistory(seed uint64, processes int, rate, demand float64) *history {
@@ -77,6 +81,7 @@
 func (n *node) start() {
 	n.table = NewTable(n.name, metrics.NewRegistry(), log.NewNopLogger())
 	n.table.now = n.h.clock.now
+	n.table.after = func(d time.Duration, f func()) { n.h.later(n, d, func(*node) { f() }) }
 	n.table.Join(n)
 }
 
@@ -84,6 +89,7 @@
 
 // hear takes in which of the others are heard now.
 func (n *node) hear() {
+	n.heard = n.h.clock.at
 	for k, other := range n.h.nodes {
 		if other.side == n.side && !other.frozen() {
 			n.heardAt[k] = n.h.clock.at
@@ -120,9 +126,13 @@
 	if from.side != to.side {
 		return
 	}
+	h.later(to, time.Duration(h.random.Int64N(int64(wayMost))), do)
+}
+
+// later has a run of a process do something after a time.
+func (h *history) later(to *node, after time.Duration, do func(to *node)) {
 	table := to.table
-	way := time.Duration(h.random.Int64N(int64(wayMost)))
-	h.waiting = append(h.waiting, delivery{h.clock.at.Add(way), to, func(to *node) {
+	heap.Push(&h.waiting, delivery{h.clock.at.Add(after), to, func(to *node) {
 		if to.table == table { // connections end with the process
 			do(to)
 		}
@@ -130,22 +140,36 @@
 }
 
 func (h *history) deliver() {
-	var left []delivery
-	due := h.waiting
-	h.waiting = nil
-	for _, d := range due {
-		if d.at > h.clock.at || d.to.frozen() {
-			left = append(left, d)
+	for len(h.waiting) > 0 && h.waiting[0].at <= h.clock.at {
+		d := heap.Pop(&h.waiting).(delivery)
+		if d.to.frozen() {
+			d.at = d.to.until
+			heap.Push(&h.waiting, d)
 			continue
 		}
 		d.do(d.to)
 	}
-	h.waiting = append(left, h.waiting...)
 }
 
-// request has a process try to send one request; the answer names the limit.
-func (h *history) request(n *node) {
-	if !n.table.Allows("i", false) {
+// deliveries are a heap by their times.
+type deliveries []delivery
+
+func (d deliveries) Len() int           { return len(d) }
+func (d deliveries) Less(i, k int) bool { return d[i].at < d[k].at }
+func (d deliveries) Swap(i, k int)      { d[i], d[k] = d[k], d[i] }
+func (d *deliveries) Push(x any)        { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// request has a process try to send one request, for as long as requests wait; the answer names the limit.
+func (h *history) request(n *node, waited time.Duration) {
+	if !n.table.Allows("i", waited > 0) {
+		if waited += GrantPoll; waited < GrantWait {
+			h.later(n, GrantPoll, func(n *node) { h.request(n, waited) })
+		}
 		return
 	}
 	if _, ok := n.table.Take("i"); !ok {
@@ -161,8 +185,6 @@
 // exchange has a process tell its news and ask its keeper.
 func (n *node) exchange() {
 	h := n.h
-	n.asked = h.clock.at
-	n.hear()
 	for run, s := range n.table.News() {
 		for _, other := range h.nodes {
 			if other != n {
@@ -195,10 +217,15 @@
 				continue
 			}
 			if h.random.Float64() < h.demand*n.share*step.Seconds() {
-				h.request(n)
+				h.request(n, 0)
+			}
+			if len(n.table.wake) > 0 && h.clock.at.Sub(n.asked) >= every {
+				<-n.table.wake
+				n.asked = h.clock.at
+				h.later(n, gather, (*node).exchange)
 			}
-			if h.clock.at.Sub(n.asked) >= every {
-				n.exchange()
+			if h.clock.at.Sub(n.heard) >= hearEvery {
+				n.hear()
 			}
 		}
 	}
@@ -236,13 +263,10 @@
 // can't be divided.
 func (h *history) allowed() float64 { return useMost + 1/(h.rate*window.Seconds()) }
 
-// manyDeciders is a fleet of which each process wants to send so seldom that grants lapse.
-const manyDeciders = 295
-
 // TestSumOfAllProcessesStaysWithinTheRate has fleets that decide and rates: in no window do all together
 // send more than 1.2 times the rate, and at least 0.9 of it while they want to send more.
 func TestSumOfAllProcessesStaysWithinTheRate(t *testing.T) {
-	for _, processes := range []int{1, 7, 16, manyDeciders} {
+	for _, processes := range []int{1, 7, 16, 295} {
 		for _, rate := range []float64{0.5, 2, 6.4, 25, 100} {
 			h := newHistory(uint64(processes), processes, rate, 4*rate+20)
 			begun := h.clock.at
@@ -252,9 +276,7 @@
 			most, used := h.most(begun.Add(500*time.Millisecond)), h.used(steady)
 			t.Logf("%3d processes, %5.1f a second: at most %.2f in %s, %.2f used", processes, rate, most, window, used)
 			require.LessOrEqual(t, most, h.allowed(), "%d processes, %v a second", processes, rate)
-			if processes < manyDeciders {
-				require.GreaterOrEqual(t, used, useLeast-1/(15*rate), "%d processes, %v a second", processes, rate)
-			}
+			require.GreaterOrEqual(t, used, useLeast-1/(15*rate), "%d processes, %v a second", processes, rate)
 		}
 	}
 }
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -28,6 +28,9 @@
 	grantLife    = 300 * time.Millisecond
 	maxGrantLife = time.Second
 	lifeRequests = 0.5
+	// backWithin is how long after its end a grant can be given back: what comes back late would be
+	// sent in another time than it became due in.
+	backWithin = 500 * time.Millisecond
 	// tellTime is how long it takes at most until all that decide know a limit.
 	tellTime = 300 * time.Millisecond
 	// toldLate is by how much at most what another process tells looks younger than it is, since ages
@@ -43,6 +46,14 @@
 	maxRetry = 5 * time.Second
 )
 
+const (
+	// GrantWait is how long a request waits for a grant at the most: one that is asked for arrives in that
+	// time, and what takes longer is better refused at once.
+	GrantWait = 25 * time.Millisecond
+	// GrantPoll is how often it is looked for one meanwhile.
+	GrantPoll = 4 * time.Millisecond
+)
+
 // Fleet is what a table has to know of the other processes.
 type Fleet interface {
 	// Keeper names the process that grants requests, which may be this one.
@@ -99,6 +110,7 @@
 	self   string
 	logger log.Logger
 	now    func() bootclock.Instant
+	after  func(time.Duration, func())
 
 	// limits counts the limits in force: nothing is looked up while it is 0.
 	limits atomic.Int64
@@ -118,7 +130,7 @@
 // keeper of all limits until it joins a fleet.
 func NewTable(self string, reg metrics.Registry, logger log.Logger) *Table {
 	t := &Table{
-		self: self, logger: log.With(logger, "component", "ratelimit"), now: bootclock.Now, wake: make(chan struct{}, 1),
+		self: self, logger: log.With(logger, "component", "ratelimit"), now: bootclock.Now, after: runAfter, wake: make(chan struct{}, 1),
 		all: map[string]*entry{}, news: map[string]bool{},
 		taken: metrics.GetOrRegisterCounter("ratelimit.taken", reg), denied: metrics.GetOrRegisterCounter("ratelimit.denied", reg),
 	}
@@ -142,6 +154,8 @@
 // Part implements Fleet.
 func (a alone) Part() float64 { return 1 }
 
+func runAfter(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
 // Join has the keeper of a fleet grant what this process sends.
 func (t *Table) Join(f Fleet) {
 	t.mu.Lock()
@@ -392,7 +406,9 @@
 // hold returns how many requests of grants may still be sent.
 func (e *entry) hold(now bootclock.Instant) (requests int) {
 	for len(e.grants) > 0 && (e.grants[0].until <= now || e.grants[0].requests == 0) {
-		e.lapsed += e.grants[0].requests
+		if now.Sub(e.grants[0].until) < backWithin {
+			e.lapsed += e.grants[0].requests
+		}
 		e.grants = e.grants[1:]
 	}
 	for _, g := range e.grants {
@@ -479,7 +495,7 @@
 	defer t.mu.Unlock()
 	if e := t.limited(run); e != nil && requests > 0 {
 		e.grants = append(e.grants, grant{requests, asked.Add(e.life())})
-		time.AfterFunc(e.life(), t.signal) // what has lapsed then is given back
+		t.after(e.life(), t.signal) // what has lapsed then is given back
 	}
 }
 
