--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -13,6 +13,7 @@
 // exchange sends the request to an instance, and takes in what the head of the answer says of the
 // instance.
 func (q *request) exchange(ctx context.Context, i *fleet.Instance, s engine.Send) (*upstream.Answer, engine.Verdict, error) {
+	q.withheld = false
 	a, err := q.s.o.Client.Do(ctx, q.upstream(i, s))
 	if err != nil {
 		return nil, engine.Verdict{}, err
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -368,7 +368,7 @@
 // decision, which lies questions to schedulers and a new connection back, up to half a second.
 // It may also have become known meanwhile that the request ends the instances that run it.
 func (q *request) mayStillRun(i *fleet.Instance) error {
-	q.sentAt, q.withheld = bootclock.Now(), false
+	q.sentAt = bootclock.Now()
 	switch {
 	case q.convicted():
 		return fault.New(fault.Unavailable, "instances have ended under the request since the decision", "the request is refused")
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -80,12 +80,6 @@
 	return next.Heard > s.Heard
 }
 
-// grant is a number of requests that may be sent until a time.
-type grant struct {
-	requests int
-	until    bootclock.Instant
-}
-
 // entry is what is known of one run of an instance.
 type entry struct {
 	Statement
@@ -124,6 +118,8 @@
 	fleet Fleet
 	all   map[string]*entry // by run of an instance
 	news  map[string]bool   // runs whose statements are to be told
+	// oddAt is when a limit that cannot be read was logged last.
+	oddAt bootclock.Instant
 }
 
 // NewTable returns the table of a process, which logs what is new and counts in reg. The process is the
@@ -135,7 +131,7 @@
 		taken: metrics.GetOrRegisterCounter("ratelimit.taken", reg), denied: metrics.GetOrRegisterCounter("ratelimit.denied", reg),
 	}
 	t.fleet = alone{self}
-	_ = reg.Register("ratelimit.instances", metrics.NewFunctionalGauge(t.limits.Load))
+	reg.GetOrRegister("ratelimit.instances", metrics.NewFunctionalGauge(t.limits.Load))
 	return t
 }
 
@@ -168,13 +164,16 @@
 	if l == (engine.RateLimit{}) && t.limits.Load() == 0 {
 		return
 	}
-	if l.Unreadable != "" {
-		level.Warn(t.logger).Log("msg", "rate limit cannot be read, the one known before is kept", "instance", run, "request", request, "text", l.Unreadable)
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	if l.Unreadable != "" {
+		if now.Sub(t.oddAt) >= logEvery {
+			t.oddAt = now
+			level.Warn(t.logger).Log("msg", "rate limit cannot be read, the one known before is kept", "instance", run, "request", request, "text", l.Unreadable)
+		}
+		return
+	}
 	if t.learn(run, Statement{l, sent, now, now}, "request", request) {
 		t.news[run] = true
 		t.signal()
@@ -262,161 +261,9 @@
 	return nil
 }
 
-// Allows reports whether a request may be sent to a run of an instance. It counts as demand, unless it
-// has been counted before.
-func (t *Table) Allows(run string, counted bool) bool {
-	if t.limits.Load() == 0 {
-		return true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	if e == nil {
-		return true
-	}
-	now := t.now()
-	b := t.bucketOf(e, now)
-	if !counted {
-		e.demand = e.demand*decay(now.Sub(e.demandAt).Seconds()) + 1
-		e.demandAt = now
-	}
-	allowed := false
-	switch {
-	case b == nil:
-		t.ask(e, counted)
-		allowed = e.hold(now) > 0
-	case !counted:
-		b.want(t.self, 1)
-		allowed = b.has(t.self)
-	default:
-		allowed = b.has(t.self)
-	}
-	if !allowed && !counted {
-		t.denied.Inc(1)
-	}
-	return allowed
-}
-
-// ask has the keeper asked for one more request, or again for one that has been counted.
-func (t *Table) ask(e *entry, counted bool) {
-	if !counted || e.wanted == 0 {
-		e.wanted++
-	}
-	if e.wanted == 1 {
-		t.signal()
-	}
-}
-
-// Take counts a request that is about to be sent to a run of an instance. Granted is true if the run
-// limits its rate, ok is false if the request may not be sent.
-func (t *Table) Take(run string) (granted, ok bool) {
-	if t.limits.Load() == 0 {
-		return false, true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	if e == nil {
-		return false, true
-	}
-	if ok = t.spend(e); ok {
-		t.taken.Inc(1)
-	}
-	return ok, ok
-}
-
-// spend counts a request to a limited run, and reports false if it may not be sent. The caller holds the
-// lock.
-func (t *Table) spend(e *entry) bool {
-	now := t.now()
-	if b := t.bucketOf(e, now); b != nil {
-		return b.draw(t.self)
-	}
-	if e.hold(now) == 0 {
-		return false
-	}
-	e.grants[0].requests--
-	return true
-}
-
-// Request counts a request that no placement has considered before it is sent, as Allows and Take do.
-func (t *Table) Request(run string) (ok bool) {
-	if !t.Allows(run, false) {
-		return false
-	}
-	_, ok = t.Take(run)
-	return ok
-}
-
-// Withholds reports whether a request must not be sent that was placed without a grant, by the named
-// process or, if that is empty, by this one. What another process has placed goes by what that one
-// knows, once it has had the time to learn of the limit.
-func (t *Table) Withholds(run, placedBy string) bool {
-	if t.limits.Load() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	return e != nil && (placedBy == "" || placedBy == t.self || t.now().Sub(e.learned) < tellTime)
-}
-
 // Limited reports whether a run of an instance limits its rate.
 func (t *Table) Limited(run string) bool { return t.Limit(run).Limited }
 
-// RetryAfter returns when a caller that is refused since a run of an instance takes no more may come
-// back: once those that want to be sent there too are through.
-func (t *Table) RetryAfter(run string) time.Duration {
-	if t.limits.Load() == 0 {
-		return 0
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	if e == nil {
-		return 0
-	}
-	seconds := (1 + e.demand) / (max(e.PerSecond, leastRate) * t.fleet.Part())
-	return time.Duration(min(max(seconds, minRetry.Seconds()), maxRetry.Seconds()) * float64(time.Second))
-}
-
-// bucketOf returns what this process grants of a limit, filled, nil if another one is the keeper. The
-// caller holds the lock.
-func (t *Table) bucketOf(e *entry, now bootclock.Instant) *bucket {
-	if t.fleet.Keeper() != t.self {
-		e.bucket = nil
-		return nil
-	}
-	if e.bucket == nil {
-		opensAt := now
-		if now.Sub(e.Began) > grantLife { // an earlier keeper's grants are still sent
-			opensAt = now.Add(e.life())
-		}
-		e.bucket = newBucket(opensAt)
-		e.grants, e.lapsed = nil, 0
-	}
-	rate := max(e.PerSecond, leastRate) * t.fleet.Part()
-	if now.Sub(e.Began) < startTime {
-		rate *= startShare
-	}
-	e.bucket.fill(now, rate, e.life())
-	return e.bucket
-}
-
-// hold returns how many requests of grants may still be sent.
-func (e *entry) hold(now bootclock.Instant) (requests int) {
-	for len(e.grants) > 0 && (e.grants[0].until <= now || e.grants[0].requests == 0) {
-		if now.Sub(e.grants[0].until) < backWithin {
-			e.lapsed += e.grants[0].requests
-		}
-		e.grants = e.grants[1:]
-	}
-	for _, g := range e.grants {
-		requests += g.requests
-	}
-	return requests
-}
-
 // Learn takes in what another process says of a run of an instance.
 func (t *Table) Learn(run, process string, s Statement) {
 	t.mu.Lock()
@@ -444,61 +291,6 @@
 	return out
 }
 
-// Demand is what a process asks the keeper for.
-type Demand struct {
-	Run string
-	// Known is what the process knows of the run.
-	Known Statement
-	// Wanted requests want to be sent there, Lapsed ones were granted and will not be sent.
-	Wanted, Lapsed int
-}
-
-// Demand returns what is to be asked of the keeper, and counts anew.
-func (t *Table) Demand() []Demand {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Demand
-	for run, e := range t.all {
-		if e.hold(t.now()); e.wanted == 0 && e.lapsed == 0 {
-			continue
-		}
-		out = append(out, Demand{run, e.Statement, e.wanted, e.lapsed})
-		e.wanted, e.lapsed = 0, 0
-	}
-	return out
-}
-
-// Grant returns how many of the requests to a run that a process wants to send it may, 0 if this
-// process is not the keeper.
-func (t *Table) Grant(run, process string, wanted, lapsed int) (granted int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	if e == nil {
-		return 0
-	}
-	b := t.bucketOf(e, t.now())
-	if b == nil {
-		return 0
-	}
-	b.want(process, float64(wanted))
-	b.takeBack(process, lapsed)
-	for granted < wanted && b.draw(process) {
-		granted++
-	}
-	return granted
-}
-
-// Granted takes in a grant of the keeper, which was asked at a time.
-func (t *Table) Granted(run string, requests int, asked bootclock.Instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.limited(run); e != nil && requests > 0 {
-		e.grants = append(e.grants, grant{requests, asked.Add(e.life())})
-		t.after(e.life(), t.signal) // what has lapsed then is given back
-	}
-}
-
 // Limits returns the statements of all instances that limit their rates, by run.
 func (t *Table) Limits() map[string]Statement {
 	t.mu.Lock()
@@ -512,17 +304,6 @@
 	return out
 }
 
-// Wanted returns how many requests a second this process wants to send to a run.
-func (t *Table) Wanted(run string) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.limited(run)
-	if e == nil {
-		return 0
-	}
-	return e.demand * decay(t.now().Sub(e.demandAt).Seconds()) / shareTime.Seconds()
-}
-
 // statements returns what is known of the runs that a message names.
 func (t *Table) statements(named []*peerpb.RateLimit) map[string]Statement {
 	t.mu.Lock()
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -66,7 +66,11 @@
 	}
 	clock.pass(time.Millisecond)
 	b.Heard("a@1", "r-2", noLimit, clock.at)
-	require.Equal(t, 2, strings.Count(out.String(), "\n"), out.String())
+	for range 10 {
+		b.Heard("a@1", "r-3", engine.RateLimit{Unreadable: "few"}, clock.at)
+	}
+	require.Equal(t, 3, strings.Count(out.String(), "\n"), out.String())
+	require.Contains(t, out.String(), `msg="rate limit cannot be read, the one known before is kept" instance=a@1 request=r-3 text=few`)
 	require.Contains(t, out.String(), `msg="instance limits its rate" instance=a@1 per_second=0 before=0 request=r-1`)
 	require.Contains(t, out.String(), `msg="rate limit has ended" instance=a@1 per_second=0 before=99 request=r-2`)
 }
