Nothing is sent for a caller that has left, also by a process that was held up

Cause, suspected: between the choice of a kept connection and the first byte nothing asked whether the context had ended; its end only aborts what is under way, in another goroutine, and a timer runs late in a process that was held up. Change: the last look before a request is written asks the context, and compares its deadline with the clock. Figures: upstream.TestNothingIsSentForACallerThatHasLeft fails before (requests are written under ended contexts), passes after; tests of upstream, gateway and entry pass.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -319,7 +319,7 @@
 // left says nothing of it, and neither does what was not sent for its sake.
 func (q *request) blame(err error) placement.Outcome {
 	switch {
-	case q.ctx.Err() != nil, q.withheld:
+	case q.ctx.Err() != nil, q.withheld, !time.Now().Before(q.deadline):
 		return placement.Sound
 	case fault.Is(err, fault.Unavailable):
 		return placement.Unreachable
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -136,11 +136,9 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "instance cannot be reached", "another instance is tried")
 	}
-	if r.Check != nil {
-		if err := r.Check(); err != nil {
-			c.drop(r.Address, cn)
-			return nil, err
-		}
+	if err := r.mayBeSent(ctx); err != nil {
+		c.drop(r.Address, cn)
+		return nil, err
 	}
 	a := &Answer{client: c, address: r.Address, maxIdle: cmp.Or(r.MaxIdle, maxIdle), conn: cn, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
@@ -161,6 +159,19 @@
 	return a, nil
 }
 
+// mayBeSent is the last look before the request is written. A process that was held up goes on before
+// its timers have run, so the deadline is compared with the clock.
+func (r *Request) mayBeSent(ctx context.Context) error {
+	deadline, timed := ctx.Deadline()
+	switch {
+	case ctx.Err() != nil || timed && !time.Now().Before(deadline):
+		return fault.New(fault.Unavailable, "time is up, or the caller has left", "nothing was sent")
+	case r.Check == nil:
+		return nil
+	}
+	return r.Check()
+}
+
 func (r *Request) build() *http.Request {
 	req := &http.Request{
 		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: r.Header,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -216,6 +217,41 @@
 	require.Zero(t, c.Open(address))
 }
 
+// lateContext is one whose deadline has passed before its timer has run.
+type lateContext struct{ context.Context }
+
+// Deadline implements context.Context.
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// TestNothingIsSentForACallerThatHasLeft has a kept connection at hand for a request whose caller has left. A
+// process that was held up for seconds went on with its requests before it had noticed: eight were sent
+// 2.5 s after their callers' deadlines.
+func TestNothingIsSentForACallerThatHasLeft(t *testing.T) {
+	var arrived atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	defer s.Close()
+	address := s.Listener.Addr().String()
+	c := New(metrics.NewRegistry())
+	defer c.Close()
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		a, err := c.Do(context.Background(), request(address, "a", ""))
+		require.NoError(t, err)
+		_, err = io.ReadAll(a.Body)
+		require.NoError(t, err)
+		a.Close(true)
+		for _, ctx := range []context.Context{left, lateContext{context.Background()}} {
+			_, err = c.Do(ctx, request(address, "b", ""))
+			require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+		}
+	}
+	require.EqualValues(t, 20, arrived.Load())
+}
+
 func TestCutBodyIsNotWhole(t *testing.T) {
 	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		id, _, _ := readRequest(r)
