Tests of gateways: addresses for more than 254 of them; limits are asked for where they are decided

A process that has others decide knows only the limits that it heard itself; the test asked the first one, which had heard none.

--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -87,8 +87,9 @@
 // loopback returns an IP number of the loopback range that no other gateway of a
 // test uses, so that fixed ports are free on it.
 func loopback() string {
-	pid, n := os.Getpid(), gateways.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid%100, pid/100%250, n)
+	const perNet, nets = 250, 2
+	pid, n := os.Getpid(), int(gateways.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%100, pid/100%(perNet/nets)*nets+n/perNet%nets, 1+n%perNet)
 }
 
 // process is one running gateway.
--- a/internal/gatewayd/ratelimit_test.go
+++ b/internal/gatewayd/ratelimit_test.go
@@ -93,7 +93,8 @@
 			begun := time.Now()
 			sendTo(all, "/app/x", nil, sendGap, rateTime)
 			var st LimitsStatus
-			all[0].get(t, "/limits", &st)
+			decider := slices.IndexFunc(all, func(p *process) bool { return p.state(t).Scheduling })
+			all[decider].get(t, "/limits", &st)
 			require.Len(t, st.Limits, 1)
 			require.Equal(t, limited.ID, st.Limits[0].Instance)
 			require.Equal(t, c.rate, st.Limits[0].PerSecond)
