Stand-in: handles of engines with the same ID are told apart

Cause: its cases run side by side, each with an engine 'a', and handles were named by the engine's ID and its own count in one map of the whole program. A case took another's handle: both engines that run refused the first request, and the limited one looked worse for longer than the test lasts. Traced by a run that printed what each engine got: 251 prompts read, 0 and 250 runs, the first request 503. Change: handles are numbered for all engines of a program together. The test and its bounds stay.

--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -89,7 +90,6 @@
 	shed    []Run
 	freed   []string
 	handles map[string]string // handle to request id
-	next    int
 	orders  []Order
 	taken   int64
 	busy    bool
@@ -333,12 +333,14 @@
 // handles that were read anywhere; a stand-in for the memory that engines move.
 var handles sync.Map // handle to true
 
+// handleNumber numbers the handles of all engines: those of tests that run side by side have the same IDs.
+var handleNumber atomic.Int64
+
 func (e *Engine) read(w http.ResponseWriter, run Run) {
 	e.mu.Lock()
 	e.reads = append(e.reads, run)
-	e.next++
-	handle := fmt.Sprintf("%s-%d", e.ID, e.next)
 	e.mu.Unlock()
+	handle := fmt.Sprintf("%s-%d", e.ID, handleNumber.Add(1))
 	handles.Store(handle, true)
 	_ = json.NewEncoder(w).Encode(map[string]any{"kv_handle": handle, "tokens": 1, "version": 1})
 }
