Rate limits: one place tells what is new; the keeper copies its table only for those that ask for all

Cause, found by reading the diff: Heard and Learn had the same end, Allows the same branch twice, and each ask of a process, every 10 ms while there are limits, copied the statements of all limited instances to drop them again. Change: learn has what is new told; HandlePeer looks up what was asked for. Behaviour stays.

--- a/internal/ratelimit/grants.go
+++ b/internal/ratelimit/grants.go
@@ -39,16 +39,13 @@
 		e.demand = e.demand*decay(now.Sub(e.demandAt).Seconds()) + 1
 		e.demandAt = now
 	}
-	allowed := false
-	switch {
-	case b == nil:
+	if b != nil && !counted {
+		b.want(t.self, 1)
+	}
+	allowed := b != nil && b.has(t.self)
+	if b == nil {
 		t.ask(e, counted)
 		allowed = e.hold(now) > 0
-	case !counted:
-		b.want(t.self, 1)
-		allowed = b.has(t.self)
-	default:
-		allowed = b.has(t.self)
 	}
 	if !allowed && !counted {
 		t.denied.Inc(1)
--- a/internal/ratelimit/sharer.go
+++ b/internal/ratelimit/sharer.go
@@ -271,11 +271,11 @@
 	from, message := req.GetFrom().GetName(), req.GetRateLimits()
 	s.learn(message.GetLimits(), from)
 	answer := &peerpb.RateLimits{}
-	known := s.o.Table.Limits()
-	if !message.GetAll() {
-		known = s.o.Table.statements(message.GetLimits())
+	if message.GetAll() {
+		answer.Limits = encodeAll(s.o.Table.Limits())
+	} else {
+		answer.Limits = encodeAll(s.o.Table.statements(message.GetLimits()))
 	}
-	answer.Limits = encodeAll(known)
 	for _, r := range message.GetRequests() {
 		if granted := s.o.Table.Grant(r.GetInstance(), from, int(r.GetRequests()), int(r.GetLapsed())); granted > 0 {
 			answer.Requests = append(answer.Requests, &peerpb.RateRequests{Instance: r.GetInstance(), Requests: uint32(granted)})
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -174,10 +174,7 @@
 		}
 		return
 	}
-	if t.learn(run, Statement{l, sent, now, now}, "request", request) {
-		t.news[run] = true
-		t.signal()
-	}
+	t.learn(run, Statement{l, sent, now, now}, "request", request)
 }
 
 // signal has something told or asked soon.
@@ -188,19 +185,19 @@
 	}
 }
 
-// learn takes in a statement if it is later than the one known, and reports whether it changes
+// learn takes in a statement if it is later than the one known, and has it told if it changes
 // anything. The caller holds the lock.
-func (t *Table) learn(run string, s Statement, from ...any) bool {
+func (t *Table) learn(run string, s Statement, from ...any) {
 	e := t.all[run]
 	if e == nil {
 		if !s.Limited {
-			return false
+			return
 		}
 		e = &entry{}
 		t.all[run] = e
 	}
 	if !e.supersededBy(s) {
-		return false
+		return
 	}
 	before := e.Statement
 	switch {
@@ -215,10 +212,11 @@
 	}
 	e.Statement = s
 	if before.RateLimit == s.RateLimit {
-		return false
+		return
 	}
 	t.log(e, run, before, from)
-	return true
+	t.news[run] = true
+	t.signal()
 }
 
 // log writes what has changed of an instance's limit.
@@ -271,10 +269,7 @@
 	if e := t.limited(run); e != nil {
 		s.Sent, s.Heard = s.Sent.Add(-toldLate), s.Heard.Add(-toldLate)
 	}
-	if t.learn(run, s, "from", process) {
-		t.news[run] = true
-		t.signal()
-	}
+	t.learn(run, s, "from", process)
 }
 
 // News returns the statements that are new since it was called last.
