Shares of workspaces: calls that come together see each other's

Cause: at the completion service a call looked at its workspace's share of the room, and was counted at its target later. The calls of a flood that came together each saw the room that the others took, and with 12 places all 12 went to the flood, 10 at the most are due. Ruled out: looking after the call has been counted (tried before): 40 calls that are counted for a moment fill the targets for others. Change: the look and the count of a first attempt are one step, one call at a time (some microseconds each).

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -107,21 +107,33 @@
 	if r.kv.KV != "" {
 		cost.PrefillTokens = 0
 	}
-	if rep := r.shareOut(permitted); rep != nil {
-		return rep
-	}
-	work, t, full := r.pick(permitted, cost, r.runsWhole, phaseRun)
-	for waited := time.Duration(0); work == nil && r.limited(permitted) && waited < ratelimit.GrantWait; waited += ratelimit.GrantPoll {
+	full, rep := r.place(permitted, cost)
+	for waited := time.Duration(0); rep == nil && r.work == nil && r.limited(permitted) && waited < ratelimit.GrantWait; waited += ratelimit.GrantPoll {
 		time.Sleep(ratelimit.GrantPoll)
 		r.waiting = true
-		work, t, full = r.pick(permitted, cost, r.runsWhole, phaseRun)
+		full, rep = r.place(permitted, cost)
 	}
 	r.waiting = false
-	if work == nil {
-		return r.noTarget(permitted, full)
+	if rep == nil && r.work == nil {
+		rep = r.noTarget(permitted, full)
 	}
-	r.work, r.target = work, t
-	return nil
+	return rep
+}
+
+// place finds a target, counts the call there, and returns how many targets are full. It returns
+// a reply if the workspace is over its share. Calls look at the shares one at a time: those of a
+// flood that look together would each see the room that the others take.
+func (r *run) place(permitted []*config.Target, cost routing.Cost) (int, *reply) {
+	if r.attempts == 0 {
+		r.s.placing.Lock()
+		defer r.s.placing.Unlock()
+	}
+	if rep := r.shareOut(permitted); rep != nil {
+		return 0, rep
+	}
+	var full int
+	r.work, r.target, full = r.pick(permitted, cost, r.runsWhole, phaseRun)
+	return full, nil
 }
 
 // shortFrom is the share of the room at the permitted targets in use from which
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,6 +69,9 @@
 	outcomes *outcomes
 	lengths  *lengths
 
+	// placing is held while the share of a call's workspace is looked at and the call is counted.
+	placing sync.Mutex
+
 	policyMu sync.Mutex
 	policies map[string]routing.Policy
 }
