Floods of changes are asked for in parts

Cause: each change of a registration was a call to the store for each watcher, and a message to each of 985 processes. At a start 10,003 engines register 490 a second for 20 s: up to 490 x 985 messages a second, which grow with the hosts times the engines. Change: who asked and was told of changes asks again 0.04 of the bound later (200 ms of 5 s, 80 ms of 2 s), counted from its last question: a change after a calm is told at once, those of a flood come together. Ruled out: a longer hold at the scheduler, which would delay the first change.

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -56,8 +56,10 @@
 	answerWithin time.Duration
 	// retryMost is the longest pause between failed calls.
 	retryMost time.Duration
-	events    chan<- any
-	logger    log.Logger
+	// gap is how far two calls lie apart at the least of which the first told of changes.
+	gap    time.Duration
+	events chan<- any
+	logger log.Logger
 }
 
 const (
@@ -83,8 +85,9 @@
 	rev, listed, failed := objstore.Revision(0), false, false
 	for ctx.Err() == nil {
 		var err error
+		news, asked := 0, bootclock.Now()
 		if listed {
-			rev, err = f.watch(ctx, rev, failed)
+			rev, news, err = f.watch(ctx, rev, failed)
 		} else {
 			rev, err = f.list(ctx)
 		}
@@ -92,6 +95,9 @@
 		case err == nil:
 			listed, failed = true, false
 			pause.Reset()
+			if news > 0 {
+				pauseUntil(ctx, asked.Add(f.gap))
+			}
 			continue
 		case errors.Is(err, objstore.ErrWatchGap):
 			level.Info(f.logger).Log("msg", "watch has a gap, listing again", "feed", f.feed, "revision", rev)
@@ -160,7 +166,8 @@
 	c.asked, c.confirmed, c.revision = asked, asked, max(rev, c.revision)
 }
 
-func (f *follower) watch(ctx context.Context, after objstore.Revision, failed bool) (objstore.Revision, error) {
+// watch waits for changes and returns up to which revision they are known, and how many came.
+func (f *follower) watch(ctx context.Context, after objstore.Revision, failed bool) (objstore.Revision, int, error) {
 	wait := f.wait()
 	if failed {
 		wait = probeWait
@@ -170,11 +177,11 @@
 	defer cancel()
 	events, rev, err := f.store.Watch(wctx, f.prefix, after, wait)
 	if err != nil {
-		return after, err
+		return after, 0, err
 	}
 	rev = max(rev, after)
 	f.send(ctx, changed{feed: f.feed, events: events, asked: asked, confirmed: min(bootclock.Now(), asked.Add(wait)), revision: rev})
-	return rev, nil
+	return rev, len(events), nil
 }
 
 func (f *follower) send(ctx context.Context, event any) {
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -172,7 +172,7 @@
 
 // follower returns a follower of one kind of objects.
 func (d *Discovery) follower(s source) *follower {
-	f := &follower{feed: s, prefix: d.prefixOf(s), store: d.o.Store, wait: d.wait, answerWithin: AnswerWithin(d.o.Apply), retryMost: retryMost, events: d.events, logger: d.logger}
+	f := &follower{feed: s, prefix: d.prefixOf(s), store: d.o.Store, wait: d.wait, answerWithin: AnswerWithin(d.o.Apply), retryMost: retryMost, gap: d.gap(), events: d.events, logger: d.logger}
 	switch s {
 	case feedRules:
 		f.store, f.wait, f.retryMost = d.o.Stale, d.slowWait, retryMost*slowFactor
@@ -211,6 +211,14 @@
 	return wait
 }
 
+// gapShare is the part of Within that lies between two questions of which the first was answered with
+// changes. The first change after a calm is told at once, and those of a flood in as many messages at any
+// number of instances: 10,000 that registered 490 a second were as many messages to each process.
+const gapShare = 0.04
+
+// gap is how far two questions lie apart while changes come.
+func (d *Discovery) gap() time.Duration { return time.Duration(gapShare * float64(d.o.Within)) }
+
 // slowWait is how long a watch of rules or members waits.
 func (d *Discovery) slowWait() time.Duration { return d.ownWait() * slowFactor }
 
@@ -228,6 +236,13 @@
 	}
 }
 
+// pauseUntil waits until a time, if that is to come.
+func pauseUntil(ctx context.Context, at bootclock.Instant) {
+	if left := at.Sub(bootclock.Now()); left > 0 {
+		pause(ctx, left)
+	}
+}
+
 // listing is the change that a whole list is.
 func listing(s source, objects []objstore.Object, asked bootclock.Instant) changed {
 	c := changed{feed: s, reset: true, asked: asked, confirmed: asked}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -95,6 +95,7 @@
 	var lookNext bootclock.Instant
 	answered := bootclock.Now()
 	for ctx.Err() == nil {
+		asked := bootclock.Now()
 		f, err := d.o.Relay.Follow(ctx, at)
 		if err == nil {
 			if bootclock.Since(answered) > missedAfter {
@@ -103,6 +104,9 @@
 			at, answered = f.Position, bootclock.Now()
 			d.send(ctx, followed{f})
 			lookNext = d.lookItself(ctx, f, lookNext)
+			if len(f.Events) > 0 {
+				pauseUntil(ctx, asked.Add(d.gap()))
+			}
 			continue
 		}
 		if bootclock.Since(answered) < d.patience(err) {
--- a/internal/discovery/relay_test.go
+++ b/internal/discovery/relay_test.go
@@ -36,11 +36,20 @@
 
 // tell has a process hear from the scheduler that it follows.
 func tell(relay copies, full bool, revision int, events ...objstore.Event) {
-	relay <- discovery.Followed{
+	relay <- followedWith(full, revision, events...)
+}
+
+func followedWith(full bool, revision int, events ...objstore.Event) discovery.Followed {
+	return discovery.Followed{
 		Update: feed.Update{Full: full, Events: events}, InstancesRevision: objstore.Revision(revision), Processes: 30, Schedulers: []members.Member{{Name: "other"}},
 	}
 }
 
+// followedAt is what a scheduler says after one more instance has registered.
+func followedAt(revision int) discovery.Followed {
+	return followedWith(false, revision, registered(fmt.Sprint("i-", revision), revision))
+}
+
 // registered is the registration of an instance that is ready.
 func registered(id string, version int) objstore.Event {
 	return objstore.Event{Object: objstore.Object{Key: "servers/" + id, Version: objstore.Version(version), Value: []byte(`{"service": "s", "address": "10.0.0.1:80", "phase": "ready", "slots": 4}`)}}
