Instances that say they leave or rest are found by what was said; the replay divides its engines as the gateways do

Change: what was said is looked up among the instances, by binary search. Test: fleet.TestPoolFindsInstances, notice.TestBoard.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,12 +205,15 @@
 	Lapsed bool
 }
 
+// runMark parts the ID of an instance from what differs from run to run.
+const runMark = '@'
+
 // Run names this run of the instance and no other.
 func (i *Instance) Run() string {
 	if i.Born == 0 {
 		return i.ID
 	}
-	return i.ID + "@" + strconv.FormatInt(i.Born, 10)
+	return i.ID + string(runMark) + strconv.FormatInt(i.Born, 10)
 }
 
 // Labels returns the labels that selectors match: those that operators gave the
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,20 @@
 	return nil
 }
 
+// FindRun returns the instance whose present run has a name, nil if that is not in the pool.
+func (p *Pool) FindRun(run string) *Instance {
+	id := run // that of an instance that does not say when it was born
+	if at := strings.LastIndexByte(run, runMark); at >= 0 {
+		id = run[:at]
+	}
+	for _, id := range []string{id, run} {
+		if i := p.Find(id); i != nil && i.Run() == run {
+			return i
+		}
+	}
+	return nil
+}
+
 const (
 	// jumpFactor and jumpBits are those of jump consistent hashing, by which a key moves to another of
 	// n groups, if any, only to the one that is new.
--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -103,6 +103,13 @@
 	p := v.Pool("r", "s")
 	require.Same(t, v.Instances["i-00017"], p.Find("i-00017"))
 	require.Nil(t, p.Find("i-1"))
+	require.Same(t, v.Instances["i-00017"], p.FindRun("i-00017"))
+	require.Nil(t, p.FindRun("i-00017@5"), "another run")
+	odd := &Instance{ID: "x@5"}
+	born := &Instance{ID: "x", Born: 7}
+	p = &Pool{All: []*Instance{born, odd}}
+	require.Same(t, odd, p.FindRun("x@5"))
+	require.Same(t, born, p.FindRun("x@7"))
 	require.Nil(t, (&View{}).Pool("r", "s").Find("i-1"))
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -35,13 +35,14 @@
 // unwilling returns the instances that are not to get the request: those that failed it, and those
 // that have said that they leave, or that they want nothing from this process now. Another
 // process that decides is told of them, since it may not have heard them.
-func (q *request) unwilling(permitted []*fleet.Instance) map[string]bool {
-	if q.s.notices.Empty() {
+func (q *request) unwilling(pool *fleet.Pool) map[string]bool {
+	runs := q.s.notices.AllUnwilling()
+	if len(runs) == 0 {
 		return q.avoid
 	}
 	out := maps.Clone(q.avoid)
-	for _, i := range permitted {
-		if q.s.notices.Unwilling(i.Run()) {
+	for _, run := range runs {
+		if i := pool.FindRun(run); i != nil {
 			out[i.ID] = true
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -177,7 +177,7 @@
 	return &placement.Job{
 		Route: q.route, Ranked: q.workspace != nil && q.workspace.Ranked, Workspace: q.workspaceName(), Service: v.Config.Services[q.service],
 		Call: q.call, Left: time.Until(q.firstBy()), Spent: time.Since(q.arrived), Fingerprint: q.asked(), Domain: q.s.o.Domain,
-		Permitted: pool.All, Groups: pool.Groups, Avoid: q.unwilling(pool.All), NoRead: q.begun || q.source != nil,
+		Permitted: pool.All, Groups: pool.Groups, Avoid: q.unwilling(pool), NoRead: q.begun || q.source != nil,
 	}
 }
 
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rockdoor/rockdoor/engine"
@@ -96,6 +97,7 @@
 	heard   []map[string]placement.Load
 	told    [][]uint64
 	fleet   []*fleet.Instance
+	pool    *fleet.Pool
 	engines map[string]*simEngine
 	result  Result
 }
@@ -141,6 +143,7 @@
 		r.fleet = append(r.fleet, i)
 		r.engines[i.ID] = e
 	}
+	r.pool = &fleet.Pool{All: r.fleet}
 }
 
 // buildPlacers makes the processes that decide. Their ties are broken by numbers apart from
@@ -163,12 +166,11 @@
 
 // warm has each engine that reads keep the subjects that it is home to.
 func (r *replay) warm() {
-	readers := r.fleet[:r.o.Readers]
 	kept := map[string][]engine.Part{}
 	for _, k := range r.o.Load {
 		for n := range k.Subjects {
 			id := subject(k, n)
-			home := placement.Home(id, readers)
+			home := placement.Home(id, r.readersOf(id))
 			r.engines[home.ID].memory.read(id, k.Shared, 0)
 			kept[home.ID] = append(kept[home.ID], engine.Part{ID: id, Tokens: k.Shared})
 		}
@@ -183,6 +185,13 @@
 	}
 }
 
+// readersOf returns the engines that read among those of a subject's group.
+func (r *replay) readersOf(subject string) []*fleet.Instance {
+	groups := r.pool.Groups()
+	group := slices.Clone(groups[fleet.GroupOf(subject, len(groups))])
+	return slices.DeleteFunc(group, func(i *fleet.Instance) bool { return i.Role != engine.RolePrefill })
+}
+
 func subject(k Kind, n int) string { return fmt.Sprint(k.Name, n) }
 
 // arrivals makes requests of a kind, with exponential pauses.
@@ -235,7 +244,7 @@
 		job: &placement.Job{
 			Route: &fleet.Route{Name: k.Name, LatencyTarget: k.Target, Rank: k.Rank}, Service: fleet.Service{Name: service, KVCapacity: r.o.Engines.Memory},
 			Call:      &engine.Call{PromptTokens: k.Shared + own, Parts: []engine.Part{{ID: name, Tokens: k.Shared}, {ID: "own", Tokens: own}}},
-			Permitted: r.fleet, Avoid: map[string]bool{}, Workspace: r.workspace(k),
+			Permitted: r.fleet, Groups: r.pool.Groups, Avoid: map[string]bool{}, Workspace: r.workspace(k),
 		},
 	}
 	r.result.Owed += q.worth
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -72,13 +72,6 @@
 	return s
 }
 
-// Empty reports whether no instance has said anything, so that none needs to be looked up.
-func (b *Board) Empty() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.all) == 0
-}
-
 // Leaving reports whether a run of an instance has said that it leaves.
 func (b *Board) Leaving(instance string) bool {
 	b.mu.Lock()
@@ -110,6 +103,20 @@
 	return first
 }
 
+// AllUnwilling returns the runs of instances that want nothing now.
+func (b *Board) AllUnwilling() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := bootclock.Now()
+	var out []string
+	for instance, s := range b.all {
+		if s.leaving || s.restUntil > now {
+			out = append(out, instance)
+		}
+	}
+	return out
+}
+
 // Unwilling reports whether a run of an instance wants nothing now: it leaves or rests.
 func (b *Board) Unwilling(instance string) bool { return b.Leaving(instance) || b.Rest(instance) > 0 }
 
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -11,13 +11,14 @@
 
 func TestBoard(t *testing.T) {
 	b := NewBoard(log.NewNopLogger())
-	require.True(t, b.Empty())
+	require.Empty(t, b.AllUnwilling())
 	b.Leaves("a@1", "r")
 	b.Rests("b", "r", time.Hour)
 	b.Rests("b", "r", time.Minute)
 	require.True(t, b.Unwilling("a@1"))
 	require.False(t, b.Unwilling("a@2"), "a later run has said nothing")
 	require.Greater(t, b.Rest("b"), 59*time.Minute, "the longer one holds")
+	require.ElementsMatch(t, []string{"a@1", "b"}, b.AllUnwilling())
 	b.Retain(func(string) bool { return false })
 	require.True(t, b.Leaving("a@1"), "its registration may come back")
 }
