Roles: no orders in advance while engines register, and no more than a decision can use

Cause: before the first request as many engines as there are gateways are to read. Change: no order in advance until no engine has registered for 1 s; at most 72, however many gateways and engines there are. Tests: TestNoOrdersInAdvanceWhileEnginesRegister, TestOrdersInAdvanceDoNotGrowWithTheFleet.

--- a/roles/packing.go
+++ b/roles/packing.go
@@ -18,6 +18,9 @@
 	running float64
 	// queue is the smoothed queue of prompts in ms.
 	queue float64
+	// known is how many engines there were last, grewAt when there were more than before for the last time.
+	known  int
+	grewAt time.Time
 	// waited and crowded are since when prompts have waited and generating engines
 	// have been too few, zero if they do not.
 	waited, crowded time.Time
@@ -51,10 +54,15 @@
 	// engines may read: requests that generate last for seconds.
 	learnTime  = 4 * time.Second
 	learnShare = 0.6
-	// readersPerGateway bounds how many engines read before the first request, besides
-	// learnShare, so that the first prompts find readers; without the bound a large fleet of idle
-	// engines would get an order each.
+	// readersPerGateway and mostInAdvance bound how many engines read before the first request, besides
+	// learnShare, so that the first prompts find readers; without the bounds a large fleet of idle
+	// engines would get an order each. What one decision chooses among is some 120 engines, and what is
+	// not read apart is read by engines that generate.
 	readersPerGateway = 1
+	mostInAdvance     = 72
+	// settleFor is for how long no engine must have registered for engines to get orders in advance: of
+	// thousands that register, those that read may be the last.
+	settleFor = time.Second
 	// minGenerating engines, and the share minGeneratingShare of all, are kept, so
 	// that the loss of one, or of a slow link, stops nothing: each takes over the
 	// memory of prompts one after the other.
@@ -79,7 +87,7 @@
 	p.observe(in, generating*slots, generating < leastGenerating(generating+reading))
 	reason := fmt.Sprintf("%.0f requests generating, %d engines with %d slots each, %.0f ms of prompts queued", p.running, generating, slots, p.queue)
 	switch {
-	case p.first.IsZero() && in.Queue == 0 && reading < readInAdvance(reading+generating, in.Gateways):
+	case p.first.IsZero() && in.Queue == 0 && p.settled(in.Now, reading+generating) && reading < readInAdvance(reading+generating, in.Gateways):
 		return move(in.Engines, engine.RoleMixed, engine.RolePrefill, "nothing is generated yet")
 	case due(p.crowded, in.Now, crowdedFor) && reading > minReading:
 		p.crowded = in.Now
@@ -117,7 +125,17 @@
 
 // readInAdvance returns how many of n engines read while nobody has used them yet.
 func readInAdvance(n, gateways int) int {
-	return min(int(learnShare*float64(n)), readersPerGateway*gateways)
+	return min(int(learnShare*float64(n)), readersPerGateway*gateways, mostInAdvance)
+}
+
+// settled takes in how many engines there are, and reports whether their number has not grown for a
+// while.
+func (p *packing) settled(now time.Time, engines int) bool {
+	if engines > p.known {
+		p.grewAt = now
+	}
+	p.known = engines
+	return now.Sub(p.grewAt) >= settleFor
 }
 
 // maySpare reports whether the load leaves a generating engine to spare.
--- a/roles/packing_test.go
+++ b/roles/packing_test.go
@@ -143,3 +143,34 @@
 	s.play(&packing{}, 10*time.Second, idle)
 	require.Equal(t, 9, s.readers())
 }
+
+// TestNoOrdersInAdvanceWhileEnginesRegister has the engines of a large fleet register one after the other, a
+// third of which read: those that read and are not known yet are not replaced by others.
+func TestNoOrdersInAdvanceWhileEnginesRegister(t *testing.T) {
+	all := newShift(0, 3000)
+	for n := range all.engines {
+		if n%3 == 0 {
+			all.engines[n].Role = engine.RolePrefill
+		}
+	}
+	s := &shift{now: all.now, gateways: 1000}
+	p := &packing{}
+	for known := 100; known <= len(all.engines); known += 100 {
+		s.engines = all.engines[:known]
+		s.play(p, 200*time.Millisecond, idle)
+	}
+	s.play(p, 5*time.Second, idle)
+	require.Zero(t, s.changes)
+}
+
+// TestOrdersInAdvanceDoNotGrowWithTheFleet has fleets of idle engines that all generate.
+func TestOrdersInAdvanceDoNotGrowWithTheFleet(t *testing.T) {
+	for _, c := range []struct{ engines, gateways, readers int }{{12, 8, 7}, {104, 295, 62}, {1000, 500, mostInAdvance}, {2000, 1000, mostInAdvance}} {
+		s := newShift(0, c.engines)
+		s.gateways = c.gateways
+		s.play(&packing{}, 20*time.Second, idle)
+		require.Equal(t, c.readers, s.changes, "%d engines", c.engines)
+	}
+}
+
+func idle(time.Duration) (running int, queue time.Duration) { return 0, 0 }
