--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -29,7 +29,7 @@
 	before.Index()
 	for range 200 {
 		changed := map[string]bool{}
-		for range rng.IntN(2 * reindexMost) {
+		for range rng.IntN(128) {
 			id := fmt.Sprintf("i-%05d", rng.IntN(400))
 			changed[id] = true
 			if rng.IntN(3) == 0 {
@@ -103,10 +103,17 @@
 	p := v.Pool("r", "s")
 	require.Same(t, v.Instances["i-00017"], p.Find("i-00017"))
 	require.Nil(t, p.Find("i-1"))
+	require.Same(t, v.Instances["i-00017"], p.FindRun("i-00017"))
+	require.Nil(t, p.FindRun("i-00017@5"), "another run")
+	odd := &Instance{ID: "x@5"}
+	born := &Instance{ID: "x", Born: 7}
+	p = &Pool{All: []*Instance{born, odd}}
+	require.Same(t, odd, p.FindRun("x@5"))
+	require.Same(t, born, p.FindRun("x@7"))
 	require.Nil(t, (&View{}).Pool("r", "s").Find("i-1"))
 }
 
-// BenchmarkIndexFrom publishes a view of 10,000 instances of which none, one and all have changed.
+// BenchmarkIndexFrom publishes a view of 10,000 instances of which none, one, 300 and all have changed.
 func BenchmarkIndexFrom(b *testing.B) {
 	v := &View{Instances: instancesOf(10_000)}
 	v.Index()
@@ -114,10 +121,14 @@
 	for id := range v.Instances {
 		all[id] = true
 	}
+	some := map[string]bool{}
+	for k := range 300 {
+		some[fmt.Sprintf("i-%05d", 31*k)] = true
+	}
 	for _, c := range []struct {
 		name    string
 		changed map[string]bool
-	}{{"none", nil}, {"one", map[string]bool{"i-00017": true}}, {"all", all}} {
+	}{{"none", nil}, {"one", map[string]bool{"i-00017": true}}, {"300", some}, {"all", all}} {
 		b.Run(c.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
