Roles: a review takes the loads of all engines in one step

Cause: each scheduler reviews the roles five times a second, and took three locks and a new record for each engine: 8.5 ms and 3.6 MB at 9,543 engines, 0.04 of a core and 18 MB of garbage a second at each of 10 schedulers, growing with the engines. Change: the placer tells all loads under one lock, records are used again.

--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,9 +62,10 @@
 	o      Options
 	logger log.Logger
 
-	// policies and changed belong to the goroutine of Run.
+	// policies, changed and engines, which is used for each input again, belong to the goroutine of Run.
 	policies map[string]roles.Policy
 	changed  map[string]time.Time
+	engines  []roles.Engine
 
 	mu      sync.Mutex
 	pending map[string]*change
@@ -163,21 +165,26 @@
 	in := roles.Input{Now: time.Now(), Gateways: v.Processes}
 	var queue time.Duration
 	reading := 0
-	for _, i := range v.Usable(service) {
-		load := k.o.Placer.Load(i)
-		role, movable := i.Role, time.Since(k.changed[i.ID]) > dwell
+	usable := v.Usable(service)
+	in.Engines = slices.Grow(k.engines[:0], len(usable))
+	k.o.Placer.EachLoad(service, usable, func(i *fleet.Instance, load placement.Load, ahead time.Duration) {
+		role, movable := i.Role, true
+		if at, changed := k.changed[i.ID]; changed {
+			movable = in.Now.Sub(at) > dwell
+		}
 		if c := k.change(i.ID); c != nil {
 			role, movable = c.to.To, false
 		}
 		if i.Role == engine.RolePrefill {
 			reading++
-			queue += k.o.Placer.Queue(service, load)
+			queue += ahead
 		}
 		in.Engines = append(in.Engines, roles.Engine{
 			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.Long, Slots: i.Slots,
 			PrefillTokens: load.Unread.All().Tokens,
 		})
-	}
+	})
+	k.engines = in.Engines
 	in.Queue = queue / time.Duration(max(reading, 1))
 	return in
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -132,13 +132,13 @@
 	mu        sync.Mutex
 	instances map[string]*state
 	// busy are the instances at which this process has work in hand, and some at which it had.
-	busy   map[string]*state
-	models    map[string]*Model // by service
-	reads     readLog
-	shares    map[string]*shares // by service
-	peers     func(id string) Load
-	changing  func(*fleet.Instance) bool
-	limiter   Limiter
+	busy     map[string]*state
+	models   map[string]*Model // by service
+	reads    readLog
+	shares   map[string]*shares // by service
+	peers    func(id string) Load
+	changing func(*fleet.Instance) bool
+	limiter  Limiter
 }
 
 // New returns a placer for a process in a failure domain. peers tells what the
@@ -187,12 +187,23 @@
 	return p.load(p.state(i))
 }
 
-// Queue returns how long the prompts in hand, also the late ones, keep an engine
-// of the service busy.
-func (p *Placer) Queue(service string, l Load) time.Duration {
+// EachLoad tells what all processes have in hand at each of a service's instances, and how long the
+// prompts among it, also the late ones, keep an engine of the service busy.
+func (p *Placer) EachLoad(service string, instances []*fleet.Instance, tell func(i *fleet.Instance, l Load, queue time.Duration)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return millis(p.model(service).Busy(l.Unread.All()))
+	model := p.model(service)
+	for _, i := range instances {
+		l := p.peers(i.ID)
+		if st := p.instances[i.ID]; st != nil {
+			l = l.Add(st.own)
+		}
+		queue := time.Duration(0)
+		if unread := l.Unread.All(); unread != (Backlog{}) {
+			queue = millis(model.Busy(unread))
+		}
+		tell(i, l, queue)
+	}
 }
 
 // Place decides where a job is read, or where it runs if it is not read apart,
