Gateways: what is held for callers and instances that read slowly is bounded for all requests together

Cause: a request's body (up to the operator's limit) and a plain answer (up to 4 MB) are held whole, each, with no bound for all: a thousand callers that read slowly could cost 4 GB of a host with 184 MB. Streams are passed on event by event and hold one event at a time, at most 1 MB. Change: bodies and answers are counted as they are read, in pieces that grow from 2 to 32 KB, against a quarter of the host's memory. A body that does not fit is refused (503, not run, Retry-After); an answer that does not fit, or is larger than 4 MB, is passed on as its caller reads it, so that the instance waits; it can then not be asked for again. Larger answers were failures before. Ruled out: refusing while an answer is in hand, which would say not run of what has; a read-ahead for streams, whose usual sizes (20 KB) the kernel's buffers hold. Not built: what placement knows of bytes at an engine, stand-ins that cut off slow readers, memory from outside at 1,000 callers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	bodyTime = 3 * time.Second
 	// startRetry is when to ask again at a process that is not ready.
 	startRetry = time.Second
+	// holdRetry is when to ask again while bodies take as much memory as they may.
+	holdRetry = time.Second
 	// defaultWait bounds a request for which neither caller nor route states a time.
 	defaultWait = time.Minute
 )
@@ -73,6 +75,7 @@
 	watch    *suspects.Watch
 	notices  *notice.Board
 	limits   *ratelimit.Table
+	holdings holdings
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -121,6 +124,7 @@
 		s.refuseEarly(w, r, rep)
 		return
 	}
+	defer q.release()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
@@ -189,8 +193,14 @@
 	if err := rc.SetReadDeadline(time.Now().Add(bodyTime)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return q.badBody(http.StatusRequestTimeout, err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.http.Body, limit))
-	if err != nil {
+	body, err := q.hold(http.MaxBytesReader(q.w, q.http.Body, limit), int(limit)+1)
+	if errors.Is(err, errHoldFull) {
+		q.release()
+		q.w.Header().Set("Connection", "close")
+		return refusal(http.StatusServiceUnavailable, "memory-full", err, holdRetry)
+	}
+	if !errors.Is(err, io.EOF) {
+		q.release()
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return q.badBody(http.StatusRequestEntityTooLarge, err)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -44,10 +44,11 @@
 
 // rig is a gateway in front of stand-ins.
 type rig struct {
-	t    testing.TB
-	view atomic.Pointer[fleet.View]
-	url  string
-	reg  metrics.Registry
+	gateway *gateway.Server
+	t       testing.TB
+	view    atomic.Pointer[fleet.View]
+	url     string
+	reg     metrics.Registry
 	// servers are those of the stand-ins, by instance.
 	servers map[string]*httptest.Server
 }
@@ -60,6 +61,8 @@
 	domains map[string]string
 	// quarantine knows which requests end instances; it may be nil.
 	quarantine *quarantine.Table
+	// hold bounds the bytes of bodies that the gateway holds, 0 for no bound.
+	hold int64
 	// spot is true if the platform may take the instances away.
 	spot bool
 	// placed is told of each plan before it is carried out; it may be nil.
@@ -115,6 +118,8 @@
 		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
 		MaxProofAge: testProofAge, Quarantine: o.quarantine, Budget: o.budget, Limits: limits, Metrics: reg, Logger: log.NewNopLogger(),
 	})
+	g.LimitMemory(o.hold)
+	r.gateway = g
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
 	r.url = s.URL
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -18,7 +18,7 @@
 
 const (
 	// heldAnswer is the largest answer that is held back until it is whole, so
-	// that a cut one can be asked for again.
+	// that a cut one can be asked for again. Larger ones are passed on as they come.
 	heldAnswer = 4 << 20
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
@@ -70,10 +70,15 @@
 		a.Close(false)
 		return lifecycle.Lost, fault.New(fault.Unknown, "resumed stream was answered with something else", "check the instance")
 	}
-	body, err := readAll(a, heldAnswer)
-	if err != nil {
-		return lifecycle.Lost, err
+	body, err := q.hold(a.Body, heldAnswer)
+	switch {
+	case errors.Is(err, errHoldFull):
+		return q.passOn(a, body)
+	case !errors.Is(err, io.EOF):
+		a.Close(false)
+		return lifecycle.Lost, fault.Wrap(err, fault.Unknown, "answer was cut", "another instance is tried if the request may be repeated")
 	}
+	a.Close(true)
 	q.head(a)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(a.Status)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,8 +51,10 @@
 	// workspace is the caller's, nil if it needs none and has none.
 	workspace *fleet.Workspace
 	body      []byte
-	arrived   time.Time
-	deadline  time.Time
+	// held is how many bytes of the request and its answer are counted as held.
+	held     int64
+	arrived  time.Time
+	deadline time.Time
 
 	service string
 	// sends counts sends to runners, runs those that may have begun there.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -60,6 +60,8 @@
 	emptyTicks = 4
 	// memoryShare is the part of the memory at which the collector works harder.
 	memoryShare = 0.7
+	// holdShare is the part of the memory that bodies of requests and answers may take.
+	holdShare = 0.25
 	// housekeeping is how often what is kept of instances that left is dropped.
 	housekeeping = 5 * time.Second
 	// listingCheck is how often a process looks whether it has become a scheduler, and
@@ -339,6 +341,7 @@
 func (d *Daemon) limitMemory(mb float64) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
+		d.gateway.LimitMemory(int64(mb * holdShare * (1 << 20)))
 	}
 }
 
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -66,6 +66,8 @@
 	// Work is how long a request takes before its answer or first event, Gap the time
 	// between two events.
 	Work, Gap time.Duration
+	// Padding is how many bytes follow a plain answer.
+	Padding int
 	// Changed is told of each change of the stage. It may be nil.
 	Changed func(stage string)
 	// Leaving has the engine say in its answers that it leaves, Rest is what it asks for with
@@ -379,7 +381,7 @@
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+e.ID)
 	if e.Events == 0 {
-		_, _ = io.WriteString(w, "answer to "+run.ID)
+		_, _ = io.WriteString(w, "answer to "+run.ID+strings.Repeat(".", e.Padding))
 		return
 	}
 	e.stream(w, r, run, fault)
