--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -50,6 +50,8 @@
 	// Workspace returns that of a kind's callers; nil if they have none.
 	Workspace func(kind string) string
 	Policy    placement.Policy
+	// Ungrouped has each decision look at all engines.
+	Ungrouped bool
 	Seed      uint64
 }
 
@@ -185,10 +187,20 @@
 	}
 }
 
+// groups divides the engines as the gateways do.
+func (r *replay) groups() [][]*fleet.Instance {
+	if r.o.Ungrouped {
+		return nil
+	}
+	return r.pool.Groups()
+}
+
 // readersOf returns the engines that read among those of a subject's group.
 func (r *replay) readersOf(subject string) []*fleet.Instance {
-	groups := r.pool.Groups()
-	group := slices.Clone(groups[fleet.GroupOf(subject, len(groups))])
+	group := slices.Clone(r.fleet)
+	if groups := r.groups(); len(groups) > 1 {
+		group = slices.Clone(groups[fleet.GroupOf(subject, len(groups))])
+	}
 	return slices.DeleteFunc(group, func(i *fleet.Instance) bool { return i.Role != engine.RolePrefill })
 }
 
@@ -244,7 +256,7 @@
 		job: &placement.Job{
 			Route: &fleet.Route{Name: k.Name, LatencyTarget: k.Target, Rank: k.Rank}, Service: fleet.Service{Name: service, KVCapacity: r.o.Engines.Memory},
 			Call:      &engine.Call{PromptTokens: k.Shared + own, Parts: []engine.Part{{ID: name, Tokens: k.Shared}, {ID: "own", Tokens: own}}},
-			Permitted: r.fleet, Groups: r.pool.Groups, Avoid: map[string]bool{}, Workspace: r.workspace(k),
+			Permitted: r.fleet, Groups: r.groups, Avoid: map[string]bool{}, Workspace: r.workspace(k),
 		},
 	}
 	r.result.Owed += q.worth
