Schedulers say how many processes follow them and are behind

Why: an operator of 985 hosts asks a scheduler of each domain, not each host, whether a change has reached all. Change: metrics scheduler.followers, scheduler.followers_behind, scheduler.followers_behind_ms, and the same in rockdoor gateway status. Test: TestFollowersThatAreBehind.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -152,6 +152,16 @@
 	return u, f.changed
 }
 
+// Run names the feed.
+func (f *Feed) Run() string { return f.run }
+
+// At returns the position of the newest change.
+func (f *Feed) At() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
 // after returns the changes after a position. The caller holds the lock.
 func (f *Feed) after(at uint64) []ordered {
 	first := sort.Search(len(f.order), func(n int) bool { return f.order[n].at > at })
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -12,6 +12,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -33,11 +34,13 @@
 	Members int   `json:"members"`
 	// Scheduling is true if the process works for the others, Schedulers names those that
 	// do, Watchers those of them that watch the store, Heard those of the others that it hears.
-	Scheduling bool             `json:"scheduling"`
-	Schedulers []string         `json:"schedulers"`
-	Watchers   []string         `json:"watchers"`
-	Heard      []string         `json:"heard"`
-	Instances  []InstanceStatus `json:"instances"`
+	Scheduling bool     `json:"scheduling"`
+	Schedulers []string `json:"schedulers"`
+	Watchers   []string `json:"watchers"`
+	Heard      []string `json:"heard"`
+	// Followers says how far the processes are that follow this one.
+	Followers scheduler.Followers `json:"followers"`
+	Instances []InstanceStatus    `json:"instances"`
 }
 
 // InstanceStatus is what a gateway believes of an instance.
@@ -79,7 +82,7 @@
 	st := Status{
 		Name: d.set.Name, Run: d.run, Ready: v.Ready(), Stopping: d.stopping.Load(), InHand: d.gateway.InHand(),
 		ConfigAgeMs: v.ConfigAge().Milliseconds(), InstancesAgeMs: v.InstancesAge().Milliseconds(), StoreUp: v.StoreUp, Era: v.Era,
-		Members: v.Processes, Scheduling: v.Scheduling, Schedulers: members.Names(v.Schedulers), Watchers: members.Names(v.Watchers), Heard: d.share.Heard(), Instances: []InstanceStatus{},
+		Members: v.Processes, Scheduling: v.Scheduling, Schedulers: members.Names(v.Schedulers), Watchers: members.Names(v.Watchers), Heard: d.share.Heard(), Followers: d.scheduler.Followers(), Instances: []InstanceStatus{},
 	}
 	if v.Config != nil {
 		st.Config = v.Config.Version
--- /dev/null
+++ b/internal/scheduler/progress_test.go
@@ -0,0 +1,40 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+)
+
+// TestFollowersThatAreBehind has one of three processes not ask for a change.
+func TestFollowersThatAreBehind(t *testing.T) {
+	s := newNode(t, "a-sched").Server
+	now := time.Now()
+	ask := func(name string, position uint64) {
+		from := &peerpb.Identity{Name: name, Incarnation: name}
+		s.hear(from)
+		s.followed(from, &peerpb.Follow{Run: s.feed.Run(), Position: position})
+	}
+	sweep := func(at time.Duration) Followers {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.showFollowers(now.Add(at))
+		return s.followers(now.Add(at))
+	}
+	s.feed.Put(registration(1))
+	for _, name := range []string{"a", "b", "c"} {
+		ask(name, 1)
+	}
+	require.Equal(t, Followers{Serving: 3}, sweep(0))
+	s.feed.Put(registration(2))
+	require.Equal(t, Followers{Serving: 3}, sweep(time.Millisecond))
+	ask("a", 2)
+	ask("b", 2)
+	late := s.o.Within / 2
+	require.Equal(t, Followers{Serving: 3, Behind: 1, MostMs: late.Milliseconds()}, sweep(late+time.Millisecond))
+	s.followed(&peerpb.Identity{Name: "c", Incarnation: "c"}, &peerpb.Follow{Run: "another", Position: 7})
+	require.Equal(t, 1, sweep(late).Behind, "a position of another feed is none")
+}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -36,9 +36,10 @@
 	feed   *feed.Feed
 	packs  packs
 
-	mu      sync.Mutex
-	last    uint64
-	clients map[string]*client
+	mu       sync.Mutex
+	last     uint64
+	clients  map[string]*client
+	progress progress
 }
 
 // client is a process whose requests are placed here.
@@ -46,6 +47,9 @@
 	run     string
 	heard   time.Time
 	tickets map[uint64]given
+	// follows is true if it copies the feed, position is up to where it had it when it asked last.
+	follows  bool
+	position uint64
 }
 
 // given is a ticket and when it was given.
@@ -73,6 +77,7 @@
 func (s *Server) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.showFollowers(now)
 	for name, c := range s.clients {
 		if now.Sub(c.heard) > clientSilence {
 			if len(c.tickets) > 0 {
@@ -109,6 +114,7 @@
 	case req.GetHeartbeat() != nil:
 		return s.unheard(req.GetHeartbeat())
 	case req.GetFollow() != nil:
+		s.followed(from, req.GetFollow())
 		return s.follow(ctx, req.GetFollow())
 	case req.GetPlace() != nil:
 		return s.place(ctx, from, req.GetPlace())
@@ -140,6 +146,23 @@
 	c.heard = time.Now()
 }
 
+// followed notes up to where a client has the feed. One that looks for a fresher copy does not follow.
+func (s *Server) followed(from *peerpb.Identity, m *peerpb.Follow) {
+	if m.GetMaxAgeMs() > 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[from.GetName()]
+	if c == nil {
+		return
+	}
+	c.follows, c.position = true, m.GetPosition()
+	if m.GetRun() != s.feed.Run() {
+		c.position = 0
+	}
+}
+
 func (s *Server) place(ctx context.Context, from *peerpb.Identity, m *peerpb.Place) *peerpb.Response {
 	begun := time.Now()
 	job, err := decodeJob(m, s.o.View())
