Retry budget: a process of a large fleet may retry once in a window

Cause: the slack is divided by the processes, and 0.7 of a part is used: at 985 processes 0.74, under one, so that a process with under two requests for a service in 10 s never retried. Change: where the slack has one for each process, each may take one in a window, but not in the first of its life. Ruled out: a larger part of the bounds (the same at twice the size); grants by a keeper (not needed while processes are fewer than the slack: the next limit, at 1,040 processes here). Before: TestManyProcessesWithFewRequestsRetry takes none in 40 s; after: at least two each, and never more than the bounds in 10 s.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -35,6 +35,8 @@
 type budget struct {
 	bounds BudgetBounds
 
+	started bootclock.Instant
+
 	mu       sync.Mutex
 	services map[string]*budgetWindow
 }
@@ -44,10 +46,12 @@
 	// at is the number of the slot that was used last, since the host was booted:
 	// the time of day may jump.
 	at int64
+	// lastExtra is when the last extra was taken, or the process started.
+	lastExtra bootclock.Instant
 }
 
 func newBudget(b BudgetBounds) *budget {
-	return &budget{bounds: b, services: map[string]*budgetWindow{}}
+	return &budget{bounds: b, started: bootclock.Now(), services: map[string]*budgetWindow{}}
 }
 
 // allow replaces ratio and slack. What has been counted stays, and so does the window.
@@ -61,7 +65,7 @@
 	w := b.services[service]
 	at := int64(now) / int64(b.bounds.Window/budgetSlots)
 	if w == nil {
-		w = &budgetWindow{at: at}
+		w = &budgetWindow{at: at, lastExtra: b.started}
 		b.services[service] = w
 	}
 	for n := 0; w.at < at && n < budgetSlots; n++ {
@@ -89,18 +93,28 @@
 }
 
 // extra takes one send beyond the first from the budget, if there is room.
-func (b *budget) extra(service string) bool {
+func (b *budget) extra(service string) bool { return b.extraAt(service, bootclock.Now()) }
+
+func (b *budget) extraAt(service string, now bootclock.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, bootclock.Now())
+	w := b.window(service, now)
 	requests, extras := 0.0, 0.0
 	for _, s := range w.slots {
 		requests += s.requests
 		extras += s.extras
 	}
-	if extras+1 > budgetUse*(b.bounds.Ratio*requests+b.bounds.Slack/b.shares()) {
+	if extras+1 > budgetUse*(b.bounds.Ratio*requests+b.bounds.Slack/b.shares()) && !b.mayTakeOne(w, now) {
 		return false
 	}
 	w.slots[w.at%budgetSlots].extras++
+	w.lastExtra = now
 	return true
 }
+
+// mayTakeOne reports whether a process may take one extra in a window though its part is less, which it is
+// where each of many processes has a few requests: as long as the slack has one for each process, the
+// sum stays inside it. A process that has just started does not know what its earlier run took.
+func (b *budget) mayTakeOne(w *budgetWindow, now bootclock.Instant) bool {
+	return b.bounds.Slack >= b.shares() && now.Sub(w.lastExtra) > b.bounds.Window
+}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -39,3 +39,39 @@
 	require.EqualValues(t, 5, sum(now.Add(9*time.Second)))
 	require.Zero(t, sum(now.Add(11*time.Second)))
 }
+
+// TestManyProcessesWithFewRequestsRetry has 985 processes with a request in each window want an extra all
+// the time: each gets one in each window but the first of its life, and in no window do all together take more
+// than the bounds.
+func TestManyProcessesWithFewRequestsRetry(t *testing.T) {
+	const processes, slack, ratio, window, step = 985, 1040, 0.2, 10 * time.Second, 100 * time.Millisecond
+	const steps = int(window / step)
+	taken := make([]int, 4*steps) // by step
+	begun := bootclock.Now()
+	for n := range processes {
+		b := newBudget(BudgetBounds{Ratio: ratio, Slack: slack, Window: window, Processes: func() int { return processes }})
+		b.started = begun
+		own := 0
+		for k := range taken {
+			now := begun.Add(time.Duration(k) * step)
+			if (k+n)%steps == 0 {
+				w := b.window("s", now)
+				w.slots[w.at%budgetSlots].requests++
+			}
+			if b.extraAt("s", now) {
+				taken[k]++
+				own++
+				require.GreaterOrEqual(t, now.Sub(begun), window, "a young process does not know what was taken before")
+			}
+		}
+		require.GreaterOrEqual(t, own, 2)
+	}
+
+	for k := range taken[:len(taken)-steps] {
+		sum := 0
+		for _, n := range taken[k : k+steps] {
+			sum += n
+		}
+		require.LessOrEqual(t, float64(sum), slack+ratio*processes)
+	}
+}
