--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -172,9 +172,15 @@
 			"then the cause and the remedy. A FILE of - is standard input. With --summary, and without an ID, it prints how many\n"+
 			"requests did not end well, by route, outcome, phase and error, with the id of one of each, and how many of each\n"+
 			"workspace's were served, the least served first; that needs logs of level debug.",
-			"rockdoor trace 9c41d07be2a35f68 edge-*.log\n   rockdoor trace --summary edge-*.log"),
-		Flags: []cli.Flag{&cli.BoolFlag{Name: "summary", Usage: "group the requests that did not end well"}},
+			"rockdoor trace 9c41d07be2a35f68 edge-*.log\n   rockdoor trace --summary edge-*.log\n   rockdoor trace --reach edge-*.log"),
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "summary", Usage: "group the requests that did not end well"},
+			&cli.BoolFlag{Name: "reach", Usage: "print how long each change took to reach the processes"},
+		},
 		Action: func(c *cli.Context) error {
+			if c.Bool("reach") {
+				return traceReach(c)
+			}
 			if c.Bool("summary") {
 				return traceSummary(c)
 			}
@@ -195,6 +201,22 @@
 	}
 }
 
+func traceReach(c *cli.Context) error {
+	if c.NArg() < 1 {
+		return fault.New(fault.Invalid, "too few arguments", "give log files")
+	}
+	lines, err := readLogs(c.Args().Slice(), "")
+	if err != nil {
+		return err
+	}
+	t := newTable(c, "FIRST", "CHANGE", "ID", "PROCESSES", "HALF AFTER", "LAST AFTER")
+	for _, ch := range trace.Reach(lines) {
+		t.AppendRow([]any{ch.First.Format(time.TimeOnly), ch.What, ch.ID, ch.Processes, ch.Half.Round(time.Millisecond), ch.Last.Round(time.Millisecond)})
+	}
+	t.Render()
+	return nil
+}
+
 func traceSummary(c *cli.Context) error {
 	if c.NArg() < 1 {
 		return fault.New(fault.Invalid, "too few arguments", "give log files")
