Placement: names of runs are not made while no instance limits its rate

Cause: each decision made the name of each instance's run, to ask whether that limits its rate, before the table could say that none does.

--- a/internal/ratelimit/grants.go
+++ b/internal/ratelimit/grants.go
@@ -21,6 +21,9 @@
 	until    bootclock.Instant
 }
 
+// Any reports whether any run of an instance limits its rate.
+func (t *Table) Any() bool { return t.limits.Load() > 0 }
+
 // Allows reports whether a request may be sent to a run of an instance. It counts as demand, unless it
 // has been counted before.
 func (t *Table) Allows(run string, counted bool) bool {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -10,6 +10,8 @@
 
 // Limiter knows the rates of requests that runs of instances take from all processes together.
 type Limiter interface {
+	// Any reports whether any run limits its rate.
+	Any() bool
 	// Limited reports whether a run limits its rate.
 	Limited(run string) bool
 	// Allows reports whether a request may be sent to a run now. It counts as demand, unless it has
@@ -23,15 +25,18 @@
 	RetryAfter(run string) time.Duration
 }
 
+// limits reports whether any instance limits its rate; without, the names of runs need not be made.
+func (p *Placer) limits() bool { return p.limiter != nil && p.limiter.Any() }
+
 // withinLimit reports whether an instance's rate limit lets a job through.
 func (p *Placer) withinLimit(j *Job, i *fleet.Instance) bool {
-	return p.limiter == nil || p.limiter.Allows(i.Run(), j.Waiting)
+	return !p.limits() || p.limiter.Allows(i.Run(), j.Waiting)
 }
 
 // tie returns what decides between instances that are as fit, at random so that processes which see the
 // same loads spread. One that limits its rate goes first: what it takes now would lapse.
 func (p *Placer) tie(i *fleet.Instance) float64 {
-	if p.limiter != nil && p.limiter.Limited(i.Run()) {
+	if p.limits() && p.limiter.Limited(i.Run()) {
 		return 0
 	}
 	return p.random() * tieBreak
@@ -40,7 +45,8 @@
 // take counts the send that a plan leads to against the rate limit of its instance. If that takes no
 // more after all, the plan has no instance.
 func (p *Placer) take(i *fleet.Instance, plan *Plan) bool {
-	if p.limiter == nil {
+	if !p.limits() {
+		plan.Granted = false
 		return true
 	}
 	granted, ok := p.limiter.Take(i.Run())
@@ -57,7 +63,7 @@
 // that were read would else wait for what others take meanwhile. If none takes one more, the plan has
 // no instance.
 func (p *Placer) reserve(t *Ticket, plan *Plan, j *Job, runners []*fleet.Instance) bool {
-	if p.limiter == nil || slices.ContainsFunc(runners, func(r *fleet.Instance) bool { return !p.limiter.Limited(r.Run()) }) {
+	if !p.limits() || slices.ContainsFunc(runners, func(r *fleet.Instance) bool { return !p.limiter.Limited(r.Run()) }) {
 		return true
 	}
 	run := *plan
@@ -86,7 +92,7 @@
 // explainNone says of a plan without an instance whether that is due to rate limits, and when to come
 // back: the limited instances together take what wants to be sent in the harmonic sum of their times.
 func (p *Placer) explainNone(plan *Plan, j *Job) {
-	if p.limiter == nil {
+	if !p.limits() {
 		return
 	}
 	perSecond := 0.0
