--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -27,6 +27,9 @@
 	// cut off from the store: a quarter passes between two answers of the store, and two hops
 	// add a tenth each. What is found then is left within seven tenths.
 	staleShare = 0.6
+	// schedulerStaleShare is the same for a scheduler. It looks for a fresher copy before those that follow it
+	// do: hundreds that leave one at once each copy the whole deployment from another.
+	schedulerStaleShare = 0.5
 	// leastSlack is how long an answer may take at the least beyond the time that its call
 	// is held.
 	leastSlack = 150 * time.Millisecond
@@ -44,8 +47,13 @@
 	return time.Duration(followShare * float64(o.Within))
 }
 
+// staleAge returns from which age on a copy is left for a fresher one.
 func (o *Options) staleAge() time.Duration {
-	return time.Duration(staleShare * float64(o.Within))
+	share := staleShare
+	if o.View().Scheduling {
+		share = schedulerStaleShare
+	}
+	return time.Duration(share * float64(o.Within))
 }
 
 // Follow implements discovery.Relay.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -331,6 +331,26 @@
 	}
 }
 
+// TestASchedulerLeavesAStaleCopyFirst has one process follow a copy of an age that another follows too, which is
+// a scheduler: that one goes on with a fresher copy before those that follow it leave it, since all of
+// them would copy the whole deployment from another scheduler at once.
+func TestASchedulerLeavesAStaleCopyFirst(t *testing.T) {
+	old, fresh, other, scheduler := newNode(t, "a-old"), newNode(t, "b-fresh"), newNode(t, "a-1"), newNode(t, "a-2")
+	see([]*node{old, fresh, other, scheduler}, []*node{old, fresh}, "ap1")
+	stale := *old.view.Load()
+	stale.ConfigAt = bootclock.Now().Add(-testWithin * 11 / 20)
+	old.view.Store(&stale)
+	v := *scheduler.view.Load()
+	v.Scheduling, v.Watchers = true, v.Schedulers
+	scheduler.view.Store(&v)
+	f, err := other.Follow(context.Background(), feed.Position{})
+	require.NoError(t, err)
+	require.Equal(t, "a-old", f.Position.Run)
+	f, err = scheduler.Follow(context.Background(), feed.Position{})
+	require.NoError(t, err)
+	require.Equal(t, "b-fresh", f.Position.Run)
+}
+
 // TestASchedulerFindsTheOneFreshCopy has a scheduler, with the store's answer to none but one of
 // five others, ask for a copy that is fresher than its own. With three drawn at random it got
 // none in four of ten times, and asked again only seconds later. Copies that are not fresher
