--- /dev/null
+++ b/internal/discovery/directory_test.go
@@ -0,0 +1,82 @@
+package discovery_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// noLists is a store that does not answer lists of the members.
+type noLists struct{ http.Handler }
+
+func (n noLists) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && strings.HasSuffix(r.URL.Path, "/rockdoor-members") {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n.Handler.ServeHTTP(w, r)
+}
+
+func setDirectory(fake *fleetstore.Server, text string) {
+	fake.Set("rockdoor-directory", "main", map[string]any{"write": "w", "value": json.RawMessage(text)})
+}
+
+// TestAProcessOfALargeFleetJoinsWithoutTheMembers has a process start whose store does not answer lists of
+// the members, as one that 985 ask at once for 985 does not: the directory says whom to follow.
+func TestAProcessOfALargeFleetJoinsWithoutTheMembers(t *testing.T) {
+	fake := fleetstore.New()
+	setDirectory(fake, `{"processes": 985, "schedulers": [{"name": "other", "domain": "a", "peer": "10.0.0.9:1"}], "watchers": ["other"]}`)
+	relay := make(copies)
+	view := startOn(t, noLists{fake}, relay)
+	tell(relay, true, 10, registered("i-1", 5), configAt(1))
+	eventually(t, func() bool { return view().Ready() && view().Takes("s", "i-1") })
+	require.Equal(t, []string{"other"}, members.Names(view().Schedulers))
+}
+
+// TestADirectoryOfNoUseIsPassedOver has the directory be one of a small fleet, or nothing that can be read.
+func TestADirectoryOfNoUseIsPassedOver(t *testing.T) {
+	for _, text := range []string{`{"processes": 3, "schedulers": [{"name": "other"}]}`, `{"processes": 985}`, `[]`, `"x"`} {
+		fake := fleetstore.New()
+		setDirectory(fake, text)
+		setConfig(fake, 1)
+		view := startOn(t, fake, nil)
+		eventually(t, func() bool { return version(view()) == 1 && view().Scheduling })
+	}
+}
+
+// TestTheFirstWatcherKeepsTheDirectory has a process find itself the first watcher of a large fleet.
+func TestTheFirstWatcherKeepsTheDirectory(t *testing.T) {
+	fake := fleetstore.New()
+	for n := range members.FullMesh + 2 {
+		setMember(t, fake, fmt.Sprint("m-", n))
+	}
+	self := members.Member{Name: "z-self", Incarnation: members.NewIncarnation(), Domain: "a", Weight: 2}
+	watcher := discoveryOf(t, self, fake, make(copies), nil)
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String())
+	defer store.Close()
+	var dir struct {
+		Processes  int
+		Schedulers []members.Member
+		Watchers   []string
+	}
+	eventually(t, func() bool {
+		obj, err := store.Get(context.Background(), platform.DirectoryPrefix+"main")
+		return err == nil && json.Unmarshal(obj.Value, &dir) == nil
+	})
+	require.Equal(t, members.FullMesh+3, dir.Processes)
+	require.Equal(t, members.Names(watcher.View().Schedulers), members.Names(dir.Schedulers))
+	require.Equal(t, members.Names(watcher.View().Watchers), dir.Watchers)
+	require.Equal(t, "z-self", dir.Watchers[0])
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,7 +32,7 @@
 )
 
 // Prefixes are where the feeds are in the store.
-type Prefixes struct{ Config, Instances, Rules, Members string }
+type Prefixes struct{ Config, Instances, Rules, Members, Directory string }
 
 // Options of a Discovery.
 type Options struct {
@@ -133,7 +133,9 @@
 	// unlisted are members that a copy with which the store came back lacks, and that have time to
 	// register again.
 	unlisted map[string]bool
-	down     map[source]bool
+	// written is the directory that this process wrote last.
+	written directory
+	down    map[source]bool
 	// joined is true once this process has read the members.
 	joined bool
 	mode   mode
@@ -220,6 +222,8 @@
 		d.adopt(e.Followed)
 	case copied:
 		d.takeIn(e.Followed)
+	case directoryRead:
+		d.joinBy(e.directory)
 	}
 	d.chooseMode(ctx)
 	d.publish()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -69,17 +69,22 @@
 }
 
 func discoveryOn(t *testing.T, fake http.Handler, relay discovery.Relay, missing func()) *discovery.Discovery {
+	t.Helper()
+	return discoveryOf(t, members.Member{Name: "self", Incarnation: members.NewIncarnation(), Domain: "a"}, fake, relay, missing)
+}
+
+// discoveryOf starts a process that registers as stated.
+func discoveryOf(t *testing.T, self members.Member, fake http.Handler, relay discovery.Relay, missing func()) *discovery.Discovery {
 	t.Helper()
 	server := httptest.NewServer(fake)
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Listener.Addr().String()).AnswerWithin(discovery.AnswerWithin(apply))
-	self := members.Member{Name: "self", Incarnation: members.NewIncarnation(), Domain: "a"}
 	require.NoError(t, members.Register(context.Background(), store, platform.MemberPrefix, self))
 	d := discovery.New(discovery.Options{
 		Self: self, Run: self.Incarnation, Relay: relay, Missing: missing,
 		Store: store, Stale: store.Stale(),
 		Prefixes: discovery.Prefixes{
-			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
+			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix, Directory: platform.DirectoryPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
 		Apply: apply, Settle: apply, Within: within, LapseKept: lapseKept, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -43,10 +43,14 @@
 	appointedFor = 20 * time.Second
 )
 
-// join reads the members until it is known enough of the fleet to decide how to go on. A
+// join reads the directory, or else the members until it is known enough of the fleet to decide how to go on. A
 // process that is new must not take a list for whole that is older than its own
 // registration.
 func (d *Discovery) join(ctx context.Context) {
+	if dir, err := d.readDirectory(ctx); err == nil {
+		d.send(ctx, directoryRead{dir})
+		return
+	}
 	begun := bootclock.Now()
 	f := d.follower(feedMembers)
 	for ctx.Err() == nil {
@@ -109,12 +113,13 @@
 
 // reviewSchedulers takes in which schedulers are silent.
 func (d *Discovery) reviewSchedulers(ctx context.Context) {
-	if d.mode != watching {
-		return
+	if d.mode != watching || len(d.members) == 0 {
+		return // a process that joined by the directory has not listed the members yet
 	}
 	d.dropUnlisted()
 	d.nameSchedulers()
 	d.chooseMode(ctx)
+	d.keepDirectory(ctx)
 	d.publish()
 }
 
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -30,12 +30,15 @@
 }
 
 func (h *holdings) take(n int64) bool {
-	held, most := h.held.Add(n), h.most.Load()
-	if most > 0 && held > most {
-		h.held.Add(-n)
-		return false
+	for {
+		held, most := h.held.Load(), h.most.Load()
+		if most > 0 && held+n > most {
+			return false
+		}
+		if h.held.CompareAndSwap(held, held+n) {
+			return true
+		}
 	}
-	return true
 }
 
 // LimitMemory bounds the bytes of requests and answers that are held, 0 for no bound.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -134,7 +134,7 @@
 		Restored: func() { d.share.RegisterAnew() },
 		Store:    d.store, Stale: d.store.Stale(),
 		Prefixes: discovery.Prefixes{
-			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix,
+			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix, Directory: platform.DirectoryPrefix,
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance, Hide: platform.HideKeys, Prove: set.Bounds.MaxProofAge(),
 		Apply: set.Bounds.Apply.Std(), Within: set.Bounds.Within(), Settle: set.Bounds.Settle.Std(), LapseKept: set.Bounds.Drain.Std() - lapseMargin, Metrics: d.reg, Logger: d.logger,
