Looks of a fleet without schedulers are spread by what they list

Cause: processes that are not ready and hear from no scheduler list the store themselves, 10 ms apart for each process, worked out for 3,000 engines (1 MB a list). With 10,003 instances 985 processes would list 340 MB a second from a store that sends 125: none of the lists ends. Change: 10 ms for each process and each 3,000 instances; the directory says how many there are, so that a process that has just started knows.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -20,7 +20,9 @@
 // store sent in the time in which each had to arrive, so that none did. It is a hint: where those that it
 // names do not answer, the members are listed.
 type directory struct {
-	Processes  int              `json:"processes"`
+	Processes int `json:"processes"`
+	// Instances is how many engines and backend servers there are.
+	Instances  int              `json:"instances"`
 	Schedulers []members.Member `json:"schedulers"`
 	// Watchers are the names of those schedulers that watch the store.
 	Watchers []string `json:"watchers"`
@@ -60,19 +62,22 @@
 	watchers := slices.DeleteFunc(slices.Clone(dir.Schedulers), func(m members.Member) bool { return !slices.Contains(dir.Watchers, m.Name) })
 	d.joined = true
 	d.cur.Processes = dir.Processes
+	d.expected.Store(int64(dir.Instances))
 	d.setSchedulers(dir.Schedulers, watchers, dir.Schedulers)
 }
 
-// sizeDrift is by which part the number of processes may be off in the directory.
+// sizeDrift is by which part the numbers may be off in the directory.
 const sizeDrift = 0.1
 
-// like reports whether a directory says the same as another, but for a small change of the number of
-// processes.
+// like reports whether a directory says the same as another, but for small changes of the numbers.
 func (r *directory) like(other directory) bool {
-	drift := math.Abs(float64(r.Processes - other.Processes))
-	return sameNames(r.Schedulers, other.Schedulers) && slices.Equal(r.Watchers, other.Watchers) && drift <= sizeDrift*float64(other.Processes)
+	return sameNames(r.Schedulers, other.Schedulers) && slices.Equal(r.Watchers, other.Watchers) &&
+		about(r.Processes, other.Processes) && about(r.Instances, other.Instances)
 }
 
+// about reports whether a number is near another.
+func about(n, other int) bool { return math.Abs(float64(n-other)) <= sizeDrift*float64(other) }
+
 // keepDirectory writes the directory if this process is the first watcher of a large fleet and what it says
 // has changed.
 func (d *Discovery) keepDirectory(ctx context.Context) {
@@ -80,7 +85,7 @@
 	if !first || d.cur.Processes <= members.FullMesh {
 		return
 	}
-	now := directory{Processes: d.cur.Processes, Schedulers: d.cur.Schedulers, Watchers: members.Names(d.cur.Watchers)}
+	now := directory{Processes: d.cur.Processes, Instances: len(d.instances), Schedulers: d.cur.Schedulers, Watchers: members.Names(d.cur.Watchers)}
 	if now.like(d.written) {
 		return
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -112,6 +112,8 @@
 	// storeLost is true while the store has not answered the last call of a feed of this
 	// process. What the view says of the store is that of the process that is followed.
 	storeLost atomic.Bool
+	// expected is how many instances the directory said that there are.
+	expected atomic.Int64
 
 	// The rest belongs to the goroutine of Run.
 	cur       fleet.View
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -26,9 +26,11 @@
 	// that they are not either: those that watch the store list 3,000 engines in 0.5 s, ten
 	// times as many in 5.
 	aloneRefused = 5 * time.Second
-	// aloneEach is how far the looks of processes that are not ready lie apart, per process: a
-	// list of 3,000 engines is 60 calls and 1 MB, so at most 6,000 calls and 100 MB a second.
-	aloneEach = 10 * time.Millisecond
+	// aloneEach is how far the looks of processes that are not ready lie apart, per process and for each
+	// aloneInstances: a list of 3,000 engines is 60 calls and 1 MB, so at most 6,000 calls and 100 MB a second,
+	// at any number of engines.
+	aloneEach      = 10 * time.Millisecond
+	aloneInstances = 3000
 	// missedAfter is for how long no scheduler must have answered a process for it to look
 	// whether it is still registered. Registrations of processes that nobody hears are removed
 	// after ten times as long.
@@ -150,7 +152,8 @@
 	if v.Ready() {
 		return 0
 	}
-	return time.Duration(v.Processes) * aloneEach
+	instances := max(int64(len(v.Instances)), d.expected.Load(), aloneInstances)
+	return time.Duration(int64(v.Processes)*instances/aloneInstances) * aloneEach
 }
 
 // lookItself asks the store if what this process follows is too old, or has not been proven
