--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -47,10 +47,12 @@
 // process that is new must not take a list for whole that is older than its own
 // registration.
 func (d *Discovery) join(ctx context.Context) {
-	if dir, err := d.readDirectory(ctx); err == nil {
+	dir, err := d.readDirectory(ctx)
+	if err == nil {
 		d.send(ctx, directoryRead{dir})
 		return
 	}
+	level.Info(d.logger).Log("msg", "no directory, listing members", "err", err)
 	begun := bootclock.Now()
 	f := d.follower(feedMembers)
 	for ctx.Err() == nil {
