Processes that tell nobody their work look as often as before

Cause: with 250 ms between looks TestDigestsAreExchangedMoreOftenUnderLoad, of a sharer that has no peers yet, fails: a process would also begin to tell the others up to 250 ms after it became a scheduler.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -29,8 +29,6 @@
 	// in hand, and with each prompt more often: where prompts queue, what the others
 	// placed since their last digest is as much as an engine reads in the time.
 	calmInterval = 80 * time.Millisecond
-	// aloneInterval is how often a process that tells nobody looks whether it is to.
-	aloneInterval = 250 * time.Millisecond
 	// minInterval is how often at the most.
 	minInterval = 15 * time.Millisecond
 	// perPeer stretches the least interval with the number of peers, so that a process
@@ -212,11 +210,7 @@
 
 // interval returns how long to wait until the next exchange.
 func (s *Sharer) interval() time.Duration {
-	peers := len(s.o.Members())
-	if peers == 0 {
-		return aloneInterval
-	}
-	least := max(minInterval, time.Duration(peers)*perPeer)
+	least := max(minInterval, time.Duration(len(s.o.Members()))*perPeer)
 	return max(least, calmInterval/time.Duration(1+s.o.Placer.Prompts()))
 }
 
