Those that work for the others list the members at a start; a watcher copies from others as late as before

Cause of the first, read: a scheduler that was killed and is back joined by the directory, which names those that took its place, followed them, and took its place again only when told; before, it listed the members and knew at once. So it, and who is new and goes before one that is named, lists the members. Cause of the second, read: a watcher that the store does not answer copied from another one at 0.45 of the bound, not 0.65; such a copy moves the time from which an instance that lapsed is kept.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -17,8 +17,9 @@
 
 // directory is what a large fleet keeps in the store of who works for the others, so that a process which
 // starts need not list all members: after a loss of all, 985 lists of 985 members were 390 MB, more than the
-// store sent in the time in which each had to arrive, so that none did. It is a hint: where those that it
-// names do not answer, the members are listed.
+// store sent in the time in which each had to arrive, so that none did. Those that work for the others, or
+// that did until they were silent, list them: they have to know at once whose places they take. It is a hint:
+// where those that it names do not answer, the members are listed.
 type directory struct {
 	Processes int `json:"processes"`
 	// Instances is how many engines and backend servers there are.
@@ -49,6 +50,9 @@
 	if dir.Processes <= members.FullMesh || len(dir.Schedulers) == 0 {
 		return dir, fault.New(fault.NotFound, "directory is that of a small fleet", "the members are listed")
 	}
+	if d.o.Self.WouldSchedule(dir.Schedulers) {
+		return dir, fault.New(fault.NotFound, "this process is to work for the others", "the members are listed")
+	}
 	return dir, nil
 }
 
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -40,11 +40,6 @@
 	// a fresher one is looked for from 0.6 on; the rest of Within is for the store's answer.
 	schedulerCopyShare = 0.65
 	copyShare          = 0.8
-	// lostCopyShare is the part of Within from which on a scheduler that the store does not answer copies from
-	// another one: in time for those that follow it not to leave it.
-	lostCopyShare = 0.45
-	// lostCheckShare is the part of Within after which it is looked again whether it is time for that.
-	lostCheckShare = 0.05
 	// lookRetry is how long a process waits at the least, and at the most twice as long, until
 	// it looks again, lookFailedRetry after a question without an answer: then the schedulers
 	// most likely have none either, and will tell when they do.
@@ -198,13 +193,11 @@
 // question is often too early; it is a short message, and is soon asked again.
 func (d *Discovery) copyWhileStoreIsLost(ctx context.Context) {
 	for ctx.Err() == nil {
+		pause(ctx, lookRetry+rand.N(lookRetry))
 		v := d.View()
-		if !d.storeLost.Load() || v.Age() < d.copyFrom(v) {
-			pause(ctx, d.tooOld(lostCheckShare))
-			continue
+		if d.storeLost.Load() && v.Age() >= d.oldest(v) {
+			d.copyNewer(ctx, v.Age())
 		}
-		d.copyNewer(ctx, v.Age())
-		pause(ctx, lookRetry+rand.N(lookRetry))
 	}
 }
 
@@ -219,14 +212,6 @@
 	d.send(ctx, copied{f})
 }
 
-// copyFrom returns how old a copy may get before a process that the store does not answer asks others.
-func (d *Discovery) copyFrom(v *fleet.View) time.Duration {
-	if v.Scheduling {
-		return d.tooOld(lostCopyShare)
-	}
-	return d.tooOld(copyShare)
-}
-
 // oldest returns how old a copy may get before a process looks itself. Schedulers are the
 // first: the others follow them, and have what they find at once.
 func (d *Discovery) oldest(v *fleet.View) time.Duration {
--- a/members/members.go
+++ b/members/members.go
@@ -205,8 +205,7 @@
 		candidates = slices.DeleteFunc(candidates, func(m Member) bool { return passOver(m.Name) })
 	}
 	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(b.Weight, a.Weight),
-			cmp.Compare(scheduleScore(b.Name), scheduleScore(a.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), preferred(a, b))
 	})
 	if len(all) <= FullMesh {
 		return candidates
@@ -218,6 +217,23 @@
 	})
 }
 
+// preferred orders members of a failure domain by who is to work for the others first.
+func preferred(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(scheduleScore(b.Name), scheduleScore(a.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+// WouldSchedule reports whether a member is one of those that work for the others in a large fleet, if
+// schedulers do now: it is one of them, goes before one of its failure domain, or these are too few.
+func (m Member) WouldSchedule(schedulers []Member) bool {
+	before := 0
+	for _, s := range schedulers {
+		if s.Domain == m.Domain && s.Name != m.Name && preferred(s, m) < 0 {
+			before++
+		}
+	}
+	return before < SchedulersPerDomain
+}
+
 // Watchers returns those of the schedulers that watch the store: all of a fleet of up to
 // FullMesh processes, else a few, in different failure domains as far as there are any.
 func Watchers(schedulers []Member, processes int) []Member {
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -126,3 +126,20 @@
 		require.Equal(t, chosen[1:2], next[0:1])
 	}
 }
+
+// TestWhoWouldSchedule compares what a member finds from the schedulers alone with what the list of all
+// members says.
+func TestWhoWouldSchedule(t *testing.T) {
+	var all []Member
+	for n := range 60 {
+		all = append(all, Member{Name: fmt.Sprint("m-", n), Domain: fmt.Sprint(n % 3), Weight: float64(n % 4)})
+	}
+	schedulers := Schedulers(all, nil)
+	for _, m := range all {
+		require.Equal(t, Contain(schedulers, m.Name), m.WouldSchedule(schedulers), m.Name)
+	}
+	silent := schedulers[0].Name
+	replaced := Schedulers(all, func(name string) bool { return name == silent })
+	require.True(t, schedulers[0].WouldSchedule(replaced), "one that is back")
+	require.True(t, Member{Name: "new", Domain: "9"}.WouldSchedule(schedulers), "the first of its domain")
+}
