Second reading: one look-up by ID, one word for unwilling, one way to a view

A refusal since all rest still looked at all permitted instances, where what was said is now looked up. The first view was a branch of each publication. The count of engines that registered was taken in inside the condition of a case.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -41,9 +41,12 @@
 }
 
 // Find returns the instance with an ID, nil if it is not in the pool.
-func (p *Pool) Find(id string) *Instance {
-	if at, found := slices.BinarySearchFunc(p.All, id, compareID); found {
-		return p.All[at]
+func (p *Pool) Find(id string) *Instance { return Find(p.All, id) }
+
+// Find returns the instance with an ID among instances in the order of their IDs, nil if there is none.
+func Find(sorted []*Instance, id string) *Instance {
+	if at, found := slices.BinarySearchFunc(sorted, id, compareID); found {
+		return sorted[at]
 	}
 	return nil
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -97,9 +96,9 @@
 	old := v.usable[service]
 	out := make([]*Instance, 0, len(old)+len(changed))
 	for _, id := range changed {
-		n := sort.Search(len(old), func(n int) bool { return old[n].ID >= id })
+		n, found := slices.BinarySearchFunc(old, id, compareID)
 		out = append(out, old[:n]...)
-		if old = old[n:]; len(old) > 0 && old[0].ID == id {
+		if old = old[n:]; found {
 			old = old[1:]
 		}
 		if i := v.Instances[id]; i != nil && i.Service == service && !i.Draining {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -201,11 +201,16 @@
 	}
 }
 
-func traceReach(c *cli.Context) error {
+// logsGiven reads the logs that a command names.
+func logsGiven(c *cli.Context) ([]trace.Line, error) {
 	if c.NArg() < 1 {
-		return fault.New(fault.Invalid, "too few arguments", "give log files")
+		return nil, fault.New(fault.Invalid, "too few arguments", "give log files")
 	}
-	lines, err := readLogs(c.Args().Slice(), "")
+	return readLogs(c.Args().Slice(), "")
+}
+
+func traceReach(c *cli.Context) error {
+	lines, err := logsGiven(c)
 	if err != nil {
 		return err
 	}
@@ -218,10 +223,7 @@
 }
 
 func traceSummary(c *cli.Context) error {
-	if c.NArg() < 1 {
-		return fault.New(fault.Invalid, "too few arguments", "give log files")
-	}
-	lines, err := readLogs(c.Args().Slice(), "")
+	lines, err := logsGiven(c)
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -138,7 +137,7 @@
 	// written is the directory that this process wrote last.
 	written directory
 	down    map[source]bool
-	// joined is true once this process has read the members.
+	// joined is true once this process has read the directory or the members.
 	joined bool
 	mode   mode
 	// stopMode ends the followers of the mode, appointed is since when another process
@@ -178,7 +177,9 @@
 		d.o.Hide = func(obj objstore.Object) objstore.Object { return obj }
 	}
 	d.cur.StoreUp = true
-	d.publish()
+	first := d.cur
+	first.Index()
+	d.view.Store(&first)
 	return d
 }
 
@@ -357,12 +358,7 @@
 func (d *Discovery) publish() {
 	v := d.cur
 	v.Instances = d.instances
-	if before := d.view.Load(); before != nil {
-		v.IndexFrom(before, d.touched)
-	} else {
-		v.Instances = maps.Clone(d.instances)
-		v.Index()
-	}
+	v.IndexFrom(d.view.Load(), d.touched)
 	clear(d.touched)
 	d.feed.Apply(d.news) // before the view, whose ages hold for who copies the feed after it
 	d.news = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,7 @@
 	q := &request{s: s, w: w, http: r, call: &call, route: ranked(route, workspace), workspace: workspace, arrived: arrived, avoid: map[string]bool{}, life: lifecycle.New(call.ID, s.o.Logger)}
 	q.deadline = arrived.Add(wait(call.Wait, route.Timeout))
 	if rep := q.readBody(view.Config.Limits); rep != nil {
+		q.release()
 		return nil, rep
 	}
 	return q, nil
@@ -195,12 +196,10 @@
 	}
 	body, err := q.hold(http.MaxBytesReader(q.w, q.http.Body, limit), int(limit)+1)
 	if errors.Is(err, errHoldFull) {
-		q.release()
 		q.w.Header().Set("Connection", "close")
 		return refusal(http.StatusServiceUnavailable, "memory-full", err, holdRetry)
 	}
 	if !errors.Is(err, io.EOF) {
-		q.release()
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return q.badBody(http.StatusRequestEntityTooLarge, err)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/rockdoor/rockdoor/engine"
@@ -52,9 +53,7 @@
 // restLeft returns when the first of the instances that may run the request and rest wants some
 // again, 0 if none rests.
 func (q *request) restLeft() time.Duration {
-	var runs []string
-	for _, i := range q.s.o.View().Permitted(q.route.Name, q.service) {
-		runs = append(runs, i.Run())
-	}
+	pool := q.s.o.View().Pool(q.route.Name, q.service)
+	runs := slices.DeleteFunc(q.s.notices.AllUnwilling(), func(run string) bool { return pool.FindRun(run) == nil })
 	return q.s.notices.FirstRest(runs)
 }
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -197,11 +197,11 @@
 
 // readersOf returns the engines that read among those of a subject's group.
 func (r *replay) readersOf(subject string) []*fleet.Instance {
-	group := slices.Clone(r.fleet)
+	group := r.fleet
 	if groups := r.groups(); len(groups) > 1 {
-		group = slices.Clone(groups[fleet.GroupOf(subject, len(groups))])
+		group = groups[fleet.GroupOf(subject, len(groups))]
 	}
-	return slices.DeleteFunc(group, func(i *fleet.Instance) bool { return i.Role != engine.RolePrefill })
+	return slices.DeleteFunc(slices.Clone(group), func(i *fleet.Instance) bool { return i.Role != engine.RolePrefill })
 }
 
 func subject(k Kind, n int) string { return fmt.Sprint(k.Name, n) }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -107,10 +107,9 @@
 func (b *Board) AllUnwilling() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := bootclock.Now()
 	var out []string
 	for instance, s := range b.all {
-		if s.leaving || s.restUntil > now {
+		if s.unwilling() {
 			out = append(out, instance)
 		}
 	}
@@ -118,7 +117,14 @@
 }
 
 // Unwilling reports whether a run of an instance wants nothing now: it leaves or rests.
-func (b *Board) Unwilling(instance string) bool { return b.Leaving(instance) || b.Rest(instance) > 0 }
+func (b *Board) Unwilling(instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.all[instance]
+	return s != nil && s.unwilling()
+}
+
+func (s *said) unwilling() bool { return s.leaving || s.restUntil > bootclock.Now() }
 
 // Retain forgets the runs that keep does not name, and that have said nothing for a while:
 // registrations lapse while the store is away, and come back.
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/rockdoor/rockdoor/engine"
@@ -99,19 +97,11 @@
 		id string
 		to **fleet.Instance
 	}{{m.GetReader(), &p.Reader}, {m.GetRunner(), &p.Runner}, {m.GetFetchFrom(), &p.FetchFrom}} {
-		if *part.to = permitted(j, part.id); *part.to == nil && part.id != "" {
+		if *part.to = fleet.Find(j.Permitted, part.id); *part.to == nil && part.id != "" {
 			err = fault.Newf(fault.Conflict, "this process decides", "instance %s is not permitted here", part.id)
 		}
 	}
 	return p, err
 }
 
-func permitted(j *placement.Job, id string) *fleet.Instance {
-	at, found := slices.BinarySearchFunc(j.Permitted, id, func(i *fleet.Instance, id string) int { return cmp.Compare(i.ID, id) })
-	if !found {
-		return nil
-	}
-	return j.Permitted[at]
-}
-
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -212,7 +212,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.settleDomain(j)
-	c := p.chooseGroup(j, nil, func(j *Job) choice { return p.choose(j) })
+	c := p.chooseGroup(j, nil, p.choose)
 	if !c.placed() {
 		return c.plan, nil
 	}
--- a/roles/packing.go
+++ b/roles/packing.go
@@ -85,9 +85,10 @@
 		return nil
 	}
 	p.observe(in, generating*slots, generating < leastGenerating(generating+reading))
+	settled := p.settled(in.Now, generating+reading)
 	reason := fmt.Sprintf("%.0f requests generating, %d engines with %d slots each, %.0f ms of prompts queued", p.running, generating, slots, p.queue)
 	switch {
-	case p.first.IsZero() && in.Queue == 0 && p.settled(in.Now, reading+generating) && reading < readInAdvance(reading+generating, in.Gateways):
+	case p.first.IsZero() && in.Queue == 0 && settled && reading < readInAdvance(reading+generating, in.Gateways):
 		return move(in.Engines, engine.RoleMixed, engine.RolePrefill, "nothing is generated yet")
 	case due(p.crowded, in.Now, crowdedFor) && reading > minReading:
 		p.crowded = in.Now
