A scan of caches asks nobody after its time is over

Cause: a call that waited for its turn when the time ended was still made, with a context that had ended, and logged as an engine that does not answer. Change: each call looks at the time when its turn comes; the count in the log line is of those that were asked. The test also asserts that nobody is asked after the time; its bound is as it was.

--- a/internal/cachescan/cachescan.go
+++ b/internal/cachescan/cachescan.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -51,7 +52,8 @@
 	defer cancel()
 	var g errgroup.Group
 	g.SetLimit(atOnce)
-	asked, all := 0, 0
+	var asked atomic.Int64
+	all := 0
 	v := o.View()
 	for name, service := range v.Config.Services {
 		if service.KVCapacity == 0 {
@@ -64,15 +66,18 @@
 			if ctx.Err() != nil {
 				break
 			}
-			asked++
 			g.Go(func() error {
+				if ctx.Err() != nil { // it ended while this call waited for its turn
+					return nil
+				}
+				asked.Add(1)
 				o.ask(ctx, i, service.KVCapacity)
 				return nil
 			})
 		}
 	}
 	_ = g.Wait() // no call returns an error
-	level.Info(o.Logger).Log("msg", "caches listed", "asked", asked, "engines", all, "took", time.Since(begun).Round(time.Millisecond))
+	level.Info(o.Logger).Log("msg", "caches listed", "asked", asked.Load(), "engines", all, "took", time.Since(begun).Round(time.Millisecond))
 }
 
 func (o *Options) ask(ctx context.Context, i *fleet.Instance, capacity int) {
--- a/internal/cachescan/cachescan_test.go
+++ b/internal/cachescan/cachescan_test.go
@@ -68,11 +68,17 @@
 	resp.Body.Close()
 }
 
-// slowLister takes a while for each engine and counts them.
-type slowLister struct{ asked atomic.Int64 }
+// slowLister takes a while for each engine, and counts them and those asked when the time was over.
+type slowLister struct {
+	until       time.Time
+	asked, late atomic.Int64
+}
 
 func (l *slowLister) Kept(context.Context, string) ([]engine.Part, error) {
 	l.asked.Add(1)
+	if time.Now().After(l.until) {
+		l.late.Add(1)
+	}
 	time.Sleep(5 * time.Millisecond)
 	return nil, nil
 }
@@ -90,10 +96,12 @@
 		lister := &slowLister{}
 		synctest.Test(t, func(t *testing.T) {
 			begun := time.Now()
+			lister.until = begun.Add(scanFor)
 			Run(context.Background(), Options{View: func() *fleet.View { return v }, Lister: lister, Placer: placement.New("a", nil, nil), Logger: log.NewNopLogger()})
 			require.LessOrEqual(t, time.Since(begun), scanFor+listTimeout)
 		})
 		inTime := atOnce * int(scanFor/(5*time.Millisecond))
 		require.InDelta(t, min(n, inTime), lister.asked.Load(), atOnce, "%d engines", n)
+		require.Zero(t, lister.late.Load(), "asked after the time was over")
 	}
 }
