Those that follow a scheduler know the rate limits that it knows

First: 12 of 16 processes that began to decide alone after their schedulers were killed had never had an answer of the limited instance; each sent to it once, 7 of them within 10 ms. Second: of two schedulers that started again neither knew of the limit, nor did the other one, whom each asked; 14 requests were placed without a grant within 170 ms, and their senders, which knew of the limit for longer than 300 ms, sent them. Change: a scheduler tells those that follow it of limits, as they change (nothing while none do). What was placed without a grant at an instance that the sender knows to be limited is not sent, and the process that placed it is told. So that nobody believes in a limit for ever, an end counts after 1 s also if its request overlapped with the last answer that named a limit, unless that was heard later. Ruled out: joining by the directory (the cause that was read before): both schedulers listed the members. TestWhoFollowsKnowsRateLimits fails without the change.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -379,7 +379,7 @@
 	case q.s.notices.Rest(i.Run()) > 0:
 		q.withheld = true
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has asked for rest since it was chosen", i.ID)
-	case !q.plan.Granted && q.s.limits.Withholds(i.Run(), q.plan.By):
+	case !q.plan.Granted && q.s.limits.Withholds(i.Run()):
 		q.withheld = true
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has limited its rate since it was chosen", i.ID)
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -174,7 +174,7 @@
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
 		Members: func() []members.Member { return d.mesh() }, Clock: d.clock, Logger: d.logger,
 	})
-	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Quarantine: d.suspects, Hears: d.hears, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, Hears: d.hears, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 	d.told = suspects.New(suspects.Options{Run: d.run, Table: d.suspects, Transport: d.transport, Peers: d.tellWhom, Logger: d.logger})
 	d.grants = ratelimit.NewSharer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Tell: d.tellWhom, Logger: d.logger})
--- a/internal/gatewayd/ratelimit_test.go
+++ b/internal/gatewayd/ratelimit_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// TestWhoFollowsKnowsRateLimits has one process of a large fleet hear of a limit: those that have others
+// decide know it too, for when these are lost.
+func TestWhoFollowsKnowsRateLimits(t *testing.T) {
+	d := newDeployment(t)
+	d.bound = "3s"
+	all := d.largeFleet()
+	limited := d.engines[0]
+	limited.SetRateLimit("5")
+	for n := 0; len(limited.Runs()) == 0; n++ {
+		all[0].send("/app/x", fmt.Sprint("first-", n), nil)
+	}
+	require.Eventually(t, func() bool {
+		for _, p := range all {
+			var st LimitsStatus
+			if p.get(t, "/limits", &st); len(st.Limits) != 1 {
+				return false
+			}
+		}
+		return true
+	}, rateWindow, 50*time.Millisecond)
+}
+
 // TestRateLimitHoldsWhileSchedulersAreLost kills the processes that decide for all others while an instance
 // names a rate limit: the others decide alone until some of them take their places, and the two that
 // were killed start again and know nothing.
--- a/internal/ratelimit/grants.go
+++ b/internal/ratelimit/grants.go
@@ -107,17 +107,21 @@
 	return ok
 }
 
-// Withholds reports whether a request must not be sent that was placed without a grant, by the named
-// process or, if that is empty, by this one. What another process has placed goes by what that one
-// knows, once it has had the time to learn of the limit.
-func (t *Table) Withholds(run, placedBy string) bool {
+// Withholds reports whether a request must not be sent that was placed without a grant, since its instance
+// limits its rate. The process that placed it does not know of the limit, as one that has just started,
+// or knows that it has ended: it is told what is known here, and answers with what it knows.
+func (t *Table) Withholds(run string) bool {
 	if t.limits.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.limited(run)
-	return e != nil && (placedBy == "" || placedBy == t.self || t.now().Sub(e.learned) < tellTime)
+	if t.limited(run) == nil {
+		return false
+	}
+	t.news[run] = true
+	t.signal()
+	return true
 }
 
 // RetryAfter returns when a caller that is refused since a run of an instance takes no more may come
--- a/internal/ratelimit/sharer_test.go
+++ b/internal/ratelimit/sharer_test.go
@@ -16,6 +16,9 @@
 	"github.com/rockdoor/rockdoor/members"
 )
 
+// tellTime is how long it takes at most until all that decide know a limit.
+const tellTime = 300 * time.Millisecond
+
 // process is a sharer with its transport.
 type process struct {
 	*Sharer
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -31,11 +31,11 @@
 	// backWithin is how long after its end a grant can be given back: what comes back late would be
 	// sent in another time than it became due in.
 	backWithin = 500 * time.Millisecond
-	// tellTime is how long it takes at most until all that decide know a limit.
-	tellTime = 300 * time.Millisecond
 	// toldLate is by how much at most what another process tells looks younger than it is, since ages
 	// are told without the way of the message.
 	toldLate = 50 * time.Millisecond
+	// overlapTime is after what time an end counts whose request was sent before the limit was last heard.
+	overlapTime = time.Second
 	// logEvery is how often at most a changed limit of one instance is logged.
 	logEvery = time.Second
 	// keptFor is for how long at the least what an instance has said is kept without its
@@ -72,9 +72,10 @@
 }
 
 // supersededBy reports whether a statement is later than this one. Answers overtake each other: an
-// end counts only if its request was sent after the limit was last heard.
-func (s Statement) supersededBy(next Statement) bool {
-	if s.Limited && !next.Limited {
+// end counts only if its request was sent after the limit was last heard, or if no limit has been heard
+// for some time after it. Else who is not to send would never hear of the end.
+func (s Statement) supersededBy(next Statement, now bootclock.Instant) bool {
+	if s.Limited && !next.Limited && now.Sub(next.Heard) < overlapTime {
 		return next.Sent > s.Heard
 	}
 	return next.Heard > s.Heard
@@ -83,9 +84,9 @@
 // entry is what is known of one run of an instance.
 type entry struct {
 	Statement
-	// learned is when this process learned that there is a limit.
-	learned  bootclock.Instant
 	loggedAt bootclock.Instant
+	// changed is the position of the table at the last change of the limit.
+	changed uint64
 	// grants are those of another process that is the keeper, wanted how many requests wanted to be
 	// sent since it was asked last, lapsed how many of its grants have ended without being sent.
 	grants []grant
@@ -117,7 +118,9 @@
 	mu    sync.Mutex
 	fleet Fleet
 	all   map[string]*entry // by run of an instance
-	news  map[string]bool   // runs whose statements are to be told
+	// position counts changes of limits.
+	position uint64
+	news     map[string]bool // runs whose statements are to be told
 	// oddAt is when a limit that cannot be read was logged last.
 	oddAt bootclock.Instant
 }
@@ -196,7 +199,7 @@
 		e = &entry{}
 		t.all[run] = e
 	}
-	if !e.supersededBy(s) {
+	if !e.supersededBy(s, t.now()) {
 		return
 	}
 	before := e.Statement
@@ -204,7 +207,6 @@
 	case before.Limited && s.Limited:
 		s.Began = min(s.Began, before.Began)
 	case s.Limited:
-		e.learned = t.now()
 		t.limits.Add(1)
 	case before.Limited:
 		e.grants, e.bucket, e.wanted, e.lapsed, e.demand = nil, nil, 0, 0, 0
@@ -214,6 +216,8 @@
 	if before.RateLimit == s.RateLimit {
 		return
 	}
+	t.position++
+	e.changed = t.position
 	t.log(e, run, before, from)
 	t.news[run] = true
 	t.signal()
@@ -266,12 +270,46 @@
 func (t *Table) Learn(run, process string, s Statement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.learnFrom(process, run, s)
+}
+
+// learnFrom takes in what another process says. The caller holds the lock.
+func (t *Table) learnFrom(process, run string, s Statement) {
 	if e := t.limited(run); e != nil {
 		s.Sent, s.Heard = s.Sent.Add(-toldLate), s.Heard.Add(-toldLate)
 	}
 	t.learn(run, s, "from", process)
 }
 
+// Since returns what instances have said after a position of this table, 0 for none, and its position now.
+func (t *Table) Since(position uint64) ([]*peerpb.RateLimit, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if position == t.position {
+		return nil, t.position
+	}
+	var out []*peerpb.RateLimit
+	for run, e := range t.all {
+		if e.changed > position && (e.Limited || position > 0) {
+			out = append(out, encode(run, e.Statement))
+		}
+	}
+	return out, t.position
+}
+
+// Follow takes in what the scheduler that this process follows has told of instances. Who decides for itself
+// once its schedulers are lost would else send to each limited instance before it has heard of the limit.
+// It is not told on: those that it would be told to know it.
+func (t *Table) Follow(scheduler string, said []*peerpb.RateLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, l := range said {
+		t.learnFrom(scheduler, l.GetInstance(), decode(l, now))
+		delete(t.news, l.GetInstance())
+	}
+}
+
 // News returns the statements that are new since it was called last.
 func (t *Table) News() map[string]Statement {
 	t.mu.Lock()
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -85,3 +85,58 @@
 	require.Empty(t, b.all)
 	require.Zero(t, b.limits.Load())
 }
+
+// TestWhoFollowsKnowsLimits has a process copy what a scheduler knows of limits: what is new, ends too, and
+// without telling it on.
+func TestWhoFollowsKnowsLimits(t *testing.T) {
+	scheduler := NewTable("s", metrics.NewRegistry(), log.NewNopLogger())
+	follower := NewTable("f", metrics.NewRegistry(), log.NewNopLogger())
+	follow := func(position uint64) uint64 {
+		said, next := scheduler.Since(position)
+		follower.Follow("s", said)
+		return next
+	}
+	scheduler.Heard("a@1", "r", limited(10), bootclock.Now())
+	scheduler.Heard("b@1", "r", limited(10), bootclock.Now())
+	at := follow(0)
+	require.True(t, follower.Limited("a@1"))
+	require.Empty(t, follower.News(), "the scheduler knows it")
+	said, _ := scheduler.Since(at)
+	require.Empty(t, said)
+	time.Sleep(2 * toldLate)
+	scheduler.Heard("a@1", "r", noLimit, bootclock.Now())
+	said, _ = scheduler.Since(at)
+	require.Len(t, said, 1, "what has changed")
+	follow(at)
+	require.False(t, follower.Limited("a@1"))
+	require.True(t, follower.Limited("b@1"))
+}
+
+// TestAPlacerThatKnowsNoLimitIsTold has a scheduler that has just started place a request at an instance
+// whose limit the sender knows: it is not sent, and the scheduler is told.
+func TestAPlacerThatKnowsNoLimitIsTold(t *testing.T) {
+	b, clock := newTestTable(log.NewNopLogger())
+	require.False(t, b.Withholds("a@1"))
+	b.Heard("a@1", "r", limited(10), clock.at)
+	require.Contains(t, b.News(), "a@1")
+	clock.pass(time.Minute)
+	require.True(t, b.Withholds("a@1"))
+	require.False(t, b.Withholds("a@2"), "a later run has said nothing")
+	require.Contains(t, b.News(), "a@1")
+}
+
+// TestAnEndThatOverlapsIsBelievedLater has another process hear of an end by a request that was sent before a
+// limit was heard here: which of them is later cannot be told, and who is not to send hears nothing more.
+func TestAnEndThatOverlapsIsBelievedLater(t *testing.T) {
+	b, clock := newTestTable(log.NewNopLogger())
+	sent := clock.at
+	clock.pass(time.Second)
+	b.Heard("a@1", "r", limited(10), clock.at)
+	clock.pass(2 * toldLate)
+	end := Statement{noLimit, sent, clock.at, clock.at}
+	b.Learn("a@1", "p-1", end)
+	require.True(t, b.Limited("a@1"))
+	clock.pass(overlapTime)
+	b.Learn("a@1", "p-1", end)
+	require.False(t, b.Limited("a@1"))
+}
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -11,8 +11,10 @@
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
 	"github.com/rockdoor/rockdoor/quarantine"
@@ -35,6 +37,8 @@
 	Transport *peer.Transport
 	// Placer decides in this process.
 	Placer *placement.Placer
+	// Limits are the rates that instances limit themselves to; nil if none do.
+	Limits *ratelimit.Table
 	// Quarantine knows which requests end the instances that run them; nil if none do.
 	Quarantine *quarantine.Table
 	// Hears reports whether this process hears another one in other ways than as one that
@@ -52,6 +56,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewTable()
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTable(o.Self.Name, metrics.NewRegistry(), log.NewNopLogger())
+	}
 	if o.Clock == nil {
 		o.Clock = truetime.New()
 	}
@@ -70,6 +77,8 @@
 	// fresh is the name of the scheduler whose copy was fresher than that of the first in
 	// order. Calls to follow may overlap for a moment when a process stops and begins to.
 	fresh atomic.Pointer[string]
+	// limits is up to where the rate limits of the scheduler that is followed are known.
+	limits atomic.Pointer[feed.Position]
 }
 
 // NewClient returns a client that has to be run.
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	asked := bootclock.Now()
 	resp, err := c.o.Transport.Call(fctx, s.Peer, &peerpb.Request{Body: &peerpb.Request_Follow{Follow: &peerpb.Follow{
-		Run: after.Run, Position: after.At, WaitMs: uint32(wait.Milliseconds()), Unpacks: true, MaxAgeMs: uint32(min(most.Milliseconds(), math.MaxUint32)),
+		Run: after.Run, Position: after.At, LimitsPosition: c.limitsAt(after.Run), WaitMs: uint32(wait.Milliseconds()), Unpacks: true, MaxAgeMs: uint32(min(most.Milliseconds(), math.MaxUint32)),
 	}}})
 	if err != nil {
 		if ctx.Err() == nil && !fault.Is(err, fault.Denied) {
@@ -162,6 +162,10 @@
 	if err != nil {
 		return f, err
 	}
+	if most == 0 {
+		c.o.Limits.Follow(s.Name, resp.GetUpdate().GetLimits())
+		c.limits.Store(&feed.Position{Run: f.Position.Run, At: resp.GetUpdate().GetLimitsPosition()})
+	}
 	if us := resp.GetUpdate().GetTimeUs(); us != 0 {
 		c.o.Clock.HearSource(time.UnixMicro(us))
 	}
@@ -172,6 +176,14 @@
 	return f, nil
 }
 
+// limitsAt returns up to where the rate limits are known that a run of a scheduler tells of.
+func (c *Client) limitsAt(run string) uint64 {
+	if p := c.limits.Load(); p != nil && p.Run == run {
+		return p.At
+	}
+	return 0
+}
+
 func decodeUpdate(m *peerpb.FollowUpdate) (discovery.Followed, error) {
 	f := discovery.Followed{
 		Update:  feed.Update{Position: feed.Position{Run: m.GetRun(), At: m.GetPosition()}, Full: m.GetFull()},
@@ -221,6 +233,9 @@
 	if most := int64(m.GetMaxAgeMs()); most > 0 && out.AgeMs > most {
 		u.Events = nil
 	}
+	if m.GetMaxAgeMs() == 0 {
+		out.Limits, out.LimitsPosition = s.o.Limits.Since(m.GetLimitsPosition())
+	}
 	if err := s.putObjects(out, after, u, m.GetUnpacks()); err != nil {
 		level.Error(s.logger).Log("msg", "copy not packed", "err", err)
 		return &peerpb.Response{Error: "copy cannot be packed"}
