What is in hand at instances is told without a state for each

Cause: Placer.Load, which serves status and metrics, made a state for each instance that it was asked of: 10,003 for a question of an operator, with a cache each. EachLoad had the same sum a second time. Change: loadOf looks up what is there; both use it. Before and after: the tests of placement pass; no figure was measured.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -184,7 +184,16 @@
 func (p *Placer) Load(i *fleet.Instance) Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.load(p.state(i))
+	return p.loadOf(i)
+}
+
+// loadOf does what Load does, and keeps nothing of an instance that has not been looked at for a decision. The
+// caller holds the lock.
+func (p *Placer) loadOf(i *fleet.Instance) Load {
+	if st := p.instances[i.ID]; st != nil {
+		return p.load(st)
+	}
+	return p.peers(i.ID)
 }
 
 // EachLoad tells what all processes have in hand at each of a service's instances, and how long the
@@ -194,10 +203,7 @@
 	defer p.mu.Unlock()
 	model := p.model(service)
 	for _, i := range instances {
-		l := p.peers(i.ID)
-		if st := p.instances[i.ID]; st != nil {
-			l = l.Add(st.own)
-		}
+		l := p.loadOf(i)
 		queue := time.Duration(0)
 		if unread := l.Unread.All(); unread != (Backlog{}) {
 			queue = millis(model.Busy(unread))
