Processes of a large fleet serve with the head of a copy, and copy the registrations later

Cause: after a loss of all machines each of 985 hosts, most with 0.19 of a core, copied and decoded 10,003 registrations before its first request: some 110 ms of a core (benchmark, one core of a busy machine; two thirds JSON), 0.6 s there, behind a scheduler that sent them to a hundred at once. The time grows with the engines. A scheduler names the instances in full to a process that knows none, which holds them against its own rules before it sends (place wins). Registrations are copied at each process's part of 1 ms for each process and 3,000 instances; heads go on until then. A process that knows no instances asks all schedulers in turn. The head is made once for each position of the feed, and asked of the watchers first, which are ready first.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -28,6 +28,11 @@
 	InstancesRevision objstore.Revision
 	// Listed is true once the registrations have been read for the first time.
 	Listed bool
+	// Headed is true once a scheduler has told the configuration and the rules: it places requests, and names
+	// the instances, before the registrations are known here.
+	Headed bool
+	// CopyAt is from when on the registrations are copied then, 0 if there is no wait.
+	CopyAt bootclock.Instant
 	// Instances has every registered instance by its ID.
 	Instances map[string]*Instance
 	Rules     *Rules
@@ -126,8 +131,25 @@
 	return i != nil && !i.Draining && i.Service == service
 }
 
+// Left reports whether an instance is known to take no new requests of the service any more.
+func (v *View) Left(service, id string) bool { return v.Listed && !v.Takes(service, id) }
+
+// Complete reports whether the view suffices to decide where requests run.
+func (v *View) Complete() bool { return v.Config != nil && v.Listed }
+
 // Ready reports whether the view suffices to serve requests.
-func (v *View) Ready() bool { return v.Config != nil && v.Listed }
+func (v *View) Ready() bool { return v.Complete() || v.Config != nil && v.Headed && !v.Scheduling }
+
+// PermittedOf returns those of some instances that take requests of the service and at which the rules permit
+// requests of the route, in the order of their IDs.
+func (v *View) PermittedOf(route, service string, instances []*Instance) []*Instance {
+	few := View{Config: v.Config, Rules: v.Rules, Instances: map[string]*Instance{}}
+	for _, i := range instances {
+		few.Instances[i.ID] = i
+	}
+	few.Index()
+	return few.Permitted(route, service)
+}
 
 // ConfigAge returns how long ago the store confirmed the configuration.
 func (v *View) ConfigAge() time.Duration { return bootclock.Since(v.ConfigAt) }
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -44,6 +44,22 @@
 	require.Equal(t, []string{"other"}, members.Names(view().Schedulers))
 }
 
+// TestAProcessIsReadyWithTheHeadOfACopy has a scheduler tell the configuration alone: the process serves what
+// that one places, and copies the instances after that.
+func TestAProcessIsReadyWithTheHeadOfACopy(t *testing.T) {
+	relay := make(copies)
+	view := startFollowing(t, relay)
+	head := followedWith(false, 10, configAt(1))
+	head.Head = true
+	relay <- head
+	eventually(t, func() bool { return view().Ready() })
+	require.False(t, view().Complete())
+	require.False(t, view().Left("s", "i-1"), "nothing is known of it")
+	tell(relay, true, 10, registered("i-1", 5), configAt(1))
+	eventually(t, func() bool { return view().Complete() && view().Takes("s", "i-1") })
+	require.True(t, view().Left("s", "i-2"))
+}
+
 // TestADirectoryOfNoUseIsPassedOver has the directory be one of a small fleet, or nothing that can be read.
 func TestADirectoryOfNoUseIsPassedOver(t *testing.T) {
 	for _, text := range []string{`{"processes": 3, "schedulers": [{"name": "other"}]}`, `{"processes": 985}`, `[]`, `"x"`} {
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -31,6 +31,11 @@
 	// at any number of engines.
 	aloneEach      = 10 * time.Millisecond
 	aloneInstances = 3000
+	// copyEach is the same for copies of all instances from schedulers by processes that serve already. A copy
+	// keeps a small host from its requests for most of a second.
+	copyEach = time.Millisecond
+	// headShare is the part of Within after which the configuration and the rules are asked for again until then.
+	headShare = 0.1
 	// missedAfter is for how long no scheduler must have answered a process for it to look
 	// whether it is still registered. Registrations of processes that nobody hears are removed
 	// after ten times as long.
@@ -71,6 +76,8 @@
 	// StoreUp is false while the store does not answer there.
 	StoreUp   bool
 	Processes int
+	// Head is true if Events are only the configuration and the rules.
+	Head bool
 	// InstancesRevision is the store's revision up to which the scheduler knows the
 	// registrations.
 	InstancesRevision objstore.Revision
@@ -106,6 +113,10 @@
 			at, answered = f.Position, bootclock.Now()
 			d.send(ctx, followed{f})
 			lookNext = d.lookItself(ctx, f, lookNext)
+			if f.Head {
+				pause(ctx, d.tooOld(headShare))
+				continue
+			}
 			if len(f.Events) > 0 {
 				pauseUntil(ctx, asked.Add(d.gap()))
 			}
@@ -129,7 +140,7 @@
 // are many at a time after a loss of all, each at its part of the time over which they spread.
 func (d *Discovery) patience(err error) time.Duration {
 	after := aloneAfter
-	if !d.View().Ready() && fault.Is(err, fault.Denied) {
+	if !d.View().Complete() && fault.Is(err, fault.Denied) {
 		after = aloneRefused
 	}
 	return after + time.Duration(partOf(d.o.Self.Name)*float64(d.spread()))
@@ -141,14 +152,20 @@
 	return float64(xxhash.Sum64String("spread\x00"+name)) / (1 << 64)
 }
 
-// spread returns over how long a time the looks of all processes that are not ready spread.
+// spread returns over how long a time the looks of all processes that do not know the instances spread.
 func (d *Discovery) spread() time.Duration {
-	v := d.View()
-	if v.Ready() {
+	if d.View().Complete() {
 		return 0
 	}
+	return d.spreadBy(aloneEach)
+}
+
+// spreadBy returns over how long a time spreads what each process does with all instances, at a time for each
+// process and aloneInstances.
+func (d *Discovery) spreadBy(each time.Duration) time.Duration {
+	v := d.View()
 	instances := max(int64(len(v.Instances)), d.expected.Load(), aloneInstances)
-	return time.Duration(int64(v.Processes)*instances/aloneInstances) * aloneEach
+	return time.Duration(int64(v.Processes) * instances / aloneInstances * int64(each))
 }
 
 // lookItself asks the store if what this process follows is too old, or has not been proven
@@ -239,6 +256,9 @@
 	d.cur.StoreUp = f.StoreUp
 	d.cur.Processes = f.Processes
 	d.setSchedulers(f.Schedulers, f.Watchers, f.Mesh)
+	if f.Head && d.cur.CopyAt == 0 {
+		d.cur.CopyAt = bootclock.Now().Add(time.Duration(partOf(d.o.Self.Name) * float64(d.spreadBy(copyEach))))
+	}
 }
 
 // takeIn takes in the copy of another process.
@@ -250,7 +270,11 @@
 	at := bootclock.Now().Add(-f.Age)
 	d.cur.ConfigAt, d.cur.InstancesAt = max(d.cur.ConfigAt, at), max(d.cur.InstancesAt, at)
 	d.cur.ProvenAt = max(d.cur.ProvenAt, f.ProvenAt)
+	d.cur.Headed = true
 	for _, s := range []source{feedConfig, feedInstances, feedRules} {
+		if f.Head && s == feedInstances {
+			continue
+		}
 		c := changed{feed: s, reset: f.Full, settled: true, revision: f.InstancesRevision}
 		for _, e := range f.Events {
 			if kindOf(e.Object.Key) == d.prefixOf(s) {
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -47,7 +47,7 @@
 // known and of kind NotFound if there is no route.
 func (s *Server) Explain(q Question) (*Explanation, error) {
 	v := s.o.View()
-	if !v.Ready() {
+	if !v.Complete() {
 		return nil, fault.New(fault.Unavailable, "no configuration is known yet", "check the path to the store")
 	}
 	route := v.Config.Route(hostOnly(q.Host), q.Path)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -374,7 +374,7 @@
 	switch {
 	case q.convicted():
 		return fault.New(fault.Unavailable, "instances have ended under the request since the decision", "the request is refused")
-	case q.s.notices.Leaving(i.Run()), !q.s.o.View().Takes(q.service, i.ID):
+	case q.s.notices.Leaving(i.Run()), q.s.o.View().Left(q.service, i.ID):
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s has left since it was chosen", i.ID)
 	case q.s.notices.Rest(i.Run()) > 0:
 		q.withheld = true
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -147,7 +147,7 @@
 	d.buildShare(self)
 	began := d.buildDuties(self)
 	d.gateway = gateway.New(gateway.Options{
-		View: d.discovery.View, Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.asker, Placer: d.placer, Domain: set.Domain,
+		View: d.discovery.View, Ready: d.discovery.Ready(), Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.asker, Placer: d.placer, Domain: set.Domain,
 		MaxProofAge: set.Bounds.MaxProofAge(),
 		Budget: gateway.BudgetBounds{
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
@@ -174,7 +174,7 @@
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, Changing: d.roles.Changing,
 		Members: func() []members.Member { return d.mesh() }, Clock: d.clock, Logger: d.logger,
 	})
-	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, Hears: d.hears, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, InstancePrefix: platform.InstancePrefix, Hears: d.hears, Within: d.set.Bounds.Within(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.asker, d.scheduler = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 	d.told = suspects.New(suspects.Options{Run: d.run, Table: d.suspects, Transport: d.transport, Peers: d.tellWhom, Logger: d.logger})
 	d.grants = ratelimit.NewSharer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Tell: d.tellWhom, Logger: d.logger})
@@ -316,7 +316,8 @@
 			return nil
 		case <-ready:
 			ready = nil
-			level.Info(d.logger).Log("msg", "ready", "config", d.discovery.View().Config.Version)
+			v := d.discovery.View()
+			level.Info(d.logger).Log("msg", "ready", "config", v.Config.Version, "instances_known", v.Listed)
 		case <-reload:
 			d.reload()
 		}
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -124,7 +124,7 @@
 	v := k.o.View()
 	k.settle(v)
 	grant, mayOrder := k.o.Authority.Grant()
-	if !v.Ready() || !v.Scheduling {
+	if !v.Complete() || !v.Scheduling {
 		return
 	}
 	for name, service := range v.Config.Services {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -83,7 +83,7 @@
 func (s *Scaler) review(ctx context.Context) {
 	g, ok := s.o.Authority.Grant()
 	v := s.o.View()
-	if !ok || !v.Ready() || !v.StoreUp {
+	if !ok || !v.Complete() || !v.StoreUp {
 		return
 	}
 	if g.Token != s.token {
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -44,6 +44,8 @@
 	// Hears reports whether this process hears another one in other ways than as one that
 	// follows it; nil if in none.
 	Hears func(name string) bool
+	// InstancePrefix is that of the keys of registrations.
+	InstancePrefix string
 	// Within is in what time a change in the store must have reached everybody.
 	Within time.Duration
 	// Clock is the time of day that the schedulers agree on.
@@ -99,7 +101,7 @@
 	if c.o.View().Scheduling {
 		return c.local.Place(ctx, j)
 	}
-	for _, s := range c.directory.order(c.o.View().Schedulers, asks) {
+	for _, s := range c.directory.order(c.o.View().Schedulers, c.mostAsks()) {
 		plan, t, err := c.place(ctx, s, j)
 		if err == nil {
 			return plan, t
@@ -130,7 +132,7 @@
 		return placement.Plan{}, nil, err
 	}
 	placed := resp.GetPlaced()
-	plan, err := decodePlan(placed, j)
+	plan, err := decodePlan(placed, j, c.o.View())
 	plan.By = s.Name
 	if placed.GetTicket() == 0 {
 		return plan, nil, err
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -15,7 +15,7 @@
 	out := &peerpb.Place{
 		Request: j.Call.ID, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
 		LeftUs: j.Left.Microseconds(), SpentUs: j.Spent.Microseconds(), NoRead: j.NoRead,
-		Workspace: j.Workspace, Fingerprint: j.Fingerprint[:],
+		Workspace: j.Workspace, Fingerprint: j.Fingerprint[:], LacksInstances: len(j.Permitted) == 0,
 	}
 	if j.Ranked {
 		out.Rank = uint32(max(j.Route.Rank, 0)) + 1
@@ -70,12 +70,36 @@
 	return quarantine.Fingerprint(m.GetFingerprint())
 }
 
-func encodePlan(p *placement.Plan, ticket uint64) *peerpb.Placed {
-	return &peerpb.Placed{
+// encodePlan writes a plan, with its instances for a process that lacks them.
+func encodePlan(p *placement.Plan, ticket uint64, lacksInstances bool) *peerpb.Placed {
+	out := &peerpb.Placed{
 		Ticket: ticket, Reader: idOf(p.Reader), Runner: idOf(p.Runner), FetchFrom: idOf(p.FetchFrom), Reason: string(p.Reason),
 		Uncached: uint32(p.Uncached), AheadUs: p.Ahead.Microseconds(), ReadUs: p.Read.Microseconds(), Rank: uint32(p.Rank), Late: p.Late,
 		RetryAfterUs: p.RetryAfter.Microseconds(), Granted: p.Granted,
 	}
+	if !lacksInstances {
+		return out
+	}
+	for _, i := range []*fleet.Instance{p.Reader, p.Runner, p.FetchFrom} {
+		if i != nil {
+			out.Instances = append(out.Instances, encodeInstance(i))
+		}
+	}
+	return out
+}
+
+func encodeInstance(i *fleet.Instance) *peerpb.PlacedInstance {
+	return &peerpb.PlacedInstance{
+		Id: i.ID, Born: i.Born, Service: i.Service, Address: i.Address, Domain: i.Domain, Software: i.Software, Slots: uint32(max(i.Slots, 0)),
+		Spot: i.Spot, Role: string(i.Role), Lapsed: i.Lapsed,
+	}
+}
+
+func decodeInstance(m *peerpb.PlacedInstance) *fleet.Instance {
+	return &fleet.Instance{
+		ID: m.GetId(), Born: m.GetBorn(), Service: m.GetService(), Address: m.GetAddress(), Domain: m.GetDomain(), Software: m.GetSoftware(), Slots: int(m.GetSlots()),
+		Spot: m.GetSpot(), Role: engine.Role(m.GetRole()), Lapsed: m.GetLapsed(),
+	}
 }
 
 func idOf(i *fleet.Instance) string {
@@ -86,18 +110,26 @@
 }
 
 // decodePlan reads a plan for a job. It fails if the plan names an instance at which this
-// process does not permit the job.
-func decodePlan(m *peerpb.Placed, j *placement.Job) (placement.Plan, error) {
+// process, which has a view, does not permit the job.
+func decodePlan(m *peerpb.Placed, j *placement.Job, v *fleet.View) (placement.Plan, error) {
 	p := placement.Plan{
 		Reason: placement.Reason(m.GetReason()), Uncached: int(m.GetUncached()), Ahead: micros(m.GetAheadUs()), Read: micros(m.GetReadUs()),
 		Rank: int(m.GetRank()), Late: m.GetLate(), RetryAfter: micros(m.GetRetryAfterUs()), Granted: m.GetGranted(),
 	}
+	permitted := j.Permitted
+	if len(m.GetInstances()) > 0 {
+		var told []*fleet.Instance
+		for _, i := range m.GetInstances() {
+			told = append(told, decodeInstance(i))
+		}
+		permitted = v.PermittedOf(j.Route.Name, j.Service.Name, told)
+	}
 	var err error
 	for _, part := range []struct {
 		id string
 		to **fleet.Instance
 	}{{m.GetReader(), &p.Reader}, {m.GetRunner(), &p.Runner}, {m.GetFetchFrom(), &p.FetchFrom}} {
-		if *part.to = fleet.Find(j.Permitted, part.id); *part.to == nil && part.id != "" {
+		if *part.to = fleet.Find(permitted, part.id); *part.to == nil && part.id != "" {
 			err = fault.Newf(fault.Conflict, "this process decides", "instance %s is not permitted here", part.id)
 		}
 	}
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -59,8 +59,12 @@
 // Follow implements discovery.Relay.
 func (c *Client) Follow(ctx context.Context, after feed.Position) (discovery.Followed, error) {
 	var failed error = fault.New(fault.Unavailable, "no scheduler is known", "the process looks at the store itself")
-	order := c.inOrder()
-	for n, s := range order[:min(followAsks, len(order))] {
+	order, most := c.inOrder(), followAsks
+	if c.wantsHead() {
+		order = c.headOrder()
+		most = len(order)
+	}
+	for n, s := range order[:min(most, len(order))] {
 		f, err := c.followOne(ctx, s, after, c.o.followWait(), 0)
 		if err != nil {
 			if !fault.Is(failed, fault.Denied) { // one that refuses lives
@@ -146,7 +150,7 @@
 	defer cancel()
 	asked := bootclock.Now()
 	resp, err := c.o.Transport.Call(fctx, s.Peer, &peerpb.Request{Body: &peerpb.Request_Follow{Follow: &peerpb.Follow{
-		Run: after.Run, Position: after.At, LimitsPosition: c.limitsAt(after.Run), WaitMs: uint32(wait.Milliseconds()), Unpacks: true, MaxAgeMs: uint32(min(most.Milliseconds(), math.MaxUint32)),
+		Run: after.Run, Position: after.At, LimitsPosition: c.limitsAt(after.Run), Head: most == 0 && c.wantsHead(), WaitMs: uint32(wait.Milliseconds()), Unpacks: true, MaxAgeMs: uint32(min(most.Milliseconds(), math.MaxUint32)),
 	}}})
 	if err != nil {
 		if ctx.Err() == nil && !fault.Is(err, fault.Denied) {
@@ -162,7 +166,7 @@
 	if err != nil {
 		return f, err
 	}
-	if most == 0 {
+	if most == 0 && !f.Head {
 		c.o.Limits.Follow(s.Name, resp.GetUpdate().GetLimits())
 		c.limits.Store(&feed.Position{Run: f.Position.Run, At: resp.GetUpdate().GetLimitsPosition()})
 	}
@@ -186,9 +190,9 @@
 
 func decodeUpdate(m *peerpb.FollowUpdate) (discovery.Followed, error) {
 	f := discovery.Followed{
-		Update:  feed.Update{Position: feed.Position{Run: m.GetRun(), At: m.GetPosition()}, Full: m.GetFull()},
-		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
-		StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()), InstancesRevision: objstore.Revision(m.GetInstancesRevision()),
+		Update: feed.Update{Position: feed.Position{Run: m.GetRun(), At: m.GetPosition()}, Full: m.GetFull()},
+		Age:    time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Head:   m.GetHead(), StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()), InstancesRevision: objstore.Revision(m.GetInstancesRevision()),
 	}
 	objects := m.GetObjects()
 	if len(m.GetPacked()) > 0 {
@@ -222,29 +226,44 @@
 	if !s.awaitReady(ctx, wait) {
 		return &peerpb.Response{Error: "scheduler is not ready"}
 	}
+	if m.GetHead() {
+		return s.followHead(m)
+	}
 	after := feed.Position{Run: m.GetRun(), At: m.GetPosition()}
 	u, v := s.await(ctx, after, max(wait-time.Since(begun), 0))
-	out := &peerpb.FollowUpdate{
-		Run: u.Position.Run, Position: u.Position.At, Full: u.Full, AgeMs: v.Age().Milliseconds(), StoreUp: v.StoreUp,
-		ProofAgeMs: v.ProofAge().Milliseconds() + 1, // rounded up
-		TimeUs:     s.o.Clock.Now().UnixMicro(), InstancesRevision: int64(v.InstancesRevision),
-		Processes: uint32(v.Processes),
-	}
+	out := s.updateOf(v)
+	out.Run, out.Position, out.Full = u.Position.Run, u.Position.At, u.Full
 	if most := int64(m.GetMaxAgeMs()); most > 0 && out.AgeMs > most {
 		u.Events = nil
 	}
 	if m.GetMaxAgeMs() == 0 {
 		out.Limits, out.LimitsPosition = s.o.Limits.Since(m.GetLimitsPosition())
 	}
-	if err := s.putObjects(out, after, u, m.GetUnpacks()); err != nil {
-		level.Error(s.logger).Log("msg", "copy not packed", "err", err)
-		return &peerpb.Response{Error: "copy cannot be packed"}
+	return s.answerFollow(out, after, u, m.GetUnpacks())
+}
+
+// updateOf returns what an answer to one that follows this process says of a view, without objects.
+func (s *Server) updateOf(v *fleet.View) *peerpb.FollowUpdate {
+	out := &peerpb.FollowUpdate{
+		AgeMs: v.Age().Milliseconds(), StoreUp: v.StoreUp,
+		ProofAgeMs: v.ProofAge().Milliseconds() + 1, // rounded up
+		TimeUs:     s.o.Clock.Now().UnixMicro(), InstancesRevision: int64(v.InstancesRevision),
+		Processes: uint32(v.Processes),
 	}
 	for _, m := range v.Mesh {
 		out.Schedulers = append(out.Schedulers, &peerpb.SchedulerAddress{
 			Name: m.Name, Domain: m.Domain, Peer: m.Peer, Watcher: members.Contain(v.Watchers, m.Name), Replaced: !members.Contain(v.Schedulers, m.Name),
 		})
 	}
+	return out
+}
+
+// answerFollow puts the objects of an update into an answer.
+func (s *Server) answerFollow(out *peerpb.FollowUpdate, after feed.Position, u feed.Update, unpacks bool) *peerpb.Response {
+	if err := s.putObjects(out, after, u, unpacks); err != nil {
+		level.Error(s.logger).Log("msg", "copy not packed", "err", err)
+		return &peerpb.Response{Error: "copy cannot be packed"}
+	}
 	return &peerpb.Response{Body: &peerpb.Response_Update{Update: out}}
 }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -35,6 +35,7 @@
 	logger log.Logger
 	feed   *feed.Feed
 	packs  packs
+	heads  heads
 
 	mu       sync.Mutex
 	last     uint64
@@ -146,9 +147,10 @@
 	c.heard = time.Now()
 }
 
-// followed notes up to where a client has the feed. One that looks for a fresher copy does not follow.
+// followed notes up to where a client has the feed. One that looks for a fresher copy, or that asks for the
+// head alone, does not follow.
 func (s *Server) followed(from *peerpb.Identity, m *peerpb.Follow) {
-	if m.GetMaxAgeMs() > 0 {
+	if m.GetMaxAgeMs() > 0 || m.GetHead() {
 		return
 	}
 	s.mu.Lock()
@@ -171,7 +173,7 @@
 	}
 	if v := s.o.Quarantine.Judge(fingerprintOf(m)); v.Refused {
 		plan := placement.Plan{Reason: placement.ReasonQuarantined, RetryAfter: v.RetryAfter}
-		return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, 0)}}
+		return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, 0, false)}}
 	}
 	plan, t := place(ctx, s.o.Placer, job)
 	number := uint64(0)
@@ -179,7 +181,7 @@
 		number = s.keep(from, t)
 	}
 	metrics.GetOrRegisterTimer("scheduler.place", s.o.Metrics).Update(time.Since(begun))
-	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, number)}}
+	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, number, m.GetLacksInstances())}}
 }
 
 // keep returns the number under which a ticket is kept.
@@ -223,7 +225,7 @@
 	t.Read(true, placement.Sound)
 	var plan placement.Plan
 	placeRead(ctx, s.o.Placer, job, &plan, t)
-	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, m.GetTicket())}}
+	return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, m.GetTicket(), m.GetJob().GetLacksInstances())}}
 }
 
 // keepOpen gives up the tickets of a client that it does not list. Their ends, or the answers
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -38,7 +38,7 @@
 	resp, err := t.c.ask(ctx, t.at, &peerpb.Request{Body: &peerpb.Request_PlaceRead{PlaceRead: &peerpb.PlaceRead{Ticket: t.id, Job: encodeJob(j)}}})
 	var next placement.Plan
 	if err == nil {
-		next, err = decodePlan(resp.GetPlaced(), j)
+		next, err = decodePlan(resp.GetPlaced(), j, t.c.o.View())
 	}
 	if err == nil && next.Runner == nil {
 		plan.Reason, plan.RetryAfter, plan.Runner = next.Reason, next.RetryAfter, nil
