A process that starts has requests wait for it to be ready

Each was refused with a Retry-After of 1 s, which is past the deadline of a third of them (600 ms). Tests: TestRequestsWaitForAProcessThatStarts (503 before), TestAProcessThatIsNotReadySoonRefuses. Before and after on the fleet: not measured yet. Conclusion: kept until it is.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,9 @@
 // Options of a Server.
 type Options struct {
 	// View returns the latest view of the deployment.
-	View     func() *fleet.View
+	View func() *fleet.View
+	// Ready is closed once the first view is ready: until then requests wait for a while. Without it none do.
+	Ready    <-chan struct{}
 	Protocol engine.Protocol
 	Client   *upstream.Client
 	// Scheduler decides where requests run, Placer explains what this process would do.
@@ -76,6 +78,7 @@
 	notices  *notice.Board
 	limits   *ratelimit.Table
 	holdings holdings
+	start    start
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -89,7 +92,7 @@
 		o.Limits = ratelimit.NewTable("", o.Metrics, o.Logger)
 	}
 	return &Server{
-		o: o, budget: newBudget(o.Budget),
+		o: o, budget: newBudget(o.Budget), start: start{began: time.Now(), ready: o.Ready},
 		notices: notice.NewBoard(o.Logger), limits: o.Limits,
 		watch: &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
 	}
@@ -133,15 +136,15 @@
 
 // open reads and checks a request.
 func (s *Server) open(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, *reply) {
-	view := s.o.View()
-	if !view.Ready() {
-		return nil, refusal(http.StatusServiceUnavailable, "not-ready",
-			fault.New(fault.Unavailable, "no configuration is known yet", "ask again after the time in Retry-After"), startRetry)
-	}
 	call, err := s.o.Protocol.Read(r.Header)
 	if err != nil {
 		return nil, refusal(http.StatusBadRequest, "bad-request", err, 0)
 	}
+	view := s.readyView(r.Context(), call.Wait)
+	if !view.Ready() {
+		return nil, refusal(http.StatusServiceUnavailable, "not-ready",
+			fault.New(fault.Unavailable, "no configuration is known yet", "ask again after the time in Retry-After"), startRetry)
+	}
 	route := view.Config.Route(hostOnly(r.Host), r.URL.EscapedPath())
 	if route == nil {
 		return nil, refusal(http.StatusNotFound, "no-route",
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -63,6 +63,8 @@
 	quarantine *quarantine.Table
 	// hold bounds the bytes of bodies that the gateway holds, 0 for no bound.
 	hold int64
+	// ready is closed when the gateway has its first view; nil if it has it from the start.
+	ready <-chan struct{}
 	// spot is true if the platform may take the instances away.
 	spot bool
 	// placed is told of each plan before it is carried out; it may be nil.
@@ -115,7 +117,7 @@
 		schedules = observed{schedules, func(p placement.Plan) { o.placed(r, p) }}
 	}
 	g := gateway.New(gateway.Options{
-		View: r.view.Load, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
+		View: r.view.Load, Ready: o.ready, Protocol: platform.Protocol{}, Client: upstream.New(reg), Placer: placer, Scheduler: schedules, Domain: "a",
 		MaxProofAge: testProofAge, Quarantine: o.quarantine, Budget: o.budget, Limits: limits, Metrics: reg, Logger: log.NewNopLogger(),
 	})
 	g.LimitMemory(o.hold)
