The first copy of a process that serves is decoded in pieces

Change: a process that serves with the head decodes its first copy 100 registrations at a time, with pauses of 10 ms, which take 0.2 of the bound for changes at the most (at twice the engines: 5 ms). The copy counts as older by that. Test: TestAFirstCopyLeavesTimeForRequests.

--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -8,11 +8,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/platform"
 )
 
@@ -60,6 +62,29 @@
 	require.True(t, view().Left("s", "i-2"))
 }
 
+// TestAFirstCopyLeavesTimeForRequests has a process that serves already copy 2,000 registrations: it decodes them in
+// pieces with pauses, by which the copy gets older.
+func TestAFirstCopyLeavesTimeForRequests(t *testing.T) {
+	const pauses = 150 * time.Millisecond // of 200
+	var events []objstore.Event
+	for n := range 2000 {
+		events = append(events, registered(fmt.Sprint("i-", n), 5))
+	}
+	events = append(events, configAt(1))
+	relay := make(copies)
+	view := startFollowing(t, relay)
+	head := followedWith(false, 10, configAt(1))
+	head.Head = true
+	relay <- head
+	eventually(t, func() bool { return view().Ready() })
+	tell(relay, true, 10, events...)
+	told := time.Now()
+	eventually(t, func() bool { return view().Complete() })
+	require.Greater(t, time.Since(told), pauses)
+	require.Greater(t, view().InstancesAge(), pauses)
+	require.Len(t, view().Instances, 2000)
+}
+
 // TestADirectoryOfNoUseIsPassedOver has the directory be one of a small fleet, or nothing that can be read.
 func TestADirectoryOfNoUseIsPassedOver(t *testing.T) {
 	for _, text := range []string{`{"processes": 3, "schedulers": [{"name": "other"}]}`, `{"processes": 985}`, `[]`, `"x"`} {
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
@@ -33,6 +34,8 @@
 	// events are in the order in which they happened: an object may go and come
 	// back in one answer.
 	events []objstore.Event
+	// decoded are instances of events that have been decoded already, by their keys.
+	decoded map[string]*fleet.Instance
 }
 
 // lostStore says that a call of a feed failed.
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -71,7 +71,7 @@
 			d.deleteInstance(e.Object, c.settled)
 			continue
 		}
-		if d.putInstance(e.Object, !bulk) {
+		if d.putInstance(e.Object, c.decoded[e.Object.Key], !bulk) {
 			news++
 		}
 	}
@@ -90,9 +90,12 @@
 	d.removeInstance(id, settled)
 }
 
-// putInstance takes in one registration, and reports whether it is news.
-func (d *Discovery) putInstance(obj objstore.Object, tell bool) bool {
-	i, err := d.o.DecodeInstance(obj)
+// putInstance takes in one registration, decoded if it has been already, and reports whether it is news.
+func (d *Discovery) putInstance(obj objstore.Object, i *fleet.Instance, tell bool) bool {
+	var err error
+	if i == nil {
+		i, err = d.o.DecodeInstance(obj)
+	}
 	if err != nil {
 		level.Error(d.logger).Log("msg", "registration left out", "key", obj.Key, "revision", obj.Version, "err", err)
 		d.count("registrations_rejected")
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -78,6 +78,9 @@
 	Processes int
 	// Head is true if Events are only the configuration and the rules.
 	Head bool
+
+	// decoded are the instances of Events that have been decoded already, by their keys.
+	decoded map[string]*fleet.Instance
 	// InstancesRevision is the store's revision up to which the scheduler knows the
 	// registrations.
 	InstancesRevision objstore.Revision
@@ -111,6 +114,7 @@
 				d.o.Missing()
 			}
 			at, answered = f.Position, bootclock.Now()
+			d.decodeAhead(ctx, &f)
 			d.send(ctx, followed{f})
 			lookNext = d.lookItself(ctx, f, lookNext)
 			if f.Head {
@@ -275,7 +279,7 @@
 		if f.Head && s == feedInstances {
 			continue
 		}
-		c := changed{feed: s, reset: f.Full, settled: true, revision: f.InstancesRevision}
+		c := changed{feed: s, reset: f.Full, settled: true, revision: f.InstancesRevision, decoded: f.decoded}
 		for _, e := range f.Events {
 			if kindOf(e.Object.Key) == d.prefixOf(s) {
 				c.events = append(c.events, e)
