--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
@@ -46,15 +47,22 @@
 	require.Equal(t, []string{"other"}, members.Names(view().Schedulers))
 }
 
-// TestAProcessIsReadyWithTheHeadOfACopy has a scheduler tell the configuration alone: the process serves what
-// that one places, and copies the instances after that.
-func TestAProcessIsReadyWithTheHeadOfACopy(t *testing.T) {
+// startWithHead starts a process that serves with the head of a copy.
+func startWithHead(t *testing.T) (copies, func() *fleet.View) {
+	t.Helper()
 	relay := make(copies)
 	view := startFollowing(t, relay)
 	head := followedWith(false, 10, configAt(1))
 	head.Head = true
 	relay <- head
 	eventually(t, func() bool { return view().Ready() })
+	return relay, view
+}
+
+// TestAProcessIsReadyWithTheHeadOfACopy has a scheduler tell the configuration alone: the process serves what
+// that one places, and copies the instances after that.
+func TestAProcessIsReadyWithTheHeadOfACopy(t *testing.T) {
+	relay, view := startWithHead(t)
 	require.False(t, view().Complete())
 	require.False(t, view().Left("s", "i-1"), "nothing is known of it")
 	tell(relay, true, 10, registered("i-1", 5), configAt(1))
@@ -71,12 +79,7 @@
 		events = append(events, registered(fmt.Sprint("i-", n), 5))
 	}
 	events = append(events, configAt(1))
-	relay := make(copies)
-	view := startFollowing(t, relay)
-	head := followedWith(false, 10, configAt(1))
-	head.Head = true
-	relay <- head
-	eventually(t, func() bool { return view().Ready() })
+	relay, view := startWithHead(t)
 	tell(relay, true, 10, events...)
 	told := time.Now()
 	eventually(t, func() bool { return view().Complete() })
