--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -28,6 +28,8 @@
 	CallersEach int
 	// Think is the mean time between an answer and a caller's next request; thinkTime if it is 0.
 	Think time.Duration
+	// MemoryMB is what a host has for its process, 0 for no bound.
+	MemoryMB float64
 	// Bounds are what the deployment demands of the processes.
 	Bounds Bounds
 	// Slack is by how much longer than the bounds say a thing may take, for machines that are
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -73,13 +73,13 @@
 	b, host := g.w.o.Bounds, g.w.o.Layout.host(g.number)
 	text := fmt.Sprintf(`{
   "name": %q, "domain": %q, "store": %q,
-  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "weight": %v,
+  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "weight": %v, "memoryMB": %v,
   "bounds": {"apply": %q, "settle": %q, "drain": %q, "grace": %q, "notice": %q, "lease": %q,
     "retryRatio": %v, "retrySlack": %v, "retryWindow": %q},
   "duties": {"address": %q, "kinds": "metering", "usageWindow": "1s", "usageDue": "4s"},
 }
 `, g.name(), host.Domain, g.w.storeLink(g).Address,
-		g.address(portCallers), g.address(portReadiness), g.address(portMetrics), g.address(portPeers), host.Weight,
+		g.address(portCallers), g.address(portReadiness), g.address(portMetrics), g.address(portPeers), host.Weight, g.w.o.MemoryMB,
 		b.Apply, b.Contact, b.Drain, b.Grace, b.Notice, b.Lease, b.RetryRatio, g.slack, b.RetryWindow, g.w.apiLink(g).Address)
 	if err := os.WriteFile(g.settingsFile(), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", g.name(), err)
