Who is not told of the others' work takes nobody for silent

Traced in the logs: in a fleet of 16, where all tell each other, every process had heard every other. When it had 18 again and two schedulers, the others told g-00 nothing any more; 3 s later it took all 17 for silent, named itself the one scheduler ("schedulers names=g-00 processes=18"), decided alone and granted itself a part of the rate, was told again, agreed on the two, heard nothing, and so on each 3 to 4 s. Change: silence counts only for a process that is told by somebody, or that tells the others now; what was not heard before it began to listen is no silence. Ruled out: forgetting whom it has heard when it stops to tell them: a process that is to take a silent one's place, and that another one named, would never see the silence itself. Test: TestWhoIsNotToldTakesNobodyForSilent (fails without).

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -87,6 +87,8 @@
 	told    map[string]told   // by peer
 	// heardAt is when a peer was heard last, or expected to be for the first time.
 	heardAt map[string]time.Time
+	// exchanging is true while this process is one of those that tell each other of their work.
+	exchanging bool
 	silent  *peer.Silences
 	// calling are the peers whose answer is awaited.
 	calling map[string]bool
@@ -132,12 +134,32 @@
 }
 
 // Silent reports whether a peer has not been heard for so long that another one takes its
-// place.
+// place. Nobody is silent for a process that is not told any more, as one that works for others no
+// longer: it took all others for silent, and decided beside them for seconds at a time.
 func (s *Sharer) Silent(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, expected := s.heardAt[name]
-	return expected && time.Since(at) > replaceAfter
+	return expected && time.Since(at) > replaceAfter && (s.exchanging || s.hearsAny())
+}
+
+// hearsAny reports whether any peer has been heard lately. The caller holds the lock.
+func (s *Sharer) hearsAny() bool {
+	for _, at := range s.heardAt {
+		if time.Since(at) <= replaceAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// join notes whether this process exchanges digests now. If it has heard nobody for a while, it begins to listen:
+// what was not heard before is no silence. The caller holds the lock.
+func (s *Sharer) join(exchanging bool) {
+	if exchanging && !s.exchanging && !s.hearsAny() {
+		clear(s.heardAt)
+	}
+	s.exchanging = exchanging
 }
 
 // Run registers this process and exchanges digests until ctx ends.
@@ -165,7 +187,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []members.Member
-	for _, m := range s.o.Members() {
+	all := s.o.Members()
+	s.join(len(all) > 0)
+	for _, m := range all {
 		if _, expected := s.heardAt[m.Name]; !expected {
 			s.heardAt[m.Name] = time.Now()
 		}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -212,3 +212,34 @@
 	time.Sleep(s.again / 2)
 	require.False(t, registered())
 }
+
+// TestWhoIsNotToldTakesNobodyForSilent has a process work for others, leave that to another one, and take it on again
+// later. In a fleet that had grown past the size at which all tell each other, one that did no longer took all 17
+// others for silent, decided beside their schedulers, and sent a quarter more to a limited instance than that takes.
+func TestWhoIsNotToldTakesNobodyForSilent(t *testing.T) {
+	all := []members.Member{{Name: "a"}, {Name: "b"}}
+	working := all
+	s := New(Options{Self: members.Member{Name: "z"}, Members: func() []members.Member { return working }, Logger: log.NewNopLogger()})
+	age := func(by time.Duration) {
+		for name, at := range s.heardAt {
+			s.heardAt[name] = at.Add(-by)
+		}
+	}
+	s.peers()
+	age(2 * replaceAfter)
+	require.True(t, s.Silent("a"), "it does not answer")
+
+	working = nil
+	s.peers()
+	require.False(t, s.Silent("a"), "nobody tells this process")
+	s.hear(&peerpb.Identity{Name: "b"}, &peerpb.LoadDigest{})
+	require.True(t, s.Silent("a"), "b tells it")
+	require.False(t, s.Silent("b"))
+
+	age(2 * replaceAfter)
+	working = all
+	s.peers()
+	require.False(t, s.Silent("a"), "it has just begun to listen")
+	age(2 * replaceAfter)
+	require.True(t, s.Silent("a"))
+}
