--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -89,7 +89,7 @@
 	heardAt map[string]time.Time
 	// exchanging is true while this process is one of those that tell each other of their work.
 	exchanging bool
-	silent  *peer.Silences
+	silent     *peer.Silences
 	// calling are the peers whose answer is awaited.
 	calling map[string]bool
 	sum     map[string]placement.Load
