--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,7 @@
 	notices  *notice.Board
 	limits   *ratelimit.Table
 	holdings holdings
-	start    start
+	startup  startup
 	inHand   atomic.Int64
 	stopping atomic.Bool
 }
@@ -92,7 +92,7 @@
 		o.Limits = ratelimit.NewTable("", o.Metrics, o.Logger)
 	}
 	return &Server{
-		o: o, budget: newBudget(o.Budget), start: start{began: time.Now(), ready: o.Ready},
+		o: o, budget: newBudget(o.Budget), startup: startup{began: time.Now(), ready: o.Ready},
 		notices: notice.NewBoard(o.Logger), limits: o.Limits,
 		watch: &suspects.Watch{Table: o.Quarantine, Refuses: o.Client.Refuses, Logger: o.Logger},
 	}
--- a/internal/gateway/start.go
+++ b/internal/gateway/startup.go
@@ -19,9 +19,9 @@
 	startMost = 256
 )
 
-// start has requests wait for a process to be ready. After a loss of all processes, callers that are refused
+// startup has requests wait for a process to be ready. After a loss of all processes, callers that are refused
 // would come back after the time in which most requests are given up.
-type start struct {
+type startup struct {
 	began time.Time
 	// ready is closed once the process is ready, nil if nobody waits.
 	ready   <-chan struct{}
@@ -29,7 +29,7 @@
 }
 
 // await waits until the process is ready, for a part of what the caller waits at the most, 0 if that does not say.
-func (s *start) await(ctx context.Context, wait time.Duration) {
+func (s *startup) await(ctx context.Context, wait time.Duration) {
 	left := startTime - time.Since(s.began)
 	if wait > 0 {
 		left = min(left, time.Duration(startShare*float64(wait)))
@@ -55,6 +55,6 @@
 	if v := s.o.View(); v.Ready() {
 		return v
 	}
-	s.start.await(ctx, wait)
+	s.startup.await(ctx, wait)
 	return s.o.View()
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -153,9 +153,9 @@
 	return false
 }
 
-// join notes whether this process exchanges digests now. If it has heard nobody for a while, it begins to listen:
+// noteExchanging notes whether this process exchanges digests now. If it has heard nobody for a while, it begins to listen:
 // what was not heard before is no silence. The caller holds the lock.
-func (s *Sharer) join(exchanging bool) {
+func (s *Sharer) noteExchanging(exchanging bool) {
 	if exchanging && !s.exchanging && !s.hearsAny() {
 		clear(s.heardAt)
 	}
@@ -188,7 +188,7 @@
 	defer s.mu.Unlock()
 	var out []members.Member
 	all := s.o.Members()
-	s.join(len(all) > 0)
+	s.noteExchanging(len(all) > 0)
 	for _, m := range all {
 		if _, expected := s.heardAt[m.Name]; !expected {
 			s.heardAt[m.Name] = time.Now()
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -36,6 +36,9 @@
 	toldLate = 50 * time.Millisecond
 	// overlapTime is after what time an end counts whose request was sent before the limit was last heard.
 	overlapTime = time.Second
+	// tellFactor is by how much a rate has to change for those that follow to be told: hundreds of them are, and
+	// some instances name another rate in each answer.
+	tellFactor = 2
 	// logEvery is how often at most a changed limit of one instance is logged.
 	logEvery = time.Second
 	// keptFor is for how long at the least what an instance has said is kept without its
@@ -85,8 +88,9 @@
 type entry struct {
 	Statement
 	loggedAt bootclock.Instant
-	// changed is the position of the table at the last change of the limit.
+	// changed is the position of the table at the last change that those that follow are told, told the rate then.
 	changed uint64
+	told    float64
 	// grants are those of another process that is the keeper, wanted how many requests wanted to be
 	// sent since it was asked last, lapsed how many of its grants have ended without being sent.
 	grants []grant
@@ -189,18 +193,18 @@
 }
 
 // learn takes in a statement if it is later than the one known, and has it told if it changes
-// anything. The caller holds the lock.
-func (t *Table) learn(run string, s Statement, from ...any) {
+// anything. It reports whether it was later. The caller holds the lock.
+func (t *Table) learn(run string, s Statement, from ...any) bool {
 	e := t.all[run]
 	if e == nil {
 		if !s.Limited {
-			return
+			return false
 		}
 		e = &entry{}
 		t.all[run] = e
 	}
 	if !e.supersededBy(s, t.now()) {
-		return
+		return false
 	}
 	before := e.Statement
 	switch {
@@ -214,13 +218,16 @@
 	}
 	e.Statement = s
 	if before.RateLimit == s.RateLimit {
-		return
+		return true
+	}
+	if before.Limited != s.Limited || s.PerSecond > tellFactor*e.told || e.told > tellFactor*s.PerSecond {
+		t.position++
+		e.changed, e.told = t.position, s.PerSecond
 	}
-	t.position++
-	e.changed = t.position
 	t.log(e, run, before, from)
 	t.news[run] = true
 	t.signal()
+	return true
 }
 
 // log writes what has changed of an instance's limit.
@@ -273,12 +280,13 @@
 	t.learnFrom(process, run, s)
 }
 
-// learnFrom takes in what another process says. The caller holds the lock.
-func (t *Table) learnFrom(process, run string, s Statement) {
+// learnFrom takes in what another process says, and reports whether that was later than what was known here. The
+// caller holds the lock.
+func (t *Table) learnFrom(process, run string, s Statement) bool {
 	if e := t.limited(run); e != nil {
 		s.Sent, s.Heard = s.Sent.Add(-toldLate), s.Heard.Add(-toldLate)
 	}
-	t.learn(run, s, "from", process)
+	return t.learn(run, s, "from", process)
 }
 
 // Since returns what instances have said after a position of this table, 0 for none, and its position now.
@@ -305,8 +313,9 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, l := range said {
-		t.learnFrom(scheduler, l.GetInstance(), decode(l, now))
-		delete(t.news, l.GetInstance())
+		if t.learnFrom(scheduler, l.GetInstance(), decode(l, now)) {
+			delete(t.news, l.GetInstance())
+		}
 	}
 }
 
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -104,6 +104,14 @@
 	said, _ := scheduler.Since(at)
 	require.Empty(t, said)
 	time.Sleep(2 * toldLate)
+	for _, rate := range []float64{11, 9, 14} {
+		scheduler.Heard("a@1", "r", limited(rate), bootclock.Now())
+	}
+	said, _ = scheduler.Since(at)
+	require.Empty(t, said, "a little more or less")
+	scheduler.Heard("a@1", "r", limited(30), bootclock.Now())
+	said, _ = scheduler.Since(at)
+	require.Len(t, said, 1, "a multiple")
 	scheduler.Heard("a@1", "r", noLimit, bootclock.Now())
 	said, _ = scheduler.Since(at)
 	require.Len(t, said, 1, "what has changed")
@@ -112,6 +120,20 @@
 	require.True(t, follower.Limited("b@1"))
 }
 
+// TestNewerWordIsToldAlsoWhileOlderIsCopied has a process hear of a limit just before its scheduler tells it an
+// older one.
+func TestNewerWordIsToldAlsoWhileOlderIsCopied(t *testing.T) {
+	scheduler := NewTable("s", metrics.NewRegistry(), log.NewNopLogger())
+	follower := NewTable("f", metrics.NewRegistry(), log.NewNopLogger())
+	scheduler.Heard("a@1", "r", limited(10), bootclock.Now())
+	time.Sleep(2 * toldLate)
+	follower.Heard("a@1", "r", limited(5), bootclock.Now())
+	said, _ := scheduler.Since(0)
+	follower.Follow("s", said)
+	require.Equal(t, limited(5), follower.Limit("a@1").RateLimit)
+	require.Contains(t, follower.News(), "a@1")
+}
+
 // TestAPlacerThatKnowsNoLimitIsTold has a scheduler that has just started place a request at an instance
 // whose limit the sender knows: it is not sent, and the scheduler is told.
 func TestAPlacerThatKnowsNoLimitIsTold(t *testing.T) {
