Soak: a start that was frozen has no time to ask for signals

Traced in its log and that of the faults: started at 23.87 s, frozen at 23.883 for 2.159 s, SIGTERM at 24.100, ended at 26.04, with no line of that life in its log. Until a program has asked for its signals the kernel's default holds. The check allows that for 2 s after a start, but counted the time of a freeze that began after it. Change: the time in which the process was awake counts, the 2 s stay. Test: TestAProcessThatWasFrozenAtItsStartMayDieOfASignal; without a freeze, or with a short one, it is a breach as before.

--- a/internal/lab/soak/check_process.go
+++ b/internal/lab/soak/check_process.go
@@ -73,9 +73,10 @@
 const birth = 2 * time.Second
 
 // unborn reports whether a process died of a signal that it had not asked for yet, and had
-// served nobody. Until a program runs, the signal's default action holds.
+// served nobody. Until a program runs, the signal's default action holds. A time for which it was frozen is none
+// in which it could ask.
 func (c *checker) unborn(e Exit, started time.Time) bool {
-	if e.Signal != syscall.SIGTERM.String() && e.Signal != syscall.SIGHUP.String() || e.At.Sub(started) > birth {
+	if e.Signal != syscall.SIGTERM.String() && e.Signal != syscall.SIGHUP.String() || c.f.awake(e.Gateway, started, e.At) > birth {
 		return false
 	}
 	return !slices.ContainsFunc(c.f.Calls, func(call *Call) bool {
@@ -83,6 +84,25 @@
 	})
 }
 
+// awake returns for how long a process was not frozen from its start until a time.
+func (f *Facts) awake(gateway int, started, until time.Time) time.Duration {
+	freezes := slices.DeleteFunc(slices.Clone(f.Disturbances), func(d *Disturbance) bool {
+		return d.Fault != FaultFreeze || !slices.Contains(d.Gateways, gateway) || d.From.Before(started)
+	})
+	slices.SortFunc(freezes, func(a, b *Disturbance) int { return a.From.Compare(b.From) })
+	awake, from := time.Duration(0), started
+	for _, d := range freezes {
+		if !d.From.Before(until) {
+			break
+		}
+		awake += max(0, d.From.Sub(from))
+		if d.To.After(from) {
+			from = d.To
+		}
+	}
+	return awake + max(0, until.Sub(from))
+}
+
 // signs are what a log holds of a defect.
 var signs = [][]byte{[]byte("panic:"), []byte("DATA RACE"), []byte("fatal error:")}
 
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -289,3 +290,23 @@
 	f.Exits[0].Code = 2
 	require.Len(t, newChecker(Options{Bounds: DefaultBounds}, f, at(80)).processesLive().Breaches, 1)
 }
+
+// TestAProcessThatWasFrozenAtItsStartMayDieOfASignal has SIGTERM wait while a process is frozen from 12 ms after its
+// start: it dies when that ends, 2.17 s after the start. One that was not frozen had the time to ask for its signals.
+func TestAProcessThatWasFrozenAtItsStartMayDieOfASignal(t *testing.T) {
+	f := madeUp()
+	f.Starts[0] = []time.Time{at(40)}
+	f.Exits = []Exit{{Gateway: 0, Life: 1, At: at(42.17), Asked: at(40.2), Why: "SIGTERM", Code: -1, Signal: syscall.SIGTERM.String()}}
+	breaches := func() int {
+		return len(newChecker(Options{Bounds: DefaultBounds}, f, at(80)).processesLive().Breaches)
+	}
+	f.Disturbances = []*Disturbance{
+		{Fault: FaultFreeze, Gateways: []int{0}, From: at(40.012), To: at(42.17)},
+		{Fault: FaultFreeze, Gateways: []int{0}, From: at(41), To: at(41.5)},
+	}
+	require.Zero(t, breaches())
+	f.Disturbances = []*Disturbance{{Fault: FaultFreeze, Gateways: []int{0}, From: at(41), To: at(41.1)}}
+	require.Equal(t, 1, breaches(), "it was awake for 2.07 s")
+	f.Disturbances = nil
+	require.Equal(t, 1, breaches())
+}
--- a/internal/lab/soak/regressions.go
+++ b/internal/lab/soak/regressions.go
@@ -23,4 +23,5 @@
 	{28, 8, 21 * time.Second, "an instance that crashed was not noted as the one that broke a request off"},
 	{30, 8, 21 * time.Second, "a request that another service's instance answered with 421 was taken for one sent to that service"},
 	{35, 8, 21 * time.Second, "as seed 30"},
+	{45, 8, 30 * time.Second, "SIGTERM came while a process was frozen just after its start, for longer than a start takes"},
 }
