--- a/internal/discovery/era.go
+++ b/internal/discovery/era.go
@@ -53,7 +53,7 @@
 
 // registerAgain has this process look whether the copy has its registration.
 func (d *Discovery) registerAgain() {
-	time.AfterFunc(time.Duration(partOf(d.o.Self.Name)*float64(registerSpread)), d.o.Restored)
+	time.AfterFunc(d.ownPart(registerSpread), d.o.Restored)
 }
 
 // resetMembers begins to take in a whole list of the members. Those that were known stay a while if the
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -163,7 +163,7 @@
 	d.instances[i.ID], d.touched[i.ID] = &kept, true
 	d.lapsed[i.ID] = l
 	level.Info(d.logger).Log("msg", "instance lapsed", "id", i.ID, "service", i.Service, "address", i.Address, "kept_for", l.until.Sub(now).Round(time.Millisecond),
-		"absence", l.absence, "confirmed", sinceOrNever(d.confirmedAt), "failed", sinceOrNever(d.failedAt), "back", sinceOrNever(d.backAt))
+		"absence", l.absence, "counted_from", sinceOrNever(d.lapseFrom()), "confirmed", sinceOrNever(d.confirmedAt), "failed", sinceOrNever(d.failedAt), "back", sinceOrNever(d.backAt))
 }
 
 // lapseFrom returns from when on the time counts for which a lapsed instance is kept: the last answer of the
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -78,15 +78,15 @@
 	Processes int
 	// Head is true if Events are only the configuration and the rules.
 	Head bool
-
-	// decoded are the instances of Events that have been decoded already, by their keys.
-	decoded map[string]*fleet.Instance
 	// InstancesRevision is the store's revision up to which the scheduler knows the
 	// registrations.
 	InstancesRevision objstore.Revision
 	Schedulers        []members.Member
 	Watchers          []members.Member
 	Mesh              []members.Member
+
+	// decoded are the instances of Events that have been decoded already, by their keys.
+	decoded map[string]*fleet.Instance
 }
 
 // before reports whether a copy is of a process that has not seen an era of the store.
@@ -147,7 +147,7 @@
 	if !d.View().Complete() && fault.Is(err, fault.Denied) {
 		after = aloneRefused
 	}
-	return after + time.Duration(partOf(d.o.Self.Name)*float64(d.spread()))
+	return after + d.ownPart(d.spread())
 }
 
 // partOf returns the part of a time over which processes spread that is a process's own. It
@@ -156,6 +156,11 @@
 	return float64(xxhash.Sum64String("spread\x00"+name)) / (1 << 64)
 }
 
+// ownPart returns when it is this process's turn in a time over which all spread.
+func (d *Discovery) ownPart(spread time.Duration) time.Duration {
+	return time.Duration(partOf(d.o.Self.Name) * float64(spread))
+}
+
 // spread returns over how long a time the looks of all processes that do not know the instances spread.
 func (d *Discovery) spread() time.Duration {
 	if d.View().Complete() {
@@ -261,7 +266,7 @@
 	d.cur.Processes = f.Processes
 	d.setSchedulers(f.Schedulers, f.Watchers, f.Mesh)
 	if f.Head && d.cur.CopyAt == 0 {
-		d.cur.CopyAt = bootclock.Now().Add(time.Duration(partOf(d.o.Self.Name) * float64(d.spreadBy(copyEach))))
+		d.cur.CopyAt = bootclock.Now().Add(d.ownPart(d.spreadBy(copyEach)))
 	}
 }
 
