Log software versions and what a request resumes

Cause: no line of a decision named the software version of the chosen instance, the attempt that a request resumes, or the event that it resumes after, so that a stream that goes on at another version could not be told from the logs. Change: decision lines have software, resumes and after; instance lines and the status have the software. Result: tests of platform, gateway, discovery and trace pass.

--- a/engine/serving.go
+++ b/engine/serving.go
@@ -32,6 +32,9 @@
 	Parts []Part
 	// LastEvent is the ID of the last received event if the client resumes a stream.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the client
+	// resumes, empty if it names none.
+	Resumes string
 	// Key is the API key by which the client authenticates for a workspace, empty if it
 	// gives none. It is neither logged nor forwarded.
 	Key string
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -127,7 +127,7 @@
 	delete(d.removed, i.ID)
 	delete(d.expired, i.ID)
 	if logged {
-		level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "role", i.Role,
+		level.Info(d.logger).Log("msg", "instance", "id", i.ID, "service", i.Service, "address", i.Address, "software", i.Software, "role", i.Role,
 			"draining", i.Draining, "known", old != nil, "revision", obj.Version)
 	}
 	return true
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -27,7 +27,10 @@
 		kv = append(kv, "fetch_from", p.FetchFrom.ID)
 	}
 	if p.Target != nil {
-		kv = append(kv, "runner", p.Target.ID)
+		kv = append(kv, "runner", p.Target.ID, "software", p.Target.Software)
+	}
+	if q.call.Resumes != "" || q.call.LastEvent != "" {
+		kv = append(kv, "resumes", q.call.Resumes, "after", q.call.LastEvent)
 	}
 	level.Debug(q.s.o.Logger).Log(kv...)
 }
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -58,6 +58,7 @@
 	Service  string      `json:"service"`
 	Address  string      `json:"address"`
 	Domain   string      `json:"domain"`
+	Software string      `json:"software,omitempty"`
 	Role     engine.Role `json:"role,omitempty"`
 	Draining bool        `json:"draining"`
 	Expired  bool        `json:"lapsed"`
@@ -106,7 +107,7 @@
 	}
 	for id, i := range v.Instances {
 		st.Instances = append(st.Instances, InstanceStatus{
-			ID: id, Service: i.Service, Address: i.Address, Domain: i.Domain, Role: i.Role, Draining: i.Draining, Expired: i.Expired,
+			ID: id, Service: i.Service, Address: i.Address, Domain: i.Domain, Software: i.Software, Role: i.Role, Draining: i.Draining, Expired: i.Expired,
 			Changing: d.isChangingRole(i), Load: d.placer.Load(i),
 			Cut: d.paths.CutTo(i.Address),
 		})
