--- /dev/null
+++ b/internal/gatewayd/versions_test.go
@@ -0,0 +1,202 @@
+package gatewayd
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+)
+
+// streamEvents is the number of events of each stream of addVersions.
+const streamEvents = 8
+
+// addVersions replaces the model engines of the deployment by n engines of each version.
+func (d *deployment) addVersions(n int, versions ...string) {
+	d.t.Helper()
+	d.removeEngine("i-2")
+	d.removeEngine("i-3")
+	for _, version := range versions {
+		for i := range n {
+			d.addEngineOf(version, fmt.Sprint(version, "-", i))
+		}
+	}
+}
+
+// addEngineOf starts and registers an engine of a version.
+func (d *deployment) addEngineOf(version, id string) *fleetengine.Engine {
+	e := fleetengine.New(id, fleetengine.StageDecode)
+	e.Software, e.Events, e.Gap = version, streamEvents, 4*time.Millisecond
+	s := httptest.NewServer(e)
+	d.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	d.engines = append(d.engines, e)
+	d.registerEngine(e, s.Listener.Addr().String(), "ready")
+	return e
+}
+
+func (d *deployment) registerEngine(e *fleetengine.Engine, address, phase string) {
+	d.store.Set("servers", e.ID, map[string]any{"service": "llm", "address": address, "zone": "a", "slots": 32, "phase": phase, "stage": e.Stage(), "version": e.Software})
+}
+
+func (d *deployment) removeEngine(id string) { d.store.Remove("servers", id) }
+
+// received is what a client has received of one stream, over all its tries.
+type received struct {
+	// begunBy is the ID of the try that brought the first event.
+	begunBy string
+	last    string
+	// versions are the versions that wrote the events.
+	versions map[string]bool
+	events   int
+}
+
+// attempt sends a request and reads events until the response ends. If the client has received events
+// before, it takes the stream up. onEvent is called with the number of events after each one; it may be nil.
+func (r *received) attempt(p *process, id string, header http.Header, onEvent func(events int)) (status int) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen+"/llm/x", strings.NewReader("x"))
+	if err != nil {
+		return 0
+	}
+	req.Host = "h"
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("X-Request-Id", id)
+	if r.events > 0 {
+		req.Header.Set("Last-Event-Id", r.last)
+		req.Header.Set("Resumes", r.begunBy)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode
+	}
+	in := bufio.NewScanner(resp.Body)
+	event := ""
+	for in.Scan() {
+		if last, ok := strings.CutPrefix(in.Text(), "id: "); ok {
+			event = last
+		}
+		if _, version, ok := strings.Cut(in.Text(), " by "); ok {
+			if r.events == 0 {
+				r.begunBy = id
+			}
+			r.last = event
+			r.versions[version] = true
+			r.events++
+			if onEvent != nil {
+				onEvent(r.events)
+			}
+		}
+	}
+	return resp.StatusCode
+}
+
+// whole reports whether all events have arrived.
+func (r *received) whole() bool { return r.events == streamEvents }
+
+// TestStreamsGoOnAtTheVersionThatBeganThem breaks streams while engines of two versions serve. A stream
+// goes on within its response, or when the client takes it up at another process.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	const (
+		streams  = 120
+		maxTries = 8
+	)
+	for name, start := range fleetStarts {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.applyLimit = "3s"
+			d.addVersions(3, "v1", "v2")
+			for _, e := range d.engines[4:] {
+				e.FailEvery(fleetengine.CutMidEvent, 3)
+			}
+			all := start(d)
+			mixed, resumptions, wentOn := 0, 0, 0
+			for n := range streams {
+				r := &received{versions: map[string]bool{}}
+				for try := 0; try < maxTries && !r.whole(); try++ {
+					before := r.events
+					status := r.attempt(all[(n+try)%len(all)], fmt.Sprint("s-", n, "-", try), nil, nil)
+					if before > 0 {
+						resumptions++
+						if status == http.StatusOK {
+							wentOn++
+						}
+					}
+				}
+				if len(r.versions) > 1 {
+					mixed++
+				}
+			}
+			t.Logf("%d of %d streams have events of two versions; %d of %d resumptions went on", mixed, streams, wentOn, resumptions)
+			require.Zero(t, mixed)
+			require.Greater(t, resumptions, streams/10)
+			require.GreaterOrEqual(t, float64(wentOn), 0.95*float64(resumptions))
+		})
+	}
+}
+
+// TestStreamsOfAKilledHostGoOnAtTheirVersion kills the process that began the streams. The clients take
+// them up at the others.
+func TestStreamsOfAKilledHostGoOnAtTheirVersion(t *testing.T) {
+	const streams = 40
+	for name, start := range fleetStarts {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.applyLimit = "3s"
+			links := d.isolateStoreLinks()
+			for _, extra := range []string{"a", "b", "c"} {
+				links[extra] = d.isolateStoreLink(extra)
+			}
+			d.addVersions(3, "v1", "v2")
+			for _, e := range d.engines[4:] {
+				e.Gap = 100 * time.Millisecond
+			}
+			all := start(d)
+			first, others := all[len(all)-1], all[:len(all)-1]
+			var begun, ended sync.WaitGroup
+			clients := make([]*received, streams)
+			for n := range clients {
+				r := &received{versions: map[string]bool{}}
+				clients[n] = r
+				begun.Add(1)
+				ended.Add(1)
+				go func() {
+					defer ended.Done()
+					r.attempt(first, fmt.Sprint("s-", n), nil, func(events int) {
+						if events == 2 {
+							begun.Done()
+						}
+					})
+				}()
+			}
+			begun.Wait()
+			first.kill(links[first.settings.Name])
+			ended.Wait()
+			mixed, wentOn := 0, 0
+			for n, r := range clients {
+				require.False(t, r.whole(), "the stream ended before its process was killed")
+				status := r.attempt(others[n%len(others)], fmt.Sprint("r-", n), nil, nil)
+				if status == http.StatusOK {
+					wentOn++
+				}
+				if len(r.versions) > 1 {
+					mixed++
+				}
+			}
+			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
+			require.Zero(t, mixed)
+			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
+		})
+	}
+}
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -60,6 +60,8 @@
 type Engine struct {
 	// ID is the ID of the instance.
 	ID string
+	// Software is the version of the engine's program. It is part of each event, empty for none.
+	Software string
 	// Events is the number of events of each stream. If it is 0, responses are plain.
 	Events int
 	// RoleChange is the duration of a change of the stage.
@@ -419,11 +421,19 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, run.ID, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", n, run.ID, n, e.versionSuffix())
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// versionSuffix returns what the engine adds to each event, so that clients can tell its version.
+func (e *Engine) versionSuffix() string {
+	if e.Software == "" {
+		return ""
+	}
+	return " by " + e.Software
+}
+
 // sleep waits for d. It reports false if the client disconnects first.
 func sleep(r *http.Request, d time.Duration) bool {
 	if d == 0 {
