Streams go on only at the software version that began them

What callers saw: streams with events of two versions of a model server. Cause: no decision knew the version of an instance. A stream that went on, within a response or in a later request of the client, was sent to any engine. Change: the first event fixes the version; it is a constraint of the placement, checked again by the sender. Without a record it goes on only if one version alone has served for as long as a stream may live, otherwise it is rejected at once. The stand-in's CutMidEvent now cuts the second event of a response, also of a resumed one, so that a resumption is not broken before it has brought anything.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -65,6 +65,17 @@
 	return nil
 }
 
+// OfSoftware returns the instances of a slice that have a software version, in the same order.
+func OfSoftware(instances []*Instance, version string) []*Instance {
+	var out []*Instance
+	for _, i := range instances {
+		if i.Software == version {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 const (
 	// The constants of jump consistent hashing. When the number of groups grows by one, a key either
 	// stays in its group or moves to the new one.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,6 +58,13 @@
 	usable    map[string][]*Instance
 	poolCache *poolCache
 	addresses *addressIndex
+	software  *softwareIndex
+}
+
+// softwareIndex holds the software versions of a view's instances. It is built when it is first needed.
+type softwareIndex struct {
+	once sync.Once
+	all  map[string][]string // by service
 }
 
 // addressIndex finds a view's instances by address. It is built when it is first needed.
@@ -69,6 +76,7 @@
 // Index builds the lookup tables. It must be called once before the view is published.
 func (v *View) Index() {
 	v.usable, v.poolCache, v.addresses = map[string][]*Instance{}, newPoolCache(), &addressIndex{}
+	v.software = &softwareIndex{}
 	for _, i := range v.Instances {
 		if !i.Draining {
 			v.usable[i.Service] = append(v.usable[i.Service], i)
@@ -85,6 +93,7 @@
 func (v *View) IndexChanges(before *View, changed map[string]bool) {
 	if len(changed) == 0 {
 		v.Instances, v.usable, v.poolCache, v.addresses = before.Instances, before.usable, before.poolCache, before.addresses
+		v.software = before.software
 		if v.Rules != before.Rules {
 			v.poolCache = newPoolCache()
 		}
@@ -92,6 +101,7 @@
 	}
 	v.Instances = maps.Clone(v.Instances)
 	v.usable, v.poolCache, v.addresses = maps.Clone(before.usable), newPoolCache(), &addressIndex{}
+	v.software = &softwareIndex{}
 	ids := slices.Sorted(maps.Keys(changed))
 	affected := map[string]bool{}
 	for _, id := range ids {
@@ -131,6 +141,22 @@
 // Usable returns the instances of a service that accept new requests, sorted by ID.
 func (v *View) Usable(service string) []*Instance { return v.usable[service] }
 
+// Software returns the software versions of the registered instances of each service, also of draining ones.
+func (v *View) Software() map[string][]string {
+	if v.software == nil {
+		return nil // a view that was never indexed has no instances
+	}
+	v.software.once.Do(func() {
+		v.software.all = map[string][]string{}
+		for _, i := range v.Instances {
+			if versions := v.software.all[i.Service]; !slices.Contains(versions, i.Software) {
+				v.software.all[i.Service] = append(versions, i.Software)
+			}
+		}
+	})
+	return v.software.all
+}
+
 // InstanceAt returns the ID of the registered instance at an address, empty if there is none. If there are several, it
 // is the one that started last, since the address was reused.
 func (v *View) InstanceAt(address string) string {
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -27,7 +27,7 @@
 	}
 	var candidates []*fleet.Instance
 	for _, i := range v.Permitted(q.route.Name, q.service) {
-		if i.Role == engine.RoleMixed && i.Domain != target.Domain && !q.avoid[i.ID] && !q.s.notices.RefusesWork(i.RunID()) {
+		if i.Role == engine.RoleMixed && i.Domain != target.Domain && i.Software == target.Software && !q.avoid[i.ID] && !q.s.notices.RefusesWork(i.RunID()) {
 			candidates = append(candidates, i)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
+	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -69,6 +70,8 @@
 	RateLimits *ratelimit.Table
 	// GiveUpHungAttempts has the server try another instance if an attempt hangs.
 	GiveUpHungAttempts bool
+	// Streams knows which software version began a stream. If it is nil, the server keeps records of its own.
+	Streams *resumption.Registry
 	// OnRunStart is called once for each request of a workspace that starts to run. It may be nil.
 	OnRunStart func(workspace string)
 	Metrics    metrics.Registry
@@ -82,6 +85,7 @@
 	crashDetector *suspects.CrashDetector
 	notices       *notice.Table
 	limits        *ratelimit.Table
+	streams       *resumption.Registry
 	buffers       memoryBudget
 	startup       startupWaiter
 	inFlight      atomic.Int64
@@ -96,8 +100,11 @@
 	if o.RateLimits == nil {
 		o.RateLimits = ratelimit.NewTable("", o.Metrics, o.Logger)
 	}
+	if o.Streams == nil {
+		o.Streams = resumption.New(resumption.Options{View: o.View, Metrics: o.Metrics, Logger: o.Logger})
+	}
 	return &Server{
-		o: o, budget: newRetryBudget(o.Budget), startup: startupWaiter{started: time.Now(), ready: o.Ready},
+		o: o, streams: o.Streams, budget: newRetryBudget(o.Budget), startup: startupWaiter{started: time.Now(), ready: o.Ready},
 		notices: notice.NewTable(o.Logger), limits: o.RateLimits,
 		crashDetector: &suspects.CrashDetector{Table: o.Quarantine, RefusesConnections: o.Client.RefusesConnections, Logger: o.Logger},
 	}
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -104,7 +104,8 @@
 
 // hasAlternative reports whether an instance other than i may take the attempt.
 func (q *request) hasAlternative(i *fleet.Instance) bool {
-	return slices.ContainsFunc(q.s.o.View().Permitted(q.route.Name, q.service), func(o *fleet.Instance) bool {
+	permitted, _ := q.permitted(q.s.o.View().Pool(q.route.Name, q.service))
+	return slices.ContainsFunc(permitted, func(o *fleet.Instance) bool {
 		return o.ID != i.ID && o.Role == i.Role && !q.avoid[o.ID]
 	})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
@@ -70,6 +71,9 @@
 	lastEventID string
 	// events counts the events that were sent to the client.
 	events int
+	// origin is what began the stream: an earlier attempt of the client, or the first run that brought an event. It
+	// is nil before that.
+	origin *resumption.Origin
 	// backup is the engine that receives copies of the run's KV cache, nil for none.
 	backup *fleet.Instance
 	// lifecycle tracks whether any instance may have started to run the request.
@@ -134,7 +138,16 @@
 	}
 	firstAttempt := q.service == ""
 	q.workspace, q.route, q.configVersion = workspace, withWorkspaceRank(route, workspace), view.Config.Version
-	service := route.PickService(q.call.ID)
+	if firstAttempt && q.resumes() {
+		if rep := q.findOrigin(); rep != nil {
+			return rep
+		}
+	}
+	service := q.serviceOf(route)
+	if service == "" && q.origin != nil {
+		err := fault.New(fault.Unavailable, "the route no longer leads to the service that began the stream", "send the request anew, without the events received")
+		return replyFromState(codeUnknownOrigin, err, defaultRetry)
+	}
 	if service != q.service {
 		q.releaseKV() // a KV cache of one service is of no use to another
 	}
@@ -187,10 +200,11 @@
 // placementJob returns the description of the request for the scheduler.
 func (q *request) placementJob(v *fleet.View) *placement.Job {
 	pool := v.Pool(q.route.Name, q.service)
+	permitted, groups := q.permitted(pool)
 	return &placement.Job{
 		Route: q.route, WorkspaceRank: q.workspace != nil && q.workspace.Ranked, Workspace: q.workspaceName(), Service: v.Config.Services[q.service],
 		Call: q.call, Remaining: time.Until(q.firstEventDeadline()), ResponseTime: max(time.Until(q.deadline), 0), Elapsed: time.Since(q.arrived), Fingerprint: q.fingerprintForScheduler(), Domain: q.s.o.FailureDomain,
-		Permitted: pool.All, Groups: pool.Groups, Avoid: q.excludedInstances(pool), SkipPrefill: q.responseStarted || q.kvSource != nil,
+		Permitted: permitted, Groups: groups, Software: q.requiredSoftware(), Avoid: q.excludedInstances(pool), SkipPrefill: q.responseStarted || q.kvSource != nil,
 	}
 }
 
@@ -444,6 +458,8 @@
 	switch {
 	case q.newlyQuarantined():
 		return fault.New(fault.Unavailable, "instances have crashed while running this request since it was placed", "the request is rejected")
+	case q.hasOtherSoftware(i):
+		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s came back with another software version than the one that began the stream", i.ID)
 	case q.s.notices.ShuttingDown(i.RunID()), q.s.o.View().StoppedAccepting(q.service, i.ID):
 		return fault.Newf(fault.Unavailable, "another instance is tried", "instance %s stopped accepting requests after it was chosen", i.ID)
 	case q.s.notices.Backoff(i.RunID()) > 0:
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/resumption"
+)
+
+// codeUnknownOrigin is the outcome of a request that takes up a stream of which no process knows what
+// software version began it.
+const codeUnknownOrigin = "unknown-origin"
+
+// resumptionMargin is added to the timeout of a route to get the time within which a client may take a stream
+// up: clients count from their first attempt, which may have waited for its first event.
+const resumptionMargin = time.Second
+
+// resumes reports whether the client takes up a stream.
+func (q *request) resumes() bool {
+	return q.route.Kind == fleet.Streaming && (q.call.LastEvent != "" || q.call.Resumes != "")
+}
+
+// resumptionTime returns the time within which the client may take the stream up.
+func (q *request) resumptionTime() time.Duration { return q.route.Timeout + resumptionMargin }
+
+// findOrigin finds out what began the stream that the client takes up. It returns a reply if the stream can't go on.
+func (q *request) findOrigin() *reply {
+	service := q.route.PickService(q.call.Resumes)
+	o, source := q.s.streams.Find(q.ctx, q.workspaceName(), q.call.Resumes, service, q.resumptionTime())
+	level.Info(q.s.o.Logger).Log("msg", "stream is taken up", "request", q.call.ID, "resumes", q.call.Resumes, "after", q.call.LastEvent, "known_by", source, "service", o.Service, "software", o.Software)
+	if source == resumption.SourceNone {
+		err := fault.New(fault.Unavailable, "no process knows which software version began the stream", "send the request anew, without the events received")
+		return replyFromState(codeUnknownOrigin, err, defaultRetry)
+	}
+	q.origin = &o
+	return nil
+}
+
+// serviceOf returns the service that runs the request, empty if the route no longer sends requests to the service that
+// began the stream.
+func (q *request) serviceOf(route *fleet.Route) string {
+	if q.origin == nil {
+		return route.PickService(q.call.ID)
+	}
+	if slices.ContainsFunc(route.Shares, func(s fleet.Share) bool { return s.Service == q.origin.Service }) {
+		return q.origin.Service
+	}
+	return ""
+}
+
+// permitted returns the instances that may run the request, and their groups. A stream goes on only at the version
+// that began it.
+func (q *request) permitted(pool *fleet.Pool) (all []*fleet.Instance, groups func() [][]*fleet.Instance) {
+	switch {
+	case q.origin == nil:
+		return pool.All, pool.Groups
+	case q.origin.Ambiguous:
+		return nil, nil
+	}
+	return fleet.OfSoftware(pool.All, q.origin.Software), nil
+}
+
+// requiredSoftware returns the only version that may run the request, nil if every version may.
+func (q *request) requiredSoftware() *string {
+	if q.origin == nil {
+		return nil
+	}
+	return &q.origin.Software
+}
+
+// recordOrigin records that an instance has begun a stream or gone on with it.
+func (q *request) recordOrigin(i *fleet.Instance) {
+	if q.route.Kind != fleet.Streaming {
+		return
+	}
+	if q.origin == nil {
+		now := q.s.o.View().Instances[i.ID]
+		q.origin = &resumption.Origin{
+			Request: q.call.ID, Workspace: q.workspaceName(), Service: q.service, Software: i.Software,
+			// The instance may have come back under its ID with another version since it was chosen.
+			Ambiguous: now != nil && now.Software != i.Software,
+		}
+	}
+	if q.route.Resumable && q.origin.Request != "" {
+		q.s.streams.Began(*q.origin, q.resumptionTime())
+	}
+}
+
+// hasOtherSoftware reports whether an instance is now known to have another version than the one that began the stream.
+func (q *request) hasOtherSoftware(i *fleet.Instance) bool {
+	now := q.s.o.View().Instances[i.ID]
+	return q.origin != nil && now != nil && now.Software != q.origin.Software
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -34,6 +34,7 @@
 	"github.com/rockdoor/rockdoor/internal/profilesync"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/reach"
+	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
 	"github.com/rockdoor/rockdoor/internal/scaler"
 	"github.com/rockdoor/rockdoor/internal/scheduler"
@@ -73,6 +74,9 @@
 	// defaultRelayBytes the same in bytes if no memory limit is set.
 	relayShare        = 0.125
 	defaultRelayBytes = 64 << 20
+	// staleViews is the age, as a multiple of the time that changes take to arrive, from which registrations count
+	// as out of date.
+	staleViews = 2
 	// namedHelpers is the number of processes that a scheduler names to a host that has lost its paths. With
 	// eight, one that reaches the instances is among them even if half of the hosts have lost theirs.
 	namedHelpers = 8
@@ -122,7 +126,9 @@
 	limits    *ratelimit.Table
 	grantSync *ratelimit.Syncer
 	// shareSync exchanges the use of engine time by workspaces, nil if that is disabled.
-	shareSync       *sharesync.Syncer
+	shareSync *sharesync.Syncer
+	// streams knows which software versions began the streams of clients.
+	streams         *resumption.Registry
 	schedulerClient *scheduler.Client
 	schedulerServer *scheduler.Server
 	authority       *duty.Authority
@@ -183,7 +189,7 @@
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
 			Processes: func() int { return d.discovery.View().Processes },
 		},
-		Quarantine: d.suspects, RateLimits: d.limits, GiveUpHungAttempts: set.Scheduling.HungAttempts == settings.Auto, OnRunStart: onRunStart, Metrics: d.reg, Logger: d.logger,
+		Quarantine: d.suspects, RateLimits: d.limits, GiveUpHungAttempts: set.Scheduling.HungAttempts == settings.Auto, Streams: d.streams, OnRunStart: onRunStart, Metrics: d.reg, Logger: d.logger,
 	})
 	d.buildServers()
 	return d
@@ -223,6 +229,9 @@
 	})
 	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, InstancePrefix: platform.InstancePrefix, HasContact: d.hasContact, PropagationLimit: d.settings.Bounds.PropagationLimit(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.schedulerClient, d.schedulerServer = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
+	d.streams = resumption.New(resumption.Options{
+		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), Metrics: d.reg, Logger: d.logger,
+	})
 	d.crashSync = suspects.New(suspects.Options{Run: d.runID, Table: d.suspects, Transport: d.transport, Peers: d.observationPeers, Logger: d.logger})
 	d.grantSync = ratelimit.NewSyncer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Peers: d.observationPeers, Logger: d.logger})
 }
@@ -313,6 +322,8 @@
 	switch {
 	case req.GetLoads() != nil:
 		return d.loadSync.HandlePeer(ctx, req)
+	case req.GetStreamOrigins() != nil, req.GetStreamQuery() != nil:
+		return d.streams.HandlePeer(ctx, req)
 	case req.GetCrashes() != nil:
 		return d.crashSync.HandlePeer(ctx, req)
 	case req.GetRateLimits() != nil:
@@ -373,6 +384,7 @@
 	}
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
 	g.Add(func() error { return d.crashSync.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.streams.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.grantSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.loadSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -184,10 +184,18 @@
 			first.kill(links[first.settings.Name])
 			ended.Wait()
 			mixed, wentOn := 0, 0
+			var resumed sync.WaitGroup
 			for n, r := range clients {
 				require.False(t, r.whole(), "the stream ended before its process was killed")
-				status := r.attempt(others[n%len(others)], fmt.Sprint("r-", n), nil, nil)
-				if status == http.StatusOK {
+				resumed.Add(1)
+				go func() {
+					defer resumed.Done()
+					r.attempt(others[n%len(others)], fmt.Sprint("r-", n), nil, nil)
+				}()
+			}
+			resumed.Wait()
+			for _, r := range clients {
+				if r.whole() {
 					wentOn++
 				}
 				if len(r.versions) > 1 {
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -17,7 +17,7 @@
 		Request: j.Call.ID, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
 		LeftUs: j.Remaining.Microseconds(), ResponseUs: j.ResponseTime.Microseconds(), SpentUs: j.Elapsed.Microseconds(), NoRead: j.SkipPrefill,
 		Workspace: j.Workspace, Fingerprint: j.Fingerprint[:], LacksInstances: len(j.Permitted) == 0,
-		OutputTokens: uint32(max(j.Call.OutputTokens, 0)), ExpectedOutputTokens: uint32(max(j.Call.ExpectedOutputTokens, 0)),
+		Software: j.Software, OutputTokens: uint32(max(j.Call.OutputTokens, 0)), ExpectedOutputTokens: uint32(max(j.Call.ExpectedOutputTokens, 0)),
 	}
 	if j.WorkspaceRank {
 		out.Rank = uint32(max(j.Route.Rank, 0)) + 1
@@ -57,9 +57,13 @@
 		avoid[id] = true
 	}
 	pool := v.Pool(route.Name, service.Name)
+	permitted, groups := pool.All, pool.Groups
+	if m.Software != nil {
+		permitted, groups = fleet.OfSoftware(permitted, m.GetSoftware()), nil
+	}
 	return &placement.Job{
 		Route: route, Service: service, Call: call, Domain: m.GetDomain(), Remaining: micros(m.GetLeftUs()), ResponseTime: micros(m.GetResponseUs()), Elapsed: micros(m.GetSpentUs()),
-		Permitted: pool.All, Groups: pool.Groups, Avoid: avoid, SkipPrefill: m.GetNoRead(), WorkspaceRank: m.GetRank() > 0,
+		Permitted: permitted, Groups: groups, Software: m.Software, Avoid: avoid, SkipPrefill: m.GetNoRead(), WorkspaceRank: m.GetRank() > 0,
 		Workspace: m.GetWorkspace(),
 	}, nil
 }
@@ -127,6 +131,9 @@
 		}
 		permitted = v.FilterPermitted(j.Route.Name, j.Service.Name, received)
 	}
+	if j.Software != nil {
+		permitted = fleet.OfSoftware(permitted, *j.Software)
+	}
 	var err error
 	for _, part := range []struct {
 		id  string
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -28,7 +28,7 @@
 	Error Fault = "error"
 	// LoseResponse runs the request and closes the connection without a response.
 	LoseResponse Fault = "lose-answer"
-	// CutMidEvent closes the connection in the middle of the second event of a stream.
+	// CutMidEvent closes the connection in the middle of the second event of a response.
 	CutMidEvent Fault = "cut-mid-event"
 	// StrayFirst sends a response to another request before the expected one.
 	StrayFirst Fault = "stray-first"
@@ -416,7 +416,7 @@
 			<-r.Context().Done()
 			return
 		}
-		if fault == CutMidEvent && n == 2 {
+		if fault == CutMidEvent && n == first+1 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", n)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,6 +87,9 @@
 	// Avoid holds the IDs of instances that must not get this request: they failed or rejected it, or
 	// have announced a shutdown or asked for a backoff.
 	Avoid map[string]bool
+	// Software is the only software version that may run the request, nil if every version may. Permitted has
+	// only instances of that version.
+	Software *string
 	// AwaitsRateLimit is true if the job was tried before and is waiting for rate limits.
 	AwaitsRateLimit bool
 	// SkipPrefill disables prefill on a separate engine: the prompt has been prefilled already, or the
