Origins of streams outlast the loss of all processes

What callers saw: after all processes were killed, no stream could be taken up, also where one version served. Cause: records and the history of versions were in the processes alone. Change: the holder of the duties writes the versions to the store when they change; while several serve, each process of a fleet of up to 64 writes its newest records to objects in turn, at most twice a second. A process without a record or a certain history reads them.

--- a/internal/gatewayd/duties.go
+++ b/internal/gatewayd/duties.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/rockdoor/rockdoor/internal/prune"
+	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/scaler"
 	"github.com/rockdoor/rockdoor/internal/usage"
 	"github.com/rockdoor/rockdoor/members"
@@ -18,7 +19,8 @@
 		Self: self, Authority: d.authority, Store: d.store, Stale: d.store.WithStaleReads(), Prefix: platform.MemberPrefix, View: d.discovery.View,
 		HasContact: d.schedulerServer.HasContact, WithoutContact: d.schedulerClient.WithoutContact, ReviewInterval: prune.ReviewInterval, RemoveAfter: prune.RemoveAfter, Logger: d.logger,
 	})
-	d.duties = append(d.duties, d.roles.Run, pruner.Run)
+	versions := resumption.NewKeeper(resumption.KeeperOptions{StoreOptions: *d.streamStore(self), Authority: d.authority, View: d.discovery.View, Logger: d.logger})
+	d.duties = append(d.duties, d.roles.Run, pruner.Run, versions.Run)
 	api := platform.NewDutyClient(d.client, d.settings.Duties.Address)
 	if d.settings.Duties.Has(platform.DutyCapacity) {
 		o := scaler.Options{Authority: d.authority, Orderer: api, View: d.discovery.View, Metrics: d.reg, Logger: d.logger}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -230,12 +230,17 @@
 	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, InstancePrefix: platform.InstancePrefix, HasContact: d.hasContact, PropagationLimit: d.settings.Bounds.PropagationLimit(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.schedulerClient, d.schedulerServer = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 	d.streams = resumption.New(resumption.Options{
-		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), Metrics: d.reg, Logger: d.logger,
+		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), Store: d.streamStore(self), Metrics: d.reg, Logger: d.logger,
 	})
 	d.crashSync = suspects.New(suspects.Options{Run: d.runID, Table: d.suspects, Transport: d.transport, Peers: d.observationPeers, Logger: d.logger})
 	d.grantSync = ratelimit.NewSyncer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Peers: d.observationPeers, Logger: d.logger})
 }
 
+// streamStore returns where the origins of streams are kept for the time after the loss of all processes.
+func (d *Daemon) streamStore(self members.Member) *resumption.StoreOptions {
+	return &resumption.StoreOptions{Store: d.store, Prefix: platform.StreamsPrefix, Process: self.Name, Writer: self.Incarnation, Clock: d.clock.Now}
+}
+
 // buildPaths builds the components that connect to instances and relay connections.
 func (d *Daemon) buildPaths(self members.Member) {
 	d.paths = reach.NewDialer(reach.Options{Self: self.Name, Direct: d.client.Connect, Instance: func(address string) string { return d.discovery.View().InstanceAt(address) }, Peers: d.relayPeers, Transport: d.transport, OnSilent: d.client.InterruptSilent, Metrics: d.reg, Logger: d.logger})
--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -105,6 +105,61 @@
 // whole reports whether all events have arrived.
 func (r *received) whole() bool { return r.events == streamEvents }
 
+// streamLife is how long clients may take up a stream of the test deployment's route.
+const streamLife = 4 * time.Second
+
+// streamClients are clients whose streams have begun.
+type streamClients struct {
+	all   []*received
+	ended sync.WaitGroup
+}
+
+// beginStreams begins streams at the processes in turn. It returns when each client has received the given number of
+// events.
+func beginStreams(at []*process, streams, events int) *streamClients {
+	c := &streamClients{}
+	var begun sync.WaitGroup
+	for n := range streams {
+		r := &received{versions: map[string]bool{}}
+		c.all = append(c.all, r)
+		begun.Add(1)
+		c.ended.Add(1)
+		go func() {
+			defer c.ended.Done()
+			r.attempt(at[n%len(at)], fmt.Sprint("s-", n), nil, func(received int) {
+				if received == events {
+					begun.Done()
+				}
+			})
+		}()
+	}
+	begun.Wait()
+	return c
+}
+
+// resume takes up all streams at the processes in turn. It returns the number of streams with events of several versions
+// and of those that are whole.
+func (c *streamClients) resume(at []*process) (mixed, wentOn int) {
+	var resumed sync.WaitGroup
+	for n, r := range c.all {
+		resumed.Add(1)
+		go func() {
+			defer resumed.Done()
+			r.attempt(at[n%len(at)], fmt.Sprint("r-", n), nil, nil)
+		}()
+	}
+	resumed.Wait()
+	for _, r := range c.all {
+		if r.whole() {
+			wentOn++
+		}
+		if len(r.versions) > 1 {
+			mixed++
+		}
+	}
+	return mixed, wentOn
+}
+
 // TestStreamsGoOnAtTheVersionThatBeganThem breaks streams while engines of two versions serve. A stream
 // goes on within its response, or when the client takes it up at another process.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
@@ -164,44 +219,42 @@
 			}
 			all := start(d)
 			first, others := all[len(all)-1], all[:len(all)-1]
-			var begun, ended sync.WaitGroup
-			clients := make([]*received, streams)
-			for n := range clients {
-				r := &received{versions: map[string]bool{}}
-				clients[n] = r
-				begun.Add(1)
-				ended.Add(1)
-				go func() {
-					defer ended.Done()
-					r.attempt(first, fmt.Sprint("s-", n), nil, func(events int) {
-						if events == 2 {
-							begun.Done()
-						}
-					})
-				}()
-			}
-			begun.Wait()
+			clients := beginStreams([]*process{first}, streams, 2)
 			first.kill(links[first.settings.Name])
-			ended.Wait()
-			mixed, wentOn := 0, 0
-			var resumed sync.WaitGroup
-			for n, r := range clients {
-				require.False(t, r.whole(), "the stream ended before its process was killed")
-				resumed.Add(1)
-				go func() {
-					defer resumed.Done()
-					r.attempt(others[n%len(others)], fmt.Sprint("r-", n), nil, nil)
-				}()
+			clients.ended.Wait()
+			mixed, wentOn := clients.resume(others)
+			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
+			require.Zero(t, mixed)
+			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
+		})
+	}
+}
+
+// TestStreamsGoOnAfterAllHostsWereKilled kills all processes. The clients take their streams up at new ones.
+func TestStreamsGoOnAfterAllHostsWereKilled(t *testing.T) {
+	const streams = 30
+	for name, versions := range map[string][]string{"one version": {"v1"}, "two versions": {"v1", "v2"}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			links := map[string]*storeLink{}
+			for _, p := range []string{"a", "b", "c"} {
+				links[p] = d.isolateStoreLink(p)
 			}
-			resumed.Wait()
-			for _, r := range clients {
-				if r.whole() {
-					wentOn++
-				}
-				if len(r.versions) > 1 {
-					mixed++
-				}
+			d.addVersions(3, versions...)
+			for _, e := range d.engines[4:] {
+				e.Gap = 250 * time.Millisecond
+			}
+			all := fleetStarts["few"](d)
+			time.Sleep(streamLife + 2*time.Second) // from then on the versions are known for as long as a stream may live
+			clients := beginStreams(all, streams, 5)
+			for _, p := range all {
+				p.kill(links[p.settings.Name])
+			}
+			clients.ended.Wait()
+			for _, p := range []string{"a", "b", "c"} {
+				d.isolateStoreLink(p)
 			}
+			mixed, wentOn := clients.resume(fleetStarts["few"](d))
 			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
 			require.Zero(t, mixed)
 			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -15,7 +15,9 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/periodic"
 	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
@@ -24,6 +26,8 @@
 	// batchDelay is how long records are collected before they are sent. A record that is lost with this
 	// process in that time makes a resumption fail.
 	batchDelay = 2 * time.Millisecond
+	// maxUnsaved limits the records in one object of the store.
+	maxUnsaved = 4000
 	// maxBatch limits the records in one message.
 	maxBatch = 1000
 	// observeInterval is how often the versions of the instances are recorded.
@@ -44,6 +48,8 @@
 	// SourceRecord and SourcePeer: this process or another one has a record of the stream.
 	SourceRecord Source = "record"
 	SourcePeer   Source = "peer"
+	// SourceStore: the store has a record of the stream.
+	SourceStore Source = "store"
 	// SourceOnlyVersion: no other version has served for as long as a stream may live.
 	SourceOnlyVersion Source = "only-version"
 )
@@ -57,8 +63,10 @@
 	Peers     func() []members.Member
 	// StaleAfter is the age from which registrations count as out of date, 0 for never.
 	StaleAfter time.Duration
-	Metrics    metrics.Registry
-	Logger     log.Logger
+	// Store is for the time after the loss of all processes, nil for none.
+	Store   *StoreOptions
+	Metrics metrics.Registry
+	Logger  log.Logger
 }
 
 // Registry knows the origins of streams. It is safe for concurrent use.
@@ -67,10 +75,15 @@
 	logger  log.Logger
 	history *history
 	table   *table
+	// saver and reader are nil without a store.
+	saver  *saver
+	reader *reader
 
 	mu sync.Mutex
 	// pending are records to be sent. sharing has the services whose records are sent, see shares.
 	pending []record
+	// unsaved are records to be written to the store.
+	unsaved []record
 	sharing map[string]bool
 	wake    chan struct{}
 }
@@ -80,14 +93,21 @@
 	if o.Peers == nil {
 		o.Peers = func() []members.Member { return nil }
 	}
-	return &Registry{
+	r := &Registry{
 		o: o, logger: log.With(o.Logger, "component", "resumption"), history: newHistory(o.StaleAfter), table: newTable(),
 		sharing: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
+	if o.Store != nil {
+		r.saver, r.reader = &saver{o: *o.Store, versions: map[int]objstore.Version{}}, &reader{o: *o.Store}
+	}
+	return r
 }
 
 // Run records the versions of instances and sends records to peers until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
+	if r.saver != nil {
+		go periodic.Run(ctx, observeInterval, r.savePending)
+	}
 	tick := time.NewTicker(observeInterval)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -146,6 +166,10 @@
 	r.mu.Lock()
 	r.pending = append(r.pending, records...)
 	r.pending = r.pending[max(0, len(r.pending)-maxRecords):]
+	if r.saver != nil {
+		r.unsaved = append(r.unsaved, records...)
+		r.unsaved = r.unsaved[max(0, len(r.unsaved)-maxUnsaved):]
+	}
 	r.mu.Unlock()
 	select {
 	case r.wake <- struct{}{}:
@@ -224,6 +248,9 @@
 	if version, ok := onlyVersion(evidence); ok {
 		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
 	}
+	if r.reader != nil {
+		return r.findStored(ctx, workspace, request, service, life, evidence)
+	}
 	return Origin{}, SourceNone
 }
 
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,3 +167,26 @@
 	stale.Began(Origin{Request: "a", Service: "s", Software: "v1"}, life)
 	require.Len(t, stale.pending, 1, "other processes may know a second version")
 }
+
+func TestStoredVersions(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	var s storedVersions
+	require.False(t, s.evidence("s", now, life).Complete, "nothing was ever written")
+	s, changed := s.next(map[string][]string{"s": {"v1"}}, now)
+	require.True(t, changed)
+	_, changed = s.next(map[string][]string{"s": {"v1"}}, now.Add(time.Hour))
+	require.False(t, changed, "an object that doesn't change is not written")
+	require.False(t, s.evidence("s", now.Add(life), life).Complete)
+	require.Equal(t, Evidence{[]string{"v1"}, true}, s.evidence("s", now.Add(life+clockMargin), life))
+
+	now = now.Add(time.Minute)
+	s, changed = s.next(map[string][]string{"s": {"v1", "v2"}}, now)
+	require.True(t, changed)
+	s, changed = s.next(map[string][]string{"s": {"v2"}}, now.Add(time.Second))
+	require.True(t, changed)
+	now = now.Add(time.Second)
+	require.Len(t, s.evidence("s", now.Add(life), life).Versions, 2, "a stream of v1 may have been under way")
+	require.Equal(t, []string{"v2"}, s.evidence("s", now.Add(life+2*clockMargin), life).Versions)
+	s, _ = s.next(map[string][]string{"s": {"v3"}}, now.Add(2*historyRetention))
+	require.Equal(t, []string{"v2", "v3"}, slices.Sorted(maps.Keys(s.Until["s"])), "old versions are forgotten")
+}
--- /dev/null
+++ b/internal/resumption/store.go
@@ -0,0 +1,186 @@
+package resumption
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// Peers keep the records as long as one of them lives. For the time after the loss of all processes, the store has
+// two kinds of objects: the versions that serve, written when they change, and, while several of them serve, the
+// newest records of each process, written in turn to a fixed number of objects for each process.
+
+const (
+	// versionsName is the name of the object with the versions. The names of the other objects begin with recordsName.
+	versionsName = "versions"
+	recordsName  = "records/"
+	// saveInterval is the minimum time between two writes of records by one process.
+	saveInterval = 500 * time.Millisecond
+	// maxSlots limits the objects of one process. Records of streams that live longer than maxSlots intervals are
+	// overwritten while they are valid.
+	maxSlots = 40
+	// maxSaving is the number of processes up to which records are written to the store: the writes of more would
+	// take too much of the store's rate.
+	maxSaving = 64
+	// readTimeout limits a read of the store for which a client waits. Its result is used for readInterval.
+	readTimeout  = 250 * time.Millisecond
+	readInterval = time.Second
+	// writeTimeout limits a write.
+	writeTimeout = time.Second
+)
+
+// StoreOptions of a Registry.
+type StoreOptions struct {
+	Store objstore.Store
+	// Prefix is the key prefix of the objects, Process the name of this process in their names, and Writer
+	// identifies this run of the process.
+	Prefix, Process, Writer string
+	// Clock is the wall clock on which the processes agree.
+	Clock func() time.Time
+}
+
+// storedRecord is a record in the store. Until is its expiry in Unix milliseconds.
+type storedRecord struct {
+	Request   string `json:"r"`
+	Workspace string `json:"w,omitempty"`
+	Service   string `json:"s"`
+	Software  string `json:"v"`
+	Ambiguous bool   `json:"a,omitempty"`
+	Until     int64  `json:"u"`
+}
+
+// saver writes records to the store. Only one goroutine may use it.
+type saver struct {
+	o       StoreOptions
+	savedAt time.Time
+	// versions are those of the objects that this process has written, by slot.
+	versions map[int]objstore.Version
+}
+
+// save writes records to the object whose turn it is.
+func (s *saver) save(ctx context.Context, records []storedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	value, err := json.Marshal(records)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "records of streams cannot be encoded", "report this as a defect")
+	}
+	slot := int(s.o.Clock().UnixMilli()/saveInterval.Milliseconds()) % maxSlots
+	key := fmt.Sprintf("%s%s%s/%d", s.o.Prefix, recordsName, s.o.Process, slot)
+	obj, err := s.o.Store.Put(ctx, key, value, s.versions[slot], s.o.Writer)
+	if fault.Is(err, fault.Conflict) { // an earlier run of the process wrote it
+		if obj, err = s.o.Store.Get(ctx, key); err == nil {
+			obj, err = s.o.Store.Put(ctx, key, value, obj.Version, s.o.Writer)
+		}
+	}
+	if err != nil {
+		delete(s.versions, slot)
+		return err
+	}
+	s.versions[slot] = obj.Version
+	return nil
+}
+
+// savePending writes the records that have not been written yet, unless that was done lately.
+func (r *Registry) savePending(ctx context.Context) {
+	if r.saver == nil || time.Since(r.saver.savedAt) < saveInterval || r.o.View().Processes > maxSaving {
+		return
+	}
+	r.mu.Lock()
+	unsaved := r.unsaved
+	r.unsaved = nil
+	r.mu.Unlock()
+	if len(unsaved) == 0 {
+		return
+	}
+	r.saver.savedAt = time.Now()
+	now, wall := r.table.now(), r.saver.o.Clock()
+	out := make([]storedRecord, 0, len(unsaved))
+	for _, rec := range unsaved {
+		out = append(out, storedRecord{rec.Request, rec.Workspace, rec.Service, rec.Software, rec.Ambiguous, wall.Add(rec.expires.Sub(now)).UnixMilli()})
+	}
+	if err := r.saver.save(ctx, out); err != nil {
+		r.count("save_failed")
+		level.Info(r.logger).Log("msg", "records of streams not written to the store", "records", len(out), "err", err)
+	}
+}
+
+// reader reads what the processes have written to the store. It is safe for concurrent use.
+type reader struct {
+	o StoreOptions
+
+	mu     sync.Mutex
+	readAt time.Time
+	// versions and records are the result of the last read.
+	versions storedVersions
+	records  map[streamKey]storedRecord
+	err      error
+}
+
+// read returns what the store had at most readInterval ago.
+func (s *reader) read(ctx context.Context) (storedVersions, map[streamKey]storedRecord, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.readAt) < readInterval {
+		return s.versions, s.records, s.err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	objs, _, err := s.o.Store.List(ctx, s.o.Prefix)
+	s.readAt, s.err = time.Now(), err
+	if err != nil {
+		return storedVersions{}, nil, err
+	}
+	s.versions, s.records = storedVersions{}, map[streamKey]storedRecord{}
+	for _, obj := range objs {
+		s.decode(obj)
+	}
+	return s.versions, s.records, nil
+}
+
+// decode adds the content of an object. One that can't be decoded says nothing.
+func (s *reader) decode(obj objstore.Object) {
+	if obj.Key == s.o.Prefix+versionsName {
+		var v storedVersions
+		if json.Unmarshal(obj.Value, &v) == nil {
+			s.versions = v
+		}
+		return
+	}
+	var records []storedRecord
+	if json.Unmarshal(obj.Value, &records) != nil {
+		return
+	}
+	for _, rec := range records {
+		key := streamKey{rec.Workspace, rec.Request}
+		if old, known := s.records[key]; known {
+			rec.Ambiguous = rec.Ambiguous || old.Ambiguous || old.Service != rec.Service || old.Software != rec.Software
+			rec.Until = max(rec.Until, old.Until)
+		}
+		s.records[key] = rec
+	}
+}
+
+// findStored returns the origin of a stream by what the store has, and otherwise adds the stored versions to the evidence.
+func (r *Registry) findStored(ctx context.Context, workspace, request, service string, life time.Duration, evidence []Evidence) (Origin, Source) {
+	versions, records, err := r.reader.read(ctx)
+	if err != nil {
+		level.Info(r.logger).Log("msg", "origins of streams not read from the store", "request", request, "err", err)
+		return Origin{}, SourceNone
+	}
+	now := r.reader.o.Clock()
+	if rec, ok := records[streamKey{workspace, request}]; ok && request != "" && now.UnixMilli() < rec.Until {
+		return known(Origin{Request: request, Workspace: workspace, Service: rec.Service, Software: rec.Software, Ambiguous: rec.Ambiguous}, SourceStore)
+	}
+	if version, ok := onlyVersion(append(evidence, versions.evidence(service, now, life))); ok {
+		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
+	}
+	return Origin{}, SourceNone
+}
