--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -124,7 +124,7 @@
 			s := httptest.NewServer(e)
 			t.Cleanup(s.Close)
 			r.servers[e.ID] = s
-			i := &fleet.Instance{ID: e.ID, Service: service, Address: s.Listener.Addr().String(), Domain: cmp.Or(o.domains[e.ID], "a"), Slots: 8, Spot: o.spot}
+			i := &fleet.Instance{ID: e.ID, Service: service, Address: s.Listener.Addr().String(), Domain: cmp.Or(o.domains[e.ID], "a"), Software: e.Software, Slots: 8, Spot: o.spot}
 			switch e.Stage() {
 			case "prefill":
 				i.Role = engine.RolePrefill
