The soak runs two software versions, and its clients take broken streams up

Clients take up streams that broke after some events, at any process. New checks: a resumption goes on at the version that began it; resumptions go on at least half as often as new streams begin; the events of one response are of one version.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	// longPromptShare is the share of streams with long prompts, which one engine prefills and
 	// another decodes.
 	longPromptShare = 0.5
+	// maxResumptions is how often a client takes a stream up.
+	maxResumptions = 3
 	// promptPrefixes is the number of different prefixes of long prompts.
 	promptPrefixes = 20
 	// shortPromptTokens and longPromptTokens are the tokens in the part that is unique to a prompt.
@@ -61,6 +64,8 @@
 	incarnation int
 	connUsed    bool
 	callCount   int
+	// lastCall is the call that was sent last.
+	lastCall *Call
 }
 
 func newClient(w *world, op *operator, number, preferred int) *client {
@@ -76,6 +81,7 @@
 			continue
 		}
 		c.sendCall(c.nextCall())
+		c.resume(ctx, c.lastCall)
 		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(c.w.o.ThinkTime)))
 	}
 }
@@ -91,13 +97,21 @@
 // that is.
 func (c *client) connect() bool {
 	in := c.w.readyProcesses()
+	if slices.Contains(in, c.preferredGateway) {
+		in = []int{c.preferredGateway}
+	}
+	return c.connectTo(in)
+}
+
+// connectToAny opens a connection to any gateway that is in rotation.
+func (c *client) connectToAny() bool { return c.connectTo(c.w.readyProcesses()) }
+
+// connectTo opens a connection to one of the gateways.
+func (c *client) connectTo(in []int) bool {
 	if len(in) == 0 {
 		return false
 	}
 	c.gateway = in[c.rng.IntN(len(in))]
-	if slices.Contains(in, c.preferredGateway) {
-		c.gateway = c.preferredGateway
-	}
 	g := c.w.gateways[c.gateway]
 	c.incarnation, _ = g.state()
 	conn, err := net.DialTimeout("tcp", c.w.clientLink(g).Address, time.Second)
@@ -131,8 +145,34 @@
 	return call
 }
 
+// resume takes up a stream that broke after some of its events, at any gateway and several times if need be.
+func (c *client) resume(ctx context.Context, broken *Call) {
+	begun, events := broken.ID, receivedEvents(broken.ResponseBody)
+	for range maxResumptions {
+		if ctx.Err() != nil || broken.Kind != Stream || broken.Complete || !broken.CanceledAt.IsZero() || events == 0 {
+			return
+		}
+		c.closeConn()
+		if !c.connectToAny() {
+			return
+		}
+		c.callCount++
+		next := *broken
+		next.ID = fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
+		next.Resumes, next.After, next.Gateway, next.Incarnation = begun, events, c.gateway, c.incarnation
+		next.Status, next.Sealed, next.Complete, next.ResponseBody, next.ReusedConn, next.Unsent, next.Err = 0, false, false, "", false, false, ""
+		c.sendCall(&next)
+		broken = &next
+		events += receivedEvents(next.ResponseBody)
+	}
+}
+
+// receivedEvents returns the number of whole events in a response.
+func receivedEvents(body string) int { return strings.Count(body, "\n\n") }
+
 // sendCall sends a request and records its outcome.
 func (c *client) sendCall(call *Call) {
+	c.lastCall = call
 	text := c.encode(call)
 	stop := func() {}
 	if c.rng.Float64() < cancelShare {
@@ -182,6 +222,7 @@
 // encode returns the request text of a call.
 func (c *client) encode(call *Call) string {
 	r := fleetcaller.Request{ID: call.ID, Path: call.Path, Body: call.Body, Host: hostName, Key: workspaceKey, Timeout: call.Timeout}
+	r.Resumes, r.LastEvent = call.Resumes, call.After
 	if call.Kind.Streams() {
 		r.Prompt = &fleetcaller.Prompt{Model: modelName, Parts: c.promptParts(call), MaxOutputTokens: streamEvents}
 	}
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -14,13 +14,95 @@
 	if !call.Kind.Streams() {
 		return "answer to " + call.ID
 	}
+	if v := writtenBy(call.ResponseBody); v != "" {
+		return expectedEvents(call, versionMark+v)
+	}
+	for n := range softwareVersions { // the first event is cut: any version may have written it
+		if all := expectedEvents(call, versionMark+versionName(n)); strings.HasPrefix(all, call.ResponseBody) {
+			return all
+		}
+	}
+	return expectedEvents(call, "")
+}
+
+// expectedEvents returns the events of a stream, each of which ends in a suffix.
+func expectedEvents(call *Call, suffix string) string {
 	var b strings.Builder
-	for n := range streamEvents {
-		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n+1, call.ID, n+1)
+	for n := call.After + 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d%s\n\n", n, call.ID, n, suffix)
 	}
 	return b.String()
 }
 
+// versionMark stands before the version in each event.
+const versionMark = " by "
+
+// writtenBy returns the version that wrote the first event of a response, empty if there is none.
+func writtenBy(body string) string {
+	first, _, whole := strings.Cut(body, "\n\n")
+	if !whole {
+		return ""
+	}
+	_, version, _ := strings.Cut(first, versionMark)
+	return version
+}
+
+// streamsOfOneVersion checks that a stream that a client takes up goes on at the version that began it. The events
+// within one response are checked by responsesComplete.
+func (c *checker) streamsOfOneVersion() Guarantee {
+	g := Guarantee{Name: "a stream that a client takes up goes on at the version that began it"}
+	for _, call := range c.observed.Calls {
+		begun := c.calls[call.Resumes]
+		if begun == nil || receivedEvents(call.ResponseBody) == 0 {
+			continue
+		}
+		g.Cases++
+		if before, now := writtenBy(begun.ResponseBody), writtenBy(call.ResponseBody); before != now {
+			g.addViolation(call.ID, "%s: goes on at %s, begun as %s at %s", call.ID, now, begun.ID, before)
+		}
+	}
+	return g
+}
+
+// minResumedShare is the share of new streams that begin, of which the share of resumptions that go on must be at least
+// this much.
+const minResumedShare = 0.5
+
+// resumptionsServed checks that undisturbed processes serve resumptions about as well as new streams.
+
+func (c *checker) resumptionsServed() Guarantee {
+	g := Guarantee{Name: "resumptions go on at least half as often as new streams begin"}
+	var begun, attempts, wentOn, resumed int
+	for _, call := range c.observed.Calls {
+		if call.Kind != Stream || !call.CanceledAt.IsZero() || !c.undisturbed(call.Gateway, call.Ended) {
+			continue
+		}
+		served := call.Status == http.StatusOK
+		if call.Resumes == "" {
+			attempts++
+			begun += boolInt(served)
+			continue
+		}
+		resumed++
+		wentOn += boolInt(served)
+	}
+	g.Cases = resumed
+	if resumed >= minResumptions && float64(wentOn)*float64(attempts) < minResumedShare*float64(begun)*float64(resumed) {
+		g.addViolation("", "%d of %d resumptions went on, %d of %d new streams began", wentOn, resumed, begun, attempts)
+	}
+	return g
+}
+
+// minResumptions is the number of resumptions from which their share counts, by the users' rules.
+const minResumptions = 12
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // responsesComplete checks that a successful response is the instance's complete response to this
 // request, and that a truncated one does not appear complete.
 func (c *checker) responsesComplete() Guarantee {
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -76,6 +78,26 @@
 			c, _ := f.addAnsweredCall("r", Stream, 40)
 			c.ResponseBody = c.ResponseBody[:40]
 		}},
+		"stream with events of two versions": {(*checker).responsesComplete, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody = expectedEvents(c, versionMark+"v1")
+			c.ResponseBody = c.ResponseBody[:strings.LastIndex(c.ResponseBody, "v1")] + "v2\n\n"
+		}},
+		"stream taken up at another version": {(*checker).streamsOfOneVersion, func(f *Observations) {
+			begun, _ := f.addAnsweredCall("r", Stream, 40)
+			begun.ResponseBody, begun.Complete = expectedEvents(begun, versionMark+"v1")[:80], false
+			c, _ := f.addAnsweredCall("q", Stream, 41)
+			c.Resumes, c.After = "r", receivedEvents(begun.ResponseBody)
+			c.ResponseBody = expectedEvents(c, versionMark+"v2")
+		}},
+		"resumptions are rejected": {(*checker).resumptionsServed, func(f *Observations) {
+			for n := range 3 * minResumptions {
+				c, _ := f.addAnsweredCall(fmt.Sprint("r", n), Stream, 40)
+				if c.Status = http.StatusOK; n%3 > 0 {
+					c.Resumes, c.Status = "begun", http.StatusServiceUnavailable
+				}
+			}
+		}},
 		"response to another request": {(*checker).responsesComplete, func(f *Observations) {
 			c, _ := f.addAnsweredCall("r", Once, 40)
 			c.ResponseBody = "answer to q"
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -28,6 +28,10 @@
 	// lateOrderDelay is the delay with which FaultLateOrders carries out an order that got no
 	// response.
 	lateOrderDelay = 2 * time.Second
+	// softwareVersions is the number of versions of the engines' program. In one of oneVersionSeeds seeds there is
+	// only one.
+	softwareVersions = 2
+	oneVersionSeeds  = 4
 	// instancesHost is the last octet of the IP address of all instances, instancesPort the port of
 	// the first one.
 	instancesHost = 254
@@ -65,6 +69,17 @@
 	listener net.Listener
 }
 
+// softwareVersion returns the version of an instance's program. Each restart changes it, and neighbouring places
+// differ, except in a share of the seeds, in which all instances have the same version.
+func (w *world) softwareVersion(place, start int) string {
+	if w.o.Seed%oneVersionSeeds == 0 {
+		return versionName(0)
+	}
+	return versionName((place + start) % softwareVersions)
+}
+
+func versionName(n int) string { return fmt.Sprintf("v%d", n+1) }
+
 func instanceID(place, start int) string { return fmt.Sprintf("i-%d-%d", place, start) }
 
 func newPlace(w *world, number int, runs Place) (*place, error) {
@@ -96,6 +111,7 @@
 	e.ResponseDelay, e.RoleChange, e.OrderDelay = workTime, roleChangeTime, lateOrderDelay
 	if p.Service == serviceModels {
 		e.Events, e.Gap = streamEvents, eventGap
+		e.Software = p.w.softwareVersion(p.number, p.starts)
 	}
 	e.OnStageChange = func(stage string) { p.register(e, stage) }
 	p.current, p.draining, p.deregistered = e, false, false
@@ -111,7 +127,7 @@
 		return
 	}
 	p.w.store.Register(e.ID, fleetstore.Registration{
-		Service: p.Service, Stage: stage, Address: p.address, Domain: p.Domain, Slots: instanceSlots, Draining: p.draining,
+		Service: p.Service, Stage: stage, Address: p.address, Domain: p.Domain, Slots: instanceSlots, Software: e.Software, Draining: p.draining,
 	})
 }
 
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -46,6 +46,10 @@
 	Sent, Ended time.Time
 	// Timeout is the deadline that the client states, relative to Sent.
 	Timeout time.Duration
+	// Resumes is the ID of the call that began the stream which this one takes up after the event After. It is empty for
+	// a new request.
+	Resumes string
+	After   int
 	// CanceledAt is when the client closed its connection before the response; zero if it did not.
 	CanceledAt time.Time
 	// Unsent is true if the connection ended before the request had been written completely.
--- a/internal/standin/fleetcaller/fleetcaller.go
+++ b/internal/standin/fleetcaller/fleetcaller.go
@@ -26,6 +26,10 @@
 	Timeout time.Duration
 	// Prompt is nil for requests that go to a backend server instead of an engine.
 	Prompt *Prompt
+	// Resumes is the ID of the request that began the stream which this one takes up after the event LastEvent. It is
+	// empty for a new request.
+	Resumes   string
+	LastEvent int
 }
 
 // Prompt describes the work of an engine: the prompt to prefill and the tokens to decode.
@@ -43,6 +47,9 @@
 	if r.Prompt != nil {
 		b.WriteString(r.Prompt.header())
 	}
+	if r.Resumes != "" {
+		fmt.Fprintf(&b, "Resumes: %s\r\nLast-Event-Id: %d\r\n", r.Resumes, r.LastEvent)
+	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
 	return b.String()
 }
--- a/internal/standin/fleetstore/config.go
+++ b/internal/standin/fleetstore/config.go
@@ -1,5 +1,7 @@
 package fleetstore
 
+import "cmp"
+
 import "time"
 
 // Kinds of objects that the operator and the instances write.
@@ -135,6 +137,8 @@
 	Address string
 	Domain  string
 	Slots   int
+	// Software is the version of the instance's program; "v1" if it is empty.
+	Software string
 	// Draining is true once the instance has announced its shutdown.
 	Draining bool
 }
@@ -146,7 +150,7 @@
 		phase = "draining"
 	}
 	s.Set(kindInstances, id, map[string]any{
-		"service": r.Service, "address": r.Address, "zone": r.Domain, "slots": r.Slots, "phase": phase, "stage": r.Stage, "version": "v1",
+		"service": r.Service, "address": r.Address, "zone": r.Domain, "slots": r.Slots, "phase": phase, "stage": r.Stage, "version": cmp.Or(r.Software, "v1"),
 	})
 }
 
