Log the parts of the prompts under which an instance ended

Cause: the log didn't show what the requests had in common under which instances ended, or whether their responses had begun. Change: the line of an instance that ended under a request has its shared parts and begun. Result: tests of suspects and gateway pass.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,6 +55,15 @@
 	return !q.trial && !q.s.o.Quarantine.Empty() && q.s.o.Quarantine.Verdict(q.fingerprint()).Refused
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share.
+func (q *request) sharedParts() []string {
+	var out []string
+	for _, p := range q.call.Parts[:max(len(q.call.Parts)-1, 0)] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // reportBrokenConnection reports to the quarantine that the connection to an instance broke while it
 // may have been running the request. An instance that was shutting down has exited as planned and is
 // not reported.
@@ -64,6 +73,7 @@
 	}
 	q.s.crashDetector.ReportBroken(suspects.BrokenConnection{
 		Request: q.call.ID, Fingerprint: q.fingerprint(), Instance: i.RunID(), Address: i.Address, RunTime: bootclock.Since(q.sentAt),
+		Parts: q.sharedParts(), Begun: q.events > 0,
 	})
 }
 
--- a/internal/suspects/crashdetector.go
+++ b/internal/suspects/crashdetector.go
@@ -38,6 +38,10 @@
 	Address  string
 	// RunTime is how long the request had been running.
 	RunTime time.Duration
+	// Parts are the IDs of the parts of its prompt that other requests may share, and Begun is true if the instance had
+	// begun to respond.
+	Parts []string
+	Begun bool
 }
 
 // ReportBroken handles a connection that broke while an instance may have been running a request. The instance
@@ -54,7 +58,7 @@
 		}
 		v := d.Table.RecordCrash(b.Fingerprint, b.Instance, b.RunTime)
 		level.Warn(d.Logger).Log("msg", "instance ended under a request", "request", b.Request, "fingerprint", b.Fingerprint, "instance", b.Instance,
-			"ran", b.RunTime.Round(time.Millisecond), "ended", strings.Join(v.CrashedInstances, ","), "refused", v.Refused, "refused_for", v.RetryAfter.Round(time.Second))
+			"parts", strings.Join(b.Parts, ","), "begun", b.Begun, "ran", b.RunTime.Round(time.Millisecond), "ended", strings.Join(v.CrashedInstances, ","), "refused", v.Refused, "refused_for", v.RetryAfter.Round(time.Second))
 	}()
 	select {
 	case <-done:
