--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -19,6 +19,9 @@
 const (
 	// poisonBody is the body of a request that crashes each engine that runs it.
 	poisonBody = "deadly"
+	// poisonPart is a part of a prompt that crashes each engine poisonDelay after it has started to run the request.
+	poisonPart  = "dead"
+	poisonDelay = 20 * time.Millisecond
 	// poisonInterval is the time between two such requests.
 	poisonInterval = 60 * time.Millisecond
 	// The request may crash crashesBeforeQuarantine engines. All processes must refuse it at
@@ -40,12 +43,14 @@
 	engines []*fleetengine.Engine
 	// currentIDs are the IDs of the newest engines, by address.
 	currentIDs map[string]string
+	// poisonParts crash the engines that begin to write an answer on them.
+	poisonParts []string
 }
 
 // addCrashingEngines starts and registers n engines that the poison request crashes.
 func (d *deployment) addCrashingEngines(n int) *crashingEngines {
 	d.t.Helper()
-	c := &crashingEngines{currentIDs: map[string]string{}}
+	c := &crashingEngines{currentIDs: map[string]string{}, poisonParts: []string{poisonPart}}
 	for range n {
 		h, err := crash.NewRestartingServer("127.0.0.1:0", 500*time.Millisecond, func(address string, crash func()) http.Handler { return c.start(d, address, crash) })
 		require.NoError(d.t, err)
@@ -59,7 +64,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := fleetengine.New(fmt.Sprint("c-", len(c.engines)), "decode")
-	e.Events, e.PoisonBody, e.Crash = 3, poisonBody, crash
+	e.Events, e.PoisonBody, e.PoisonParts, e.PoisonDelay, e.Crash = 3, poisonBody, c.poisonParts, poisonDelay, crash
 	if previous := c.currentIDs[address]; previous != "" {
 		d.store.Remove("servers", previous)
 	}
@@ -130,6 +135,80 @@
 	}
 }
 
+// poisonPartArrivals returns how often requests with the poison part were sent to an engine to be run.
+func (c *crashingEngines) poisonPartArrivals() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.engines {
+		for _, run := range e.Runs() {
+			if strings.Contains(run.Header.Get("X-Prompt-Prefix"), poisonPart+":") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestPartThatCrashesItsEnginesIsQuarantined sends requests that share one part of their prompts, and nothing else is
+// alike, to all processes in turn. Each engine that begins to write an answer on that part crashes. Sound requests with
+// the same other parts run beside them.
+func TestPartThatCrashesItsEnginesIsQuarantined(t *testing.T) {
+	const (
+		crashesThatShow = 5
+		soundClients    = 4
+		minSoundShare   = 0.9
+	)
+	for position, prompts := range map[string]struct{ poison, sound string }{
+		"first part":  {"dead:600,bb:300", "aa:600,bb:300"},
+		"middle part": {"aa:600,dead:300", "aa:600,bb:300"},
+	} {
+		for name, start := range fleetStarts {
+			t.Run(position+"/"+name, func(t *testing.T) {
+				d := newDeployment(t)
+				d.applyLimit = "3s"
+				d.removeEngine("i-2")
+				d.removeEngine("i-3")
+				c := d.addCrashingEngines(8)
+				all := start(d)
+				var attempts, sound, served atomic.Int64
+				header := func(parts string, n int64) http.Header {
+					return http.Header{"X-Model": {"m"}, "X-Token-Count": {"1000,2"}, "X-Prompt-Prefix": {fmt.Sprintf("%s,own%d:100", parts, n)}}
+				}
+				send := func() {
+					n := attempts.Add(1)
+					all[int(n)%len(all)].sendBody("/llm/x", fmt.Sprint("d-", n), fmt.Sprint("body ", n), header(prompts.poison, n))
+				}
+				stop := sendContinuously(soundClients, func(id string, n int) {
+					time.Sleep(5 * time.Millisecond)
+					sound.Add(1)
+					if status, _ := all[n%len(all)].sendBody("/llm/x", "s-"+id, id, header(prompts.sound, int64(n))); status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+				for c.crashCount() < crashesThatShow && attempts.Load() < 10*crashesThatShow {
+					send()
+					time.Sleep(poisonInterval)
+				}
+				for end := time.Now().Add(quarantineTimeout); time.Now().Before(end); {
+					go send()
+					time.Sleep(poisonInterval)
+				}
+				before, soundBefore, servedBefore := c.poisonPartArrivals(), sound.Load(), served.Load()
+				for range attemptsAfterQuarantine {
+					send()
+					time.Sleep(poisonInterval)
+				}
+				stop()
+				after := c.poisonPartArrivals() - before
+				share := float64(served.Load()-servedBefore) / float64(sound.Load()-soundBefore)
+				t.Logf("%d engines crashed, %d sends, %d of them after the quarantine; %.3f of sound requests served then", c.crashCount(), before+after, after, share)
+				require.LessOrEqual(t, after, maxSendsAfterQuarantine)
+				require.GreaterOrEqual(t, share, minSoundShare)
+			})
+		}
+	}
+}
+
 // TestStartingProcessLearnsQuarantinedRequests starts a process after a request has been quarantined
 // for crashing engines. A process that starts without the quarantine runs the request again: in a
 // rolling restart each process let it crash one or two more engines in its first second, ten engines
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rockdoor/rockdoor/engine"
 )
 
 // Fault is a simulated failure of a request or order.
@@ -84,6 +87,10 @@
 	// run a request with this body. Crash then simulates the end of the engine's process.
 	PoisonBody string
 	Crash      func()
+	// PoisonParts are parts of prompts, except the last one, that crash the engine when it begins to write an answer on
+	// them, PoisonDelay after it has started to run the request.
+	PoisonParts []string
+	PoisonDelay time.Duration
 
 	mu sync.Mutex
 	// rateLimit is sent in the rate limit header. If it is empty, the header is left out.
@@ -336,12 +343,24 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if e.isPoisoned(a.Parts) {
+		if sleep(r, e.PoisonDelay) {
+			go e.Crash()
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if r.Header.Get("X-Kv-Backup") != "" {
 		liveHandles.Store(a.ID, true) // a backup engine can resume the run from its KV cache once
 	}
 	e.respond(w, r, run, fault)
 }
 
+// isPoisoned reports whether a prompt has a part that crashes the engine.
+func (e *Engine) isPoisoned(parts []engine.Part) bool {
+	return slices.ContainsFunc(parts[:max(len(parts)-1, 0)], func(p engine.Part) bool { return slices.Contains(e.PoisonParts, p.ID) })
+}
+
 // liveHandles is the set of KV cache handles that have not been used. All engines of the process
 // share it: it takes the place of the transfer of KV caches between engines.
 var liveHandles sync.Map // handle to true
