Parts of prompts that crash engines are quarantined

What callers saw: requests with one part in their prompts ended one engine after the other; requests that ran beside them were lost. Cause: crashes were charged to a fingerprint of the whole request. Where no two requests are alike each had one crash, so that none was ever rejected. The fewest causes that explain all crashes are blamed; parts with the same crashes together. Schedulers check parts too.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,7 +39,11 @@
 		return nil
 	}
 	v := q.s.o.Quarantine.Admit(q.fingerprint())
-	q.trial = v.Trial
+	if !v.Refused {
+		q.trial = v.Trial
+		v = q.s.o.Quarantine.AdmitParts(q.parts())
+		q.trial = q.trial || v.Trial
+	}
 	if !v.Refused {
 		return nil
 	}
@@ -52,7 +56,16 @@
 
 // newlyQuarantined reports whether the request has been quarantined since it was placed.
 func (q *request) newlyQuarantined() bool {
-	return !q.trial && !q.s.o.Quarantine.Empty() && q.s.o.Quarantine.Verdict(q.fingerprint()).Refused
+	t := q.s.o.Quarantine
+	return !q.trial && !t.Empty() && (t.Verdict(q.fingerprint()).Refused || t.PartVerdict(q.parts()).Refused)
+}
+
+// parts returns the parts of the prompt that may crash instances. The last one belongs to the request itself.
+func (q *request) parts() []quarantine.Part {
+	if q.cachedParts == nil {
+		q.cachedParts = quarantine.PartsOf(q.workspaceName(), q.call.Model, q.sharedParts())
+	}
+	return q.cachedParts
 }
 
 // sharedParts returns the IDs of the parts of the prompt that other requests may share.
@@ -68,12 +81,26 @@
 // may have been running the request. An instance that was shutting down has exited as planned and is
 // not reported.
 func (q *request) reportBrokenConnection(i *fleet.Instance) {
+	q.reportBroken(i, nil)
+}
+
+// reportBrokenRun is reportBrokenConnection for an instance that was to write the response. If it has not brought an event,
+// a part of the prompt may have crashed it.
+func (q *request) reportBrokenRun(i *fleet.Instance) {
+	if q.events > 0 {
+		q.reportBroken(i, nil)
+		return
+	}
+	q.reportBroken(i, q.parts())
+}
+
+func (q *request) reportBroken(i *fleet.Instance, suspected []quarantine.Part) {
 	if q.clientGone || q.ctx.Err() != nil || !q.s.o.View().Accepts(q.service, i.ID) {
 		return
 	}
 	q.s.crashDetector.ReportBroken(suspects.BrokenConnection{
 		Request: q.call.ID, Fingerprint: q.fingerprint(), Instance: i.RunID(), Address: i.Address, RunTime: bootclock.Since(q.sentAt),
-		Parts: q.sharedParts(), Begun: q.events > 0,
+		Parts: q.sharedParts(), Begun: q.events > 0, SuspectedParts: suspected,
 	})
 }
 
@@ -81,5 +108,13 @@
 func (q *request) reportSuccess(i *fleet.Instance) {
 	if !q.s.o.Quarantine.Empty() {
 		q.s.o.Quarantine.RecordCompletion(q.fingerprint(), i.RunID())
+		q.s.o.Quarantine.RecordPartSuccess(q.parts(), i.RunID())
+	}
+}
+
+// reportBegun reports to the quarantine that an instance has begun to write the response.
+func (q *request) reportBegun(i *fleet.Instance) {
+	if !q.s.o.Quarantine.Empty() {
+		q.s.o.Quarantine.RecordPartSuccess(q.parts(), i.RunID())
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -156,6 +156,7 @@
 	q.copyHeaders(resp)
 	q.w.WriteHeader(resp.Status)
 	q.recordOrigin(q.plan.Target)
+	q.reportBegun(q.plan.Target)
 	q.ticket.FirstEvent()
 	q.s.time("first_event", time.Since(q.arrived))
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,6 +110,8 @@
 	trial bool
 	// cachedFingerprint is zero until fingerprint is first called.
 	cachedFingerprint quarantine.Fingerprint
+	// cachedParts is nil until parts is first called.
+	cachedParts []quarantine.Part
 }
 
 // serve makes attempts until the request has been answered.
@@ -322,7 +324,7 @@
 		if ownPath {
 			q.releaseKV() // the instance most likely runs, and has consumed it
 		} else {
-			q.reportBrokenConnection(plan.Target)
+			q.reportBrokenRun(plan.Target)
 		}
 		return lifecycle.Lost, err
 	}
@@ -380,7 +382,7 @@
 		q.retryCharged = true
 		return lifecycle.Lost, errHung(plan.Target)
 	}
-	q.reportBrokenConnection(plan.Target)
+	q.reportBrokenRun(plan.Target)
 	return q.resumeAtBackup(err)
 }
 
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -14,7 +14,7 @@
 
 func encodeJob(j *placement.Job) *peerpb.Place {
 	out := &peerpb.Place{
-		Request: j.Call.ID, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
+		Request: j.Call.ID, Model: j.Call.Model, Route: j.Route.Name, Service: j.Service.Name, Domain: j.Domain, PromptTokens: uint32(j.Call.PromptTokens),
 		LeftUs: j.Remaining.Microseconds(), ResponseUs: j.ResponseTime.Microseconds(), SpentUs: j.Elapsed.Microseconds(), NoRead: j.SkipPrefill,
 		Workspace: j.Workspace, Fingerprint: j.Fingerprint[:], LacksInstances: len(j.Permitted) == 0,
 		Software: j.Software, OutputTokens: uint32(max(j.Call.OutputTokens, 0)), ExpectedOutputTokens: uint32(max(j.Call.ExpectedOutputTokens, 0)),
@@ -76,6 +76,14 @@
 	return quarantine.Fingerprint(m.GetFingerprint())
 }
 
+// partsOf returns the parts of a job's prompt that may crash instances. A process of an older version names no model.
+func partsOf(m *peerpb.Place) []quarantine.Part {
+	if m.GetModel() == "" {
+		return nil
+	}
+	return quarantine.PartsOf(m.GetWorkspace(), m.GetModel(), m.GetParts()[:max(len(m.GetParts())-1, 0)])
+}
+
 // encodePlan encodes a plan. It includes the chosen instances if the receiver does not know any.
 func encodePlan(p *placement.Plan, ticket uint64, lacksInstances bool) *peerpb.Placed {
 	out := &peerpb.Placed{
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -176,7 +176,11 @@
 	if err != nil {
 		return &peerpb.Response{Error: err.Error()}
 	}
-	if v := s.o.Quarantine.Admit(fingerprintOf(m)); v.Refused {
+	v := s.o.Quarantine.Admit(fingerprintOf(m))
+	if !v.Refused {
+		v = s.o.Quarantine.AdmitParts(partsOf(m))
+	}
+	if v.Refused {
 		plan := placement.Plan{Reason: placement.ReasonQuarantined, RetryAfter: v.RetryAfter}
 		return &peerpb.Response{Body: &peerpb.Response_Placed{Placed: encodePlan(&plan, 0, false)}}
 	}
--- a/internal/suspects/crashdetector.go
+++ b/internal/suspects/crashdetector.go
@@ -42,6 +42,8 @@
 	// begun to respond.
 	Parts []string
 	Begun bool
+	// SuspectedParts are the parts that may be the cause.
+	SuspectedParts []quarantine.Part
 }
 
 // ReportBroken handles a connection that broke while an instance may have been running a request. The instance
@@ -57,8 +59,9 @@
 			return
 		}
 		v := d.Table.RecordCrash(b.Fingerprint, b.Instance, b.RunTime)
+		parts := d.Table.RecordPartCrash(b.SuspectedParts, b.Instance)
 		level.Warn(d.Logger).Log("msg", "instance ended under a request", "request", b.Request, "fingerprint", b.Fingerprint, "instance", b.Instance,
-			"parts", strings.Join(b.Parts, ","), "begun", b.Begun, "ran", b.RunTime.Round(time.Millisecond), "ended", strings.Join(v.CrashedInstances, ","), "refused", v.Refused, "refused_for", v.RetryAfter.Round(time.Second))
+			"parts", strings.Join(b.Parts, ","), "begun", b.Begun, "ran", b.RunTime.Round(time.Millisecond), "ended", strings.Join(v.CrashedInstances, ","), "refused", v.Refused, "refused_for", v.RetryAfter.Round(time.Second), "parts_refused", parts.Refused)
 	}()
 	select {
 	case <-done:
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -131,14 +131,19 @@
 	m := &peerpb.Crashes{Run: s.o.Run, After: t.acked, Last: last, SeenRun: t.run, Seen: t.received}
 	for _, o := range observations {
 		age := max(bootclock.Since(o.At), 0)
-		m.News = append(m.News, &peerpb.Crash{Request: o.Request[:], Instance: o.Instance, CompletedBy: o.CompletedBy, RanMs: uint32(o.RunTime.Milliseconds()), AgeMs: uint32(age.Milliseconds())})
+		c := &peerpb.Crash{Kind: uint32(o.Kind), Request: o.Request[:], Instance: o.Instance, CompletedBy: o.CompletedBy, RanMs: uint32(o.RunTime.Milliseconds()), AgeMs: uint32(age.Milliseconds())}
+		if o.Kind == quarantine.KindRequest {
+			m.News = append(m.News, c)
+		} else {
+			m.PartNews = append(m.PartNews, c)
+		}
 	}
 	return m
 }
 
 // applyMessage applies the observations of a peer and records which of this process's observations the peer has.
 func (s *Syncer) applyMessage(peer string, m *peerpb.Crashes) {
-	s.o.Table.Merge(decode(m.GetNews()))
+	s.o.Table.Merge(append(decode(m.GetNews()), decode(m.GetPartNews())...))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.peerStates[peer]
@@ -162,7 +167,7 @@
 			continue // sent by a version with different fingerprints
 		}
 		at := bootclock.Now().Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		out = append(out, quarantine.Observation{Request: quarantine.Fingerprint(c.GetRequest()), Instance: c.GetInstance(), CompletedBy: c.GetCompletedBy(), RunTime: time.Duration(c.GetRanMs()) * time.Millisecond, At: at})
+		out = append(out, quarantine.Observation{Kind: quarantine.Kind(c.GetKind()), Request: quarantine.Fingerprint(c.GetRequest()), Instance: c.GetInstance(), CompletedBy: c.GetCompletedBy(), RunTime: time.Duration(c.GetRanMs()) * time.Millisecond, At: at})
 	}
 	return out
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"io"
 
 	"github.com/rockdoor/rockdoor/fault"
@@ -17,13 +18,25 @@
 // FingerprintOf returns the fingerprint of a request.
 func FingerprintOf(workspace, method, host, uri string, body []byte) Fingerprint {
 	h := sha256.New()
+	hashFields(h, workspace, method, host, uri)
+	h.Write(body)
+	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+}
+
+// hashFields hashes fields with their lengths.
+func hashFields(h hash.Hash, fields ...string) {
 	var length [8]byte
-	for _, field := range []string{workspace, method, host, uri} {
+	for _, field := range fields {
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		h.Write(length[:])
 		_, _ = io.WriteString(h, field) // writing to a hash never fails
 	}
-	h.Write(body)
+}
+
+// fingerprintOfFields returns the fingerprint of fields.
+func fingerprintOfFields(fields ...string) Fingerprint {
+	h := sha256.New()
+	hashFields(h, fields...)
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -45,6 +45,8 @@
 
 // Observation is the outcome of one run of a request.
 type Observation struct {
+	// Kind is the kind of cause that Request identifies.
+	Kind    Kind
 	Request Fingerprint
 	// Instance is the instance that crashed while running the request. It is empty if the run was
 	// successful.
@@ -71,10 +73,13 @@
 	CrashedInstances []string
 }
 
-// Suspect is a request that was in flight on instances when they crashed.
+// Suspect is a request, or a part of prompts, that was in flight on instances when they crashed.
 type Suspect struct {
+	Kind    Kind
 	Request Fingerprint
 	Verdict Verdict
+	// BlamedWith lists the other parts that have the same crashes. Only requests with all of them are rejected.
+	BlamedWith []Fingerprint
 	// SinceLastCrash is the time since the last crash.
 	SinceLastCrash time.Duration
 }
@@ -86,18 +91,19 @@
 	mu sync.Mutex
 	// lastNumber is the number of the last observation.
 	lastNumber uint64
-	suspects   map[Fingerprint]*suspect
-	// poison is the result of poisonRequests as of the observation with number poisonAsOf.
-	poison     map[Fingerprint]bool
-	poisonAsOf uint64
+	suspects   map[cause]*suspect
+	// blame is the result of blamed as of the observation with number blameAsOf.
+	blame     blame
+	blameAsOf uint64
 	// sweptAt is when expired suspects were last removed.
 	sweptAt bootclock.Instant
 	// updates has an entry if there are new observations.
 	updates chan struct{}
 }
 
-// suspect holds the observations of one request.
+// suspect holds the observations of one cause.
 type suspect struct {
+	kind Kind
 	// crashes are in the order of their times.
 	crashes []numberedObservation
 	// lastSuccess is the last successful run. Its number is 0 if there is none.
@@ -126,7 +132,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{now: bootclock.Now, suspects: map[Fingerprint]*suspect{}, updates: make(chan struct{}, 1)}
+	return &Table{now: bootclock.Now, suspects: map[cause]*suspect{}, updates: make(chan struct{}, 1)}
 }
 
 // SetClock replaces the clock. It must be called before the table is used.
@@ -184,7 +190,8 @@
 // an observation new: processes would send the same one to each other forever. The caller holds the
 // lock.
 func (t *Table) apply(o Observation) {
-	s := t.suspects[o.Request]
+	key := cause{o.Kind, o.Request}
+	s := t.suspects[key]
 	if s == nil && o.Instance == "" {
 		return // a success is only of interest for a suspect
 	}
@@ -192,9 +199,9 @@
 		return // processes would send expired observations to each other again
 	}
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{kind: o.Kind}
 		t.evict()
-		t.suspects[o.Request] = s
+		t.suspects[key] = s
 	}
 	if !s.isNew(o) {
 		return
@@ -219,6 +226,8 @@
 		s.lastSuccess = n
 	}
 	switch {
+	case s.kind != KindRequest:
+		// Any first event clears a part.
 	case !s.clears(n.Observation):
 		others := slices.DeleteFunc(s.currentCompletions(n.At), func(c numberedObservation) bool { return c.CompletedBy == n.CompletedBy })
 		s.completions = append(others[:min(len(others), maxCrashes-1)], n)
@@ -245,6 +254,9 @@
 		if since := s.crashesAfter(s.lastSuccess); len(since) > 0 && o.At > since[0].At {
 			return true
 		}
+		if s.kind != KindRequest {
+			return false
+		}
 		if s.clears(o) {
 			since := s.crashesAfter(s.lastClear)
 			return len(since) > 0 && o.At > since[0].At
@@ -282,7 +294,7 @@
 	for f, s := range t.suspects {
 		if now.Sub(s.lastCrash()) > s.retention() {
 			delete(t.suspects, f)
-			t.poisonAsOf = 0
+			t.blameAsOf = 0
 		}
 	}
 }
@@ -301,11 +313,13 @@
 	if len(t.suspects) < maxSuspects {
 		return
 	}
-	var victim Fingerprint
-	for f, s := range t.suspects {
-		v := t.suspects[victim]
-		if v == nil || cmp.Or(cmp.Compare(len(s.evidence()), len(v.evidence())), cmp.Compare(s.lastCrash(), v.lastCrash())) < 0 {
-			victim = f
+	var victim cause
+	var least *suspect
+	evidence := 0
+	for key, s := range t.suspects {
+		crashes := len(s.evidence())
+		if least == nil || cmp.Or(cmp.Compare(crashes, evidence), cmp.Compare(s.lastCrash(), least.lastCrash())) < 0 {
+			victim, least, evidence = key, s, crashes
 		}
 	}
 	delete(t.suspects, victim)
@@ -315,7 +329,7 @@
 // or, if they are many, those since the last clear.
 func (s *suspect) evidence() []numberedObservation {
 	since := recent(s.crashesAfter(s.lastSuccess), quarantineThreshold)
-	if len(since) >= quarantineThreshold || len(s.crashes) < crashesDespiteCompletions {
+	if len(since) >= quarantineThreshold || len(s.crashes) < crashesDespiteCompletions || s.kind != KindRequest {
 		return since
 	}
 	crashes, crashed, completers := recent(s.crashesAfter(s.lastClear), crashesDespiteCompletions), map[string]bool{}, 0
@@ -373,7 +387,7 @@
 	t.sweep()
 	v := t.verdictOf(f)
 	if v.Quarantined && !v.Refused {
-		v.Trial, t.suspects[f].lastTrial = true, t.now()
+		v.Trial, t.suspects[cause{KindRequest, f}].lastTrial = true, t.now()
 	}
 	return v
 }
@@ -387,25 +401,25 @@
 }
 
 func (t *Table) verdictOf(f Fingerprint) Verdict {
-	s := t.suspects[f]
+	s := t.suspects[cause{KindRequest, f}]
 	if s == nil {
 		return Verdict{}
 	}
-	var v Verdict
-	for _, e := range s.evidence() {
-		v.CrashedInstances = append(v.CrashedInstances, e.Instance)
-	}
-	if v.Quarantined = t.poisonRequests()[f]; !v.Quarantined {
-		return v
+	v := Verdict{CrashedInstances: instancesOf(s.evidence()), Quarantined: t.blamed().requests[f]}
+	if v.Quarantined {
+		v.Refused, v.RetryAfter = t.refusal(s)
 	}
+	return v
+}
+
+// refusal returns whether a blamed cause is rejected now, and for how long.
+func (t *Table) refusal(s *suspect) (bool, time.Duration) {
 	until := s.lastCrash().Add(quarantineTime)
 	if s.lastTrial > 0 {
 		until = max(until, s.lastTrial.Add(trialInterval))
 	}
-	if remaining := until.Sub(t.now()); remaining > 0 {
-		v.Refused, v.RetryAfter = true, remaining
-	}
-	return v
+	remaining := until.Sub(t.now())
+	return remaining > 0, max(remaining, 0)
 }
 
 // Suspects returns all suspects: those with the most crashes that count first, among equals the one
@@ -416,8 +430,10 @@
 	t.sweep()
 	now := t.now()
 	var out []Suspect
-	for f, s := range t.suspects {
-		out = append(out, Suspect{f, t.verdictOf(f), now.Sub(s.lastCrash())})
+	for key, s := range t.suspects {
+		if key.kind != KindWorkspacePart {
+			out = append(out, t.describe(key, s, now))
+		}
 	}
 	slices.SortFunc(out, func(a, b Suspect) int {
 		return cmp.Or(cmp.Compare(len(b.Verdict.CrashedInstances), len(a.Verdict.CrashedInstances)), cmp.Compare(a.SinceLastCrash, b.SinceLastCrash), bytes.Compare(a.Request[:], b.Request[:]))
@@ -425,6 +441,24 @@
 	return out
 }
 
+// describe returns what is known of a suspect.
+func (t *Table) describe(key cause, s *suspect, now bootclock.Instant) Suspect {
+	out := Suspect{Kind: key.kind, Request: key.id, SinceLastCrash: now.Sub(s.lastCrash())}
+	if key.kind == KindRequest {
+		out.Verdict = t.verdictOf(key.id)
+		return out
+	}
+	out.Verdict.CrashedInstances = instancesOf(s.evidence())
+	for _, members := range t.blamed().parts {
+		if slices.Contains(members, key.id) {
+			out.Verdict.Quarantined = true
+			out.Verdict.Refused, out.Verdict.RetryAfter = t.refusal(s)
+			out.BlamedWith = slices.DeleteFunc(slices.Clone(members), func(m Fingerprint) bool { return m == key.id })
+		}
+	}
+	return out
+}
+
 // observations returns all observations of a suspect that matter, some of them twice.
 func (s *suspect) observations() []numberedObservation {
 	return slices.Concat([]numberedObservation{s.lastSuccess, s.lastClear}, s.completions, s.crashes)
