What is quarantined outlasts the loss of all processes; parts are shown and cleared

What callers saw: after all processes were killed, a request or part that was quarantined crashed three more engines; operators could neither see parts nor clear them. Cause: the verdict was known to processes only; the operator's pages knew whole requests. Change: the holder of the duties writes the crashes behind each quarantine to the store when the blamed causes change; a scheduler reads them when it starts. The list has kinds, and a part can be cleared by its fingerprint. Result: TestQuarantineOutlastsAllProcesses.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -13,10 +13,10 @@
 
 func gatewayQuarantine() *cli.Command {
 	return &cli.Command{
-		Name: "quarantine", Usage: "list requests that have crashed instances, or release one",
-		Description: withExample("A request is rejected after it has crashed three instances. With --clear it may run again at all gateways.",
+		Name: "quarantine", Usage: "list requests and parts of prompts that have crashed instances, or release one",
+		Description: withExample("A request is rejected after it has crashed three instances, and so are requests with a part that has. With --clear it may run again at all gateways.",
 			"rockdoor gateway quarantine --admin 10.1.0.22:9464"),
-		Flags: []cli.Flag{adminFlag(), &cli.StringFlag{Name: "clear", Usage: "`FINGERPRINT` of the request that may run again"}},
+		Flags: []cli.Flag{adminFlag(), &cli.StringFlag{Name: "clear", Usage: "`FINGERPRINT` of the request or part that may run again"}},
 		Action: func(c *cli.Context) error {
 			if f := c.String("clear"); f != "" {
 				_, err := call(c, http.MethodDelete, "/quarantine/"+url.PathEscape(f), nil, nil, nil)
@@ -26,13 +26,13 @@
 			if _, err := call(c, http.MethodGet, "/quarantine", nil, nil, &all); err != nil {
 				return err
 			}
-			t := newTable(c, "FINGERPRINT", "REFUSED FOR", "LAST END", "ENDED")
+			t := newTable(c, "KIND", "FINGERPRINT", "REFUSED FOR", "LAST END", "ENDED")
 			for _, s := range all {
 				refused := "-"
 				if s.Refused {
 					refused = formatSeconds(s.RefusedForMs)
 				}
-				t.AppendRow([]any{s.Fingerprint, refused, formatSeconds(s.SinceLastCrashMs) + " ago", strings.Join(s.CrashedInstances, " ")})
+				t.AppendRow([]any{s.Kind, s.Fingerprint, refused, formatSeconds(s.SinceLastCrashMs) + " ago", strings.Join(s.CrashedInstances, " ")})
 			}
 			t.Render()
 			return nil
--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -248,3 +248,37 @@
 		return !known[0].Refused
 	}, 2*time.Second, 10*time.Millisecond, "the request is released at all processes")
 }
+
+// TestQuarantineOutlastsAllProcesses kills all processes after a part of prompts has been quarantined. New ones must not
+// let it crash engines again.
+func TestQuarantineOutlastsAllProcesses(t *testing.T) {
+	d := newDeployment(t)
+	links := map[string]*storeLink{"a": d.isolateStoreLink("a"), "b": d.isolateStoreLink("b")}
+	d.removeEngine("i-2")
+	d.removeEngine("i-3")
+	c := d.addCrashingEngines(8)
+	all := []*process{d.startGateway("a"), d.startGateway("b")}
+	attempts := 0
+	send := func(p *process) {
+		attempts++
+		p.sendBody("/llm/x", fmt.Sprint("d-", attempts), fmt.Sprint("body ", attempts), http.Header{"X-Model": {"m"}, "X-Token-Count": {"1000,2"}, "X-Prompt-Prefix": {fmt.Sprintf("dead:900,own%d:100", attempts)}})
+	}
+	for n := 0; c.crashCount() < crashesBeforeQuarantine && n < 20; n++ {
+		send(all[n%2])
+		time.Sleep(poisonInterval)
+	}
+	require.Eventually(t, func() bool {
+		return strings.Contains(all[0].log.String()+all[1].log.String(), "quarantine written to the store")
+	}, 3*time.Second, 10*time.Millisecond)
+	for _, p := range all {
+		p.kill(links[p.settings.Name])
+	}
+	d.isolateStoreLink("a")
+	p := d.startGateway("a")
+	require.Eventually(t, func() bool { return strings.Contains(p.log.String(), "quarantine read from the store") }, time.Second, 5*time.Millisecond)
+	before := c.poisonPartArrivals()
+	for range 5 {
+		send(p)
+	}
+	require.Equal(t, before, c.poisonPartArrivals())
+}
--- a/internal/gatewayd/duties.go
+++ b/internal/gatewayd/duties.go
@@ -20,7 +20,7 @@
 		HasContact: d.schedulerServer.HasContact, WithoutContact: d.schedulerClient.WithoutContact, ReviewInterval: prune.ReviewInterval, RemoveAfter: prune.RemoveAfter, Logger: d.logger,
 	})
 	versions := resumption.NewKeeper(resumption.KeeperOptions{StoreOptions: *d.streamStore(self), Authority: d.authority, View: d.discovery.View, Logger: d.logger})
-	d.duties = append(d.duties, d.roles.Run, pruner.Run, versions.Run)
+	d.duties = append(d.duties, d.roles.Run, pruner.Run, versions.Run, d.crashKeeper.Run)
 	api := platform.NewDutyClient(d.client, d.settings.Duties.Address)
 	if d.settings.Duties.Has(platform.DutyCapacity) {
 		o := scaler.Options{Authority: d.authority, Orderer: api, View: d.discovery.View, Metrics: d.reg, Logger: d.logger}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -121,6 +121,8 @@
 	// between the processes.
 	suspects  *quarantine.Table
 	crashSync *suspects.Syncer
+	// crashKeeper keeps what is quarantined in the store.
+	crashKeeper *suspects.Keeper
 	// limits are the rate limits that instances announce. grantSync divides each rate among the
 	// processes.
 	limits    *ratelimit.Table
@@ -233,6 +235,9 @@
 		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), DrainUse: d.settings.Bounds.Drain.Std() - expiryMargin, Store: d.streamStore(self), Metrics: d.reg, Logger: d.logger,
 	})
 	d.crashSync = suspects.New(suspects.Options{Run: d.runID, Table: d.suspects, Transport: d.transport, Peers: d.observationPeers, Logger: d.logger})
+	d.crashKeeper = suspects.NewKeeper(suspects.KeeperOptions{
+		Table: d.suspects, Store: d.store, Prefix: platform.QuarantinePrefix, Writer: self.Incarnation, Authority: d.authority, Clock: d.clock.Now, Logger: d.logger,
+	})
 	d.grantSync = ratelimit.NewSyncer(ratelimit.Options{Self: self.Name, Table: d.limits, Transport: d.transport, Deciders: d.deciders, Peers: d.observationPeers, Logger: d.logger})
 }
 
@@ -388,6 +393,7 @@
 		return fault.Wrap(err, fault.Invalid, "cannot listen on "+d.settings.Peer, "check the address peer in the settings")
 	}
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
+	go d.crashKeeper.Load(background, func() bool { v := d.discovery.View(); return v.Ready() && v.Scheduling })
 	g.Add(func() error { return d.crashSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.streams.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.grantSync.Run(background) }, func(error) { stopBackground() })
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -18,6 +18,14 @@
 	parts [][]Fingerprint
 }
 
+// has reports whether a cause is blamed.
+func (b *blame) has(c cause) bool {
+	if c.kind == KindRequest {
+		return b.requests[c.id]
+	}
+	return c.kind == KindPart && slices.ContainsFunc(b.parts, func(members []Fingerprint) bool { return slices.Contains(members, c.id) })
+}
+
 // blamed returns the causes to which crashes of instances are attributed: the fewest that explain them. Each crash is
 // attributed to only one cause: the one with the most crashes. Otherwise requests that were in
 // flight together with a poison request, and were retried on the same instance as it, would be
--- a/quarantine/cause.go
+++ b/quarantine/cause.go
@@ -14,6 +14,17 @@
 	KindWorkspacePart
 )
 
+// String returns the kind as operators see it.
+func (k Kind) String() string {
+	switch k {
+	case KindRequest:
+		return "request"
+	case KindPart:
+		return "part"
+	}
+	return "part of a workspace"
+}
+
 // cause identifies a possible cause of a crash.
 type cause struct {
 	kind Kind
@@ -55,6 +66,38 @@
 	t.apply(Observation{Kind: KindPart, Request: shared, At: t.now()})
 }
 
+// BlamedCrashes returns the crashes that led to the present quarantines, and those that tell which workspaces they
+// concern.
+func (t *Table) BlamedCrashes() []Observation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep()
+	b := t.blamed()
+	var out []Observation
+	for key, s := range t.suspects {
+		if !b.has(key) && (key.kind != KindWorkspacePart || len(b.parts) == 0 || len(s.evidence()) < quarantineThreshold) {
+			continue
+		}
+		for _, c := range s.evidence() {
+			out = append(out, c.Observation)
+		}
+	}
+	return out
+}
+
+// Find returns the suspect with a fingerprint.
+func (t *Table) Find(f Fingerprint) (Suspect, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep()
+	for _, kind := range []Kind{KindRequest, KindPart} {
+		if s := t.suspects[cause{kind, f}]; s != nil {
+			return t.describe(cause{kind, f}, s, t.now()), true
+		}
+	}
+	return Suspect{}, false
+}
+
 // recordParts applies an observation about each of the parts.
 func (t *Table) recordParts(parts []Part, o Observation) {
 	t.mu.Lock()
