--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -177,6 +177,7 @@
 	d.client = upstream.New(d.reg)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChangingRole)
 	d.suspects = quarantine.NewTable()
+	d.suspects.SetTrialPermission(func() bool { _, ok := d.authority.Grant(); return ok }) // one trial in the fleet
 	d.limits = ratelimit.NewTable(self.Name, d.reg, d.logger)
 	d.placer.SetLimiter(d.limits)
 	d.placer.SetFeatures(placement.Features{
--- a/quarantine/cause.go
+++ b/quarantine/cause.go
@@ -119,9 +119,7 @@
 	defer t.mu.Unlock()
 	t.sweep()
 	v, blamed := t.partVerdict(parts)
-	if v.Quarantined && !v.Refused {
-		v.Trial, blamed.lastTrial = true, t.now()
-	}
+	t.startTrial(&v, blamed)
 	return v
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -182,3 +182,25 @@
 	w.crash("i-9", []string{"dead"})
 	require.Equal(t, quarantineTime, w.PartVerdict(parts).RetryAfter)
 }
+
+// TestOneProcessStartsTrials has one of three processes permitted to start trials.
+func TestOneProcessStartsTrials(t *testing.T) {
+	trials := 0
+	for process := range 3 {
+		w := newPartWorld()
+		w.SetTrialPermission(func() bool { return process == 1 })
+		f := testFingerprint(1)
+		for n := range quarantineThreshold {
+			w.RecordCrash(f, fmt.Sprint("i-", n), 0)
+			w.RecordPartCrash(PartsOf("w", "m", []string{"dead"}), fmt.Sprint("j-", n))
+		}
+		*w.now = w.now.Add(quarantineTime)
+		for _, v := range []Verdict{w.Admit(f), w.AdmitParts(PartsOf("w", "m", []string{"dead"}))} {
+			require.NotEqual(t, v.Refused, v.Trial)
+			if v.Trial {
+				trials++
+			}
+		}
+	}
+	require.Equal(t, 2, trials, "one of the request and one of the part")
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -87,6 +87,8 @@
 // Table holds the observations of all suspects. It is safe for concurrent use.
 type Table struct {
 	now func() bootclock.Instant
+	// mayTry reports whether this process may start trials.
+	mayTry func() bool
 
 	mu sync.Mutex
 	// lastNumber is the number of the last observation.
@@ -132,12 +134,16 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{now: bootclock.Now, suspects: map[cause]*suspect{}, updates: make(chan struct{}, 1)}
+	return &Table{now: bootclock.Now, mayTry: func() bool { return true }, suspects: map[cause]*suspect{}, updates: make(chan struct{}, 1)}
 }
 
 // SetClock replaces the clock. It must be called before the table is used.
 func (t *Table) SetClock(now func() bootclock.Instant) { t.now = now }
 
+// SetTrialPermission sets a function that reports whether this process may start trials. Without it, every process may. It
+// must be called before the table is used.
+func (t *Table) SetTrialPermission(mayTry func() bool) { t.mayTry = mayTry }
+
 // Updates returns a channel that has an entry when there are new observations.
 func (t *Table) Updates() <-chan struct{} { return t.updates }
 
@@ -386,12 +392,21 @@
 	defer t.mu.Unlock()
 	t.sweep()
 	v := t.verdictOf(f)
-	if v.Quarantined && !v.Refused {
-		v.Trial, t.suspects[cause{KindRequest, f}].lastTrial = true, t.now()
-	}
+	t.startTrial(&v, t.suspects[cause{KindRequest, f}])
 	return v
 }
 
+// startTrial permits a trial of a blamed cause whose quarantine time is over, if this process may start one.
+func (t *Table) startTrial(v *Verdict, s *suspect) {
+	switch {
+	case !v.Quarantined || v.Refused:
+	case t.mayTry():
+		v.Trial, s.lastTrial = true, t.now()
+	default:
+		v.Refused, v.RetryAfter = true, trialInterval
+	}
+}
+
 // Verdict returns the verdict on a request without starting a trial.
 func (t *Table) Verdict(f Fingerprint) Verdict {
 	t.mu.Lock()
