A host that gets more connections than it can serve sheds new ones

Cause: a load balancer may hand most new connections to one host. That host accepted all of them, however late it ran, so that their clients waited there although others had time. Change: a process measures how late it runs. While it is late by more than 120 ms it closes a share of new connections, up to three quarters, before it reads a request: clients try another host, and nothing has run. Result: TestShedShareFollowsTheDelay, TestShedConnectionsAreClosedUnread.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -19,6 +19,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/duty"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
@@ -28,6 +29,7 @@
 	"github.com/rockdoor/rockdoor/internal/gateway"
 	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/loadshare"
+	"github.com/rockdoor/rockdoor/internal/overload"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/periodic"
@@ -80,6 +82,8 @@
 	// namedHelpers is the number of processes that a scheduler names to a host that has lost its paths. With
 	// eight, one that reaches the instances is among them even if half of the hosts have lost theirs.
 	namedHelpers = 8
+	// startupTime is how long after its start a process may be busy with its start alone.
+	startupTime = 5 * time.Second
 	// cleanupInterval is how often the state of removed instances is dropped.
 	cleanupInterval = 5 * time.Second
 	// schedulerCheckInterval is how often a process checks whether it has become a scheduler,
@@ -145,7 +149,9 @@
 	scaler    *scaler.Scaler
 	clock     *truetime.Clock
 	gateway   *gateway.Server
-	stopping  atomic.Bool
+	// shedder sheds new connections of clients while this host has more than it can do.
+	shedder  *overload.Shedder
+	stopping atomic.Bool
 
 	clientServer, readinessServer, operatorServer *http.Server
 }
@@ -194,6 +200,10 @@
 		},
 		Quarantine: d.suspects, RateLimits: d.limits, GiveUpHungAttempts: set.Scheduling.HungAttempts == settings.Auto, Streams: d.streams, OnRunStart: onRunStart, Metrics: d.reg, Logger: d.logger,
 	})
+	started := bootclock.Now()
+	d.shedder = overload.New(overload.Options{
+		MayShed: func() bool { return bootclock.Since(started) > startupTime && d.discovery.View().Processes > 1 }, Metrics: d.reg, Logger: d.logger,
+	})
 	d.buildServers()
 	return d
 }
@@ -387,6 +397,9 @@
 		if err != nil {
 			return fault.Wrap(err, fault.Invalid, "cannot listen on "+s.address, "check the addresses in the settings and that no other process uses them")
 		}
+		if s.server == d.clientServer {
+			l = d.shedder.Listener(l)
+		}
 		g.Add(func() error { return httpserve.Serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
 	}
 	peers, err := net.Listen("tcp", d.settings.Peer)
@@ -397,6 +410,7 @@
 	go d.crashKeeper.Load(background, func() bool { v := d.discovery.View(); return v.Ready() && v.Scheduling })
 	g.Add(func() error { return d.crashSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.streams.Run(background) }, func(error) { stopBackground() })
+	g.Add(func() error { return d.shedder.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.grantSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.loadSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.discovery.Run(background) }, func(error) { stopBackground() })
