--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -90,7 +90,21 @@
 			c.Resumes, c.After = "r", receivedEvents(begun.ResponseBody)
 			c.ResponseBody = expectedEvents(c, versionMark+"v2")
 		}},
+		"requests with a poison part go on": {(*checker).poisonPartsStopped, func(f *Observations) {
+			for n := range poisonCrashes {
+				f.PartCrashes = append(f.PartCrashes, at(30+float64(n)))
+			}
+			for n := range maxPoisonRuns + 1 {
+				_, a := f.addAnsweredCall(fmt.Sprint("r", n), Stream, 40)
+				a.Parts = withPoison(a.Parts)
+			}
+		}},
 		"resumptions are rejected": {(*checker).resumptionsServed, func(f *Observations) {
+			for n := range minEnginesOfVersion {
+				f.Engines = append(f.Engines, &EngineRun{Instance: fmt.Sprint("e", n), Software: "v1", Started: at(0)})
+			}
+			begun, _ := f.addAnsweredCall("begun", Stream, 39)
+			begun.ResponseBody = expectedEvents(begun, versionMark+"v1")
 			for n := range 3 * minResumptions {
 				c, _ := f.addAnsweredCall(fmt.Sprint("r", n), Stream, 40)
 				if c.Status = http.StatusOK; n%3 > 0 {
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -112,6 +112,8 @@
 	if p.Service == serviceModels {
 		e.Events, e.Gap = streamEvents, eventGap
 		e.Software = p.w.softwareVersion(p.number, p.starts)
+		p.poison(e)
+		p.recordEngine(e)
 	}
 	e.OnStageChange = func(stage string) { p.register(e, stage) }
 	p.current, p.draining, p.deregistered = e, false, false
@@ -152,6 +154,15 @@
 	p.recordWithdrawal(e.ID)
 }
 
+// recordEngine records the start of a decode engine.
+func (p *place) recordEngine(e *fleetengine.Engine) {
+	if p.Stage == fleetengine.StageDecode {
+		p.w.observed.record(func() {
+			p.w.observed.Engines = append(p.w.observed.Engines, &EngineRun{Instance: e.ID, Software: e.Software, Started: time.Now()})
+		})
+	}
+}
+
 func (p *place) recordWithdrawal(id string) {
 	p.w.observed.record(func() { p.w.observed.Withdrawals = append(p.w.observed.Withdrawals, Withdrawal{id, time.Now()}) })
 }
@@ -173,9 +184,9 @@
 	if server == nil {
 		return false
 	}
-	p.w.observed.record(func() { p.w.markAborted(old.ID) }) // before the in-flight requests end
-	_ = listener.Close()                                    // the next instance listens here
-	_ = server.Close()                                      // aborts the open connections on purpose
+	p.w.observed.record(func() { p.w.observed.endEngine(old.ID); p.w.markAborted(old.ID) }) // before the in-flight requests end
+	_ = listener.Close()                                                                    // the next instance listens here
+	_ = server.Close()                                                                      // aborts the open connections on purpose
 	p.w.runAfter(expiry, func() {
 		p.w.store.Deregister(old.ID)
 		p.recordWithdrawal(old.ID)
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -50,6 +50,8 @@
 	// a new request.
 	Resumes string
 	After   int
+	// Poisoned is true if a part of the prompt crashes engines.
+	Poisoned bool
 	// CanceledAt is when the client closed its connection before the response; zero if it did not.
 	CanceledAt time.Time
 	// Unsent is true if the connection ended before the request had been written completely.
@@ -116,6 +118,13 @@
 	At       time.Time
 }
 
+// EngineRun is the time in which a decode engine ran.
+type EngineRun struct {
+	Instance, Software string
+	// Ended is zero while the engine runs.
+	Started, Ended time.Time
+}
+
 // Disturbance is a period in which a fault was active.
 type Disturbance struct {
 	Fault Fault
@@ -153,11 +162,23 @@
 	Limits       []*Limit
 	Disturbances []*Disturbance
 	Exits        []Exit
-	Starts       map[int][]time.Time
+	Engines      []*EngineRun
+	// PartCrashes are the times at which engines crashed under a part of a prompt.
+	PartCrashes []time.Time
+	Starts      map[int][]time.Time
 }
 
 func newObservations() *Observations { return &Observations{Starts: map[int][]time.Time{}} }
 
+// endEngine records the end of an engine. The caller holds the lock.
+func (f *Observations) endEngine(id string) {
+	for _, e := range f.Engines {
+		if e.Instance == id {
+			e.Ended = time.Now()
+		}
+	}
+}
+
 // record calls add while holding the lock.
 func (f *Observations) record(add func()) {
 	f.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -123,6 +123,7 @@
 // runSchedule performs the actions at their times.
 func (w *world) runSchedule(op *operator, actions []Action) {
 	begun := time.Now()
+	w.scheduleBegun.Store(&begun)
 	for _, a := range actions {
 		select {
 		case <-w.ctx.Done():
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -30,6 +30,8 @@
 // world is the environment of a run: the gateway processes, their clients' links, the stand-ins and
 // the observations.
 type world struct {
+	// scheduleBegun is when the faults began, nil before.
+	scheduleBegun atomic.Pointer[time.Time]
 	o             Options
 	subnet        string
 	observed      *Observations
