Links of the soak refuse connections before an engine ends under a part

Cause: a process that asked at once whether the port refuses connections reached the link, which still accepted them, so that crashes were attributed to no part.

--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -39,21 +39,25 @@
 
 // crashByPart ends the current instance under a request with the part, and starts another one later.
 func (p *place) crashByPart() {
-	if !p.terminate(registrationExpiry) {
-		return
-	}
-	p.w.observed.record(func() { p.w.observed.PartCrashes = append(p.w.observed.PartCrashes, time.Now()) })
-	p.w.logEvent("an engine at place %d ended under a request with the part %s", p.number, poisonPart)
-	// A link accepts connections whether or not its target does, so that it has to be told.
+	// A link accepts connections whether or not its target does, so that it has to be told first.
 	var accept []func()
 	for _, l := range p.w.linksToTarget(p.address) {
 		accept = append(accept, l.Refuse())
 	}
-	p.w.runAfter(poisonDowntime, func() {
-		p.startAt(p.address)
+	acceptAgain := func() {
 		for _, off := range accept {
 			off()
 		}
+	}
+	if !p.terminate(registrationExpiry) {
+		acceptAgain()
+		return
+	}
+	p.w.observed.record(func() { p.w.observed.PartCrashes = append(p.w.observed.PartCrashes, time.Now()) })
+	p.w.logEvent("an engine at place %d ended under a request with the part %s", p.number, poisonPart)
+	p.w.runAfter(poisonDowntime, func() {
+		p.startAt(p.address)
+		acceptAgain()
 	})
 }
 
