--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -190,3 +190,18 @@
 	s, _ = s.next(map[string][]string{"s": {"v3"}}, now.Add(2*historyRetention))
 	require.Equal(t, []string{"v2", "v3"}, slices.Sorted(maps.Keys(s.Until["s"])), "old versions are forgotten")
 }
+
+// BenchmarkBegan records the beginning of a stream, with one version and with two.
+func BenchmarkBegan(b *testing.B) {
+	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+		b.Run(fmt.Sprint(len(versions)), func(b *testing.B) {
+			w := newWorld(versions...)
+			for n := range b.N {
+				w.Began(Origin{Request: fmt.Sprint(n), Workspace: "w", Service: "s", Software: "v1"}, life)
+				if len(w.pending) == maxBatch {
+					w.pending = nil
+				}
+			}
+		})
+	}
+}
