--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -107,9 +108,9 @@
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
 	for _, left := range []int{2, 1} {
 		all := versionedEngines("v1", "v2")
-		placed := 0
+		var placed atomic.Int64
 		r := newHarness(t, harnessOptions{model: all, onPlaced: func(_ *harness, p placement.Plan) {
-			if placed++; placed > 1 {
+			if placed.Add(1) > 1 {
 				return
 			}
 			for _, e := range all {
@@ -126,7 +127,7 @@
 		got := r.send(http.MethodPost, pathModel, "a", "x", nil)
 		began(t, got.body)
 		require.Equal(t, left == 1, got.truncated)
-		require.Equal(t, 2, placed)
+		require.EqualValues(t, 2, placed.Load())
 	}
 }
 
@@ -134,9 +135,9 @@
 // version, after it was chosen to go on with a stream.
 func TestEngineThatCameBackWithAnotherVersionGetsNoStream(t *testing.T) {
 	all := versionedEngines("v1", "v2")
-	resumed := false
+	var resumed atomic.Bool
 	r := newHarness(t, harnessOptions{model: all, onPlaced: func(r *harness, p placement.Plan) {
-		if resumed && p.Target != nil {
+		if resumed.Load() && p.Target != nil {
 			r.changeInstances(func(i *fleet.Instance) {
 				if i.ID == p.Target.ID {
 					i.Software, i.StartTime = "v3", 1
@@ -145,7 +146,7 @@
 		}
 	}})
 	r.send(http.MethodPost, pathModel, "a", "x", nil)
-	resumed = true
+	resumed.Store(true)
 	runs := allRuns(all)
 	got := r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "2"))
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -41,9 +42,9 @@
 				stage = fleetengine.StageDecode
 			}
 			all := engines(stage, "i-1", "i-2")
-			placed := 0
+			var placed atomic.Int64
 			o := harnessOptions{plain: all, onPlaced: func(_ *harness, p placement.Plan) {
-				if placed++; placed == 1 {
+				if placed.Add(1) == 1 {
 					all[p.Target.ID[2]-'1'].Fail(c.fault, 1)
 				}
 			}}
