--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -268,7 +268,7 @@
 		time.Sleep(poisonInterval)
 	}
 	require.Eventually(t, func() bool {
-		return strings.Contains(all[0].log.String()+all[1].log.String(), "quarantine written to the store")
+		return strings.Contains(all[0].log.String()+all[1].log.String(), "object written to the store\" key=rockdoor-quarantine/")
 	}, 3*time.Second, 10*time.Millisecond)
 	for _, p := range all {
 		p.kill(links[p.settings.Name])
--- a/internal/resumption/keeper.go
+++ b/internal/resumption/keeper.go
@@ -2,25 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/duty"
-	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/dutyobject"
 	"github.com/rockdoor/rockdoor/internal/periodic"
-	"github.com/rockdoor/rockdoor/objstore"
 )
 
 const (
 	// keepInterval is how often the versions are compared with those in the store.
 	keepInterval = 200 * time.Millisecond
-	// keepRetry is the minimum time between two calls of the store of which the first failed.
-	keepRetry = time.Second
 	// clockMargin covers the differences between the wall clocks of the processes.
 	clockMargin = time.Second
 )
@@ -91,82 +86,21 @@
 
 // Keeper keeps the versions in the store while its process holds the duties.
 type Keeper struct {
-	o       KeeperOptions
-	logger  log.Logger
-	triedAt time.Time
-	// token is the fencing token under which the object was read, 0 if it has to be read again. version and stored
-	// are what it was then, or was written as.
-	token   int64
-	version objstore.Version
-	stored  storedVersions
+	o      KeeperOptions
+	object *dutyobject.Object[storedVersions]
 }
 
 // NewKeeper returns a keeper. The caller must call Run.
 func NewKeeper(o KeeperOptions) *Keeper {
-	return &Keeper{o: o, logger: log.With(o.Logger, "component", "resumption")}
+	object := dutyobject.Options{Store: o.Store, Key: o.Prefix + versionsName, Writer: o.Writer, Authority: o.Authority, Logger: log.With(o.Logger, "component", "resumption")}
+	return &Keeper{o: o, object: dutyobject.New[storedVersions](object)}
 }
 
 // Run keeps the versions until ctx ends.
-func (k *Keeper) Run(ctx context.Context) { periodic.Run(ctx, keepInterval, k.review) }
-
-func (k *Keeper) review(ctx context.Context) {
-	g, ok := k.o.Authority.Grant()
-	v := k.o.View()
-	if !ok || !v.InstancesKnown || k.token == 0 && time.Since(k.triedAt) < keepRetry {
-		return
-	}
-	if k.token != g.Token {
-		k.triedAt = time.Now()
-		if !k.read(ctx) {
-			return
+func (k *Keeper) Run(ctx context.Context) {
+	periodic.Run(ctx, keepInterval, func(ctx context.Context) {
+		if v := k.o.View(); v.InstancesKnown {
+			k.object.Update(ctx, func(stored storedVersions) (storedVersions, bool) { return stored.next(v.Software(), k.o.Clock()) })
 		}
-		k.token = g.Token
-	}
-	next, changed := k.stored.next(v.Software(), k.o.Clock())
-	if !changed {
-		return
-	}
-	k.triedAt = time.Now()
-	if err := k.write(ctx, next); err != nil {
-		k.token = 0
-		level.Info(k.logger).Log("msg", "software versions not written to the store", "err", err)
-		return
-	}
-	level.Info(k.logger).Log("msg", "software versions written to the store", "services", len(next.Until), "token", g.Token)
-}
-
-// read reads the object. It reports whether its content is known now.
-func (k *Keeper) read(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	obj, err := k.o.Store.Get(ctx, k.o.Prefix+versionsName)
-	k.version, k.stored = 0, storedVersions{}
-	if fault.Is(err, fault.NotFound) {
-		return true
-	}
-	if err != nil {
-		level.Info(k.logger).Log("msg", "software versions not read from the store", "err", err)
-		return false
-	}
-	k.version = obj.Version
-	if err := json.Unmarshal(obj.Value, &k.stored); err != nil {
-		level.Error(k.logger).Log("msg", "software versions in the store cannot be parsed; they are written anew", "err", err)
-		k.stored = storedVersions{}
-	}
-	return true
-}
-
-func (k *Keeper) write(ctx context.Context, next storedVersions) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "software versions cannot be encoded", "report this as a defect")
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	obj, err := k.o.Store.Put(ctx, k.o.Prefix+versionsName, value, k.version, k.o.Writer)
-	if err != nil {
-		return err
-	}
-	k.version, k.stored = obj.Version, next
-	return nil
+	})
 }
