Choose suspects to drop 256 at a time

Cause: a full table looked at all 4,096 suspects for each new one; with the parts of prompts a crash adds three times as many.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -99,6 +99,8 @@
 	blameAsOf uint64
 	// sweptAt is when expired suspects were last removed.
 	sweptAt bootclock.Instant
+	// victims are the next suspects to be evicted.
+	victims []victim
 	// updates has an entry if there are new observations.
 	updates chan struct{}
 }
@@ -313,22 +315,42 @@
 	return suspectRetention
 }
 
+// victim is a suspect to be evicted, with what made it one.
+type victim struct {
+	cause
+	crashes   int
+	lastCrash bootclock.Instant
+}
+
+// victimBatch is the number of victims that are chosen at a time.
+const victimBatch = 256
+
 // evict removes a suspect if the table is full: the one with the fewest crashes that count, and among
 // equals the one whose last crash is the oldest. The caller holds the lock.
 func (t *Table) evict() {
-	if len(t.suspects) < maxSuspects {
-		return
+	for len(t.suspects) >= maxSuspects {
+		if len(t.victims) == 0 {
+			t.victims = t.chooseVictims()
+		}
+		v := t.victims[0]
+		t.victims = t.victims[1:]
+		s := t.suspects[v.cause]
+		if s != nil && s.lastCrash() == v.lastCrash { // it has not crashed an instance since it was chosen
+			delete(t.suspects, v.cause)
+		}
 	}
-	var victim cause
-	var least *suspect
-	evidence := 0
+}
+
+// chooseVictims returns the next suspects to be evicted, in order.
+func (t *Table) chooseVictims() []victim {
+	all := make([]victim, 0, len(t.suspects))
 	for key, s := range t.suspects {
-		crashes := len(s.evidence())
-		if least == nil || cmp.Or(cmp.Compare(crashes, evidence), cmp.Compare(s.lastCrash(), least.lastCrash())) < 0 {
-			victim, least, evidence = key, s, crashes
-		}
+		all = append(all, victim{key, len(s.evidence()), s.lastCrash()})
 	}
-	delete(t.suspects, victim)
+	slices.SortFunc(all, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), cmp.Compare(a.lastCrash, b.lastCrash))
+	})
+	return all[:victimBatch]
 }
 
 // evidence returns the crashes that count against the request: those since the last successful run
