A stream of which no one can tell the version does not go on

Cause: for an instance that came back under its ID with another version while it began a stream, the next attempt was placed at the version known before, where a scheduler named the instances. Change: such a stream ends; its resumption is rejected. Result: TestStreamOfAnUnknownVersionDoesNotGoOn.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -168,6 +168,9 @@
 	if rep := q.quarantineReply(); rep != nil {
 		return rep
 	}
+	if q.origin != nil && q.origin.Ambiguous {
+		return replyFromState(codeUnknownOrigin, fault.New(fault.Unavailable, "the instance that began the stream may have come back with another software version meanwhile", "take the stream up again"), 0)
+	}
 	view := q.s.o.View()
 	job := q.placementJob(view)
 	q.plan, q.ticket = q.scheduler(job).Place(q.ctx, job)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -58,11 +58,8 @@
 // permitted returns the instances that may run the request, and their groups. A stream goes on only at the version
 // that began it.
 func (q *request) permitted(pool *fleet.Pool) (all []*fleet.Instance, groups func() [][]*fleet.Instance) {
-	switch {
-	case q.origin == nil:
+	if q.origin == nil {
 		return pool.All, pool.Groups
-	case q.origin.Ambiguous:
-		return nil, nil
 	}
 	if all = fleet.OfSoftware(pool.All, q.origin.Software); len(all) == 0 {
 		all = q.lastOfVersion()
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -153,6 +154,35 @@
 	require.Equal(t, runs, allRuns(all))
 }
 
+// TestStreamOfAnUnknownVersionDoesNotGoOn has an engine start again under its ID, with another version, while it begins a
+// stream. Nobody can tell which version wrote the first event.
+func TestStreamOfAnUnknownVersionDoesNotGoOn(t *testing.T) {
+	all := versionedEngines("v1", "v2")
+	var placed atomic.Int64
+	r := newHarness(t, harnessOptions{model: all, onPlaced: func(r *harness, p placement.Plan) {
+		if placed.Add(1) > 1 || p.Target == nil {
+			return
+		}
+		for _, e := range all {
+			if e.ID == p.Target.ID {
+				e.ResponseDelay = 50 * time.Millisecond
+				e.Fail(fleetengine.CutMidEvent, 1)
+			}
+		}
+		time.AfterFunc(20*time.Millisecond, func() {
+			r.changeInstances(func(i *fleet.Instance) {
+				if i.ID == p.Target.ID {
+					i.Software, i.StartTime = "v3", 1
+				}
+			})
+		})
+	}})
+	got := r.send(http.MethodPost, pathModel, "a", "x", nil)
+	require.True(t, got.truncated)
+	require.EqualValues(t, 1, placed.Load())
+	require.Equal(t, http.StatusServiceUnavailable, r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "1")).status)
+}
+
 // TestStreamIsNotTakenUpAtAnotherService moves the route of a stream to another service.
 func TestStreamIsNotTakenUpAtAnotherService(t *testing.T) {
 	all := versionedEngines("v1")
