--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -90,7 +90,8 @@
 
 // savePending writes the records that have not been written yet, unless that was done lately.
 func (r *Registry) savePending(ctx context.Context) {
-	if r.saver == nil || time.Since(r.saver.savedAt) < saveInterval || r.o.View().Processes > maxSaving {
+	v := r.o.View()
+	if time.Since(r.saver.savedAt) < saveInterval || v.Processes > maxSaving || !v.StoreUp {
 		return
 	}
 	r.mu.Lock()
