Copies of stream records go to several failure domains

Cause: peers of the own failure domain come first, so that in a fleet with four hosts in a domain all three copies could be lost with it. Result: TestCopiesOutlastADomain.

--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -186,13 +186,28 @@
 	r.pending = nil
 	r.mu.Unlock()
 	for batch := range slices.Chunk(all, maxBatch) {
-		s := &sender{r: r, peers: r.o.Peers()}
+		s := &sender{r: r, peers: spread(r.o.Peers())}
 		for range min(copies, len(s.peers)) {
 			go s.send(ctx, encodeRecords(batch, r.table.now()))
 		}
 	}
 }
 
+// spread puts the first peer of each failure domain before the others, so that the copies outlast the loss of a domain.
+func spread(peers []members.Member) []members.Member {
+	seen := map[string]bool{}
+	var first, rest []members.Member
+	for _, p := range peers {
+		if seen[p.Domain] {
+			rest = append(rest, p)
+			continue
+		}
+		seen[p.Domain] = true
+		first = append(first, p)
+	}
+	return append(first, rest...)
+}
+
 // sender sends one batch to several peers. A peer that doesn't respond is replaced by the next one.
 type sender struct {
 	r     *Registry
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/members"
 )
 
 const life = 16 * time.Second
@@ -191,6 +192,15 @@
 	require.Equal(t, []string{"v2", "v3"}, slices.Sorted(maps.Keys(s.Until["s"])), "old versions are forgotten")
 }
 
+// TestCopiesOutlastADomain has more peers in the own domain than there are copies.
+func TestCopiesOutlastADomain(t *testing.T) {
+	var peers []members.Member
+	for n, domain := range []string{"a", "a", "a", "a", "b", "b", "c"} {
+		peers = append(peers, members.Member{Name: fmt.Sprint(n), Domain: domain})
+	}
+	require.Equal(t, []string{"0", "4", "6", "1", "2", "3", "5"}, members.Names(spread(peers)))
+}
+
 // BenchmarkBegan records the beginning of a stream, with one version and with two.
 func BenchmarkBegan(b *testing.B) {
 	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
