--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -169,7 +169,7 @@
 		return rep
 	}
 	if q.origin != nil && q.origin.Ambiguous {
-		return replyFromState(codeUnknownOrigin, fault.New(fault.Unavailable, "the instance that began the stream may have come back with another software version meanwhile", "take the stream up again"), 0)
+		return replyFromState(codeUnknownOrigin, fault.New(fault.Unavailable, "the instance that began the stream may have come back with another software version meanwhile", "resume the stream again"), 0)
 	}
 	view := q.s.o.View()
 	job := q.placementJob(view)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -14,7 +14,7 @@
 	"github.com/rockdoor/rockdoor/placement"
 )
 
-// codeUnknownOrigin is the outcome of a request that takes up a stream of which no process knows what
+// codeUnknownOrigin is the outcome of a request that resumes a stream of which no process knows what
 // software version began it.
 const codeUnknownOrigin = "unknown-origin"
 
@@ -22,19 +22,19 @@
 // up: clients count from their first attempt, which may have waited for its first event.
 const resumptionMargin = time.Second
 
-// resumes reports whether the client takes up a stream.
+// resumes reports whether the client resumes a stream.
 func (q *request) resumes() bool {
 	return q.route.Kind == fleet.Streaming && (q.call.LastEvent != "" || q.call.Resumes != "")
 }
 
-// resumptionTime returns the time within which the client may take the stream up.
+// resumptionTime returns the time within which the client may resume the stream.
 func (q *request) resumptionTime() time.Duration { return q.route.Timeout + resumptionMargin }
 
-// findOrigin finds out what began the stream that the client takes up. It returns a reply if the stream can't go on.
+// findOrigin finds out what began the stream that the client resumes. It returns a reply if the stream can't continue.
 func (q *request) findOrigin() *reply {
 	service := q.route.PickService(q.call.Resumes)
 	o, source := q.s.streams.Find(q.ctx, q.workspaceName(), q.call.Resumes, service, q.resumptionTime())
-	level.Info(q.s.o.Logger).Log("msg", "stream is taken up", "request", q.call.ID, "resumes", q.call.Resumes, "after", q.call.LastEvent, "known_by", source, "service", o.Service, "software", o.Software)
+	level.Info(q.s.o.Logger).Log("msg", "resuming stream", "request", q.call.ID, "resumes", q.call.Resumes, "after", q.call.LastEvent, "known_by", source, "service", o.Service, "software", o.Software)
 	if source == resumption.SourceNone {
 		err := fault.New(fault.Unavailable, "no process knows which software version began the stream", "send the request anew, without the events received")
 		return replyFromState(codeUnknownOrigin, err, defaultRetry)
@@ -55,7 +55,7 @@
 	return ""
 }
 
-// permitted returns the instances that may run the request, and their groups. A stream goes on only at the version
+// permitted returns the instances that may run the request, and their groups. A stream continues only at the version
 // that began it.
 func (q *request) permitted(pool *fleet.Pool) (all []*fleet.Instance, groups func() [][]*fleet.Instance) {
 	if q.origin == nil {
@@ -67,12 +67,12 @@
 	return all, nil
 }
 
-// lastOfVersion returns the draining instances that may still go on with the stream, sorted by ID.
+// lastOfVersion returns the draining instances that may still continue the stream, sorted by ID.
 func (q *request) lastOfVersion() []*fleet.Instance {
 	v := q.s.o.View()
 	var out []*fleet.Instance
 	for _, i := range v.Instances {
-		if i.Draining && i.Service == q.service && i.Software == q.origin.Software && q.mayGoOnAt(v, i) {
+		if i.Draining && i.Service == q.service && i.Software == q.origin.Software && q.mayContinueAt(v, i) {
 			out = append(out, i)
 		}
 	}
@@ -80,11 +80,11 @@
 	return out
 }
 
-// mayGoOnAt reports whether the rules permit a draining instance, and it began to drain so lately that it still takes
+// mayContinueAt reports whether the rules permit a draining instance, and it began to drain so lately that it still takes
 // requests.
-func (q *request) mayGoOnAt(v *fleet.View, i *fleet.Instance) bool {
+func (q *request) mayContinueAt(v *fleet.View, i *fleet.Instance) bool {
 	_, ok := v.Rules.Permits(q.route.Name, i)
-	return ok && q.s.streams.MayGoOnAt(i)
+	return ok && q.s.streams.MayContinueAt(i)
 }
 
 // scheduler returns who places the request. Schedulers place nothing on draining instances, so this process does that
@@ -103,7 +103,7 @@
 		return false
 	}
 	now := v.Instances[i.ID]
-	return q.origin == nil || now == nil || now.RunID() != i.RunID() || !q.mayGoOnAt(v, now)
+	return q.origin == nil || now == nil || now.RunID() != i.RunID() || !q.mayContinueAt(v, now)
 }
 
 // requiredSoftware returns the only version that may run the request, nil if every version may.
@@ -114,7 +114,7 @@
 	return &q.origin.Software
 }
 
-// recordOrigin records that an instance has begun a stream or gone on with it.
+// recordOrigin records that an instance has begun a stream or continued it.
 func (q *request) recordOrigin(i *fleet.Instance) {
 	if q.route.Kind != fleet.Streaming {
 		return
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -61,8 +61,8 @@
 	return "v2"
 }
 
-// TestStreamIsTakenUpAtItsVersion checks what happens to each kind of resumption while two versions serve.
-func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+// TestStreamIsResumedAtItsVersion checks what happens to each kind of resumption while two versions serve.
+func TestStreamIsResumedAtItsVersion(t *testing.T) {
 	all := versionedEngines("v1", "v2")
 	r := newHarness(t, harnessOptions{model: all})
 	for n := range 20 {
@@ -72,7 +72,7 @@
 		require.Equal(t, http.StatusOK, got.status, got.body)
 		require.Equal(t, version, began(t, got.body))
 		require.NotContains(t, got.body, "id: 2\n")
-		// The client names the attempt that brought the first event, also when it takes the stream up again.
+		// The client names the attempt that brought the first event, also when it resumes the stream again.
 		require.Equal(t, version, began(t, r.send(http.MethodPost, pathModel, fmt.Sprint("third-", n), "x", resumption(id, "3")).body))
 	}
 	runs := allRuns(all)
@@ -101,12 +101,12 @@
 			}
 		}
 	}
-	require.Fail(t, "the stream was not taken up")
+	require.Fail(t, "the stream was not resumed")
 }
 
-// TestBrokenStreamGoesOnAtItsVersion breaks a stream within its response. Where no other engine of its version is
+// TestBrokenStreamContinuesAtItsVersion breaks a stream within its response. Where no other engine of its version is
 // left, the response ends.
-func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
 	for _, left := range []int{2, 1} {
 		all := versionedEngines("v1", "v2")
 		var placed atomic.Int64
@@ -133,7 +133,7 @@
 }
 
 // TestEngineThatCameBackWithAnotherVersionGetsNoStream has an engine start again under its ID, with another
-// version, after it was chosen to go on with a stream.
+// version, after it was chosen to continue a stream.
 func TestEngineThatCameBackWithAnotherVersionGetsNoStream(t *testing.T) {
 	all := versionedEngines("v1", "v2")
 	var resumed atomic.Bool
@@ -154,9 +154,9 @@
 	require.Equal(t, runs, allRuns(all))
 }
 
-// TestStreamOfAnUnknownVersionDoesNotGoOn has an engine start again under its ID, with another version, while it begins a
+// TestStreamOfAnUnknownVersionDoesNotContinue has an engine start again under its ID, with another version, while it begins a
 // stream. Nobody can tell which version wrote the first event.
-func TestStreamOfAnUnknownVersionDoesNotGoOn(t *testing.T) {
+func TestStreamOfAnUnknownVersionDoesNotContinue(t *testing.T) {
 	all := versionedEngines("v1", "v2")
 	var placed atomic.Int64
 	r := newHarness(t, harnessOptions{model: all, onPlaced: func(r *harness, p placement.Plan) {
@@ -183,8 +183,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "1")).status)
 }
 
-// TestStreamIsNotTakenUpAtAnotherService moves the route of a stream to another service.
-func TestStreamIsNotTakenUpAtAnotherService(t *testing.T) {
+// TestStreamIsNotResumedAtAnotherService moves the route of a stream to another service.
+func TestStreamIsNotResumedAtAnotherService(t *testing.T) {
 	all := versionedEngines("v1")
 	r := newHarness(t, harnessOptions{model: all, plain: engines("", "p-1")})
 	r.send(http.MethodPost, pathModel, "a", "x", nil)
--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -61,7 +61,7 @@
 }
 
 // attempt sends a request and reads events until the response ends. If the client has received events
-// before, it takes the stream up. onEvent is called with the number of events after each one; it may be nil.
+// before, it resumes the stream. onEvent is called with the number of events after each one; it may be nil.
 func (r *received) attempt(ctx context.Context, p *process, id string, header http.Header, onEvent func(events int)) (status int) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.Listen+"/llm/x", strings.NewReader("x"))
 	if err != nil {
@@ -108,7 +108,7 @@
 // whole reports whether all events have arrived.
 func (r *received) whole() bool { return r.events == streamEvents }
 
-// streamLife is how long clients may take up a stream of the test deployment's route.
+// streamLife is how long clients may resume a stream of the test deployment's route.
 const streamLife = 4 * time.Second
 
 // streamClients are clients whose streams have begun.
@@ -143,9 +143,9 @@
 	return c
 }
 
-// resume takes up all streams at the processes in turn. It returns the number of streams with events of several versions
+// resume resumes all streams at the processes in turn. It returns the number of streams with events of several versions
 // and of those that are whole.
-func (c *streamClients) resume(at []*process) (mixed, wentOn int) {
+func (c *streamClients) resume(at []*process) (mixed, continued int) {
 	var resumed sync.WaitGroup
 	for n, r := range c.all {
 		resumed.Add(1)
@@ -157,18 +157,18 @@
 	resumed.Wait()
 	for _, r := range c.all {
 		if r.whole() {
-			wentOn++
+			continued++
 		}
 		if len(r.versions) > 1 {
 			mixed++
 		}
 	}
-	return mixed, wentOn
+	return mixed, continued
 }
 
-// TestStreamsGoOnAtTheVersionThatBeganThem breaks streams while engines of two versions serve. A stream
-// goes on within its response, or when the client takes it up at another process.
-func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+// TestStreamsContinueAtTheVersionThatBeganThem breaks streams while engines of two versions serve. A stream
+// continues within its response, or when the client resumes it at another process.
+func TestStreamsContinueAtTheVersionThatBeganThem(t *testing.T) {
 	const (
 		streams  = 120
 		maxTries = 8
@@ -182,7 +182,7 @@
 				e.FailEvery(fleetengine.CutMidEvent, 3)
 			}
 			all := start(d)
-			mixed, resumptions, wentOn := 0, 0, 0
+			mixed, resumptions, continued := 0, 0, 0
 			for n := range streams {
 				r := &received{versions: map[string]bool{}}
 				for try := 0; try < maxTries && !r.whole(); try++ {
@@ -191,7 +191,7 @@
 					if before > 0 {
 						resumptions++
 						if status == http.StatusOK {
-							wentOn++
+							continued++
 						}
 					}
 				}
@@ -199,17 +199,17 @@
 					mixed++
 				}
 			}
-			t.Logf("%d of %d streams have events of two versions; %d of %d resumptions went on", mixed, streams, wentOn, resumptions)
+			t.Logf("%d of %d streams have events of two versions; %d of %d resumptions succeeded", mixed, streams, continued, resumptions)
 			require.Zero(t, mixed)
 			require.Greater(t, resumptions, streams/10)
-			require.GreaterOrEqual(t, float64(wentOn), 0.95*float64(resumptions))
+			require.GreaterOrEqual(t, float64(continued), 0.95*float64(resumptions))
 		})
 	}
 }
 
-// TestStreamsOfAKilledHostGoOnAtTheirVersion kills the process that began the streams. The clients take
-// them up at the others.
-func TestStreamsOfAKilledHostGoOnAtTheirVersion(t *testing.T) {
+// TestStreamsOfAKilledHostContinueAtTheirVersion kills the process that began the streams. The clients resume
+// them at the others.
+func TestStreamsOfAKilledHostContinueAtTheirVersion(t *testing.T) {
 	const streams = 40
 	for name, start := range fleetStarts {
 		t.Run(name, func(t *testing.T) {
@@ -228,16 +228,16 @@
 			clients := beginStreams([]*process{first}, streams, 2)
 			first.kill(links[first.settings.Name])
 			clients.ended.Wait()
-			mixed, wentOn := clients.resume(others)
-			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
+			mixed, continued := clients.resume(others)
+			t.Logf("%d of %d streams have events of two versions; %d continued", mixed, streams, continued)
 			require.Zero(t, mixed)
-			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
+			require.GreaterOrEqual(t, float64(continued), 0.95*streams)
 		})
 	}
 }
 
-// TestStreamsGoOnAfterAllHostsWereKilled kills all processes. The clients take their streams up at new ones.
-func TestStreamsGoOnAfterAllHostsWereKilled(t *testing.T) {
+// TestStreamsContinueAfterAllHostsWereKilled kills all processes. The clients resume their streams at new ones.
+func TestStreamsContinueAfterAllHostsWereKilled(t *testing.T) {
 	const streams = 30
 	for name, versions := range map[string][]string{"one version": {"v1"}, "two versions": {"v1", "v2"}} {
 		t.Run(name, func(t *testing.T) {
@@ -260,16 +260,16 @@
 			for _, p := range []string{"a", "b", "c"} {
 				d.isolateStoreLink(p)
 			}
-			mixed, wentOn := clients.resume(fleetStarts["few"](d))
-			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
+			mixed, continued := clients.resume(fleetStarts["few"](d))
+			t.Logf("%d of %d streams have events of two versions; %d continued", mixed, streams, continued)
 			require.Zero(t, mixed)
-			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
+			require.GreaterOrEqual(t, float64(continued), 0.95*streams)
 		})
 	}
 }
 
-// TestStreamsGoOnAtTheLastEnginesOfAVersion breaks streams while the only engines of their version drain.
-func TestStreamsGoOnAtTheLastEnginesOfAVersion(t *testing.T) {
+// TestStreamsContinueAtTheLastEnginesOfAVersion breaks streams while the only engines of their version drain.
+func TestStreamsContinueAtTheLastEnginesOfAVersion(t *testing.T) {
 	const streams = 20
 	for name, start := range fleetStarts {
 		t.Run(name, func(t *testing.T) {
@@ -296,10 +296,10 @@
 			}
 			clients.disconnect()
 			clients.ended.Wait()
-			mixed, wentOn := clients.resume(all)
-			t.Logf("%d of %d streams have events of two versions; %d went on", mixed, streams, wentOn)
+			mixed, continued := clients.resume(all)
+			t.Logf("%d of %d streams have events of two versions; %d continued", mixed, streams, continued)
 			require.Zero(t, mixed)
-			require.GreaterOrEqual(t, float64(wentOn), 0.95*streams)
+			require.GreaterOrEqual(t, float64(continued), 0.95*streams)
 		})
 	}
 }
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -31,7 +31,7 @@
 	// longPromptShare is the share of streams with long prompts, which one engine prefills and
 	// another decodes.
 	longPromptShare = 0.5
-	// maxResumptions is how often a client takes a stream up.
+	// maxResumptions is how often a client resumes a stream.
 	maxResumptions = 3
 	// promptPrefixes is the number of different prefixes of long prompts.
 	promptPrefixes = 20
@@ -146,7 +146,7 @@
 	return call
 }
 
-// resume takes up a stream that broke after some of its events, at any gateway and several times if need be.
+// resume resumes a stream that broke after some of its events, at any gateway and several times if need be.
 func (c *client) resume(ctx context.Context, broken *Call) {
 	begun, events := broken.ID, receivedEvents(broken.ResponseBody)
 	for range maxResumptions {
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -48,10 +48,10 @@
 	return version
 }
 
-// streamsOfOneVersion checks that a stream that a client takes up goes on at the version that began it. The events
+// streamsOfOneVersion checks that a stream that a client resumes continues at the version that began it. The events
 // within one response are checked by responsesComplete.
 func (c *checker) streamsOfOneVersion() Guarantee {
-	g := Guarantee{Name: "a stream that a client takes up goes on at the version that began it"}
+	g := Guarantee{Name: "a stream that a client resumes continues at the version that began it"}
 	for _, call := range c.observed.Calls {
 		begun := c.calls[call.Resumes]
 		if begun == nil || receivedEvents(call.ResponseBody) == 0 {
@@ -59,21 +59,21 @@
 		}
 		g.Cases++
 		if before, now := writtenBy(begun.ResponseBody), writtenBy(call.ResponseBody); before != now {
-			g.addViolation(call.ID, "%s: goes on at %s, begun as %s at %s", call.ID, now, begun.ID, before)
+			g.addViolation(call.ID, "%s: continues at %s, begun as %s at %s", call.ID, now, begun.ID, before)
 		}
 	}
 	return g
 }
 
-// minResumedShare is the share of new streams that begin, of which the share of resumptions that go on must be at least
+// minResumedShare is the share of new streams that begin, of which the share of resumptions that succeed must be at least
 // this much.
 const minResumedShare = 0.5
 
 // resumptionsServed checks that undisturbed processes serve resumptions about as well as new streams.
 
 func (c *checker) resumptionsServed() Guarantee {
-	g := Guarantee{Name: "resumptions go on at least half as often as new streams begin"}
-	var begun, attempts, wentOn, resumed int
+	g := Guarantee{Name: "resumptions succeed at least half as often as new streams begin"}
+	var begun, attempts, continued, resumed int
 	for _, call := range c.observed.Calls {
 		if call.Kind != Stream || call.Poisoned || !call.CanceledAt.IsZero() || !c.undisturbed(call.Gateway, call.Ended) {
 			continue
@@ -88,11 +88,11 @@
 			continue
 		}
 		resumed++
-		wentOn += boolInt(served)
+		continued += boolInt(served)
 	}
 	g.Cases = resumed
-	if resumed >= minResumptions && float64(wentOn)*float64(attempts) < minResumedShare*float64(begun)*float64(resumed) {
-		g.addViolation("", "%d of %d resumptions went on, %d of %d new streams began", wentOn, resumed, begun, attempts)
+	if resumed >= minResumptions && float64(continued)*float64(attempts) < minResumedShare*float64(begun)*float64(resumed) {
+		g.addViolation("", "%d of %d resumptions succeeded, %d of %d new streams began", continued, resumed, begun, attempts)
 	}
 	return g
 }
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -83,7 +83,7 @@
 			c.ResponseBody = expectedEvents(c, versionMark+"v1")
 			c.ResponseBody = c.ResponseBody[:strings.LastIndex(c.ResponseBody, "v1")] + "v2\n\n"
 		}},
-		"stream taken up at another version": {(*checker).streamsOfOneVersion, func(f *Observations) {
+		"stream resumed at another version": {(*checker).streamsOfOneVersion, func(f *Observations) {
 			begun, _ := f.addAnsweredCall("r", Stream, 40)
 			begun.ResponseBody, begun.Complete = expectedEvents(begun, versionMark+"v1")[:80], false
 			c, _ := f.addAnsweredCall("q", Stream, 41)
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -46,7 +46,7 @@
 	Sent, Ended time.Time
 	// Timeout is the deadline that the client states, relative to Sent.
 	Timeout time.Duration
-	// Resumes is the ID of the call that began the stream which this one takes up after the event After. It is empty for
+	// Resumes is the ID of the call that began the stream which this one resumes after the event After. It is empty for
 	// a new request.
 	Resumes string
 	After   int
--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -1,5 +1,5 @@
 // Package resumption knows which software version began a stream. What two versions write of one stream
-// doesn't fit together, so a client that takes a stream up must get an instance of that version.
+// doesn't fit together, so a client that resumes a stream must get an instance of that version.
 package resumption
 
 import (
@@ -63,7 +63,7 @@
 	Peers     func() []members.Member
 	// StaleAfter is the age from which registrations count as out of date, 0 for never.
 	StaleAfter time.Duration
-	// DrainUse is how long a draining instance may still get streams that only it can go on with.
+	// DrainUse is how long a draining instance may still get streams that only it can continue.
 	DrainUse time.Duration
 	// Store is for the time after the loss of all processes, nil for none.
 	Store   *StoreOptions
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// Began records that an instance has begun a stream, or has gone on with it, for a client that may take it up
+// Began records that an instance has begun a stream, or has continued it, for a client that may resume it
 // within the given time.
 func (r *Registry) Began(o Origin, life time.Duration) {
 	r.table.add(o, life, true)
@@ -240,7 +240,7 @@
 	return p, true
 }
 
-// Find returns the origin of the stream that a client takes up. It asks the peers unless this process has a record.
+// Find returns the origin of the stream that a client resumes. It asks the peers unless this process has a record.
 // service is the service of the stream if there is no record.
 func (r *Registry) Find(ctx context.Context, workspace, request, service string, life time.Duration) (Origin, Source) {
 	o, source := r.find(ctx, workspace, request, service, life)
@@ -271,8 +271,8 @@
 	return Origin{}, SourceNone
 }
 
-// MayGoOnAt reports whether a draining instance may still go on with a stream.
-func (r *Registry) MayGoOnAt(i *fleet.Instance) bool {
+// MayContinueAt reports whether a draining instance may still continue a stream.
+func (r *Registry) MayContinueAt(i *fleet.Instance) bool {
 	r.history.observe(r.o.View())
 	d, ok := r.history.drainingFor(i)
 	return ok && d < r.o.DrainUse
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -124,7 +124,7 @@
 	began("w", "a", "v1")
 	w.pass(life - time.Second)
 	_, source = w.find("a")
-	require.Equal(t, SourceRecord, source, "a stream that was taken up lives on")
+	require.Equal(t, SourceRecord, source, "a stream that was resumed lives on")
 	began("w", "a", "v2")
 	_, source = w.find("a")
 	require.Equal(t, SourceNone, source, "two streams with the same ID")
--- a/internal/resumption/table.go
+++ b/internal/resumption/table.go
@@ -34,7 +34,7 @@
 type record struct {
 	Origin
 	expires bootclock.Instant
-	// own is true if this process began the stream or took it up.
+	// own is true if this process began the stream or resumed it.
 	own bool
 }
 
@@ -89,7 +89,7 @@
 	return r, ok && t.now() < r.expires
 }
 
-// ownOf returns the records of the streams of a service that this process began or took up.
+// ownOf returns the records of the streams of a service that this process began or resumed.
 func (t *table) ownOf(service string) (out []record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/scheduler/codec_test.go
+++ b/internal/scheduler/codec_test.go
@@ -30,7 +30,7 @@
 }
 
 // TestPlanOfASchedulerThatIgnoresTheVersion has a scheduler of an older version choose an instance of another
-// software version than the one that may go on with a stream.
+// software version than the one that may continue a stream.
 func TestPlanOfASchedulerThatIgnoresTheVersion(t *testing.T) {
 	config := &fleet.Config{Routes: []fleet.Route{{Name: "r"}}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	config.Index()
--- a/internal/standin/fleetcaller/fleetcaller.go
+++ b/internal/standin/fleetcaller/fleetcaller.go
@@ -26,7 +26,7 @@
 	Timeout time.Duration
 	// Prompt is nil for requests that go to a backend server instead of an engine.
 	Prompt *Prompt
-	// Resumes is the ID of the request that began the stream which this one takes up after the event LastEvent. It is
+	// Resumes is the ID of the request that began the stream which this one resumes after the event LastEvent. It is
 	// empty for a new request.
 	Resumes   string
 	LastEvent int
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -171,7 +171,7 @@
 	"unknown-key":    {"no workspace of the configuration in force has the API key", "compare config with the version that the operator published; the client may use a revoked key"},
 	"key-unproven":   {"the process did not know that its configuration was the newest, so the key might have been revoked", "compare proof_age of other decisions with bounds.revoke; look for the message store lost"},
 	"quarantined":    {"instances crashed while they ran this request, so it is rejected for a while", "see err for the instances and rockdoor gateway quarantine for the request; repair the engines or change the request, then release it"},
-	"unknown-origin": {"the client took up a stream, and no process knew which software version had begun it, or its route no longer leads there", "see known_by and resumes of the message stream is taken up; the process that began the stream and those with its records were lost, or the ID is wrong"},
+	"unknown-origin": {"the client resumed a stream, and no process knew which software version had begun it, or its route no longer leads there", "see known_by and resumes of the message resuming stream; the process that began the stream and those with its records were lost, or the ID is wrong"},
 	"rate-limited":   {"all permitted instances had reached the rate limits that they announce", "see rockdoor gateway limits at a gateway that decides"},
 	"no-route":       {"no route of the configuration in force matches the request", "compare config with the version that the operator published; an older version means that the process could not reach the store"},
 	"bad-request":    {"the headers of the request were invalid", "see err"},
