Timers of versions, quarantines and shedding run less often

Change: the saver of records sleeps until there are some; the others run each 250 or 500 ms, the samples of the delay each 50 ms with twice the steps.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -17,14 +17,14 @@
 
 const (
 	// sampleInterval is the time between two samples of the delay with which the process runs.
-	sampleInterval = 25 * time.Millisecond
+	sampleInterval = 50 * time.Millisecond
 	// maxDelay is the delay of a sample from which the processor counts as overloaded. A processor quota delays a process
 	// by up to 100 ms without any overload.
 	maxDelay = 120 * time.Millisecond
 	// The share of new connections that are shed rises by shareRise with each sample that is late, up to maxShare, and
 	// falls by shareFall with each other one.
-	shareRise = 0.1
-	shareFall = 0.02
+	shareRise = 0.2
+	shareFall = 0.04
 	maxShare  = 0.75
 )
 
--- a/internal/resumption/keeper.go
+++ b/internal/resumption/keeper.go
@@ -15,7 +15,7 @@
 
 const (
 	// keepInterval is how often the versions are compared with those in the store.
-	keepInterval = 200 * time.Millisecond
+	keepInterval = 500 * time.Millisecond
 	// clockMargin covers the differences between the wall clocks of the processes.
 	clockMargin = time.Second
 )
--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -15,7 +15,6 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
-	"github.com/rockdoor/rockdoor/internal/periodic"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
@@ -31,7 +30,7 @@
 	// maxBatch limits the records in one message.
 	maxBatch = 1000
 	// observeInterval is how often the versions of the instances are recorded.
-	observeInterval = 100 * time.Millisecond
+	observeInterval = 250 * time.Millisecond
 	// sendTimeout limits a call that sends records, askTimeout one that asks for a record. The client waits for
 	// the latter.
 	sendTimeout = 200 * time.Millisecond
@@ -88,6 +87,8 @@
 	unsaved []record
 	sharing map[string]bool
 	wake    chan struct{}
+	// wakeSaver has an entry if there are unsaved records.
+	wakeSaver chan struct{}
 }
 
 // New returns a registry. The caller must call Run if there are peers.
@@ -97,7 +98,7 @@
 	}
 	r := &Registry{
 		o: o, logger: log.With(o.Logger, "component", "resumption"), history: newHistory(o.StaleAfter), table: newTable(),
-		sharing: map[string]bool{}, wake: make(chan struct{}, 1),
+		sharing: map[string]bool{}, wake: make(chan struct{}, 1), wakeSaver: make(chan struct{}, 1),
 	}
 	if o.Store != nil {
 		r.saver, r.reader = &saver{o: *o.Store, versions: map[int]objstore.Version{}}, &reader{o: *o.Store}
@@ -108,7 +109,7 @@
 // Run records the versions of instances and sends records to peers until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
 	if r.saver != nil {
-		go periodic.Run(ctx, observeInterval, r.savePending)
+		go r.runSaver(ctx)
 	}
 	tick := time.NewTicker(observeInterval)
 	defer tick.Stop()
@@ -173,8 +174,14 @@
 		r.unsaved = r.unsaved[max(0, len(r.unsaved)-maxUnsaved):]
 	}
 	r.mu.Unlock()
+	notify(r.wake)
+	notify(r.wakeSaver)
+}
+
+// notify puts an entry into a channel that has room for one.
+func notify(c chan<- struct{}) {
 	select {
-	case r.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -58,8 +58,7 @@
 
 // saver writes records to the store. Only one goroutine may use it.
 type saver struct {
-	o       StoreOptions
-	savedAt time.Time
+	o StoreOptions
 	// versions are those of the objects that this process has written, by slot.
 	versions map[int]objstore.Version
 }
@@ -88,10 +87,21 @@
 	return nil
 }
 
-// savePending writes the records that have not been written yet, unless that was done lately.
+// runSaver writes records to the store, at most one object each saveInterval, until ctx ends.
+func (r *Registry) runSaver(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-r.wakeSaver:
+			time.Sleep(saveInterval)
+			r.savePending(ctx)
+		}
+	}
+}
+
+// savePending writes the records that have not been written yet. While the store is away they stay for a later write.
 func (r *Registry) savePending(ctx context.Context) {
-	v := r.o.View()
-	if time.Since(r.saver.savedAt) < saveInterval || v.Processes > maxSaving || !v.StoreUp {
+	if v := r.o.View(); v.Processes > maxSaving || !v.StoreUp {
 		return
 	}
 	r.mu.Lock()
@@ -101,7 +111,6 @@
 	if len(unsaved) == 0 {
 		return
 	}
-	r.saver.savedAt = time.Now()
 	now, wall := r.table.now(), r.saver.o.Clock()
 	out := make([]storedRecord, 0, len(unsaved))
 	for _, rec := range unsaved {
--- a/internal/suspects/keeper.go
+++ b/internal/suspects/keeper.go
@@ -20,7 +20,7 @@
 	// objectName is the name of the object that holds what is quarantined.
 	objectName = "main"
 	// keepInterval is how often the quarantined causes are compared with the object.
-	keepInterval = 200 * time.Millisecond
+	keepInterval = 500 * time.Millisecond
 	// storeRetry is the time until a failed read is repeated.
 	storeRetry = time.Second
 	// loadInterval is how often a process that has started tries to read the object, loadPeriod for how long.
