Processes that don't know the registrations yet share the records of their streams

What callers saw: after a host of a large fleet was killed within seconds of its start, none of its 40 streams could be resumed. Cause: until it has the registrations, a process has seen no version, so that it counted as one with a single one and told its peers nothing. Change: such a process shares its records.

--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -140,7 +140,7 @@
 // versions that serve, or this process can't rule that out.
 func (r *Registry) shares(service string) bool {
 	v := r.o.View()
-	return len(r.history.evidence(v, service, maxLife).Versions) > 1 || !r.history.isCurrent(v)
+	return !v.InstancesKnown || len(r.history.evidence(v, service, maxLife).Versions) > 1 || !r.history.isCurrent(v)
 }
 
 // review records the versions of all instances. Once the records of a service have to be shared, those of
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -163,6 +163,11 @@
 	w.review()
 	require.Len(t, w.pending, 2)
 
+	young := newWorld()
+	young.view = &fleet.View{InstancesConfirmedAt: bootclock.Now()} // a scheduler places its requests until it has the registrations
+	young.Began(Origin{Request: "a", Service: "s", Software: "v1"}, life)
+	require.Len(t, young.pending, 1, "the process doesn't know which versions serve")
+
 	stale := newWorld("v1")
 	stale.view.InstancesConfirmedAt = bootclock.Now().Add(-time.Minute)
 	stale.Began(Origin{Request: "a", Service: "s", Software: "v1"}, life)
