Test of resumptions under faults: three versions, one of them in one domain

Cause: a break that the first host has not noticed, the store down, and hosts cut from their peers had no test. Change: clients resume streams of three versions at hosts that did not begin them, in each of these cases.

--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 )
 
 // streamEvents is the number of events of each stream of addVersions.
@@ -45,7 +46,15 @@
 
 func (d *deployment) registerEngine(e *fleetengine.Engine, address, phase string) {
 	d.addresses[e.ID] = address
-	d.store.Set("servers", e.ID, map[string]any{"service": "llm", "address": address, "zone": "a", "slots": 32, "phase": phase, "stage": e.Stage(), "version": e.Software})
+	d.store.Set("servers", e.ID, map[string]any{"service": "llm", "address": address, "zone": zoneOf(e), "slots": 32, "phase": phase, "stage": e.Stage(), "version": e.Software})
+}
+
+// zoneOf returns the failure domain of an engine: v3 serves in one domain only.
+func zoneOf(e *fleetengine.Engine) string {
+	if e.Software == "v3" {
+		return "b"
+	}
+	return "a"
 }
 
 func (d *deployment) removeEngine(id string) { d.store.Remove("servers", id) }
@@ -303,3 +312,58 @@
 		})
 	}
 }
+
+// TestStreamsContinueAtTheirVersionUnderFaults has clients resume streams of three versions at hosts that did not begin
+// them. No stream may have events of two versions, also where a resumption can't succeed.
+func TestStreamsContinueAtTheirVersionUnderFaults(t *testing.T) {
+	const streams = 30
+	for name, c := range map[string]struct {
+		// fault happens while the streams are under way at the first process, or before them.
+		fault  func(d *deployment, first *process, others []*process, link *storeLink)
+		before bool
+		// minShare is the share of resumptions that must succeed.
+		minShare float64
+	}{
+		"the first host has not noticed a break": {func(*deployment, *process, []*process, *storeLink) {}, false, 0.95},
+		"the first host is killed while the store is down": {func(d *deployment, first *process, _ []*process, link *storeLink) {
+			d.store.SetFaults(fleetstore.Faults{Down: true})
+			first.kill(link)
+		}, false, 0.95},
+		"the other hosts are cut from all peers": {func(_ *deployment, _ *process, others []*process, _ *storeLink) {
+			for _, p := range others {
+				p.daemon.transport.Close()
+			}
+		}, true, 0},
+		"the other hosts are cut from all peers and from the store": {func(d *deployment, _ *process, others []*process, _ *storeLink) {
+			d.store.SetFaults(fleetstore.Faults{Down: true})
+			for _, p := range others {
+				p.daemon.transport.Close()
+			}
+		}, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.applyLimit = "3s"
+			link := d.isolateStoreLink("a")
+			d.addVersions(2, "v1", "v2", "v3")
+			for _, e := range d.engines[4:] {
+				e.Gap = 200 * time.Millisecond
+			}
+			all := fleetStarts["few"](d)
+			d.waitForPeers(all)
+			if c.before {
+				c.fault(d, all[0], all[1:], link)
+			}
+			clients := beginStreams(all[:1], streams, 3)
+			if !c.before {
+				c.fault(d, all[0], all[1:], link)
+			}
+			clients.disconnect()
+			clients.ended.Wait()
+			mixed, continued := clients.resume(all[1:])
+			t.Logf("%d of %d streams have events of two versions; %d continued", mixed, streams, continued)
+			require.Zero(t, mixed)
+			require.GreaterOrEqual(t, float64(continued), c.minShare*streams)
+		})
+	}
+}
