Tests of a flood with a poison part, and of clearing a part

Cause: a third of a class with the part, and an operator's clearing at all hosts, had no test with processes. Change: TestFloodWithAPoisonPart, TestClearedPartRunsAtAllHosts.

--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -282,3 +282,92 @@
 	}
 	require.Equal(t, before, c.poisonPartArrivals())
 }
+
+// poisonPartHeader returns the headers of a request whose prompt has the poison part.
+func poisonPartHeader(n int64) http.Header {
+	return http.Header{"X-Model": {"m"}, "X-Token-Count": {"1000,2"}, "X-Prompt-Prefix": {fmt.Sprintf("aa:600,dead:300,own%d:100", n)}}
+}
+
+// TestFloodWithAPoisonPart sends a third of all requests with the part, several at a time, to all hosts. The engines end
+// together and come back together.
+func TestFloodWithAPoisonPart(t *testing.T) {
+	const (
+		clients = 12
+		length  = 8 * time.Second
+	)
+	d := newDeployment(t)
+	d.applyLimit = "3s"
+	d.removeEngine("i-2")
+	d.removeEngine("i-3")
+	c := d.addCrashingEngines(6)
+	all := fleetStarts["few"](d)
+	var fifthCrash atomic.Pointer[time.Time]
+	stop := sendContinuously(clients, func(id string, n int) {
+		time.Sleep(30 * time.Millisecond)
+		header := poisonPartHeader(int64(n))
+		if n%3 > 0 {
+			header["X-Prompt-Prefix"] = []string{fmt.Sprintf("aa:600,bb:300,own%d:100", n)}
+		}
+		all[n%len(all)].sendBody("/llm/x", id, id, header)
+		if now := time.Now(); c.crashCount() >= 5 {
+			fifthCrash.CompareAndSwap(nil, &now)
+		}
+	})
+	time.Sleep(length)
+	stop()
+	require.NotNil(t, fifthCrash.Load())
+	late := 0
+	for _, e := range c.engines {
+		for _, run := range e.Runs() {
+			if strings.Contains(run.Header.Get("X-Prompt-Prefix"), poisonPart) && run.At.After(fifthCrash.Load().Add(quarantineTimeout)) {
+				late++
+			}
+		}
+	}
+	t.Logf("%d engines crashed, %d sends, %d of them late", c.crashCount(), c.poisonPartArrivals(), late)
+	require.LessOrEqual(t, late, maxSendsAfterQuarantine)
+	status, body := all[0].sendBody("/llm/x", "sound", "sound", http.Header{"X-Model": {"m"}, "X-Token-Count": {"1000,2"}, "X-Prompt-Prefix": {"aa:600,bb:300,own:100"}})
+	require.Equal(t, http.StatusOK, status, body)
+}
+
+// TestClearedPartRunsAtAllHosts has an operator clear a part at one host.
+func TestClearedPartRunsAtAllHosts(t *testing.T) {
+	d := newDeployment(t)
+	d.removeEngine("i-2")
+	d.removeEngine("i-3")
+	c := d.addCrashingEngines(8)
+	all := fleetStarts["few"](d)
+	d.waitForPeers(all)
+	attempts := int64(0)
+	send := func(p *process) int {
+		attempts++
+		status, _ := p.sendBody("/llm/x", fmt.Sprint("d-", attempts), fmt.Sprint("body ", attempts), poisonPartHeader(attempts))
+		return status
+	}
+	for n := 0; c.crashCount() < crashesBeforeQuarantine && n < 20; n++ {
+		send(all[n%len(all)])
+		time.Sleep(poisonInterval)
+	}
+	refusedAt := func(p *process) (parts []SuspectStatus) {
+		var known []SuspectStatus
+		p.get(t, "/quarantine", &known)
+		return slices.DeleteFunc(known, func(s SuspectStatus) bool { return s.Kind != "part" || !s.Refused })
+	}
+	for _, p := range all {
+		require.Eventually(t, func() bool { return len(refusedAt(p)) > 0 }, 2*time.Second, 10*time.Millisecond)
+	}
+	for _, part := range refusedAt(all[0]) {
+		req, err := http.NewRequest(http.MethodDelete, "http://"+all[0].settings.Metrics+"/quarantine/"+part.Fingerprint, nil)
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	for _, p := range all {
+		require.Eventually(t, func() bool { return len(refusedAt(p)) == 0 }, 2*time.Second, 10*time.Millisecond)
+	}
+	before := c.poisonPartArrivals()
+	send(all[1])
+	require.Greater(t, c.poisonPartArrivals(), before)
+}
