Attempts that wait at an engine are withdrawn once their request is quarantined

What callers saw: requests with a part that crashes engines, queued at engines when the verdict came, ran there all the same and ended further engines. Cause: the quarantine was looked at before a send, not between the send and the first event. Change: while something is suspected, attempts without a first event, at the target or while the prompt is prefilled, are compared with the quarantine each 50 ms and given up. Nothing is held against the engine; one that may have run ends with 502, one that was being prefilled with 503. Result: TestQuarantinedAttemptsAreWithdrawn: three kinds of attempt end within 700 ms of an engine's delay of 1 s, and a sound request is served.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	notices       *notice.Table
 	limits        *ratelimit.Table
 	streams       *resumption.Registry
+	withdrawals   withdrawals
 	buffers       memoryBudget
 	startup       startupWaiter
 	inFlight      atomic.Int64
@@ -103,11 +104,13 @@
 	if o.Streams == nil {
 		o.Streams = resumption.New(resumption.Options{View: o.View, Metrics: o.Metrics, Logger: o.Logger})
 	}
-	return &Server{
+	s := &Server{
 		o: o, streams: o.Streams, budget: newRetryBudget(o.Budget), startup: startupWaiter{started: time.Now(), ready: o.Ready},
 		notices: notice.NewTable(o.Logger), limits: o.RateLimits,
 		crashDetector: &suspects.CrashDetector{Table: o.Quarantine, RefusesConnections: o.Client.RefusesConnections, Logger: o.Logger},
 	}
+	s.withdrawals = withdrawals{server: s, attempts: map[*waitingAttempt]bool{}}
+	return s
 }
 
 // SetRetryBudget replaces the ratio and the slack of the retry budget. Its window stays.
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -53,8 +53,28 @@
 	timer  *time.Timer
 
 	mu sync.Mutex
-	// over is true once the response has begun or the attempt has ended, hung once it was given up.
-	over, hung bool
+	// over is true once the response has begun or the attempt has ended, hung once it was given up, and withdrawn if that
+	// was because of its request.
+	over, hung, withdrawn bool
+}
+
+// withdraw gives the attempt up because its request must not run. It returns false if the response has begun.
+func (w *hangWatch) withdraw() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over || w.hung {
+		return false
+	}
+	w.hung, w.withdrawn = true, true
+	w.cancel()
+	return true
+}
+
+// wasWithdrawn reports whether the attempt was withdrawn.
+func (w *hangWatch) wasWithdrawn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.withdrawn
 }
 
 // watchForHang starts to watch an attempt at an instance that begins now. The attempt must use the
@@ -71,7 +91,7 @@
 	w.timer = time.AfterFunc(wait, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.over {
+		if w.over || w.hung {
 			return
 		}
 		w.hung = server.budget.takeRetry(service)
@@ -124,6 +144,9 @@
 }
 
 // errHung is the error of an attempt that was given up.
-func errHung(i *fleet.Instance) error {
+func errHung(i *fleet.Instance, w *hangWatch) error {
+	if w.wasWithdrawn() {
+		return fault.Newf(fault.Unknown, "the request is rejected", "the request was quarantined while instance %s had it", i.ID)
+	}
 	return fault.Newf(fault.Unknown, "another instance is tried", "instance %s has not begun to respond", i.ID)
 }
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -30,11 +30,12 @@
 	defer cancel()
 	ctx, watch := q.watchForHang(ctx, plan.PrefillEngine, plan.QueueDelay+plan.PrefillTime)
 	defer watch.end()
+	defer q.s.withdrawals.add(q, plan.PrefillEngine.ID, watch)()
 	resp, verdict, err := q.exchange(ctx, plan.PrefillEngine, engine.SendOptions{
 		Instance: plan.PrefillEngine.ID, Remaining: time.Until(q.firstEventDeadline()), Rank: plan.Rank, PrefillOnly: true, FetchFrom: addressOf(plan.FetchFrom),
 	})
 	if err != nil && !watch.responded() {
-		return q.prefillHung(plan, ticket)
+		return q.prefillHung(plan, ticket, watch)
 	}
 	if err != nil {
 		if q.retryCharged = fault.Is(err, fault.Unavailable); !q.retryCharged && !errors.Is(err, upstream.ErrOwnPath) { // the engine may have received the request
@@ -48,7 +49,7 @@
 	}
 	body, err := readAll(resp, maxPrefillResult)
 	if !watch.responded() && err != nil {
-		return q.prefillHung(plan, ticket)
+		return q.prefillHung(plan, ticket, watch)
 	}
 	if err != nil && resp.OwnPathLost(q.ctx, err) {
 		return q.prefillFailed(plan, ticket, placement.Succeeded, errors.Mark(err, upstream.ErrOwnPath))
@@ -72,10 +73,13 @@
 	return lifecycle.Delivered, nil
 }
 
-// prefillHung records that a prefill was given up. Its retry has been charged.
-func (q *request) prefillHung(plan *placement.Plan, ticket scheduler.Ticket) (lifecycle.Outcome, error) {
+// prefillHung records that a prefill was given up. Its retry has been charged, unless its request is rejected anyway.
+func (q *request) prefillHung(plan *placement.Plan, ticket scheduler.Ticket, watch *hangWatch) (lifecycle.Outcome, error) {
 	q.retryCharged = true
-	return q.prefillFailed(plan, ticket, placement.Failed, errHung(plan.PrefillEngine))
+	if watch.wasWithdrawn() {
+		return q.prefillFailed(plan, ticket, placement.Succeeded, errHung(plan.PrefillEngine, watch))
+	}
+	return q.prefillFailed(plan, ticket, placement.Failed, errHung(plan.PrefillEngine, watch))
 }
 
 // prefillFailed records that an engine did not prefill the prompt, and excludes the engine
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -56,8 +56,7 @@
 
 // newlyQuarantined reports whether the request has been quarantined since it was placed.
 func (q *request) newlyQuarantined() bool {
-	t := q.s.o.Quarantine
-	return !q.trial && !t.Empty() && (t.Verdict(q.fingerprint()).Refused || t.PartVerdict(q.parts()).Refused)
+	return !q.trial && !q.s.o.Quarantine.Empty() && q.s.isQuarantined(q.fingerprint(), q.parts())
 }
 
 // parts returns the parts of the prompt that may crash instances. The last one belongs to the request itself.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -286,12 +286,14 @@
 		q.logDecision(view)
 	}
 	q.backup = q.chooseBackup(plan.Target)
-	ctx := q.ctx
-	q.hang = &hangWatch{cancel: func() {}}
+	ctx, cancel := context.WithCancel(q.ctx)
+	q.hang = &hangWatch{cancel: cancel}
 	if q.mayGiveUpRun(plan) {
 		ctx, q.hang = q.watchForHang(ctx, plan.Target, plan.QueueDelay+plan.PrefillTime)
 	}
 	defer q.hang.end()
+	defer cancel()
+	defer q.s.withdrawals.add(q, plan.Target.ID, q.hang)()
 	service := q.s.o.View().Config.Services[q.service]
 	options := engine.SendOptions{
 		Instance: plan.Target.ID, Remaining: time.Until(q.deadline), Rank: q.s.o.Placer.TargetRank(service, q.route, plan, q.kvSource != nil), Source: q.kvSource, ResumeAfter: q.resumeAfter(),
@@ -322,7 +324,7 @@
 		if !q.hang.responded() {
 			q.retryCharged = true
 			q.releaseKV() // the instance may have consumed it
-			return lifecycle.Lost, errHung(plan.Target)
+			return lifecycle.Lost, errHung(plan.Target, q.hang)
 		}
 		if ownPath {
 			q.releaseKV() // the instance most likely runs, and has consumed it
@@ -383,7 +385,7 @@
 	q.avoid[plan.Target.ID] = true
 	if !q.hang.responded() {
 		q.retryCharged = true
-		return lifecycle.Lost, errHung(plan.Target)
+		return lifecycle.Lost, errHung(plan.Target, q.hang)
 	}
 	q.reportBrokenRun(plan.Target)
 	return q.resumeAtBackup(err)
@@ -403,7 +405,7 @@
 // against the instance if the client disconnected or the deadline passed.
 func (q *request) failureOutcome(err error) placement.Outcome {
 	switch {
-	case q.ctx.Err() != nil, !time.Now().Before(q.deadline):
+	case q.ctx.Err() != nil, !time.Now().Before(q.deadline), q.hang != nil && q.hang.wasWithdrawn():
 		return placement.Succeeded
 	case fault.Is(err, fault.Unavailable):
 		return placement.Unreachable
@@ -414,7 +416,7 @@
 // responseOutcome returns what the end of a relayed response says about the instance. A
 // client that disconnected is not counted against it.
 func (q *request) responseOutcome(o lifecycle.Outcome) placement.Outcome {
-	if o == lifecycle.Lost && !q.clientGone {
+	if o == lifecycle.Lost && !q.clientGone && !q.hang.wasWithdrawn() {
 		return placement.Failed
 	}
 	return placement.Succeeded
