Explain which instances may continue a stream

What operators saw: explain knew no software versions, so that a rejected resumption could be explained from logs only. Result: TestExplainSaysWhatMayContinueAStream.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -137,12 +137,14 @@
 			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request", Required: true},
 			&cli.StringFlag{Name: "id", Usage: "request `ID`, which decides the service of a split route"},
 			&cli.StringFlag{Name: "subject", Usage: "`ID` of the last shared part of the prompt"},
+			&cli.StringFlag{Name: "resumes", Usage: "`ID` of the attempt that began the stream which the request resumes"},
+			&cli.StringFlag{Name: "workspace", Usage: "`NAME` of the client's workspace, for --resumes"},
 			&cli.IntFlag{Name: "prompt", Usage: "`TOKENS` of the prompt"},
 			&cli.IntFlag{Name: "shared", Usage: "`TOKENS` of the prompt in parts that other requests share"},
 		},
 		Action: func(c *cli.Context) error {
 			q := url.Values{}
-			for _, name := range []string{"host", "path", "id", "subject"} {
+			for _, name := range []string{"host", "path", "id", "subject", "resumes", "workspace"} {
 				q.Set(name, c.String(name))
 			}
 			for _, name := range []string{"prompt", "shared"} {
@@ -153,15 +155,18 @@
 				return err
 			}
 			fmt.Fprintf(c.App.Writer, "route %s, service %s, configuration %d (%d ms old), instances %d ms old\nplan: %s\nhangs after: %d ms (0: never given up)\n\n", e.Route, e.Service, e.Config, e.ConfigAgeMs, e.InstancesAgeMs, e.Plan, e.HangMs)
-			t := newTable(c, "INSTANCE", "DOMAIN", "ROLE", "SCORE", "AHEAD MS", "READ MS", "UNCACHED", "REQUESTS", "PACE", "SPEEDS", "FAILURES", "WHY NOT")
+			if r := e.Resumption; r != nil {
+				fmt.Fprintf(c.App.Writer, "stream: known by %s, service %q, software %q\n\n", r.KnownBy, r.Service, r.Software)
+			}
+			t := newTable(c, "INSTANCE", "DOMAIN", "SOFTWARE", "ROLE", "SCORE", "AHEAD MS", "READ MS", "UNCACHED", "REQUESTS", "PACE", "SPEEDS", "FAILURES", "WHY NOT")
 			for _, i := range e.Considered {
-				t.AppendRow([]any{i.Instance, i.Domain, i.Role, formatNumber(i.Score), formatNumber(i.QueueDelayMs), formatNumber(i.PrefillMs), i.Uncached, i.Load.Requests, formatNumber(i.Slowdown), formatSpeeds(i.PrefillSpeed, i.DecodeSpeed), formatNumber(i.FailureRate), i.Unavailable})
+				t.AppendRow([]any{i.Instance, i.Domain, i.Software, i.Role, formatNumber(i.Score), formatNumber(i.QueueDelayMs), formatNumber(i.PrefillMs), i.Uncached, i.Load.Requests, formatNumber(i.Slowdown), formatSpeeds(i.PrefillSpeed, i.DecodeSpeed), formatNumber(i.FailureRate), i.Unavailable})
 			}
 			for _, r := range e.Rejected {
-				t.AppendRow([]any{r.Instance, "", "", "", "", "", "", "", "", "", "", "forbidden by " + r.Rule})
+				t.AppendRow([]any{r.Instance, "", "", "", "", "", "", "", "", "", "", "", "forbidden by " + r.Rule})
 			}
 			for _, id := range e.Draining {
-				t.AppendRow([]any{id, "", "", "", "", "", "", "", "", "", "", "draining"})
+				t.AppendRow([]any{id, "", "", "", "", "", "", "", "", "", "", "", "draining"})
 			}
 			t.Render()
 			return nil
--- a/internal/gateway/hang_test.go
+++ b/internal/gateway/hang_test.go
@@ -87,10 +87,10 @@
 
 func TestExplainStatesWhenAnAttemptHangs(t *testing.T) {
 	r := patientHarness(t, harnessOptions{model: engines("decode", "i-1")}, 2)
-	e, err := r.gateway.Explain(gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000})
+	e, err := r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000})
 	require.NoError(t, err)
 	require.Equal(t, int64(1200), e.HangMs)
-	e, err = r.gateway.Explain(gateway.ExplainRequest{Host: testHost, Path: pathAtMostOnceStream, PromptTokens: 9000})
+	e, err = r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathAtMostOnceStream, PromptTokens: 9000})
 	require.NoError(t, err)
 	require.Zero(t, e.HangMs, "it must not run twice")
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -27,13 +27,13 @@
 	return q.route.Kind == fleet.Streaming && (q.call.LastEvent != "" || q.call.Resumes != "")
 }
 
-// resumptionTime returns the time within which the client may resume the stream.
-func (q *request) resumptionTime() time.Duration { return q.route.Timeout + resumptionMargin }
+// resumptionTime returns the time within which clients may resume a stream of a route.
+func resumptionTime(r *fleet.Route) time.Duration { return r.Timeout + resumptionMargin }
 
 // findOrigin finds out what began the stream that the client resumes. It returns a reply if the stream can't continue.
 func (q *request) findOrigin() *reply {
 	service := q.route.PickService(q.call.Resumes)
-	o, source := q.s.streams.Find(q.ctx, q.workspaceName(), q.call.Resumes, service, q.resumptionTime())
+	o, source := q.s.streams.Find(q.ctx, q.workspaceName(), q.call.Resumes, service, resumptionTime(q.route))
 	level.Info(q.s.o.Logger).Log("msg", "resuming stream", "request", q.call.ID, "resumes", q.call.Resumes, "after", q.call.LastEvent, "known_by", source, "service", o.Service, "software", o.Software)
 	if source == resumption.SourceNone {
 		err := fault.New(fault.Unavailable, "no process knows which software version began the stream", "send the request anew, without the events received")
@@ -128,7 +128,7 @@
 		}
 	}
 	if q.route.Resumable && q.origin.Request != "" {
-		q.s.streams.Began(*q.origin, q.resumptionTime())
+		q.s.streams.Began(*q.origin, resumptionTime(q.route))
 	}
 }
 
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/placement"
 )
@@ -29,7 +31,7 @@
 	return out
 }
 
-func resumption(of, after string) http.Header {
+func resumeHeader(of, after string) http.Header {
 	h := http.Header{"Last-Event-Id": {after}}
 	if of != "" {
 		h["Resumes"] = []string{of}
@@ -68,17 +70,17 @@
 	for n := range 20 {
 		id := fmt.Sprint("first-", n)
 		version := began(t, r.send(http.MethodPost, pathModel, id, "x", nil).body)
-		got := r.send(http.MethodPost, pathModel, fmt.Sprint("second-", n), "x", resumption(id, "2"))
+		got := r.send(http.MethodPost, pathModel, fmt.Sprint("second-", n), "x", resumeHeader(id, "2"))
 		require.Equal(t, http.StatusOK, got.status, got.body)
 		require.Equal(t, version, began(t, got.body))
 		require.NotContains(t, got.body, "id: 2\n")
 		// The client names the attempt that brought the first event, also when it resumes the stream again.
-		require.Equal(t, version, began(t, r.send(http.MethodPost, pathModel, fmt.Sprint("third-", n), "x", resumption(id, "3")).body))
+		require.Equal(t, version, began(t, r.send(http.MethodPost, pathModel, fmt.Sprint("third-", n), "x", resumeHeader(id, "3")).body))
 	}
 	runs := allRuns(all)
 	for name, h := range map[string]http.Header{
-		"an ID that nobody has seen": resumption("forged", "2"), "no ID": resumption("", "2"), "no event": {"Resumes": {"forged"}},
-		"the ID of a resumption, which began nothing": resumption("second-1", "2"),
+		"an ID that nobody has seen": resumeHeader("forged", "2"), "no ID": resumeHeader("", "2"), "no event": {"Resumes": {"forged"}},
+		"the ID of a resumption, which began nothing": resumeHeader("second-1", "2"),
 	} {
 		got := r.send(http.MethodPost, pathModel, "unknown", "x", h)
 		require.Equal(t, http.StatusServiceUnavailable, got.status, name)
@@ -86,12 +88,30 @@
 	require.Equal(t, runs, allRuns(all), "rejected requests have not run")
 }
 
+// TestExplainSaysWhatMayContinueAStream explains resumptions of a known stream and of an unknown one.
+func TestExplainSaysWhatMayContinueAStream(t *testing.T) {
+	r := newHarness(t, harnessOptions{model: versionedEngines("v1", "v2")})
+	version := began(t, r.send(http.MethodPost, pathModel, "a", "x", nil).body)
+	e, err := r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, Resumes: "a"})
+	require.NoError(t, err)
+	require.Equal(t, &gateway.Resumption{KnownBy: resumption.SourceRecord, Service: "model", Software: version}, e.Resumption)
+	require.Len(t, e.Considered, 2)
+	for _, c := range e.Considered {
+		require.Equal(t, version, c.Software)
+	}
+	e, err = r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, Resumes: "forged"})
+	require.NoError(t, err)
+	require.Equal(t, resumption.SourceNone, e.Resumption.KnownBy)
+	require.Empty(t, e.Considered)
+	require.Contains(t, e.Plan, "rejected")
+}
+
 // TestResumptionReachesTheEngineUnchanged checks that engines get the headers of the client.
 func TestResumptionReachesTheEngineUnchanged(t *testing.T) {
 	all := versionedEngines("v1", "v2")
 	r := newHarness(t, harnessOptions{model: all})
 	r.send(http.MethodPost, pathModel, "a", "x", nil)
-	r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "2"))
+	r.send(http.MethodPost, pathModel, "b", "x", resumeHeader("a", "2"))
 	for _, e := range all {
 		for _, run := range e.Runs() {
 			if run.ID == "b" {
@@ -149,7 +169,7 @@
 	r.send(http.MethodPost, pathModel, "a", "x", nil)
 	resumed.Store(true)
 	runs := allRuns(all)
-	got := r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "2"))
+	got := r.send(http.MethodPost, pathModel, "b", "x", resumeHeader("a", "2"))
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Equal(t, runs, allRuns(all))
 }
@@ -180,7 +200,7 @@
 	got := r.send(http.MethodPost, pathModel, "a", "x", nil)
 	require.True(t, got.truncated)
 	require.EqualValues(t, 1, placed.Load())
-	require.Equal(t, http.StatusServiceUnavailable, r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "1")).status)
+	require.Equal(t, http.StatusServiceUnavailable, r.send(http.MethodPost, pathModel, "b", "x", resumeHeader("a", "1")).status)
 }
 
 // TestStreamIsNotResumedAtAnotherService moves the route of a stream to another service.
@@ -195,6 +215,6 @@
 	}
 	v.Config.Index()
 	r.view.Store(&v)
-	got := r.send(http.MethodPost, pathModel, "b", "x", resumption("a", "2"))
+	got := r.send(http.MethodPost, pathModel, "b", "x", resumeHeader("a", "2"))
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 }
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -54,7 +54,7 @@
 	require.Empty(t, runs[0].Header.Get("X-Kv-Source"))
 	require.EqualValues(t, 4, r.counter("whole"))
 	require.Zero(t, r.counter("split"))
-	e, err := r.gateway.Explain(gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
+	e, err := r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
 	require.NoError(t, err)
 	require.Contains(t, e.Plan, "whole on w-")
 }
@@ -96,7 +96,7 @@
 			require.Equal(t, 2, runs, "MaxAttempts of the route")
 		}
 		require.Equal(t, http.StatusOK, r.send(http.MethodPost, pathModel, "next", "x", prompt("bb")).status)
-		e, err := r.gateway.Explain(gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
+		e, err := r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
 		require.NoError(t, err)
 		for _, c := range e.Considered {
 			require.Zero(t, c.Load, "nothing is pending any more at %s", c.Instance)
@@ -119,7 +119,7 @@
 		runs += len(e.Runs())
 	}
 	require.Equal(t, 1, runs)
-	e, err := r.gateway.Explain(gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
+	e, err := r.gateway.Explain(t.Context(), gateway.ExplainRequest{Host: testHost, Path: pathModel, PromptTokens: 9000, SharedTokens: 6300, PromptPrefix: "bb"})
 	require.NoError(t, err)
 	for _, c := range e.Considered {
 		require.Zero(t, c.Load, c.Instance)
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -118,8 +118,8 @@
 func (d *Daemon) explain(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	number := func(name string) int { n, _ := strconv.Atoi(q.Get(name)); return n } // a value that is not a number counts as 0
-	e, err := d.gateway.Explain(gateway.ExplainRequest{
-		Host: q.Get("host"), Path: q.Get("path"), ID: q.Get("id"), PromptPrefix: q.Get("subject"),
+	e, err := d.gateway.Explain(r.Context(), gateway.ExplainRequest{
+		Host: q.Get("host"), Path: q.Get("path"), ID: q.Get("id"), PromptPrefix: q.Get("subject"), Resumes: q.Get("resumes"), Workspace: q.Get("workspace"),
 		PromptTokens: number("prompt"), SharedTokens: number("shared"),
 	})
 	switch {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -9,6 +9,7 @@
 type Candidate struct {
 	Instance string      `json:"instance"`
 	Domain   string      `json:"domain"`
+	Software string      `json:"software,omitempty"`
 	Role     engine.Role `json:"role,omitempty"`
 	// Load is the work in flight there, from all processes.
 	Load Load `json:"load"`
@@ -53,7 +54,7 @@
 	var out []Candidate
 	for _, i := range j.Permitted {
 		st := p.state(i)
-		c := Candidate{Instance: i.ID, Domain: i.Domain, Role: i.Role, Load: p.load(st), Slowdown: st.slowdown, GapMs: st.gapMs, FailureRate: st.failureRate, Unavailable: p.unavailableReason(j, i, st)}
+		c := Candidate{Instance: i.ID, Domain: i.Domain, Software: i.Software, Role: i.Role, Load: p.load(st), Slowdown: st.slowdown, GapMs: st.gapMs, FailureRate: st.failureRate, Unavailable: p.unavailableReason(j, i, st)}
 		if st.profile != nil {
 			c.PrefillSpeed, c.DecodeSpeed = st.profile.usedPrefillSpeed, st.profile.usedDecodeSpeed
 		}
