--- a/internal/gatewayd/cutpaths_test.go
+++ b/internal/gatewayd/cutpaths_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 )
 
 // cutKind says how the connections from a host to instances fail while its path to them is cut.
@@ -416,3 +418,33 @@
 	}
 	require.NotEqual(t, helper, all[0].daemon.paths.LastHelper())
 }
+
+// TestUnframedResponsesThroughAPeer has a host without a path get streams that have neither a length nor chunks, through a
+// peer. Each third one is reset after its first event.
+func TestUnframedResponsesThroughAPeer(t *testing.T) {
+	const streams = 30
+	d := newDeployment(t)
+	d.addVersions(2, "v1")
+	for _, e := range d.engines[4:] {
+		e.Unframed = true
+	}
+	all, paths := d.startWithPaths("a", "b", "c")
+	paths[0].cut(cutReset, nil)
+	for _, e := range d.engines[4:] {
+		e.FailEvery(fleetengine.ResetAfterEvent, 3)
+	}
+	complete := 0
+	for n := range streams {
+		r := &received{versions: map[string]bool{}}
+		if status := r.attempt(t.Context(), all[0], fmt.Sprint("u-", n), nil, nil); status != http.StatusOK {
+			continue
+		}
+		require.NotEqual(t, r.whole(), r.cut, "a response that is not whole must not look complete: %d events", r.events)
+		if r.whole() {
+			complete++
+		}
+	}
+	t.Logf("%d of %d streams complete", complete, streams)
+	require.GreaterOrEqual(t, complete, streams/2)
+	require.Contains(t, all[0].log.String(), "a peer reaches it")
+}
--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -67,6 +67,8 @@
 	// versions are the versions that wrote the events.
 	versions map[string]bool
 	events   int
+	// cut is true if the last response broke off.
+	cut bool
 }
 
 // attempt sends a request and reads events until the response ends. If the client has received events
@@ -111,6 +113,7 @@
 			}
 		}
 	}
+	r.cut = in.Err() != nil
 	return resp.StatusCode
 }
 
