Links of a soak have an IP address of their own

Cause: links of all runs listened on 127.0.0.1. Change: links listen in the address range of their run.

--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -35,6 +35,9 @@
 	// instancesHost is the last octet of the IP address of all instances, instancesPort the port of
 	// the first one.
 	instancesHost = 254
+	// linksHost is the last octet of the IP address of all links. The address belongs to this run alone: on a shared one, the
+	// port of a link that refuses connections could be taken by another run, which would then get its requests.
+	linksHost     = 253
 	instancesPort = 8000
 )
 
--- a/internal/lab/soak/link.go
+++ b/internal/lab/soak/link.go
@@ -55,10 +55,10 @@
 	closed  bool
 }
 
-// NewLink returns a link to the target address, without any conditions. For each connection, opened
+// NewLink returns a link that listens at an IP address and leads to the target address, without any conditions. For each connection, opened
 // is called with the local address from which the link connects to its target. It may be nil.
-func NewLink(from, to, target string, opened func(local string)) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewLink(ip, from, to, target string, opened func(local string)) (*Link, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/soak/link_test.go
+++ b/internal/lab/soak/link_test.go
@@ -16,7 +16,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { target.Close() })
 	opened := make(chan string, 1)
-	l, err = NewLink("a", "b", target.Addr().String(), func(local string) { opened <- local })
+	l, err = NewLink("127.0.0.1", "a", "b", target.Addr().String(), func(local string) { opened <- local })
 	require.NoError(t, err)
 	t.Cleanup(l.Close)
 	near, err = net.Dial("tcp", l.Address)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -146,7 +146,7 @@
 	if l := w.links[key]; l != nil {
 		return l
 	}
-	l, err := NewLink(from, to, target, func(local string) { w.recordSender(local, from) })
+	l, err := NewLink(fmt.Sprintf("%s.%d", w.subnet, linksHost), from, to, target, func(local string) { w.recordSender(local, from) })
 	if err != nil {
 		if w.failure == nil {
 			w.failure = fmt.Errorf("cannot create link from %s to %s: %w", from, to, err)
