Failing tests of changes while the store rejects hosts

Change: a follower that the store rejects together with its scheduler; a fleet whose schedulers are rejected, all or all but one.

--- /dev/null
+++ b/internal/discovery/refresh_test.go
@@ -0,0 +1,44 @@
+package discovery_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/objstore"
+)
+
+// otherSchedulers is a relay whose followed scheduler has lost the store, while other schedulers have newer objects.
+type otherSchedulers struct {
+	fakeRelay
+	newer []objstore.Event
+}
+
+// FetchFresher implements discovery.Relay.
+func (o otherSchedulers) FetchFresher(context.Context, time.Duration) (discovery.RelayUpdate, error) {
+	return updateWith(true, 1, o.newer...), nil
+}
+
+// FetchConfig implements discovery.Relay.
+func (o otherSchedulers) FetchConfig(_ context.Context, _ int, received func(discovery.RelayUpdate)) {
+	f := updateWith(false, 1, o.newer...)
+	f.Partial = true
+	received(f)
+}
+
+// TestChangeReachesARejectedFollowerInTime covers a follower that the store rejects while the scheduler that it follows
+// has lost the store too. The waits of one source after the other must not add up to more than the limit.
+func TestChangeReachesARejectedFollowerInTime(t *testing.T) {
+	relay := otherSchedulers{make(fakeRelay), []objstore.Event{configAt(2), registered("i-1", 1)}}
+	fake := fleetstore.New()
+	view := startFollowingOn(t, fake, relay)
+	lost := time.Now()
+	sendAgingUpdates(t, relay.fakeRelay, lost, configAt(1), registered("i-1", 1))
+	require.Eventually(t, func() bool { return version(view()) == 1 }, propagationLimit/2, tick)
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	require.Eventually(t, func() bool { return version(view()) == 2 }, propagationLimit-time.Since(lost), tick)
+}
--- a/internal/gatewayd/watchers_test.go
+++ b/internal/gatewayd/watchers_test.go
@@ -127,6 +127,45 @@
 	}
 }
 
+// TestChangeWhileTheStoreRejectsMostHosts has the store reject all schedulers, or all but one, and most other hosts,
+// from a second before a change on. The change must be in force at every host well within the limit. When no process
+// learned from one that was not its scheduler, the rejected hosts had it only once the store served them again.
+func TestChangeWhileTheStoreRejectsMostHosts(t *testing.T) {
+	for _, servedSchedulers := range []int{1, 0} {
+		t.Run(fmt.Sprint(servedSchedulers), func(t *testing.T) {
+			d := newDeployment(t)
+			d.applyLimit = propagationLimit.String()
+			d.domains = 3
+			links := d.isolateStoreLinks()
+			all := d.startLargeFleet()
+			st := all[0].fetchStatus(t)
+			for n, p := range all {
+				name := p.settings.Name
+				isServed := n%5 == 0 && !slices.Contains(st.Schedulers, name)
+				if slices.Contains(st.Schedulers, name) && !slices.Contains(st.Watchers, name) && servedSchedulers > 0 {
+					servedSchedulers--
+					isServed = true
+				}
+				links[name].rejects.Store(!isServed)
+			}
+			time.Sleep(time.Second)
+			d.configure(2, "/new/")
+			changed := time.Now()
+			var late []string
+			for _, p := range all {
+				for p.fetchStatus(t).Config != 2 && time.Since(changed) < propagationLimit {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if took := time.Since(changed); took > propagationLimit/2 {
+					late = append(late, fmt.Sprint(p.settings.Name, " ", took))
+				}
+			}
+			t.Log("in force everywhere after", time.Since(changed))
+			require.Empty(t, late)
+		})
+	}
+}
+
 // propagationLimit is the time in which changes must be in force while processes cannot rely on
 // watchers.
 const propagationLimit = 3 * time.Second
