Confirm the configuration in all ways at the same time

Where the store rejected all schedulers, most hosts had a change only once it served them again. Cause: the ways to newer data were tried one after the other, each with a timeout of its own, and no way led from hosts that reach the store to schedulers that don't. Class: a deadline for the whole path that none of its steps knows.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -51,6 +51,9 @@
 	Scheduling  bool
 	// StoreUp is false while the store does not respond.
 	StoreUp bool
+	// ConfigUnconfirmed is true while neither the store nor another scheduler confirms the configuration to the scheduler
+	// that this process follows, or to this process if it is a scheduler.
+	ConfigUnconfirmed bool
 	// Era is the number of times that the store was restored from an older snapshot, 0 if the store
 	// doesn't report it.
 	Era int64
--- a/internal/discovery/batches.go
+++ b/internal/discovery/batches.go
@@ -42,5 +42,7 @@
 			sleep(ctx, wait)
 		}
 	}
-	f.Age += bootclock.Since(start)
+	took := bootclock.Since(start)
+	f.Age += took
+	f.ConfigAge += took
 }
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -40,7 +40,7 @@
 	fake := fleetstore.New()
 	setDirectory(fake, `{"processes": 985, "instances": 10003, "watchers": ["other"], "schedulers": [
 		{"name": "other", "domain": "a", "peer": "10.0.0.9:1", "weight": 1}, {"name": "other-2", "domain": "a", "peer": "10.0.0.8:1", "weight": 1}]}`)
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startOn(t, noMemberLists{fake}, relay)
 	sendUpdate(relay, true, 10, registered("i-1", 5), configAt(1))
 	eventually(t, func() bool { return view().Ready() && view().Accepts("s", "i-1") })
@@ -50,11 +50,11 @@
 // startWithPartialSnapshot starts a process that serves requests with a partial snapshot.
 func startWithPartialSnapshot(t *testing.T) (fakeRelay, func() *fleet.View) {
 	t.Helper()
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	partial := updateWith(false, 10, configAt(1))
 	partial.Partial = true
-	relay <- partial
+	relay.updates <- partial
 	eventually(t, func() bool { return view().Ready() })
 	return relay, view
 }
@@ -106,7 +106,7 @@
 		setMember(t, fake, fmt.Sprint("m-", n))
 	}
 	self := members.Member{Name: "z-self", Incarnation: members.NewIncarnation(), Domain: "a", Weight: 2}
-	watcher := startDiscoveryAs(t, self, fake, make(fakeRelay), nil)
+	watcher := startDiscoveryAs(t, self, fake, newFakeRelay(), nil)
 	server := httptest.NewServer(fake)
 	defer server.Close()
 	store := platform.NewStore(server.Listener.Addr().String())
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -114,6 +114,10 @@
 	// storeUnreachable is true while the last store call of any feed of this process failed. The
 	// view's StoreUp may differ: in a follower it is the state that the scheduler reported.
 	storeUnreachable atomic.Bool
+	// sourceChanged gets a value when the source loses or regains the store. offers gets the processes that offer their
+	// configuration.
+	sourceChanged chan struct{}
+	offers        chan members.Member
 	// expectedInstances is the number of instances according to the directory.
 	expectedInstances atomic.Int64
 
@@ -173,6 +177,7 @@
 func New(o Options) *Discovery {
 	d := &Discovery{
 		o: o, logger: log.With(o.Logger, "component", "discovery"), events: make(chan any, eventQueueSize), ready: make(chan struct{}), feed: feed.New(o.RunID),
+		sourceChanged: make(chan struct{}, 1), offers: make(chan members.Member, maxPendingOffers),
 		instances: map[string]*fleet.Instance{}, changedIDs: map[string]bool{}, versions: map[string]objstore.Version{}, removed: map[string]removal{},
 		members: map[string]members.Member{}, failingFeeds: map[feedName]bool{}, expired: map[string]expiry{},
 	}
@@ -237,6 +242,12 @@
 		d.applySchedulerUpdate(e.RelayUpdate)
 	case fetchedSnapshot:
 		d.applyRelayUpdate(e.RelayUpdate)
+	case configAnswer:
+		d.applyConfigAnswer(e.ConfigUpdate)
+	case configRead:
+		d.applyConfigRead(e.feedUpdate)
+	case configUnconfirmed:
+		d.cur.ConfigUnconfirmed = bool(e)
 	case directoryRead:
 		d.joinFromDirectory(e.directory)
 	}
@@ -279,8 +290,7 @@
 	d.cur.StoreUp = len(d.failingFeeds) == 0
 	switch f {
 	case feedConfig:
-		d.cur.ConfigConfirmedAt = max(d.cur.ConfigConfirmedAt, c.confirmedAt)
-		d.cur.ConfigFreshAt = max(d.cur.ConfigFreshAt, c.askedAt)
+		d.confirmConfig(c.confirmedAt, c.askedAt)
 	case feedInstances:
 		d.cur.InstancesConfirmedAt = max(d.cur.InstancesConfirmedAt, c.confirmedAt)
 	}
@@ -325,7 +335,9 @@
 			obj = d.o.RedactConfig(obj)
 		}
 		d.queueEvent(objstore.Event{Object: obj})
-		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "routes", len(cfg.Routes), "workspaces", cfg.Workspaces())
+		unconfirmedFor := bootclock.Since(d.cur.ConfigFreshAt)
+		metrics.GetOrRegisterTimer("discovery.config_delay_max", d.o.Metrics).Update(unconfirmedFor)
+		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "relayed", c.relayed, "unconfirmed_for", unconfirmedFor.Round(time.Millisecond), "routes", len(cfg.Routes), "workspaces", cfg.Workspaces())
 	}
 }
 
@@ -376,7 +388,10 @@
 	clear(d.changedIDs)
 	d.feed.Apply(d.pendingEvents) // before the view: its ages must hold for a feed that is read after the view
 	d.pendingEvents = nil
-	d.view.Store(&v)
+	before := d.view.Swap(&v)
+	if v.StoreUp != before.StoreUp || v.ConfigUnconfirmed != before.ConfigUnconfirmed {
+		d.reportSourceChange()
+	}
 	d.storeUnreachable.Store(len(d.failingFeeds) > 0)
 	if v.Ready() {
 		select {
@@ -387,6 +402,15 @@
 	}
 }
 
+// reportSourceChange tells the followers at once that the source of this process has lost or regained the store.
+func (d *Discovery) reportSourceChange() {
+	d.feed.Wake()
+	select {
+	case d.sourceChanged <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Discovery) count(name string) {
 	metrics.GetOrRegisterCounter("discovery."+name, d.o.Metrics).Inc(1)
 }
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -121,7 +121,7 @@
 func TestUpdatesOfEarlierEraAreIgnored(t *testing.T) {
 	fake := fleetstore.New()
 	fake.SetEra(2)
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowingOn(t, fake, relay)
 	setConfig(fake, 1)
 	sendUpdate(relay, true, int(objstore.InEra(2, 30)), objstore.Event{Object: objstore.Object{
--- a/internal/discovery/flood_test.go
+++ b/internal/discovery/flood_test.go
@@ -35,12 +35,12 @@
 
 // TestFollowRequestsAreBoundedInBurst has a scheduler answer each request at once, with a change.
 func TestFollowRequestsAreBoundedInBurst(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	requests := 0
 	for end := time.After(burstDuration); ; requests++ {
 		select {
-		case relay <- updateAt(requests + 1):
+		case relay.updates <- updateAt(requests + 1):
 			continue
 		case <-end:
 		}
--- a/internal/discovery/mode.go
+++ b/internal/discovery/mode.go
@@ -146,6 +146,7 @@
 	mctx, d.stopMode = context.WithCancel(ctx)
 	if d.o.Relay != nil {
 		go d.fetchWhileStoreUnreachable(mctx)
+		go d.keepConfigConfirmed(mctx)
 	}
 	if next == following {
 		go d.followSchedulers(mctx)
--- /dev/null
+++ b/internal/discovery/plan_test.go
@@ -0,0 +1,69 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestWaysToConfirmEndWithinTheLimit checks the sum of the delays on the way to a confirmation: from any age that occurs
+// without faults, and with every other call of a process failing, two more rounds begin before the limit has passed, and
+// leave time for the call itself and for a hop to the followers.
+func TestWaysToConfirmEndWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := time.Duration(rapid.IntRange(500, 10000).Draw(t, "limit_ms")) * time.Millisecond
+		in := refreshInputs{
+			limit: limit, watchWait: limit / 4, others: 3, scheduling: rapid.Bool().Draw(t, "scheduling"), sourceLost: rapid.Bool().Draw(t, "source_lost"),
+			sinceRound: limit, sinceRead: limit,
+		}
+		in.watching = in.scheduling && rapid.Bool().Draw(t, "watching")
+		lastRound := time.Duration(rapid.Float64Range(0, 0.45).Draw(t, "age") * float64(limit))
+		in.age = lastRound
+		rounds := 0
+		for rounds < 3 {
+			p := in.plan()
+			step := p.wait
+			if p.peers > 0 {
+				rounds++
+				in.sinceRound, in.failedRounds, step = 0, rounds, 0
+			}
+			if p.read {
+				in.sinceRead, in.failedReads = 0, in.failedReads+1
+				in.readDelay = limit / 4
+			}
+			step = max(step, time.Millisecond)
+			in.age += step
+			in.sinceRound += step
+			in.sinceRead += step
+			in.readDelay = max(in.readDelay-step, 0)
+		}
+		require.Less(t, in.age, time.Duration(0.9*float64(limit)))
+	})
+}
+
+// TestConfirmedConfigurationCausesNoCalls checks the ages that occur without faults: a hop adds at most hopShare to what
+// the watch waits.
+func TestConfirmedConfigurationCausesNoCalls(t *testing.T) {
+	const limit = 4 * time.Second
+	for hops, in := range []refreshInputs{{watching: true, scheduling: true}, {scheduling: true}, {}} {
+		in.limit, in.watchWait, in.others, in.sinceRound, in.sinceRead = limit, limit/4, 5, limit, limit
+		in.age = limit/4 + time.Duration(hops)*limit/10
+		p := in.plan()
+		require.False(t, p.read || p.peers > 0, "%+v", in)
+		require.Positive(t, p.wait)
+	}
+}
+
+// TestSchedulerThatLostItsSourceAsksAllAtOnce checks that a known loss is not waited out, and that a process that is no
+// scheduler reads the store once its scheduler finds no confirmation.
+func TestSchedulerThatLostItsSourceAsksAllAtOnce(t *testing.T) {
+	const limit = 4 * time.Second
+	lost := refreshInputs{limit: limit, watchWait: limit / 4, others: 5, scheduling: true, sourceLost: true, age: limit / 10, sinceRound: limit, sinceRead: limit}
+	require.Equal(t, refreshPlan{peers: 5, read: true, wait: lost.share(lostSourceShare) - lost.age}, lost.plan())
+	follower := refreshInputs{limit: limit, watchWait: limit / 4, others: 5, sourceLost: true, readsWanted: true, age: limit / 10, sinceRound: limit, readDelay: time.Second}
+	require.Equal(t, refreshPlan{wait: time.Second}, follower.plan())
+	follower.readDelay = 0
+	require.True(t, follower.plan().read)
+}
--- a/internal/discovery/refresh_test.go
+++ b/internal/discovery/refresh_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/objstore"
@@ -24,16 +25,18 @@
 }
 
 // FetchConfig implements discovery.Relay.
-func (o otherSchedulers) FetchConfig(_ context.Context, _ int, received func(discovery.RelayUpdate)) {
-	f := updateWith(false, 1, o.newer...)
-	f.Partial = true
-	received(f)
+func (o otherSchedulers) FetchConfig(_ context.Context, _ discovery.ConfigVersions, _ int, received func(discovery.ConfigUpdate)) {
+	u := discovery.ConfigUpdate{From: "fresh", ConfirmedAt: bootclock.Now(), FreshAt: bootclock.Now()}
+	for _, e := range o.newer {
+		u.Objects = append(u.Objects, e.Object)
+	}
+	received(u)
 }
 
 // TestChangeReachesARejectedFollowerInTime covers a follower that the store rejects while the scheduler that it follows
 // has lost the store too. The waits of one source after the other must not add up to more than the limit.
 func TestChangeReachesARejectedFollowerInTime(t *testing.T) {
-	relay := otherSchedulers{make(fakeRelay), []objstore.Event{configAt(2), registered("i-1", 1)}}
+	relay := otherSchedulers{newFakeRelay(), []objstore.Event{configAt(2), registered("i-1", 1)}}
 	fake := fleetstore.New()
 	view := startFollowingOn(t, fake, relay)
 	lost := time.Now()
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -68,18 +68,29 @@
 	// FetchFresher returns a full snapshot from a scheduler whose data is fresher than the given age.
 	// The error is of kind NotFound if all schedulers that were asked responded and none has one.
 	FetchFresher(ctx context.Context, age time.Duration) (RelayUpdate, error)
+	// FetchConfig asks up to n schedulers at the same time for the configuration, and passes on each answer as it arrives.
+	// It returns when all have answered or failed.
+	FetchConfig(ctx context.Context, known ConfigVersions, n int, received func(ConfigUpdate))
+	// FetchConfigFrom asks one process for the configuration.
+	FetchConfigFrom(ctx context.Context, from members.Member, known ConfigVersions) (ConfigUpdate, error)
+	// OfferConfig tells schedulers that this process has read the configuration from the store.
+	OfferConfig(ctx context.Context)
 }
 
 // RelayUpdate is an update that a scheduler sends about the deployment.
 type RelayUpdate struct {
 	feed.Update
-	// Age is how long ago the store confirmed to the scheduler that there was nothing newer.
-	Age time.Duration
+	// Age is how long ago the store confirmed to the scheduler that there was nothing newer. ConfigAge is the same for the
+	// configuration alone.
+	Age, ConfigAge time.Duration
 	// ConfigFreshAt is the latest time at which the configuration is known to have been the newest
 	// one, on the clock of this process.
 	ConfigFreshAt bootclock.Instant
 	// StoreUp is false if the store does not answer the process that the update comes from.
 	StoreUp bool
+	// ConfigUnconfirmed is true if nobody confirms the configuration to the scheduler, so that processes that reach the
+	// store read it.
+	ConfigUnconfirmed bool
 	// Processes is the number of registered processes of the fleet.
 	Processes int
 	// Partial is true for a partial snapshot: Events hold only the configuration and the rules.
@@ -271,6 +282,9 @@
 	}
 	d.applyRelayUpdate(f)
 	d.cur.StoreUp = f.StoreUp
+	if !d.cur.Scheduling { // a scheduler finds out by itself
+		d.cur.ConfigUnconfirmed = f.ConfigUnconfirmed
+	}
 	d.cur.Processes = f.Processes
 	d.setSchedulers(f.Schedulers, f.Watchers, f.GossipPeers)
 	if f.Partial && d.cur.FullSnapshotAt == 0 {
@@ -284,9 +298,8 @@
 	if f.predatesEra(d.era.number) {
 		return
 	}
-	at := bootclock.Now().Add(-f.Age)
-	d.cur.ConfigConfirmedAt, d.cur.InstancesConfirmedAt = max(d.cur.ConfigConfirmedAt, at), max(d.cur.InstancesConfirmedAt, at)
-	d.cur.ConfigFreshAt = max(d.cur.ConfigFreshAt, f.ConfigFreshAt)
+	now := bootclock.Now()
+	d.cur.InstancesConfirmedAt = max(d.cur.InstancesConfirmedAt, now.Add(-f.Age))
 	d.cur.RelayReceived = true
 	for _, s := range []feedName{feedConfig, feedInstances, feedRules} {
 		if f.Partial && s == feedInstances {
@@ -302,4 +315,5 @@
 			d.apply(c)
 		}
 	}
+	d.confirmConfig(now.Add(-f.ConfigAge), f.ConfigFreshAt)
 }
--- a/internal/discovery/relay_test.go
+++ b/internal/discovery/relay_test.go
@@ -16,8 +16,28 @@
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
+// noConfig is the part of a relay whose schedulers don't tell their configuration.
+type noConfig struct{}
+
+// FetchConfig implements discovery.Relay.
+func (noConfig) FetchConfig(context.Context, discovery.ConfigVersions, int, func(discovery.ConfigUpdate)) {
+}
+
+// FetchConfigFrom implements discovery.Relay.
+func (noConfig) FetchConfigFrom(context.Context, members.Member, discovery.ConfigVersions) (discovery.ConfigUpdate, error) {
+	return discovery.ConfigUpdate{}, fault.New(fault.Unavailable, "process does not answer", "not in this test")
+}
+
+// OfferConfig implements discovery.Relay.
+func (noConfig) OfferConfig(context.Context) {}
+
 // fakeRelay is a relay that returns the updates that a test sends on the channel.
-type fakeRelay chan discovery.RelayUpdate
+type fakeRelay struct {
+	noConfig
+	updates chan discovery.RelayUpdate
+}
+
+func newFakeRelay() fakeRelay { return fakeRelay{updates: make(chan discovery.RelayUpdate)} }
 
 // FetchFresher implements discovery.Relay.
 func (c fakeRelay) FetchFresher(context.Context, time.Duration) (discovery.RelayUpdate, error) {
@@ -27,7 +47,7 @@
 // Follow implements discovery.Relay.
 func (c fakeRelay) Follow(ctx context.Context, _ feed.Position) (discovery.RelayUpdate, error) {
 	select {
-	case f := <-c:
+	case f := <-c.updates:
 		return f, nil
 	case <-ctx.Done():
 		return discovery.RelayUpdate{}, ctx.Err()
@@ -36,7 +56,7 @@
 
 // sendUpdate delivers an update from the scheduler that the process follows.
 func sendUpdate(relay fakeRelay, full bool, revision int, events ...objstore.Event) {
-	relay <- updateWith(full, revision, events...)
+	relay.updates <- updateWith(full, revision, events...)
 }
 
 func updateWith(full bool, revision int, events ...objstore.Event) discovery.RelayUpdate {
@@ -63,7 +83,7 @@
 // TestLaggingSnapshotRemovesNoInstance has a process change to a scheduler whose data is older than a
 // registration that the process knows. The instance must stay; newer data must remove it for good.
 func TestLaggingSnapshotRemovesNoInstance(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 10, registered("i-1", 5), registered("i-2", 10))
 	eventually(t, func() bool { return len(view().Usable("s")) == 2 })
@@ -81,7 +101,7 @@
 // time cut, so that its data gets older and older.
 func sendAgingUpdates(t *testing.T, relay fakeRelay, cut time.Time, events ...objstore.Event) {
 	sendRepeatedly(t, relay, func() discovery.RelayUpdate {
-		return discovery.RelayUpdate{Age: time.Since(cut), InstancesRevision: 1, Processes: 30, Schedulers: []members.Member{{Name: "other"}}, Update: feed.Update{Events: events}}
+		return discovery.RelayUpdate{Age: time.Since(cut), ConfigAge: time.Since(cut), InstancesRevision: 1, Processes: 30, Schedulers: []members.Member{{Name: "other"}}, Update: feed.Update{Events: events}}
 	})
 }
 
@@ -92,7 +112,7 @@
 	go func() {
 		for {
 			select {
-			case relay <- update():
+			case relay.updates <- update():
 				time.Sleep(10 * time.Millisecond)
 			case <-stop:
 				return
@@ -105,7 +125,7 @@
 // them receives data that gets older and older. The process must learn of a change from the store within
 // the propagation limit, without reading the store all the time.
 func TestAllWatchersAreCutOff(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	fake := fleetstore.New()
 	view := startFollowingOn(t, fake, relay)
 	setConfig(fake, 2)
@@ -125,7 +145,7 @@
 }
 
 // unavailableRelay is a relay for which no scheduler answers.
-type unavailableRelay struct{}
+type unavailableRelay struct{ noConfig }
 
 // Follow implements discovery.Relay.
 func (unavailableRelay) Follow(context.Context, feed.Position) (discovery.RelayUpdate, error) {
@@ -142,7 +162,7 @@
 // instances that still run. Such a process once removed them at once, as its failed reads were not recorded as an
 // outage.
 func TestRegistrationExpiredBeforeDirectReadIsKept(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	fake := fleetstore.New()
 	view := startFollowingOn(t, fake, relay)
 	setConfig(fake, 1)
@@ -200,7 +220,7 @@
 // the removal of an earlier registration of an instance that has registered again since. The process once removed the
 // instance, and then ignored the newer registration as one of a removed version.
 func TestAnOlderRemovalLeavesANewerRegistration(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 12, registered("i-1", 12))
 	eventually(t, func() bool { return view().Accepts("s", "i-1") })
@@ -214,7 +234,7 @@
 }
 
 // notReadyRelay is a relay whose schedulers answer that they are not ready.
-type notReadyRelay struct{}
+type notReadyRelay struct{ noConfig }
 
 // Follow implements discovery.Relay.
 func (notReadyRelay) Follow(context.Context, feed.Position) (discovery.RelayUpdate, error) {
--- a/internal/discovery/rules_test.go
+++ b/internal/discovery/rules_test.go
@@ -43,7 +43,7 @@
 // after the other. The older rules were once applied, and requests ran where the newest rules forbid it: the log had
 // "rules in force revision=10" and after it "rules in force revision=5" or "rules removed".
 func TestRulesVersionNeverDecreases(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	configs := 0
 	sendSnapshot := func(events ...objstore.Event) {
@@ -66,7 +66,7 @@
 // TestRemovedRulesStayRemoved has one scheduler report that the rules were removed, and another one, which
 // lags behind, send the former rules.
 func TestRemovedRulesStayRemoved(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 1, rulesAt(5, onlyB))
 	eventually(t, func() bool { return view().Rules != nil })
@@ -83,7 +83,7 @@
 // processes that follow them once read the configuration and the registrations from the store directly, but not the
 // rules, and kept the old rules until the watchers were back.
 func TestRulesChangeWhileAllWatchersAreCutOff(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	fake := fleetstore.New()
 	setRules := func(text string) {
 		fake.Set("rockdoor-rules", "main", map[string]any{"write": "w", "value": json.RawMessage(text)})
@@ -116,7 +116,7 @@
 // valid rules, which its scheduler has and enforces. Without rules it permitted everything; its last log line about
 // rules was the rejection of revision 20.
 func TestUndecodableRulesAreIgnored(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 1, rulesAt(20, `{"selectors": {"*": "domain=a"}, "newer": 1}`))
 	sendUpdate(relay, true, 1, rulesAt(10, onlyA))
@@ -163,7 +163,7 @@
 
 // TestRulesRemovedByRelayStayRemoved has a relayed removal followed by an older snapshot.
 func TestRulesRemovedByRelayStayRemoved(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 1, rulesAt(5, onlyB))
 	eventually(t, func() bool { return view().Rules != nil })
@@ -179,7 +179,7 @@
 // TestOlderRulesUpdateIsIgnored has a process receive a removal that is older than its rules, and a
 // snapshot without rules but with newer registrations.
 func TestOlderRulesUpdateIsIgnored(t *testing.T) {
-	relay := make(fakeRelay)
+	relay := newFakeRelay()
 	view := startFollowing(t, relay)
 	sendUpdate(relay, true, 1, rulesAt(10, onlyA))
 	eventually(t, func() bool { return view().Rules != nil })
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -88,11 +88,33 @@
 	}
 	f.compact()
 	if f.sequence > before {
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.wake()
 	}
 }
 
+// Wake wakes those that wait for a change, without one.
+func (f *Feed) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wake()
+}
+
+// wake wakes those that wait for a change. The caller holds the lock.
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// VersionOf returns the version of an object, 0 if it does not exist.
+func (f *Feed) VersionOf(key string) objstore.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.changes[key]; !c.event.Deleted {
+		return c.event.Object.Version
+	}
+	return 0
+}
+
 // add applies one change. The caller holds the lock.
 func (f *Feed) add(e objstore.Event) {
 	if e.Deleted {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -240,7 +240,7 @@
 		Self: self, Store: d.store, Prefix: platform.MemberPrefix, Transport: d.transport, Placer: d.placer, RoleChanges: d.roles.Changing,
 		Members: func() []members.Member { return d.gossipPeers() }, Extensions: extensions, Clock: d.clock, Logger: d.logger,
 	})
-	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, InstancePrefix: platform.InstancePrefix, HasContact: d.hasContact, PropagationLimit: d.settings.Bounds.PropagationLimit(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
+	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, OnConfigOffer: d.discovery.ConfigOffered, InstancePrefix: platform.InstancePrefix, HasContact: d.hasContact, PropagationLimit: d.settings.Bounds.PropagationLimit(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.schedulerClient, d.schedulerServer = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 	d.streams = resumption.New(resumption.Options{
 		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), DrainUse: d.settings.Bounds.Drain.Std() - expiryMargin, Store: d.streamStore(self), Metrics: d.reg, Logger: d.logger,
@@ -332,6 +332,19 @@
 	return d.schedulerClient.FetchFresher(ctx, age)
 }
 
+// FetchConfig implements discovery.Relay.
+func (d *Daemon) FetchConfig(ctx context.Context, known discovery.ConfigVersions, n int, received func(discovery.ConfigUpdate)) {
+	d.schedulerClient.FetchConfig(ctx, known, n, received)
+}
+
+// FetchConfigFrom implements discovery.Relay.
+func (d *Daemon) FetchConfigFrom(ctx context.Context, from members.Member, known discovery.ConfigVersions) (discovery.ConfigUpdate, error) {
+	return d.schedulerClient.FetchConfigFrom(ctx, from, known)
+}
+
+// OfferConfig implements discovery.Relay.
+func (d *Daemon) OfferConfig(ctx context.Context) { d.schedulerClient.OfferConfig(ctx) }
+
 func (d *Daemon) isChangingRole(i *fleet.Instance) bool {
 	return d.roles.IsChanging(i.ID) || d.loadSync.IsChangingRole(i)
 }
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -44,6 +44,8 @@
 	// HasContact reports whether this process receives messages from another process in other ways
 	// than as its scheduler. If it is nil, it never does.
 	HasContact func(name string) bool
+	// OnConfigOffer, unless nil, is called when another process offers the configuration that it has read from the store.
+	OnConfigOffer func(from members.Member)
 	// InstancePrefix is the key prefix of instance registrations in the store.
 	InstancePrefix string
 	// PropagationLimit is the time limit for a change in the store to reach all processes.
@@ -61,6 +63,9 @@
 	if o.Limits == nil {
 		o.Limits = ratelimit.NewTable(o.Self.Name, metrics.NewRegistry(), log.NewNopLogger())
 	}
+	if o.OnConfigOffer == nil {
+		o.OnConfigOffer = func(members.Member) {}
+	}
 	if o.Clock == nil {
 		o.Clock = truetime.New()
 	}
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -178,7 +178,9 @@
 	}
 	// The age in the response is valid at some time after the call was sent and within the
 	// wait. Any time beyond the wait, such as a pause of this process, adds to the age.
-	f.Age += max(0, bootclock.Since(asked)-wait)
+	overdue := max(0, bootclock.Since(asked)-wait)
+	f.Age += overdue
+	f.ConfigAge += overdue
 	f.ConfigFreshAt = asked.Add(-time.Duration(resp.GetUpdate().GetProofAgeMs()) * time.Millisecond)
 	return f, nil
 }
@@ -195,7 +197,10 @@
 	f := discovery.RelayUpdate{
 		Update:  feed.Update{Position: feed.Position{RunID: m.GetRun(), Sequence: m.GetPosition()}, Full: m.GetFull()},
 		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Partial: m.GetHead(), StoreUp: m.GetStoreUp(), Processes: int(m.GetProcesses()), InstancesRevision: objstore.Revision(m.GetInstancesRevision()),
+		Partial: m.GetHead(), StoreUp: m.GetStoreUp(), ConfigUnconfirmed: m.GetConfigUnconfirmed(), Processes: int(m.GetProcesses()), InstancesRevision: objstore.Revision(m.GetInstancesRevision()),
+	}
+	if f.ConfigAge = f.Age; m.GetConfigAgeMs() > 0 {
+		f.ConfigAge = time.Duration(m.GetConfigAgeMs()) * time.Millisecond
 	}
 	objects := m.GetObjects()
 	if len(m.GetPacked()) > 0 {
@@ -249,8 +254,9 @@
 func (s *Server) updateFromView(v *fleet.View) *peerpb.FollowUpdate {
 	out := &peerpb.FollowUpdate{
 		AgeMs: v.Age().Milliseconds(), StoreUp: v.StoreUp,
-		ProofAgeMs: v.ConfigStaleness().Milliseconds() + 1, // rounded up
-		TimeUs:     s.o.Clock.Now().UnixMicro(), InstancesRevision: int64(v.InstancesRevision),
+		ProofAgeMs:  v.ConfigStaleness().Milliseconds() + 1, // rounded up, like the next one
+		ConfigAgeMs: v.ConfigAge().Milliseconds() + 1, ConfigUnconfirmed: v.ConfigUnconfirmed,
+		TimeUs: s.o.Clock.Now().UnixMicro(), InstancesRevision: int64(v.InstancesRevision),
 		Processes: uint32(v.Processes),
 	}
 	for _, m := range v.GossipPeers {
@@ -303,10 +309,12 @@
 func (s *Server) awaitUpdate(ctx context.Context, p feed.Position, wait time.Duration) (feed.Update, *fleet.View) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	first := s.o.View()
 	for done := false; ; {
 		v := s.o.View()
 		u, changed := s.feed.Since(p)
-		if done || u.Full || len(u.Events) > 0 {
+		sourceChanged := v.StoreUp != first.StoreUp || v.ConfigUnconfirmed != first.ConfigUnconfirmed
+		if done || sourceChanged || u.Full || len(u.Events) > 0 {
 			return u, v
 		}
 		select {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -108,6 +108,9 @@
 
 // HandlePeer implements peer.Handler.
 func (s *Server) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	if req.GetConfigQuery() != nil { // also at others that reach the store while no scheduler does
+		return s.configState(req.GetConfigQuery())
+	}
 	if !s.o.View().Scheduling {
 		return &peerpb.Response{Error: "this process is no scheduler"}
 	}
@@ -119,6 +122,8 @@
 	case req.GetFollow() != nil:
 		s.recordFollower(from, req.GetFollow())
 		return s.follow(ctx, req.GetFollow())
+	case req.GetConfigOffer() != nil:
+		return s.configOffered(from, req.GetConfigOffer())
 	case req.GetPlace() != nil:
 		return s.place(ctx, from, req.GetPlace())
 	case req.GetPlaceRead() != nil:
