Count the age of updates from their receipt

What callers would see: a process that was held up between the receipt of an update and its application took the data for fresher than it was by that time, and looked for newer data that much later. Cause: the time as of which data was confirmed was computed when an update was applied, from an age that held at its receipt. Change: updates carry the time of their receipt; the correction for decoding in batches is no longer needed.

--- a/internal/discovery/batches.go
+++ b/internal/discovery/batches.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
 )
 
@@ -21,13 +20,12 @@
 
 // decodeInBatches decodes the registrations of the first full snapshot in small batches if the process
 // already serves requests: decoding them at once keeps a small host from its requests for half a
-// second. The age of the snapshot grows accordingly.
+// second.
 func (d *Discovery) decodeInBatches(ctx context.Context, f *RelayUpdate) {
 	v := d.View()
 	if !f.Full || !v.Ready() || v.InstancesKnown {
 		return
 	}
-	start := bootclock.Now()
 	batches := time.Duration(len(f.Events)/decodeBatch + 1)
 	wait := min(decodePause, d.shareOfLimit(decodePauseShare)/batches)
 	f.decoded = make(map[string]*fleet.Instance, len(f.Events))
@@ -42,7 +40,4 @@
 			sleep(ctx, wait)
 		}
 	}
-	took := bootclock.Since(start)
-	f.Age += took
-	f.ConfigAge += took
 }
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -80,8 +80,8 @@
 // RelayUpdate is an update that a scheduler sends about the deployment.
 type RelayUpdate struct {
 	feed.Update
-	// Age is how long ago the store confirmed to the scheduler that there was nothing newer. ConfigAge is the same for the
-	// configuration alone.
+	// Age is how long before the receipt the store confirmed to the scheduler that there was nothing newer. ConfigAge is
+	// the same for the configuration alone.
 	Age, ConfigAge time.Duration
 	// ConfigFreshAt is the latest time at which the configuration is known to have been the newest
 	// one, on the clock of this process.
@@ -102,6 +102,8 @@
 	Watchers          []members.Member
 	GossipPeers       []members.Member
 
+	// receivedAt is when this process received the update.
+	receivedAt bootclock.Instant
 	// decoded holds instances of Events that have been decoded already, by key.
 	decoded map[string]*fleet.Instance
 }
@@ -131,6 +133,7 @@
 				d.o.OnUnregistered()
 			}
 			at, answered = f.Position, bootclock.Now()
+			f.receivedAt = answered
 			d.decodeInBatches(ctx, &f)
 			d.send(ctx, schedulerUpdate{f})
 			nextRead = d.readStoreIfStale(ctx, f, nextRead)
@@ -206,7 +209,7 @@
 	v := d.View()
 	age, staleness := v.Age(), v.ConfigStaleness()
 	if !f.predatesEra(v.Era) { // an update of an earlier era is ignored and does not refresh the data
-		age, staleness = min(age, f.Age), min(staleness, bootclock.Since(f.ConfigFreshAt))
+		age, staleness = min(age, f.Age+bootclock.Since(f.receivedAt)), min(staleness, bootclock.Since(f.ConfigFreshAt))
 	}
 	var wanted []feedName
 	switch {
@@ -249,6 +252,7 @@
 // fetchFresher fetches a snapshot that is fresher than this process's data, which has the given age.
 func (d *Discovery) fetchFresher(ctx context.Context, age time.Duration) {
 	f, err := d.o.Relay.FetchFresher(ctx, age)
+	f.receivedAt = bootclock.Now()
 	if err != nil {
 		level.Info(d.logger).Log("msg", "no other process has fresher data", "age", age.Round(time.Millisecond), "err", err)
 		return
@@ -298,8 +302,7 @@
 	if f.predatesEra(d.era.number) {
 		return
 	}
-	now := bootclock.Now()
-	d.cur.InstancesConfirmedAt = max(d.cur.InstancesConfirmedAt, now.Add(-f.Age))
+	d.cur.InstancesConfirmedAt = max(d.cur.InstancesConfirmedAt, f.receivedAt.Add(-f.Age))
 	d.cur.RelayReceived = true
 	for _, s := range []feedName{feedConfig, feedInstances, feedRules} {
 		if f.Partial && s == feedInstances {
@@ -315,5 +318,5 @@
 			d.apply(c)
 		}
 	}
-	d.confirmConfig(now.Add(-f.ConfigAge), f.ConfigFreshAt)
+	d.confirmConfig(f.receivedAt.Add(-f.ConfigAge), f.ConfigFreshAt)
 }
--- a/internal/discovery/relay_test.go
+++ b/internal/discovery/relay_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/feed"
@@ -262,3 +263,24 @@
 	require.False(t, view().Ready())
 	require.Eventually(t, func() bool { return view().Ready() }, 3*testTimeout, 10*tick)
 }
+
+// TestAgeCountsFromTheReceipt has an update wait until a large one before it has been applied. The time that it waits
+// must add to the age of its data.
+func TestAgeCountsFromTheReceipt(t *testing.T) {
+	const tolerance = 50 * time.Millisecond
+	relay := newFakeRelay()
+	view := startFollowing(t, relay)
+	sendUpdate(relay, true, 1, configAt(1), registered("i-0", 1))
+	eventually(t, func() bool { return view().Accepts("s", "i-0") })
+	var many []objstore.Event
+	for n := range 40_000 {
+		many = append(many, registered(fmt.Sprint("i-", n), 2))
+	}
+	sendUpdate(relay, false, 2, many...)
+	sendUpdate(relay, false, 3, configAt(2))
+	received := bootclock.Now()
+	eventually(t, func() bool { return version(view()) == 2 })
+	require.Greater(t, bootclock.Since(received), 2*tolerance, "it had to wait")
+	require.LessOrEqual(t, view().InstancesConfirmedAt, received.Add(tolerance))
+	require.LessOrEqual(t, view().ConfigConfirmedAt, received.Add(tolerance))
+}
