Schedulers whose source has lost the store look for registrations earlier

What callers could see: requests to instances that had announced their shutdown more than the limit before, at the followers of a scheduler that the store rejects together with its watchers. Change: with a source known to be lost it looks at 0.35 of the limit, with a pause of 0.0625 to 0.125 of it.

--- a/internal/discovery/refresh_test.go
+++ b/internal/discovery/refresh_test.go
@@ -10,6 +10,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
@@ -45,3 +46,21 @@
 	fake.SetFaults(fleetstore.Faults{Down: true})
 	require.Eventually(t, func() bool { return version(view()) == 2 }, propagationLimit-time.Since(lost), tick)
 }
+
+// TestRemovalReachesARejectedSchedulerInTime covers a scheduler that the store rejects while its watcher has lost the
+// store too. The waits before it asks another process must leave its followers time to learn of a removal.
+func TestRemovalReachesARejectedSchedulerInTime(t *testing.T) {
+	relay := otherSchedulers{newFakeRelay(), []objstore.Event{configAt(1), registered("i-2", 2)}}
+	fake := fleetstore.New()
+	view := startFollowingOn(t, fake, relay)
+	lost := time.Now()
+	sendRepeatedly(t, relay.fakeRelay, func() discovery.RelayUpdate {
+		f := updateWith(false, 1, configAt(1), registered("i-1", 1))
+		f.Age, f.ConfigAge = time.Since(lost), time.Since(lost)
+		f.Schedulers = append(f.Schedulers, members.Member{Name: "self"})
+		return f
+	})
+	require.Eventually(t, func() bool { return view().Scheduling && view().Accepts("s", "i-1") }, propagationLimit/4, tick)
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	require.Eventually(t, func() bool { return !view().Accepts("s", "i-1") }, propagationLimit*3/4-time.Since(lost), tick)
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -49,6 +49,11 @@
 	// data. The rest of the limit is for the answer of the store.
 	schedulerMaxAgeShare = 0.65
 	maxAgeShare          = 0.8
+	// lostSourcePauseShare is the share of the propagation limit that a scheduler whose source is known to have lost the
+	// store lets pass at least between two looks for fresher data; the actual time is random and up to twice as long.
+	lostSourcePauseShare = 0.0625
+	// lostSourceMaxAgeShare is schedulerMaxAgeShare while the source of the scheduler is known to have lost the store.
+	lostSourceMaxAgeShare = 0.35
 	// directReadRetry is the minimum time between two direct reads because of old data; the actual
 	// time is random and up to twice as long. failedReadRetry is the same after a read that
 	// failed: the store then most likely does not answer the schedulers either, and these send
@@ -241,9 +246,13 @@
 // request often finds no fresher data; it is a short message and is soon repeated.
 func (d *Discovery) fetchWhileStoreUnreachable(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, directReadRetry+rand.N(directReadRetry))
 		v := d.View()
-		if d.storeUnreachable.Load() && v.Age() >= d.maxAge(v) {
+		pause := directReadRetry
+		if d.sourceIsLost(v) {
+			pause = d.shareOfLimit(lostSourcePauseShare)
+		}
+		sleep(ctx, pause+rand.N(pause))
+		if v = d.View(); (d.storeUnreachable.Load() || d.sourceIsLost(v)) && v.Age() >= d.maxAge(v) {
 			d.fetchFresher(ctx, v.Age())
 		}
 	}
@@ -264,12 +273,19 @@
 // maxAge returns the age from which on a process reads the store directly. Schedulers do so first,
 // since other processes follow them and receive the result at once.
 func (d *Discovery) maxAge(v *fleet.View) time.Duration {
-	if v.Scheduling {
+	switch {
+	case d.sourceIsLost(v):
+		return d.shareOfLimit(lostSourceMaxAgeShare)
+	case v.Scheduling:
 		return d.shareOfLimit(schedulerMaxAgeShare)
 	}
 	return d.shareOfLimit(maxAgeShare)
 }
 
+// sourceIsLost reports whether this process is a scheduler whose source is known to have lost the store. It need not wait
+// until its data is so old that the loss of a silent source shows.
+func (d *Discovery) sourceIsLost(v *fleet.View) bool { return v.Scheduling && !v.StoreUp }
+
 // shareOfLimit returns the given share of the propagation limit.
 func (d *Discovery) shareOfLimit(share float64) time.Duration {
 	return time.Duration(share * float64(d.o.PropagationLimit))
