Requests after a pause of the process wait for its configuration to be confirmed

Cause: no decision looked at the age of the configuration, and the first answer arrived some milliseconds after the first requests. Change: from an age of 0.6 of the limit on, a request waits for a confirmation, for at most 50 ms, and not if others were asked in vain or there are none.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -114,10 +114,14 @@
 	// storeUnreachable is true while the last store call of any feed of this process failed. The
 	// view's StoreUp may differ: in a follower it is the state that the scheduler reported.
 	storeUnreachable atomic.Bool
-	// sourceChanged gets a value when the source loses or regains the store. offers gets the processes that offer their
+	// sourceChanged wakes the refresher, as when the source loses or regains the store. offers gets the processes that offer their
 	// configuration.
 	sourceChanged chan struct{}
 	offers        chan members.Member
+	// published holds a channel that is closed when the next view is published. unconfirmable is true if others were asked
+	// for a confirmation of the configuration in vain, or if there are none.
+	published     atomic.Pointer[chan struct{}]
+	unconfirmable atomic.Bool
 	// expectedInstances is the number of instances according to the directory.
 	expectedInstances atomic.Int64
 
@@ -193,6 +197,9 @@
 	if d.o.RedactConfig == nil {
 		d.o.RedactConfig = func(obj objstore.Object) objstore.Object { return obj }
 	}
+	published := make(chan struct{})
+	d.published.Store(&published)
+	d.unconfirmable.Store(true) // until the refresher runs
 	d.cur.StoreUp = true
 	initial := d.cur
 	initial.Index()
@@ -389,6 +396,8 @@
 	d.feed.Apply(d.pendingEvents) // before the view: its ages must hold for a feed that is read after the view
 	d.pendingEvents = nil
 	before := d.view.Swap(&v)
+	next := make(chan struct{})
+	close(*d.published.Swap(&next))
 	if v.StoreUp != before.StoreUp || v.ConfigUnconfirmed != before.ConfigUnconfirmed {
 		d.reportSourceChange()
 	}
@@ -405,6 +414,11 @@
 // reportSourceChange tells the followers at once that the source of this process has lost or regained the store.
 func (d *Discovery) reportSourceChange() {
 	d.feed.Wake()
+	d.wakeRefresher()
+}
+
+// wakeRefresher has the refresher check at once whether the configuration must be confirmed.
+func (d *Discovery) wakeRefresher() {
 	select {
 	case d.sourceChanged <- struct{}{}:
 	default:
--- a/internal/discovery/plan_test.go
+++ b/internal/discovery/plan_test.go
@@ -1,11 +1,16 @@
 package discovery
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/rockdoor/rockdoor/bootclock"
 )
 
 // TestWaysToConfirmEndWithinTheLimit checks the sum of the delays on the way to a confirmation: from any age that occurs
@@ -67,3 +72,28 @@
 	follower.readDelay = 0
 	require.True(t, follower.plan().read)
 }
+
+// TestRequestsAfterAPauseWaitForAConfirmation covers a process that was paused: its configuration is old, and it has asked
+// nobody yet. Requests wait until it is confirmed, but not if others were asked in vain, and never for long.
+func TestRequestsAfterAPauseWaitForAConfirmation(t *testing.T) {
+	const limit = 4 * time.Second
+	d := New(Options{PropagationLimit: limit, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	setAge := func(age time.Duration) {
+		d.cur.ConfigConfirmedAt = bootclock.Now().Add(-age)
+		d.publish()
+	}
+	wait := func() time.Duration {
+		begun := time.Now()
+		d.AwaitConfirmation(context.Background())
+		return time.Since(begun)
+	}
+	setAge(limit)
+	require.Less(t, wait(), maxConfirmationWait/2, "nobody can be asked")
+	d.unconfirmable.Store(false)
+	require.GreaterOrEqual(t, wait(), maxConfirmationWait, "no answer arrives")
+	require.Len(t, d.sourceChanged, 1, "the refresher is woken")
+	time.AfterFunc(maxConfirmationWait/10, func() { setAge(0) })
+	require.Less(t, wait(), maxConfirmationWait)
+	require.Less(t, d.View().ConfigAge(), limit/2)
+	require.Less(t, wait(), maxConfirmationWait/2, "it is confirmed")
+}
--- a/internal/discovery/refresh.go
+++ b/internal/discovery/refresh.go
@@ -161,6 +161,39 @@
 	return interval * time.Duration(min(1<<doublings, most))
 }
 
+const (
+	// awaitShare is the age of the configuration from which on requests wait for a confirmation. Without faults it is only
+	// reached after a pause of the process.
+	awaitShare = 0.6
+	// maxConfirmationWait bounds this wait. Answers take 1 to 2 ms between failure domains.
+	maxConfirmationWait = 50 * time.Millisecond
+)
+
+// AwaitConfirmation waits for a short time if the configuration was not confirmed for long, as after a pause of this
+// process, unless others were asked in vain.
+func (d *Discovery) AwaitConfirmation(ctx context.Context) {
+	limit := d.shareOfLimit(awaitShare)
+	if d.View().ConfigAge() < limit || d.unconfirmable.Load() {
+		return
+	}
+	d.wakeRefresher()
+	timer := time.NewTimer(maxConfirmationWait)
+	defer timer.Stop()
+	for {
+		published := *d.published.Load()
+		if d.View().ConfigAge() < limit || d.unconfirmable.Load() {
+			return
+		}
+		select {
+		case <-published:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // refresher confirms the configuration of a process while its source doesn't.
 type refresher struct {
 	*Discovery
@@ -254,6 +287,7 @@
 		}
 		in.failedRounds = r.failedRounds
 	}
+	r.unconfirmable.Store(in.failedRounds > 0 || in.others == 0)
 	unconfirmed := in.scheduling && in.sourceLost && in.failedRounds > 0
 	if unconfirmed == r.unconfirmed {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,10 @@
 	// newest one at which API keys are still accepted. Beyond it, a key may have been revoked
 	// without this process knowing. 0 means no limit.
 	MaxConfigStaleness time.Duration
-	Budget             RetryBudgetConfig
+	// AwaitConfirmation, unless nil, is called before a request is matched to a route. It waits for a short time if the
+	// configuration is old because the process was paused.
+	AwaitConfirmation func(ctx context.Context)
+	Budget            RetryBudgetConfig
 	// Quarantine records which requests crash the instances that run them. If it is nil, the
 	// server keeps a table of its own, which other processes do not share.
 	Quarantine *quarantine.Table
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -53,11 +53,15 @@
 }
 
 // readyView returns the current view. If the process has just started, it first waits for the
-// view to become ready; the view that it returns may still not be.
+// view to become ready; the view that it returns may still not be. If it was paused, it waits for its
+// configuration to be confirmed.
 func (s *Server) readyView(ctx context.Context, clientTimeout time.Duration) *fleet.View {
-	if v := s.o.View(); v.Ready() {
-		return v
+	if !s.o.View().Ready() {
+		s.startup.await(ctx, clientTimeout)
+		return s.o.View()
+	}
+	if s.o.AwaitConfirmation != nil {
+		s.o.AwaitConfirmation(ctx)
 	}
-	s.startup.await(ctx, clientTimeout)
 	return s.o.View()
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -193,7 +193,7 @@
 	onRunStart := d.buildDuties(self)
 	d.gateway = gateway.New(gateway.Options{
 		View: d.discovery.View, Ready: d.discovery.Ready(), Protocol: platform.Protocol{}, Client: d.client, Scheduler: d.schedulerClient, Placer: d.placer, FailureDomain: set.Domain,
-		MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
+		MaxConfigStaleness: set.Bounds.MaxConfigStaleness(), AwaitConfirmation: d.discovery.AwaitConfirmation,
 		Budget: gateway.RetryBudgetConfig{
 			Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow.Std(),
 			Processes: func() int { return d.discovery.View().Processes },
