Soak: requests that an engine breaks off by a crash count as broken off

Cause: the links are reset before the engine ends, so that its runs ended in between and weren't marked as broken off. Change: they are marked first. The check is as before.

--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -39,7 +39,12 @@
 
 // crashByPart ends the current instance under a request with the part, and starts another one later.
 func (p *place) crashByPart() {
-	// A link accepts connections whether or not its target does, so that it has to be told first.
+	// A link accepts connections whether or not its target does, so that it has to be told first. It resets the requests
+	// under way, which the engine breaks off.
+	p.mu.Lock()
+	ending := p.current.ID
+	p.mu.Unlock()
+	p.w.observed.record(func() { p.w.markAborted(ending) })
 	var accept []func()
 	for _, l := range p.w.linksToTarget(p.address) {
 		accept = append(accept, l.Refuse())
