Soak: changes while the store rejects most processes

Until now the store rejected one process, half of them or a watcher, and those that it rejected were excused from the bound for configurations. The bound applies to a rejected process too while two others are undisturbed.

--- a/internal/lab/soak/check_config.go
+++ b/internal/lab/soak/check_config.go
@@ -73,7 +73,7 @@
 func (c *checker) configurationInForce() Guarantee {
 	g := Guarantee{Name: "undisturbed processes apply a configuration within the bound"}
 	for _, s := range c.configObservations() {
-		if !c.undisturbed(s.call.Gateway, s.to) || !c.undisturbed(s.call.Gateway, s.from) {
+		if !c.learnsOfConfigurations(s.call.Gateway, s.to) || !c.learnsOfConfigurations(s.call.Gateway, s.from) {
 			continue
 		}
 		g.Cases++
@@ -90,6 +90,27 @@
 	return g
 }
 
+// minUndisturbedOthers is how many undisturbed processes suffice for one that the store rejects to learn of changes.
+const minUndisturbedOthers = 2
+
+// learnsOfConfigurations reports whether the bound for configurations applies to a process at a time: it is undisturbed, or
+// the store rejects it while others are undisturbed.
+func (c *checker) learnsOfConfigurations(gateway int, at time.Time) bool {
+	if c.undisturbed(gateway, at) {
+		return true
+	}
+	if !c.undisturbedBy(gateway, at, besidesRejections) {
+		return false
+	}
+	others := 0
+	for n := range c.o.Processes {
+		if n != gateway && c.undisturbed(n, at) {
+			others++
+		}
+	}
+	return others >= minUndisturbedOthers
+}
+
 // configModel models the configuration of a process: each observation allows a set of versions, and
 // the version never decreases.
 var configModel = (&porcupine.NondeterministicModel{
--- a/internal/lab/soak/touch.go
+++ b/internal/lab/soak/touch.go
@@ -32,14 +32,21 @@
 
 func anyDisturbance(*Disturbance) bool { return true }
 
+func besidesRejections(d *Disturbance) bool { return d.Fault != FaultStoreRefusesSome }
+
 // undisturbed reports whether a process was undisturbed at a time and during the contact time
 // before it. Time bounds apply to a process only then.
 func (c *checker) undisturbed(gateway int, at time.Time) bool {
+	return c.undisturbedBy(gateway, at, anyDisturbance)
+}
+
+// undisturbedBy is like undisturbed, but only faults count for which counts returns true.
+func (c *checker) undisturbedBy(gateway int, at time.Time, counts func(*Disturbance) bool) bool {
 	contact := c.o.Bounds.ContactTime
 	for _, started := range c.observed.Starts[gateway] {
 		if started.Before(at) && started.After(at.Add(-contact)) {
 			return false
 		}
 	}
-	return !c.observed.wasDisturbed(gateway, at.Add(-contact), at, anyDisturbance)
+	return !c.observed.wasDisturbed(gateway, at.Add(-contact), at, counts)
 }
