Say which process a change reached last, and why

Requests wait for a confirmation only from an age that watches don't reach by themselves: in small fleets a watch may wait 0.65 of the settle time.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -225,9 +225,9 @@
 	if err != nil {
 		return err
 	}
-	t := newTable(c, "FIRST", "CHANGE", "ID", "PROCESSES", "HALF AFTER", "LAST AFTER")
+	t := newTable(c, "FIRST", "CHANGE", "ID", "PROCESSES", "HALF AFTER", "LAST AFTER", "LAST PROCESS", "ITS LAST TROUBLE")
 	for _, ch := range trace.Propagation(lines) {
-		t.AppendRow([]any{ch.First.Format(time.TimeOnly), ch.What, ch.ID, ch.Processes, ch.Half.Round(time.Millisecond), ch.Last.Round(time.Millisecond)})
+		t.AppendRow([]any{ch.First.Format(time.TimeOnly), ch.What, ch.ID, ch.Processes, ch.Half.Round(time.Millisecond), ch.Last.Round(time.Millisecond), ch.LastProcess, ch.LastReason})
 	}
 	t.Render()
 	return nil
--- a/internal/discovery/refresh.go
+++ b/internal/discovery/refresh.go
@@ -162,8 +162,8 @@
 }
 
 const (
-	// awaitShare is the age of the configuration from which on requests wait for a confirmation. Without faults it is only
-	// reached after a pause of the process.
+	// awaitShare is the age of the configuration from which on requests wait for a confirmation, unless watches take so long
+	// that this is an ordinary age. Without faults it is only reached after a pause of the process.
 	awaitShare = 0.6
 	// maxConfirmationWait bounds this wait. Answers take 1 to 2 ms between failure domains.
 	maxConfirmationWait = 50 * time.Millisecond
@@ -172,7 +172,7 @@
 // AwaitConfirmation waits for a short time if the configuration was not confirmed for long, as after a pause of this
 // process, unless others were asked in vain.
 func (d *Discovery) AwaitConfirmation(ctx context.Context) {
-	limit := d.shareOfLimit(awaitShare)
+	limit := max(d.shareOfLimit(awaitShare), d.watchWait()+d.shareOfLimit(hopShare+overdueShare))
 	if d.View().ConfigAge() < limit || d.unconfirmable.Load() {
 		return
 	}
