Peers that have lost one path are asked for connections to other instances

Cause: a peer that declined since its own path to that instance was cut was not asked for any instance for a second; six such answers and one busy peer left nobody to ask. Class: a fact of a pair (peer, instance) taken for a fact of the peer. Change: such a peer is not asked for the same instance, and for others after the rest; its answer doesn't count towards the three peers that are asked for a connection, up to eight.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -45,6 +45,9 @@
 // errNoHelp means that no peer could connect either, or that there was none to ask.
 var errNoHelp = errors.New("no peer connected to the instance")
 
+// errPeerCut means that the peer's own path is cut.
+var errPeerCut = errors.New("path of the peer is cut")
+
 // Options configures a Dialer.
 type Options struct {
 	// Self is the name of this process.
@@ -334,7 +337,8 @@
 // relayed connects through a peer. It asks further peers while those asked before have not responded.
 func (d *Dialer) relayed(ctx context.Context, address string) (net.Conn, error) {
 	peers := slices.DeleteFunc(slices.Clone(d.o.Peers()), func(m members.Member) bool { return !d.o.Transport.Relays(m.Peer) })
-	order := d.helpers.order(peers, time.Now())
+	order := d.helpers.order(peers, address, time.Now())
+	limit := min(maxHelpers, len(order))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan dialResult, len(order))
@@ -342,10 +346,10 @@
 	defer timer.Stop()
 	asked, failed := 0, 0
 	err := errNoHelp
-	for failed < len(order) {
+	for failed < limit {
 		select {
 		case <-timer.C:
-			if asked < len(order) {
+			if asked < limit {
 				m := order[asked]
 				go func() {
 					conn, err := d.askHelper(ctx, m, address)
@@ -361,6 +365,9 @@
 			}
 			failed++
 			err = r.err
+			if errors.Is(err, errPeerCut) {
+				limit = min(limit+1, len(order))
+			}
 			timer.Reset(0)
 		}
 	}
@@ -414,6 +421,9 @@
 	case status == peerpb.ConnectStatus_CONNECT_STATUS_UNREACHABLE, status == peerpb.ConnectStatus_CONNECT_STATUS_UNKNOWN:
 		d.helpers.demote(m.Name, now.Add(unableTime))
 		return nil, errors.Newf("%s does not reach the instance either: %s", m.Name, status)
+	case status == peerpb.ConnectStatus_CONNECT_STATUS_CUT:
+		d.helpers.recordLostPath(m.Name, address, now, now.Add(unavailableTime))
+		return nil, errors.Mark(errors.Mark(errors.Newf("path of %s is cut too", m.Name), errPeerCut), errNoHelp)
 	}
 	d.helpers.exclude(m.Name, now.Add(unavailableTime))
 	return nil, errors.Mark(errors.Newf("%s does not help: %s", m.Name, status), errNoHelp)
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -26,7 +27,9 @@
 	relay  *Relay
 	member members.Member
 	// failure is the error of direct connections, nil for none. dials counts them.
-	failure  atomic.Pointer[error]
+	failure atomic.Pointer[error]
+	// lost is an address to which alone direct connections are silent, empty for none.
+	lost     string
 	dials    atomic.Int64
 	stopping atomic.Bool
 	// named are the processes that the host names as helpers, unknown those that it doesn't know itself.
@@ -38,7 +41,12 @@
 
 func (h *testHost) direct(ctx context.Context, address string) (net.Conn, error) {
 	h.dials.Add(1)
-	if err := h.failure.Load(); err != nil {
+	err := h.failure.Load()
+	if h.lost == address {
+		silent := os.ErrDeadlineExceeded
+		err = &silent
+	}
+	if err != nil {
 		if *err == os.ErrDeadlineExceeded {
 			select {
 			case <-ctx.Done():
@@ -69,8 +77,8 @@
 	return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}}
 }
 
-// startHosts starts hosts that know each other and an instance, whose address is returned.
-func startHosts(t *testing.T, n int, maxBytes int64) (hosts []*testHost, address string) {
+// startInstance starts an instance that accepts connections, and returns its address.
+func startInstance(t *testing.T) string {
 	t.Helper()
 	instance, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -82,6 +90,29 @@
 			}
 		}
 	}()
+	return instance.Addr().String()
+}
+
+// startHosts starts hosts that know each other and an instance, whose address is returned.
+func startHosts(t *testing.T, n int, maxBytes int64) (hosts []*testHost, address string) {
+	t.Helper()
+	address = startInstance(t)
+	const other = "at "
+	instanceAt := func(a string) string {
+		if a == address {
+			return "i"
+		}
+		return other + a
+	}
+	addressOf := func(id, _ string) string {
+		if id == "i" {
+			return address
+		}
+		if a, isOther := strings.CutPrefix(id, other); isOther {
+			return a
+		}
+		return ""
+	}
 	var all []members.Member
 	for k := range n {
 		h := &testHost{}
@@ -92,9 +123,9 @@
 		peers := func() []members.Member {
 			return slices.DeleteFunc(slices.Clone(all), func(m members.Member) bool { return members.Contains(h.unknown, m.Name) })
 		}
-		h.Dialer = NewDialer(Options{Self: h.member.Name, Direct: h.direct, Instance: func(string) string { return "i" }, Peers: peers, Transport: transport, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+		h.Dialer = NewDialer(Options{Self: h.member.Name, Direct: h.direct, Instance: instanceAt, Peers: peers, Transport: transport, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
 		h.relay = NewRelay(RelayOptions{
-			Dialer: h.Dialer, Address: func(id, a string) string { return map[string]string{"i": instance.Addr().String()}[id] }, Stopping: h.stopping.Load,
+			Dialer: h.Dialer, Address: addressOf, Stopping: h.stopping.Load,
 			Helpers: func(string) []members.Member { return h.named }, MaxBytes: maxBytes, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 		})
 		transport.SetRelay(countingRelay{h.relay, &h.calls})
@@ -108,7 +139,7 @@
 			require.NoError(t, err)
 		}
 	}
-	return hosts, instance.Addr().String()
+	return hosts, address
 }
 
 // dial connects from a host and returns the helper's name, empty for a direct connection.
@@ -245,6 +276,22 @@
 	}
 }
 
+// TestPeersThatLostOnePathHelpWithOthers has each host lose its path to one of two instances: the asking host that to
+// the second one, the peers that to the first one. Peers that declined the first one must still be asked for the second.
+func TestPeersThatLostOnePathHelpWithOthers(t *testing.T) {
+	hosts, first := startHosts(t, 4, memory)
+	second := startInstance(t)
+	for _, h := range hosts[1:] {
+		h.lost = first
+		require.Eventually(t, func() bool { _, _ = h.dial(t, first); return h.table.mode(first, time.Now()) == Relayed }, 3*time.Second, 10*time.Millisecond)
+	}
+	hosts[0].fail(os.ErrDeadlineExceeded)
+	_, err := hosts[0].dial(t, first)
+	require.Error(t, err, "nobody reaches it")
+	_, err = hosts[0].dial(t, second)
+	require.NoError(t, err)
+}
+
 // TestNamedHelpersAreUsed checks that a host uses processes that it doesn't know itself, which a peer names that is full.
 func TestNamedHelpersAreUsed(t *testing.T) {
 	hosts, address := startHosts(t, 3, memory)
--- a/internal/reach/helpers.go
+++ b/internal/reach/helpers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,10 +15,13 @@
 const (
 	// maxNamed is the number of processes that are kept of those which peers have named.
 	maxNamed = 32
-	// maxHelpers is how many peers are asked for one connection.
+	// maxHelpers is how many peers are asked for one connection. Peers whose own path is cut answer at once and don't
+	// count, up to maxAsked in all.
 	maxHelpers = 3
+	maxAsked   = 8
 	// unableTime is how long a peer that could not connect either is asked after the others, and
-	// unavailableTime how long one is not asked that does not respond, is busy or has lost the same path.
+	// unavailableTime how long one is not asked that does not respond or is busy, or not for the same instance if it has
+	// lost that path.
 	// unableTime is longer than unreachableTime, so that other peers are asked the next time.
 	unableTime      = 5 * time.Second
 	unavailableTime = time.Second
@@ -32,17 +36,22 @@
 	// name of the one that last helped.
 	excludedUntil, demotedUntil map[string]time.Time
 	last                        string
+	// lostPaths is until when a peer is not asked for an address to which its own path is cut.
+	lostPaths map[peerPath]time.Time
 	// named has the processes that peers have named, by name.
 	named map[string]members.Member
 }
 
+// peerPath is the path of a peer to an address.
+type peerPath struct{ peer, address string }
+
 func newHelpers(self string) *helpers {
-	return &helpers{self: self, excludedUntil: map[string]time.Time{}, demotedUntil: map[string]time.Time{}, named: map[string]members.Member{}}
+	return &helpers{self: self, lostPaths: map[peerPath]time.Time{}, excludedUntil: map[string]time.Time{}, demotedUntil: map[string]time.Time{}, named: map[string]members.Member{}}
 }
 
-// order returns the processes to ask, in order: the last one that helped, then those that peers have named, which have
-// less to do than the given ones, each in an order that differs between hosts.
-func (h *helpers) order(peers []members.Member, now time.Time) []members.Member {
+// order returns the processes to ask for a connection to an address, in order: the last one that helped, then those that
+// peers have named, which have less to do than the given ones, each in an order that differs between hosts.
+func (h *helpers) order(peers []members.Member, address string, now time.Time) []members.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []members.Member
@@ -53,14 +62,14 @@
 		}
 	}
 	for _, m := range all {
-		if m.Name != h.self && !now.Before(h.excludedUntil[m.Name]) {
+		if m.Name != h.self && !now.Before(h.excludedUntil[m.Name]) && !now.Before(h.lostPaths[peerPath{m.Name, address}]) {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b members.Member) int {
 		return cmp.Or(cmp.Compare(h.rank(a, now), h.rank(b, now)), cmp.Compare(h.score(a), h.score(b)))
 	})
-	return out[:min(maxHelpers, len(out))]
+	return out[:min(maxAsked, len(out))]
 }
 
 func (h *helpers) rank(m members.Member, now time.Time) int {
@@ -101,6 +110,19 @@
 	h.demotedUntil[name] = until
 }
 
+// recordLostPath has a peer asked after the others until the given time, and not for an address to which its own path is
+// cut: it may reach the others.
+func (h *helpers) recordLostPath(name, address string, now, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.lostPaths, func(_ peerPath, until time.Time) bool { return now.After(until) })
+	h.lostPaths[peerPath{name, address}] = until
+	h.demotedUntil[name] = until
+	if h.last == name {
+		h.last = ""
+	}
+}
+
 // exclude keeps a peer from being asked until the given time.
 func (h *helpers) exclude(name string, until time.Time) {
 	h.mu.Lock()
