A host that has just started asks peers of which it has heard nothing for connections

Cause: only peers that had already said that they relay connections were asked; right after a start these were two, both cut. Change: peers of which nothing is known are asked too; processes of former versions say that they don't with their first response.

--- a/internal/peer/relayed.go
+++ b/internal/peer/relayed.go
@@ -73,21 +73,19 @@
 	t.self.Relays = true
 }
 
-// Relays reports whether the process at address is known to relay connections.
-func (t *Transport) Relays(address string) bool {
+// MayRelay reports whether the process at address relays connections, as far as is known. Processes of former versions
+// are known not to after their first response.
+func (t *Transport) MayRelay(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.relaying[address]
+	relays, known := t.relaying[address]
+	return relays || !known
 }
 
 func (t *Transport) recordIdentity(address string, from *peerpb.Identity) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if from.GetRelays() {
-		t.relaying[address] = true
-	} else {
-		delete(t.relaying, address)
-	}
+	t.relaying[address] = from.GetRelays()
 }
 
 // RecordRelays records that the process at address relays connections, as another process says.
--- a/internal/peer/relayed_test.go
+++ b/internal/peer/relayed_test.go
@@ -60,7 +60,7 @@
 	c, status, err := caller.Connect(context.Background(), address, &peerpb.Connect{Address: "i:1"})
 	require.NoError(t, err)
 	require.Equal(t, peerpb.ConnectStatus_CONNECT_STATUS_CONNECTED, status.GetStatus())
-	require.True(t, caller.Relays(address))
+	require.True(t, caller.MayRelay(address))
 	t.Cleanup(func() { c.Close() })
 	return c, <-r.accepted, r, helper
 }
@@ -204,7 +204,7 @@
 	_, address := serve(t, echo)
 	caller, _ := serve(t, echo)
 	require.NoError(t, call(t, caller, address))
-	require.False(t, caller.Relays(address))
+	require.False(t, caller.MayRelay(address))
 }
 
 // BenchmarkRelayedExchange measures one exchange of 9 KB for 1 KB over a relayed connection, at caller and helper together.
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -336,7 +336,7 @@
 
 // relayed connects through a peer. It asks further peers while those asked before have not responded.
 func (d *Dialer) relayed(ctx context.Context, address string) (net.Conn, error) {
-	peers := slices.DeleteFunc(slices.Clone(d.o.Peers()), func(m members.Member) bool { return !d.o.Transport.Relays(m.Peer) })
+	peers := slices.DeleteFunc(slices.Clone(d.o.Peers()), func(m members.Member) bool { return !d.o.Transport.MayRelay(m.Peer) })
 	order := d.helpers.order(peers, address, time.Now())
 	limit := min(maxHelpers, len(order))
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -292,6 +292,32 @@
 	require.NoError(t, err)
 }
 
+// TestHostThatJustStartedFindsHelpers covers a host that starts while its paths are cut: it has heard nothing of its peers
+// yet, and most of them are cut as well.
+func TestHostThatJustStartedFindsHelpers(t *testing.T) {
+	hosts, address := startHosts(t, 5, memory)
+	var peers []members.Member
+	for n, h := range hosts {
+		peers = append(peers, h.member)
+		if n > 0 {
+			h.lost = address
+			require.Eventually(t, func() bool { _, _ = h.dial(t, address); return h.table.mode(address, time.Now()) == Relayed }, 3*time.Second, 10*time.Millisecond)
+		}
+	}
+	started := &testHost{}
+	started.fail(syscall.ECONNREFUSED)
+	transport := peer.NewTransport(&peerpb.Identity{Name: "new"}, noHandler{}, metrics.NewRegistry(), log.NewNopLogger())
+	t.Cleanup(transport.Close)
+	started.Dialer = NewDialer(Options{
+		Self: "new", Direct: started.direct, Instance: hosts[0].o.Instance, Peers: func() []members.Member { return peers }, Transport: transport, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+	})
+	_, err := transport.Call(context.Background(), peers[1].Peer, &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}})
+	require.NoError(t, err)
+	helper, err := started.dial(t, address)
+	require.NoError(t, err)
+	require.Equal(t, hosts[0].member.Name, helper)
+}
+
 // TestNamedHelpersAreUsed checks that a host uses processes that it doesn't know itself, which a peer names that is full.
 func TestNamedHelpersAreUsed(t *testing.T) {
 	hosts, address := startHosts(t, 3, memory)
