--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -5,6 +5,11 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rockdoor/rockdoor/internal/discovery"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/placement"
 )
 
@@ -35,3 +40,20 @@
 		})
 	}
 }
+
+// BenchmarkConfigQuery measures a question for the configuration to another scheduler that has no newer one, at both
+// processes together.
+func BenchmarkConfigQuery(b *testing.B) {
+	s, a := newNode(b, "a-sched"), newNode(b, "a-1")
+	setView([]*node{s, a}, []*node{s}, "ap1")
+	s.Server.o.InstancePrefix = "servers/"
+	s.feed.Put(objstore.Object{Key: "config/main", Version: 4})
+	known := discovery.ConfigVersions{Config: 4}
+	for b.Loop() {
+		if _, err := a.FetchConfigFrom(context.Background(), s.self, known); err != nil {
+			b.Fatal(err)
+		}
+	}
+	state := s.configState(&peerpb.ConfigQuery{ConfigVersion: 4})
+	b.ReportMetric(float64(proto.Size(state)), "bytes/answer")
+}
