A confirmed source ends the search for confirmations

Cause: the number of failed rounds outlived the disruption in which they failed. A scheduler that lost its source again told its followers at once that nobody confirmed its configuration, before it had asked anybody, and requests after a pause didn't wait for a confirmation. Change: failures are forgotten once the source has the store and the configuration is as young as it is without faults.

--- a/internal/discovery/plan_test.go
+++ b/internal/discovery/refreshplan_test.go
@@ -97,3 +97,21 @@
 	require.Less(t, d.View().ConfigAge(), limit/2)
 	require.Less(t, wait(), maxConfirmationWait/2, "it is confirmed")
 }
+
+// TestConfirmedSourceEndsAFailedSearch checks that failures of an earlier search say nothing about the next one.
+func TestConfirmedSourceEndsAFailedSearch(t *testing.T) {
+	const limit = 4 * time.Second
+	d := New(Options{PropagationLimit: limit, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	r := refresher{Discovery: d, failedRounds: 3, roundOpen: true}
+	in := refreshInputs{limit: limit, watchWait: limit / 4, others: 5, scheduling: true, sourceLost: true, age: limit, sinceRound: limit}
+	r.reportConfirmation(context.Background(), &in)
+	require.True(t, d.unconfirmable.Load())
+	require.Equal(t, configUnconfirmed(true), <-d.events)
+	in.sourceLost, in.age = false, limit/10
+	r.reportConfirmation(context.Background(), &in)
+	require.False(t, d.unconfirmable.Load())
+	require.Equal(t, configUnconfirmed(false), <-d.events)
+	in.sourceLost = true
+	r.reportConfirmation(context.Background(), &in)
+	require.False(t, r.unconfirmed, "nobody has been asked yet")
+}
