Report the loss of the store to followers at most once in a quarter of the limit

What operators would see: a store that fails every other call of a watcher made it report a loss and a return several times a second; each ended the long polls of all its followers, and of theirs. Cause: every change of the state of the store woke the followers. Change: only losses do, each kind at most once in a quarter of the limit; a return is told with the next update.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -114,7 +114,7 @@
 	// storeUnreachable is true while the last store call of any feed of this process failed. The
 	// view's StoreUp may differ: in a follower it is the state that the scheduler reported.
 	storeUnreachable atomic.Bool
-	// sourceChanged wakes the refresher, as when the source loses or regains the store. offers gets the processes that offer their
+	// sourceChanged wakes the refresher, as when the source loses the store. offers gets the processes that offer their
 	// configuration.
 	sourceChanged chan struct{}
 	offers        chan members.Member
@@ -175,6 +175,9 @@
 	// registrations missing from it may have expired because of the outage.
 	outage  bool
 	expired map[string]expiry
+	// storeLossReportedAt and unconfirmedReportedAt are when the followers were last told of the loss of the store and of an
+	// unconfirmed configuration.
+	storeLossReportedAt, unconfirmedReportedAt bootclock.Instant
 }
 
 // New returns a Discovery. The caller must call Run.
@@ -398,8 +401,11 @@
 	before := d.view.Swap(&v)
 	next := make(chan struct{})
 	close(*d.published.Swap(&next))
-	if v.StoreUp != before.StoreUp || v.ConfigUnconfirmed != before.ConfigUnconfirmed {
-		d.reportSourceChange()
+	if before.StoreUp && !v.StoreUp {
+		d.reportLoss(&d.storeLossReportedAt)
+	}
+	if !before.ConfigUnconfirmed && v.ConfigUnconfirmed {
+		d.reportLoss(&d.unconfirmedReportedAt)
 	}
 	d.storeUnreachable.Store(len(d.failingFeeds) > 0)
 	if v.Ready() {
@@ -411,10 +417,20 @@
 	}
 }
 
-// reportSourceChange tells the followers at once that the source of this process has lost or regained the store.
-func (d *Discovery) reportSourceChange() {
-	d.feed.Wake()
+// lossReportShare is the minimum time between two reports of the same kind of loss, as a share of the propagation limit. A
+// store that fails every other call would otherwise wake all followers several times a second.
+const lossReportShare = 0.25
+
+// reportLoss ends the long polls of the followers, so that they learn of a loss at once, unless one was reported at
+// reportedAt, shortly before.
+func (d *Discovery) reportLoss(reportedAt *bootclock.Instant) {
 	d.wakeRefresher()
+	now := bootclock.Now()
+	if *reportedAt != 0 && now.Sub(*reportedAt) < d.shareOfLimit(lossReportShare) {
+		return
+	}
+	*reportedAt = now
+	d.feed.Wake()
 }
 
 // wakeRefresher has the refresher check at once whether the configuration must be confirmed.
--- a/internal/discovery/refreshplan_test.go
+++ b/internal/discovery/refreshplan_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/internal/feed"
 )
 
 // TestWaysToConfirmEndWithinTheLimit checks the sum of the delays on the way to a confirmation: from any age that occurs
@@ -115,3 +116,34 @@
 	r.reportConfirmation(context.Background(), &in)
 	require.False(t, r.unconfirmed, "nobody has been asked yet")
 }
+
+// TestFlappingStoreWakesFollowersRarely checks that the followers of a process learn of a loss at once, but not of each
+// failed call to a store that fails every other one.
+func TestFlappingStoreWakesFollowersRarely(t *testing.T) {
+	d := New(Options{PropagationLimit: time.Hour, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	wakes := 0
+	for range 10 {
+		for _, up := range []bool{false, true} {
+			_, changed := d.feed.Since(feed.Position{})
+			d.cur.StoreUp = up
+			d.publish()
+			select {
+			case <-changed:
+				wakes++
+			default:
+			}
+		}
+	}
+	require.Equal(t, 1, wakes)
+	_, changed := d.feed.Since(feed.Position{})
+	d.cur.ConfigUnconfirmed = true
+	d.publish()
+	require.Eventually(t, func() bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}, time.Second, time.Millisecond, "another kind of loss")
+}
