--- a/internal/scheduler/config_test.go
+++ b/internal/scheduler/config_test.go
@@ -12,6 +12,7 @@
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/feed"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 )
@@ -93,3 +94,17 @@
 	require.True(t, f.ConfigUnconfirmed)
 	require.Less(t, bootclock.Since(changed), a.Client.o.longPollWait()/2)
 }
+
+// TestProcessOfAFormerVersionDelaysNoAnswer covers a rolling update: a scheduler of a former version does not know the call
+// and does not send the age of the configuration alone.
+func TestProcessOfAFormerVersionDelaysNoAnswer(t *testing.T) {
+	s, a := newNode(t, "a-sched"), newNode(t, "a-1")
+	setView([]*node{s, a}, []*node{s}, "ap1")
+	s.former.Store(true)
+	begun := time.Now()
+	a.FetchConfig(context.Background(), discovery.ConfigVersions{}, 1, func(discovery.ConfigUpdate) { t.Error("it has no answer") })
+	require.Less(t, time.Since(begun), a.Client.o.longPollWait())
+	f, err := decodeUpdate(&peerpb.FollowUpdate{AgeMs: 700})
+	require.NoError(t, err)
+	require.Equal(t, 700*time.Millisecond, f.ConfigAge)
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -34,8 +34,9 @@
 	view   atomic.Pointer[fleet.View]
 	placer *placement.Placer
 	feed   *feed.Feed
-	// frozen makes the node accept calls without responding; slow makes it respond too late.
-	frozen, slow atomic.Bool
+	// frozen makes the node accept calls without responding; slow makes it respond too late; former makes it reject the
+	// calls that former versions don't know.
+	frozen, slow, former atomic.Bool
 }
 
 // HandlePeer implements peer.Handler.
@@ -43,6 +44,9 @@
 	if n.frozen.Load() {
 		<-ctx.Done()
 	}
+	if n.former.Load() && req.GetConfigQuery() != nil {
+		return &peerpb.Response{Error: "call is not known"}
+	}
 	resp := n.Server.HandlePeer(ctx, req)
 	if n.slow.Load() {
 		time.Sleep(2 * callTimeout)
