--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -101,6 +102,18 @@
 	return strings.Join(out[max(len(out)-limit, 0):], "")
 }
 
+// logLines logs the lines of the processes that contain one of the parts.
+func logLines(t *testing.T, all []*process, parts ...string) {
+	t.Helper()
+	for _, p := range all {
+		for line := range strings.Lines(p.log.String()) {
+			if slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(line, part) }) {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // measureSchedulingDelay starts a goroutine that should run each millisecond. The function that it
 // returns reports the longest time in which the goroutine did not run.
 func measureSchedulingDelay(t *testing.T) (longest func() time.Duration) {
--- a/internal/gatewayd/ratelimit_test.go
+++ b/internal/gatewayd/ratelimit_test.go
@@ -274,14 +274,5 @@
 	for from := begun; from.Before(begun.Add(sendDuration)); from = from.Add(step) {
 		t.Logf("%s: %d arrived", from.Sub(begun), countBetween(arrived, from, from.Add(step)))
 	}
-	for _, p := range all {
-		for line := range strings.Lines(p.log.String()) {
-			for _, part := range []string{"component=ratelimit", "msg=schedulers", "msg=mode", "peer silent", "contact with peer", "does not respond"} {
-				if strings.Contains(line, part) {
-					t.Log(strings.TrimSpace(line))
-					break
-				}
-			}
-		}
-	}
+	logLines(t, all, "component=ratelimit", "msg=schedulers", "msg=mode", "peer silent", "contact with peer", "does not respond")
 }
--- a/internal/gatewayd/watchers_test.go
+++ b/internal/gatewayd/watchers_test.go
@@ -217,6 +217,10 @@
 			}
 		}
 	}
+	if len(instance.Runs()) > before {
+		t.Logf("removed at %s, watchers %v", removedAt.UTC().Format(time.RFC3339Nano), watchers)
+		logLines(t, all, "id="+instance.ID, "component=discovery")
+	}
 	require.Equal(t, before, len(instance.Runs()), "requests reached %s more than %s after its removal", instance.ID, propagationLimit)
 }
 
