Wait longer for the record of a stream that a busy process has

What callers saw: beside load, clients that resumed the streams of a killed host got 503 unknown-origin and had to begin again: 31, 35 and 37 of 40 continued in three of six runs of TestStreamsOfAKilledHostContinueAtTheirVersion/large. Cause: the processes with the records were asked for 80 ms; the logs of these runs have the i/o deadline of each such call, and the rejections after 186 to 229 ms. The client had seconds left. Change: 400 ms, and only while a process that may have the record has not answered; the first record ends the wait as before.

--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -32,9 +32,10 @@
 	// observeInterval is how often the versions of the instances are recorded.
 	observeInterval = 250 * time.Millisecond
 	// sendTimeout limits a call that sends records, askTimeout one that asks for a record. The client waits for
-	// the latter.
+	// the latter, but only while a process that may have the record has not answered; without it, the client has to
+	// begin the stream again.
 	sendTimeout = 200 * time.Millisecond
-	askTimeout  = 80 * time.Millisecond
+	askTimeout  = 400 * time.Millisecond
 )
 
 // Source says how the origin of a stream is known.
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -14,6 +15,8 @@
 
 	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/members"
 )
 
@@ -206,6 +209,39 @@
 	require.Equal(t, []string{"0", "4", "6", "1", "2", "3", "5"}, members.Names(spread(peers)))
 }
 
+// slowPeer answers after a pause, as a process on a busy host.
+type slowPeer struct {
+	*Registry
+	pause time.Duration
+}
+
+// HandlePeer implements peer.Handler.
+func (s slowPeer) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	time.Sleep(s.pause)
+	return s.Registry.HandlePeer(ctx, req)
+}
+
+// TestPeerOnABusyHostIsHeard has the only process with a record of a stream answer late. Without its answer the client
+// would have to begin the stream again.
+func TestPeerOnABusyHostIsHeard(t *testing.T) {
+	keeper := newWorld("v1", "v2")
+	keeper.Began(Origin{Request: "r", Workspace: "w", Service: "s", Software: "v1"}, life)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	remote := peer.NewTransport(&peerpb.Identity{Name: "keeper"}, slowPeer{keeper.Registry, 150 * time.Millisecond}, metrics.NewRegistry(), log.NewNopLogger())
+	defer remote.Close()
+	go func() { _ = remote.Serve(l) }()
+	asking := newWorld("v1", "v2")
+	own := peer.NewTransport(&peerpb.Identity{Name: "asking"}, asking, metrics.NewRegistry(), log.NewNopLogger())
+	defer own.Close()
+	asking.o.Transport = own
+	asking.o.Peers = func() []members.Member { return []members.Member{{Name: "keeper", Peer: l.Addr().String()}} }
+	version, source := asking.find("r")
+	require.Equal(t, SourcePeer, source)
+	require.Equal(t, "v1", version)
+}
+
 // BenchmarkBegan records the beginning of a stream, with one version and with two.
 func BenchmarkBegan(b *testing.B) {
 	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
