--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -113,6 +113,9 @@
 	if r, ok := d.removed[i.ID]; obj.Version < d.versions[i.ID] || ok && obj.Version <= r.version {
 		return false // stale: from a source that lags behind
 	}
+	if _, expired := d.expired[i.ID]; expired && obj.Version == d.versions[i.ID] {
+		return false // the registration that has gone missing, from a source that lags behind
+	}
 	if d.isOutdatedRegistration(i, obj.Version) {
 		level.Info(d.logger).Log("msg", "registration of the restored store ignored: the instance is known to be draining or removed", "id", i.ID, "revision", obj.Version.Number(), "era", obj.Version.Era())
 		return false
--- a/internal/discovery/relay_test.go
+++ b/internal/discovery/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,31 @@
 	require.False(t, view().Accepts("s", "i-1"), "removed %s ago", time.Since(removed))
 }
 
+// TestLaggingSnapshotDoesNotRestoreAnExpiredInstance covers a process that keeps an instance for a while, since its
+// registration went missing after a failed read, and then receives a snapshot of a process that has not seen the removal.
+func TestLaggingSnapshotDoesNotRestoreAnExpiredInstance(t *testing.T) {
+	relay := newFakeRelay()
+	fake := fleetstore.New()
+	view := startFollowingOn(t, fake, relay)
+	setConfig(fake, 1)
+	setInstance(fake, "i-1", "ready")
+	var lagging atomic.Bool
+	lost := time.Now()
+	sendRepeatedly(t, relay, func() discovery.RelayUpdate {
+		f := updateWith(lagging.Load(), 1, configAt(1), registered("i-1", 1))
+		f.Age, f.ConfigAge = time.Since(lost), time.Since(lost)
+		return f
+	})
+	eventually(t, func() bool { return view().Accepts("s", "i-1") })
+	lagging.Store(true)
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	require.Eventually(t, func() bool { return !view().StoreUp && time.Since(lost) > propagationLimit }, 2*propagationLimit, tick)
+	fake.SetFaults(fleetstore.Faults{})
+	fake.Remove("servers", "i-1")
+	require.Eventually(t, func() bool { i := view().Instances["i-1"]; return i == nil || i.Expired }, 4*propagationLimit, time.Millisecond)
+	require.Eventually(t, func() bool { return view().Instances["i-1"] == nil }, 2*expiredRetention, tick)
+}
+
 // TestAnOlderRemovalLeavesANewerRegistration has a process change to a scheduler that lags behind, and receive from it
 // the removal of an earlier registration of an instance that has registered again since. The process once removed the
 // instance, and then ignored the newer registration as one of a removed version.
