Schedulers that lost their source soon read again after a failed read

What callers could see: requests to removed instances at the followers of a scheduler whose one read of the store had failed. Cause: after a failed read every process waited 2.5 to 5 s, more than a limit of 2 or 3 s, whether others depended on it or not: one more step that doesn't know the deadline of the whole path. Change: a scheduler with a lost source waits 0.125 to 0.25 of the limit. Others wait as before, so that an outage costs few calls.

--- a/internal/discovery/refresh_test.go
+++ b/internal/discovery/refresh_test.go
@@ -54,13 +54,35 @@
 	fake := fleetstore.New()
 	view := startFollowingOn(t, fake, relay)
 	lost := time.Now()
-	sendRepeatedly(t, relay.fakeRelay, func() discovery.RelayUpdate {
+	sendLostSchedulerUpdates(t, relay.fakeRelay, lost)
+	require.Eventually(t, func() bool { return view().Scheduling && view().Accepts("s", "i-1") }, propagationLimit/4, tick)
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	require.Eventually(t, func() bool { return !view().Accepts("s", "i-1") }, propagationLimit*3/4-time.Since(lost), tick)
+}
+
+// TestSchedulerSoonReadsAgainAfterAFailedRead covers a scheduler whose watcher has lost the store and whose own first read
+// fails. The pause before the next read must leave its followers time to learn of a removal.
+func TestSchedulerSoonReadsAgainAfterAFailedRead(t *testing.T) {
+	relay := newFakeRelay()
+	fake := fleetstore.New()
+	view := startFollowingOn(t, fake, relay)
+	setConfig(fake, 1)
+	lost := time.Now()
+	sendLostSchedulerUpdates(t, relay, lost)
+	require.Eventually(t, func() bool { return view().Scheduling && view().Accepts("s", "i-1") }, propagationLimit/4, tick)
+	fake.SetFaults(fleetstore.Faults{Down: true})
+	require.Eventually(t, func() bool { return !view().StoreUp && view().InstancesAge() > propagationLimit*4/10 }, propagationLimit/2, tick)
+	fake.SetFaults(fleetstore.Faults{})
+	require.Eventually(t, func() bool { return !view().Accepts("s", "i-1") }, propagationLimit-time.Since(lost), tick)
+}
+
+// sendLostSchedulerUpdates delivers, until the test ends, the updates of a watcher that lost the store at the time lost to
+// a process that is a scheduler.
+func sendLostSchedulerUpdates(t *testing.T, relay fakeRelay, lost time.Time) {
+	sendRepeatedly(t, relay, func() discovery.RelayUpdate {
 		f := updateWith(false, 1, configAt(1), registered("i-1", 1))
 		f.Age, f.ConfigAge = time.Since(lost), time.Since(lost)
 		f.Schedulers = append(f.Schedulers, members.Member{Name: "self"})
 		return f
 	})
-	require.Eventually(t, func() bool { return view().Scheduling && view().Accepts("s", "i-1") }, propagationLimit/4, tick)
-	fake.SetFaults(fleetstore.Faults{Down: true})
-	require.Eventually(t, func() bool { return !view().Accepts("s", "i-1") }, propagationLimit*3/4-time.Since(lost), tick)
 }
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -52,6 +52,8 @@
 	// lostSourcePauseShare is the share of the propagation limit that a scheduler whose source is known to have lost the
 	// store lets pass at least between two looks for fresher data; the actual time is random and up to twice as long.
 	lostSourcePauseShare = 0.0625
+	// lostSourceReadShare is the same for two direct reads of which the first one failed.
+	lostSourceReadShare = 0.125
 	// lostSourceMaxAgeShare is schedulerMaxAgeShare while the source of the scheduler is known to have lost the store.
 	lostSourceMaxAgeShare = 0.35
 	// directReadRetry is the minimum time between two direct reads because of old data; the actual
@@ -232,13 +234,22 @@
 	for _, s := range wanted {
 		if err := d.follower(s).readOnce(ctx); err != nil {
 			level.Warn(d.logger).Log("msg", "direct read of the store failed", "feed", s, "age", age.Round(time.Millisecond), "proof_age", staleness.Round(time.Millisecond), "err", err)
-			pause = failedReadRetry
+			pause = d.failedReadPause(v)
 			break
 		}
 	}
 	return bootclock.Now().Add(pause + rand.N(pause))
 }
 
+// failedReadPause returns the minimum pause after a failed direct read. The followers of a scheduler depend on it, so that
+// it tries again while there is time left to reach them.
+func (d *Discovery) failedReadPause(v *fleet.View) time.Duration {
+	if d.sourceIsLost(v) {
+		return d.shareOfLimit(lostSourceReadShare)
+	}
+	return failedReadRetry
+}
+
 // fetchWhileStoreUnreachable fetches snapshots from other processes while the store does not answer
 // this one and its data is too old. The store may reject the calls of some processes and serve the
 // others: rejected watchers had a configuration that was 9.2 s old while the other processes of 295
