Log answers about the configuration only if they change something

What operators saw: in a round with many answers each of them was a line, most with the object that the first one had brought. Change: it counts what is lacked, and needs that or a confirmation that is fresher by a twentieth of the limit.

--- a/internal/discovery/refresh.go
+++ b/internal/discovery/refresh.go
@@ -254,8 +254,9 @@
 	if u.InstancesRevision != 0 && u.InstancesRevision.Era() < d.era.number {
 		return
 	}
-	if gain := u.ConfirmedAt.Sub(d.cur.ConfigConfirmedAt); gain >= d.shareOfLimit(overdueShare) || len(u.Objects) > 0 {
-		level.Info(d.logger).Log("msg", "another process knows the configuration", "from", u.From, "age", bootclock.Since(u.ConfirmedAt).Round(time.Millisecond), "fresher_by", gain.Round(time.Millisecond), "store", u.StoreUp, "objects", len(u.Objects))
+	lacked := d.lacked(u.Objects)
+	if gain := u.ConfirmedAt.Sub(d.cur.ConfigConfirmedAt); gain >= d.shareOfLimit(overdueShare) || lacked > 0 {
+		level.Info(d.logger).Log("msg", "another process knows the configuration", "from", u.From, "age", bootclock.Since(u.ConfirmedAt).Round(time.Millisecond), "fresher_by", gain.Round(time.Millisecond), "store", u.StoreUp, "lacked", lacked)
 	}
 	for _, s := range []feedName{feedConfig, feedRules} {
 		c := feedUpdate{feed: s, relayed: true, revision: u.InstancesRevision}
@@ -269,6 +270,17 @@
 	d.confirmConfig(u.ConfirmedAt, u.FreshAt)
 }
 
+// lacked returns how many of the objects this process doesn't have in that version or a newer one. Several answers of one
+// round may bring the same object.
+func (d *Discovery) lacked(objects []objstore.Object) (n int) {
+	for _, obj := range objects {
+		if obj.Version > d.feed.VersionOf(obj.Key) {
+			n++
+		}
+	}
+	return n
+}
+
 // applyConfigRead applies a read of the configuration besides the watches.
 func (d *Discovery) applyConfigRead(c feedUpdate) {
 	d.observeEra(c.revision, "store")
