Schedulers slow down their search for registrations while nobody has fresher ones

What operators would see: in an outage of the whole store, schedulers asked all others for fresher registrations two to four times a second for as long as it lasted, some 67 KB a second each at 985 hosts (worked out). Cause: the earlier search for schedulers with a lost source had no backoff.

--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -251,34 +251,41 @@
 }
 
 // fetchWhileStoreUnreachable fetches snapshots from other processes while the store does not answer
-// this one and its data is too old. The store may reject the calls of some processes and serve the
-// others: rejected watchers had a configuration that was 9.2 s old while the other processes of 295
-// hosts had one of 0.6 s. Other processes read the store directly at the same age, so that the first
-// request often finds no fresher data; it is a short message and is soon repeated.
+// this one or, for a scheduler, its source, and its data is too old. The store may reject the calls of some
+// processes and serve the others: rejected watchers had a configuration that was 9.2 s old while the other
+// processes of 295 hosts had one of 0.6 s. Other processes read the store directly at the same age, so that the
+// first request often finds no fresher data; it is a short message and is soon repeated.
 func (d *Discovery) fetchWhileStoreUnreachable(ctx context.Context) {
+	pause := directReadRetry
 	for ctx.Err() == nil {
-		v := d.View()
-		pause := directReadRetry
-		if d.sourceIsLost(v) {
-			pause = d.shareOfLimit(lostSourcePauseShare)
+		if !d.sourceIsLost(d.View()) {
+			pause = directReadRetry
 		}
 		sleep(ctx, pause+rand.N(pause))
-		if v = d.View(); (d.storeUnreachable.Load() || d.sourceIsLost(v)) && v.Age() >= d.maxAge(v) {
-			d.fetchFresher(ctx, v.Age())
+		v := d.View()
+		lost := d.sourceIsLost(v)
+		switch {
+		case !d.storeUnreachable.Load() && !lost:
+		case lost && v.Age() < d.maxAge(v):
+			pause = d.shareOfLimit(lostSourcePauseShare)
+		case v.Age() >= d.maxAge(v) && !d.fetchFresher(ctx, v.Age()):
+			pause = min(2*pause, directReadRetry)
 		}
 	}
 }
 
-// fetchFresher fetches a snapshot that is fresher than this process's data, which has the given age.
-func (d *Discovery) fetchFresher(ctx context.Context, age time.Duration) {
+// fetchFresher fetches a snapshot that is fresher than this process's data, which has the given age. It reports whether
+// there is one.
+func (d *Discovery) fetchFresher(ctx context.Context, age time.Duration) bool {
 	f, err := d.o.Relay.FetchFresher(ctx, age)
 	f.receivedAt = bootclock.Now()
 	if err != nil {
 		level.Info(d.logger).Log("msg", "no other process has fresher data", "age", age.Round(time.Millisecond), "err", err)
-		return
+		return false
 	}
 	level.Info(d.logger).Log("msg", "snapshot fetched from another process", "age", age.Round(time.Millisecond), "new_age", f.Age)
 	d.send(ctx, fetchedSnapshot{f})
+	return true
 }
 
 // maxAge returns the age from which on a process reads the store directly. Schedulers do so first,
