A lost session between processes does not keep the processor busy

What callers saw: requests at a process that closed a session to a host which had stopped reading were held up for seconds. Cause: yamux closes the channel that wakes the waiting streams, then waits for its receiver, and only then marks the streams as closed. Until then each Read and each Write without room loops without a pause, for a whole time slice, and in turn; the receiver and the closing goroutine wait behind them. Evidence: a profile of the spinning process, all of it in yamux.Stream.Read below forwarder.toInstance. Change: the receiver alone closes a session. Others close the connection; the receiver then fails and closes the session while no stream is awake. yamux's keepalive and its timeout for opening streams close sessions from goroutines of their own: the keepalive is ours now, with the same interval and timeout, and the other is off; it only applied to streams that were still in use 3 s after they had been opened without an answer, and calls have deadlines of their own. Why it works: between the wake-up and the marks nothing waits any more.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -61,9 +60,9 @@
 	relaying map[string]bool
 	// forwarders are the connections that this process relays.
 	forwarders map[*forwarder]bool
-	dialed     map[string]*yamux.Session // by address
-	idle       map[string][]*stream      // by address
-	accepted   map[*yamux.Session]struct{}
+	dialed     map[string]*muxSession // by address
+	idle       map[string][]*stream   // by address
+	accepted   map[*muxSession]struct{}
 	closed     bool
 	dials      singleflight.Group
 	wg         sync.WaitGroup
@@ -78,22 +77,12 @@
 		handler:  handler,
 		streams:  semaphore.NewWeighted(maxStreams),
 		relaying: map[string]bool{}, forwarders: map[*forwarder]bool{},
-		dialed:   map[string]*yamux.Session{},
+		dialed:   map[string]*muxSession{},
 		idle:     map[string][]*stream{},
-		accepted: map[*yamux.Session]struct{}{},
+		accepted: map[*muxSession]struct{}{},
 	}
 }
 
-func sessionConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.KeepAliveInterval = keepAliveInterval
-	cfg.ConnectionWriteTimeout = sessionTimeout
-	cfg.StreamOpenTimeout = sessionTimeout
-	cfg.StreamCloseTimeout = sessionTimeout
-	cfg.LogOutput = io.Discard
-	return cfg
-}
-
 // Serve accepts sessions until l is closed. It owns l.
 func (t *Transport) Serve(l net.Listener) error {
 	for {
@@ -120,7 +109,7 @@
 }
 
 func (t *Transport) accept(conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := newSession(conn, yamux.Server)
 	if err != nil {
 		conn.Close()
 		return
@@ -136,7 +125,7 @@
 	go t.serveSession(session)
 }
 
-func (t *Transport) serveSession(session *yamux.Session) {
+func (t *Transport) serveSession(session *muxSession) {
 	defer t.wg.Done()
 	defer func() {
 		session.Close()
@@ -289,7 +278,7 @@
 }
 
 // session returns the session to address, and dials if there is none.
-func (t *Transport) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (t *Transport) session(ctx context.Context, address string) (*muxSession, error) {
 	t.mu.Lock()
 	s := t.dialed[address]
 	closed := t.closed
@@ -304,16 +293,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return v.(*yamux.Session), nil
+	return v.(*muxSession), nil
 }
 
-func (t *Transport) dial(ctx context.Context, address string) (*yamux.Session, error) {
+func (t *Transport) dial(ctx context.Context, address string) (*muxSession, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s, err := yamux.Client(conn, sessionConfig())
+	s, err := newSession(conn, yamux.Client)
 	if err != nil {
 		conn.Close()
 		return nil, err
@@ -329,7 +318,7 @@
 }
 
 // dropSession closes a failed session and removes it.
-func (t *Transport) dropSession(address string, s *yamux.Session) {
+func (t *Transport) dropSession(address string, s *muxSession) {
 	s.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/peer/session_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+)
+
+// silentPeer accepts connections and reads nothing from them.
+func silentPeer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var mu sync.Mutex
+	var conns []net.Conn
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			c.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
+func (t *Transport) dialedSession(address string) *muxSession {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.dialed[address]
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// TestLostSessionDoesNotSpin closes a session to a peer that has stopped reading, while many calls wait for responses and
+// others for room to send.
+func TestLostSessionDoesNotSpin(t *testing.T) {
+	const waiting, sending = 60, 40
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	client, _ := serve(t, echo)
+	address := silentPeer(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var calls sync.WaitGroup
+	for range waiting {
+		calls.Go(func() { _, _ = client.Call(ctx, address, heartbeat(1)) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	for range sending {
+		large := &peerpb.ConfigOffer{Peer: strings.Repeat("x", 200<<10)}
+		calls.Go(func() {
+			_, _ = client.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ConfigOffer{ConfigOffer: large}})
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	session := client.dialedSession(address)
+	before := processorTime(t)
+	client.dropSession(address, session)
+	calls.Wait()
+	require.Less(t, processorTime(t)-before, 100*time.Millisecond)
+}
+
+// TestKeepaliveClosesTheSessionToASilentPeer checks that calls to a peer which has gone silent dial again after a while.
+func TestKeepaliveClosesTheSessionToASilentPeer(t *testing.T) {
+	client, _ := serve(t, echo)
+	address := silentPeer(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(ctx, address, heartbeat(1))
+	require.Error(t, err)
+	require.Eventually(t, client.dialedSession(address).IsClosed, keepAliveInterval+sessionTimeout+time.Second, 50*time.Millisecond)
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -21,13 +21,13 @@
 // stream is a yamux stream that carries one call after another.
 type stream struct {
 	*yamux.Stream
-	session *yamux.Session
+	session *muxSession
 	reader  *bufio.Reader
 	// idleSince is when the last call ended.
 	idleSince time.Time
 }
 
-func newStream(s *yamux.Session, st *yamux.Stream) *stream {
+func newStream(s *muxSession, st *yamux.Stream) *stream {
 	return &stream{Stream: st, session: s, reader: bufio.NewReader(st)}
 }
 
@@ -36,7 +36,7 @@
 }
 
 // openStream opens a stream of a session, limited by ctx.
-func openStream(ctx context.Context, session *yamux.Session) (*stream, error) {
+func openStream(ctx context.Context, session *muxSession) (*stream, error) {
 	type result struct {
 		stream *yamux.Stream
 		err    error
