A first configuration has no delay

What operators saw: a process that had just started logged its first configuration with unconfirmed_for of up to 18 hours (the time since the machine had started), and the histogram discovery_config_delay_max got the same values. Cause: the time of the last confirmation is zero until there is one. Change: no duration with the first configuration. The test of requests after a pause measures in virtual time now: its bounds of 25 and 50 ms became exact values, so that it no longer depends on the machine's load.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -345,10 +345,19 @@
 			obj = d.o.RedactConfig(obj)
 		}
 		d.queueEvent(objstore.Event{Object: obj})
+		d.reportConfigInForce(cfg, obj.Version, c.relayed)
+	}
+}
+
+// reportConfigInForce logs a configuration and, unless it is the first one, how long at most it has existed.
+func (d *Discovery) reportConfigInForce(cfg *fleet.Config, revision objstore.Version, relayed bool) {
+	fields := []any{"msg", "configuration in force", "version", cfg.Version, "revision", revision, "relayed", relayed, "routes", len(cfg.Routes), "workspaces", cfg.Workspaces()}
+	if d.cur.ConfigFreshAt != 0 {
 		unconfirmedFor := bootclock.Since(d.cur.ConfigFreshAt)
 		metrics.GetOrRegisterTimer("discovery.config_delay_max", d.o.Metrics).Update(unconfirmedFor)
-		level.Info(d.logger).Log("msg", "configuration in force", "version", cfg.Version, "revision", obj.Version, "relayed", c.relayed, "unconfirmed_for", unconfirmedFor.Round(time.Millisecond), "routes", len(cfg.Routes), "workspaces", cfg.Workspaces())
+		fields = append(fields, "unconfirmed_for", unconfirmedFor.Round(time.Millisecond))
 	}
+	level.Info(d.logger).Log(fields...)
 }
 
 // supersedes reports whether a configuration replaces the one in force. Versions never go
--- a/internal/discovery/refreshplan_test.go
+++ b/internal/discovery/refreshplan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rockdoor/rockdoor/bootclock"
+	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/feed"
 )
 
@@ -77,26 +79,38 @@
 // TestRequestsAfterAPauseWaitForAConfirmation covers a process that was paused: its configuration is old, and it has asked
 // nobody yet. Requests wait until it is confirmed, but not if others were asked in vain, and never for long.
 func TestRequestsAfterAPauseWaitForAConfirmation(t *testing.T) {
-	const limit = 4 * time.Second
-	d := New(Options{PropagationLimit: limit, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
-	setAge := func(age time.Duration) {
-		d.cur.ConfigConfirmedAt = bootclock.Now().Add(-age)
-		d.publish()
-	}
-	wait := func() time.Duration {
-		begun := time.Now()
-		d.AwaitConfirmation(context.Background())
-		return time.Since(begun)
-	}
-	setAge(limit)
-	require.Less(t, wait(), maxConfirmationWait/2, "nobody can be asked")
-	d.unconfirmable.Store(false)
-	require.GreaterOrEqual(t, wait(), maxConfirmationWait, "no answer arrives")
-	require.Len(t, d.sourceChanged, 1, "the refresher is woken")
-	time.AfterFunc(maxConfirmationWait/10, func() { setAge(0) })
-	require.Less(t, wait(), maxConfirmationWait)
-	require.Less(t, d.View().ConfigAge(), limit/2)
-	require.Less(t, wait(), maxConfirmationWait/2, "it is confirmed")
+	synctest.Test(t, func(t *testing.T) {
+		const limit, answerAfter = 4 * time.Second, maxConfirmationWait / 10
+		d := New(Options{PropagationLimit: limit, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+		setAge := func(age time.Duration) {
+			d.cur.ConfigConfirmedAt = bootclock.Now().Add(-age)
+			d.publish()
+		}
+		wait := func() time.Duration {
+			begun := time.Now()
+			d.AwaitConfirmation(context.Background())
+			return time.Since(begun)
+		}
+		setAge(limit)
+		require.Zero(t, wait(), "nobody can be asked")
+		d.unconfirmable.Store(false)
+		require.Equal(t, maxConfirmationWait, wait(), "no answer arrives")
+		require.Len(t, d.sourceChanged, 1, "the refresher is woken")
+		time.AfterFunc(answerAfter, func() { setAge(0) })
+		require.Equal(t, answerAfter, wait())
+		require.Zero(t, wait(), "it is confirmed")
+	})
+}
+
+// TestFirstConfigurationHasNoDelay checks that a process which had no configuration before reports no delay of its first one.
+func TestFirstConfigurationHasNoDelay(t *testing.T) {
+	reg := metrics.NewRegistry()
+	d := New(Options{Metrics: reg, Logger: log.NewNopLogger()})
+	d.reportConfigInForce(&fleet.Config{Version: 1}, 1, false)
+	require.Nil(t, reg.Get("discovery.config_delay_max"))
+	d.cur.ConfigFreshAt = bootclock.Now()
+	d.reportConfigInForce(&fleet.Config{Version: 2}, 2, false)
+	require.EqualValues(t, 1, reg.Get("discovery.config_delay_max").(metrics.Timer).Count())
 }
 
 // TestConfirmedSourceEndsAFailedSearch checks that failures of an earlier search say nothing about the next one.
