A stream that does not begin fails its test instead of blocking it

What was seen: with five copies of TestStreamsOfAKilledHostContinueAtTheirVersion beside six busy processes, two of nine runs waited without end (400 s and 140 s, until their time limits). Cause: the test. beginStreams waited for events of each stream; a client whose request was rejected at load never counted. Evidence: the stacks of the second run, all of the processes idle and the test in beginStreams. Change: a client tries up to 20 times to begin its stream, and the test fails if one has not begun. Result: the tests that begin streams pass with the race detector. The test of killed hosts stays known red: 33 and 35 of 40 streams continued in two of the other seven runs at that load.

--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,12 +132,18 @@
 	disconnect context.CancelFunc
 }
 
+// maxBeginTries is how often a client tries to begin a stream.
+const maxBeginTries = 20
+
 // beginStreams begins streams at the processes in turn. It returns when each client has received the given number of
-// events.
-func beginStreams(at []*process, streams, events int) *streamClients {
+// events, and fails the test if one has not.
+func beginStreams(t *testing.T, at []*process, streams, events int) *streamClients {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &streamClients{disconnect: cancel}
 	var begun sync.WaitGroup
+	var notBegun atomic.Int64
+	notBegun.Store(int64(streams))
 	for n := range streams {
 		r := &received{versions: map[string]bool{}}
 		c.all = append(c.all, r)
@@ -144,14 +151,20 @@
 		c.ended.Add(1)
 		go func() {
 			defer c.ended.Done()
-			r.attempt(ctx, at[n%len(at)], fmt.Sprint("s-", n), nil, func(received int) {
-				if received == events {
-					begun.Done()
-				}
-			})
+			done := sync.OnceFunc(begun.Done)
+			defer done()
+			for try := 0; try < maxBeginTries && r.events == 0; try++ {
+				r.attempt(ctx, at[n%len(at)], fmt.Sprint("s-", n, "-", try), nil, func(received int) {
+					if received == events {
+						notBegun.Add(-1)
+						done()
+					}
+				})
+			}
 		}()
 	}
 	begun.Wait()
+	require.Zero(t, notBegun.Load(), "streams that did not begin")
 	return c
 }
 
@@ -237,7 +250,7 @@
 			}
 			all := start(d)
 			first, others := all[len(all)-1], all[:len(all)-1]
-			clients := beginStreams([]*process{first}, streams, 2)
+			clients := beginStreams(t, []*process{first}, streams, 2)
 			first.kill(links[first.settings.Name])
 			clients.ended.Wait()
 			mixed, continued := clients.resume(others)
@@ -267,7 +280,7 @@
 			}
 			all := fleetStarts["few"](d)
 			time.Sleep(streamLife + 2*time.Second) // from then on the versions are known for as long as a stream may live
-			clients := beginStreams(all, streams, 5)
+			clients := beginStreams(t, all, streams, 5)
 			for _, p := range all {
 				p.kill(links[p.settings.Name])
 			}
@@ -298,7 +311,7 @@
 			for _, e := range d.engines[4:] {
 				e.Gap = 100 * time.Millisecond
 			}
-			clients := beginStreams(all, streams, 2)
+			clients := beginStreams(t, all, streams, 2)
 			for _, e := range d.engines[4:] {
 				if e.Software == "v1" {
 					d.registerEngine(e, d.addresses[e.ID], "draining")
@@ -360,7 +373,7 @@
 			if c.before {
 				c.fault(d, all[0], all[1:], link)
 			}
-			clients := beginStreams(all[:1], streams, 3)
+			clients := beginStreams(t, all[:1], streams, 3)
 			if !c.before {
 				c.fault(d, all[0], all[1:], link)
 			}
