--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -250,11 +250,10 @@
 	return failedReadRetry
 }
 
-// fetchWhileStoreUnreachable fetches snapshots from other processes while the store does not answer
-// this one or, for a scheduler, its source, and its data is too old. The store may reject the calls of some
-// processes and serve the others: rejected watchers had a configuration that was 9.2 s old while the other
-// processes of 295 hosts had one of 0.6 s. Other processes read the store directly at the same age, so that the
-// first request often finds no fresher data; it is a short message and is soon repeated.
+// fetchWhileStoreUnreachable fetches snapshots from other processes while the store does not answer this one or, for a
+// scheduler, its source, and its data is too old. The store may reject the calls of some processes and serve the others.
+// Other processes read the store directly at the same age, so that the first request often finds no fresher data; it is a
+// short message and is soon repeated.
 func (d *Discovery) fetchWhileStoreUnreachable(ctx context.Context) {
 	pause := directReadRetry
 	for ctx.Err() == nil {
