review: case 3 shows CONFIG, over steady state

The route of the reads is now added by a change of the configuration, and the check is that of CONFIG: in steady state, requests on an added route are served at least a quarter as often as those on the first one.

--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -45,42 +45,76 @@
 	})
 }
 
-// tally counts the answers to one kind of request by status.
-type tally struct {
-	mu    sync.Mutex
-	name  string
-	total int
-	by    map[int]int
+// tally counts the answers to requests that were sent in one part of the run.
+type tally struct{ total, served int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(t.total, 1)) }
+
+// answered is a request with the time at which it was sent.
+type answered struct {
+	at     time.Time
+	kind   string
+	status int
 }
 
-func (t *tally) add(status int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.total++
-	t.by[status]++
+// between counts the requests of a kind, of all kinds if it is empty, that were sent in a time.
+func between(all []answered, kind string, from, to time.Time) (t tally) {
+	for _, a := range all {
+		if (kind == "" || a.kind == kind) && !a.at.Before(from) && a.at.Before(to) {
+			t.total++
+			if a.status == http.StatusOK {
+				t.served++
+			}
+		}
+	}
+	return t
 }
 
-func (t *tally) served() float64 { return float64(t.by[http.StatusOK]) / float64(max(t.total, 1)) }
+// callers are clients of several kinds of requests.
+type callers struct {
+	w  *world
+	wg sync.WaitGroup
 
-// callers has n clients send requests at a tick until the time is over. targetOf returns the target of a request.
-func (w *world) callers(wg *sync.WaitGroup, t *tally, n int, tick, length time.Duration, method string, targetOf func(n int) string) {
+	mu  sync.Mutex
+	all []answered
+}
+
+// start has n clients send a request in each tick until the time is over. targetOf returns the target of a request.
+func (c *callers) start(kind string, n int, tick, length time.Duration, method string, targetOf func(n int) string) {
 	begun := time.Now()
 	for i := range n {
-		wg.Add(1)
+		c.wg.Add(1)
 		go func() {
-			defer wg.Done()
-			c := &client{w: w, to: w.gateways[i%len(w.gateways)]}
-			defer c.drop()
-			for at, sent := time.Duration(i)*tick/time.Duration(n), 0; at < length; at, sent = at+tick, sent+1 {
+			defer c.wg.Done()
+			one := &client{w: c.w, to: c.w.gateways[i%len(c.w.gateways)]}
+			defer one.drop()
+			for at, sent := time.Duration(0), 0; at < length; at, sent = at+tick, sent+1 {
 				time.Sleep(time.Until(begun.Add(at + rand.N(tick))))
-				t.add(c.send(method, targetOf(sent)).status)
+				a := answered{at: time.Now(), kind: kind}
+				a.status = one.send(method, targetOf(sent)).status
+				c.mu.Lock()
+				c.all = append(c.all, a)
+				c.mu.Unlock()
 			}
 		}()
 	}
 }
 
-// lockedOut: the servers of a service are lost with their zone for two seconds. Each kind of request must be
-// served at least a quarter as often as all.
+const (
+	kindRead, kindCheck = "kill-switch", "flag-check"
+	// The operator adds the route of the reads after addAfter. The servers are lost crashAfter that, and from
+	// settled after their crash nothing is disturbed any more: they are back, and contact_ms have passed.
+	addAfter   = 3 * time.Second
+	applyTime  = 2500 * time.Millisecond // config_apply_ms and half a second
+	crashAfter = 8 * time.Second
+	settled    = 8 * time.Second
+	afterCrash = 50 * time.Second
+	// minRequests is the number of requests on routes added later from which the rule holds.
+	minRequests = 20
+)
+
+// lockedOut: the operator adds a route for reads; later the servers are lost with their zone for two seconds. In
+// steady state, requests on the added route must be served at least a quarter as often as those on the first one.
 func lockedOut(w *world) (bool, error) {
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
 		e, err := w.startEngine(id)
@@ -89,31 +123,42 @@
 		}
 		e.work = 25 * time.Millisecond // cold_x of the small sites
 	}
-	w.configure(7, newRoute("r-flag-check", "/pule252/", "unsafe", 1), newRoute("r-kill-switch", "/puxa403/", "safe", 2))
+	check, read := newRoute("r-flag-check", "/pule252/", "unsafe", 1), newRoute("r-kill-switch", "/puxa403/", "safe", 2)
+	w.configure(7, check)
 	if err := w.startGateways(3); err != nil {
 		return false, err
 	}
-	const length = 90 * time.Second
-	read, check := &tally{name: "kill-switch", by: map[int]int{}}, &tally{name: "flag-check", by: map[int]int{}}
-	var wg sync.WaitGroup
-	w.callers(&wg, read, 24, 200*time.Millisecond, length, "GET", func(int) string { return "/puxa403/2f" })
-	w.callers(&wg, check, 30, 200*time.Millisecond, length, "POST", func(n int) string { return fmt.Sprintf("/pule252/%x", n) })
+	c := &callers{w: w}
+	begun := time.Now()
+	c.start(kindCheck, 30, 200*time.Millisecond, addAfter+applyTime+crashAfter+afterCrash, "POST", func(n int) string { return fmt.Sprintf("/pule252/%x", n) })
+	time.Sleep(addAfter)
+	w.configure(9, check, read)
+	time.Sleep(applyTime)
+	c.start(kindRead, 24, 200*time.Millisecond, crashAfter+afterCrash, "GET", func(int) string { return "/puxa403/2f" })
+	time.Sleep(crashAfter)
 	if w.trouble {
-		time.Sleep(5 * time.Second)
-		lost := w.engines[:3]
-		for until := time.Now().Add(maxCrashWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
-			if !slices.ContainsFunc(lost, func(e *engine) bool { return !e.hasRead() }) {
-				break
-			}
-		}
-		for _, e := range lost {
-			w.crash(e)
+		w.crashAll(w.engines[:3])
+	}
+	crashed := time.Now()
+	c.wg.Wait()
+	steady := func(kind string) tally {
+		before, after := between(c.all, kind, begun, crashed.Add(-time.Second)), between(c.all, kind, crashed.Add(settled), time.Now())
+		return tally{before.total + after.total, before.served + after.served}
+	}
+	first, added := steady(kindCheck), steady(kindRead)
+	broken := added.total >= minRequests && added.share() < first.share()/4
+	w.note("in steady state: first route %d of %d served (%.3f), added route %d of %d (%.3f); CONFIG broken: %t", first.served, first.total, first.share(), added.served, added.total, added.share(), broken)
+	return broken, nil
+}
+
+// crashAll crashes engines together, once each of them has a read in work.
+func (w *world) crashAll(lost []*engine) {
+	for until := time.Now().Add(maxCrashWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if !slices.ContainsFunc(lost, func(e *engine) bool { return !e.hasRead() }) {
+			break
 		}
 	}
-	wg.Wait()
-	all := &tally{total: read.total + check.total, by: map[int]int{200: read.by[200] + check.by[200]}}
-	for _, t := range []*tally{read, check} {
-		w.note("%s: %d sent, answers by status %v, served %.3f; of all kinds %.3f", t.name, t.total, t.by, t.served(), all.served())
+	for _, e := range lost {
+		w.crash(e)
 	}
-	return read.served() < all.served()/4 || check.served() < all.served()/4, nil
 }
