--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 func main() {
 	cases := map[string]func(*world) (broken bool, err error){"late-rejection": lateRejection, "double-slash": doubleSlash, "locked-out": lockedOut}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	w, err := newWorld(os.Args[2])
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -47,12 +47,13 @@
 	exited                 chan struct{}
 }
 
-func newWorld(caseFolder string) (*world, error) {
+// newWorld returns a world whose record is written to a file.
+func newWorld(recordFile string) (*world, error) {
 	temp, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(caseFolder, "record.txt"))
+	record, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
 	}
@@ -80,10 +81,15 @@
 	portAttempts     = 200
 )
 
-// freeAddress returns a free address on the loopback interface.
+// nextPorts are the ports in the order in which they are tried. None is tried twice, since one that is handed out is
+// still free until its process listens there.
+var nextPorts = rand.Perm(ports)
+
+// freeAddress returns a free address on the loopback interface. It must not be called concurrently.
 func freeAddress() (string, error) {
 	for range portAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPorts[0])
+		nextPorts = nextPorts[1:]
 		if l, err := net.Listen("tcp", address); err == nil {
 			return address, l.Close()
 		}
