Soak: the check of configuration versions always decides

Change: whether a version that never decreases explains the observations is decided by choosing the lowest version for each interval.

--- a/internal/lab/soak/check_config.go
+++ b/internal/lab/soak/check_config.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/anishathalye/porcupine"
 )
 
 // configObservation is what one request shows about the configuration in force at a process.
@@ -26,7 +24,7 @@
 	for _, call := range c.observed.Calls {
 		switch call.Kind {
 		case Mark:
-			for _, a := range c.arrivals[call.ID] {
+			for _, a := range c.arrivals[call.key()] {
 				service := c.intendedService(a)
 				out = append(out, c.observeConfig(call, a.At, func(index int) bool { return markService(index) == service }))
 			}
@@ -36,7 +34,7 @@
 				continue // unreachable: the client generated the path
 			}
 			hasRoute := func(index int) bool { return index >= first && index < first+onlyVersions }
-			for _, a := range c.arrivals[call.ID] {
+			for _, a := range c.arrivals[call.key()] {
 				out = append(out, c.observeConfig(call, a.At, hasRoute))
 			}
 			if call.Status == http.StatusNotFound {
@@ -111,31 +109,12 @@
 	return others >= minUndisturbedOthers
 }
 
-// configModel models the configuration of a process: each observation allows a set of versions, and
-// the version never decreases.
-var configModel = (&porcupine.NondeterministicModel{
-	Init: func() []any { return []any{0} },
-	Step: func(state, input, _ any) []any {
-		var out []any
-		for _, v := range input.([]int) {
-			if v >= state.(int) {
-				out = append(out, v)
-			}
-		}
-		return out
-	},
-}).ToModel()
-
-// historyTimeout limits the check of one incarnation of a process.
-const historyTimeout = 20 * time.Second
-
 // configurationMonotonic checks that within one incarnation of a process its configuration version
 // never decreases.
 func (c *checker) configurationMonotonic() Guarantee {
 	g := Guarantee{Name: "the configuration version of a process never decreases"}
 	type processRun struct{ gateway, incarnation int }
-	histories := map[processRun][]porcupine.Operation{}
-	first := map[processRun]string{}
+	histories := map[processRun][]versionInterval{}
 	for _, s := range c.configObservations() {
 		g.Cases++
 		key := processRun{s.call.Gateway, s.call.Incarnation}
@@ -145,23 +124,50 @@
 		}
 		// A version that was observed is in force after slack has passed; until then, requests may
 		// still meet an older one.
-		histories[key] = append(histories[key], porcupine.Operation{
-			ClientId: len(histories[key]), Input: s.versions, Call: s.from.UnixNano(), Return: s.to.Add(slack).UnixNano(),
-		})
-		first[key] = s.call.ID
+		histories[key] = append(histories[key], versionInterval{s.from, s.to.Add(slack), s.versions})
 	}
-	for key, ops := range histories {
-		switch porcupine.CheckOperationsTimeout(configModel, ops, historyTimeout) {
-		case porcupine.Illegal:
+	for key, history := range histories {
+		if !neverDecreases(history) {
 			id, why := c.regression(key.gateway, key.incarnation)
 			g.addViolation(id, "%s in its incarnation %d: no order of its configurations explains the observations%s", gatewayName(key.gateway), key.incarnation, why)
-		case porcupine.Unknown:
-			g.addViolation(first[key], "%s in its incarnation %d: not decided within %s", gatewayName(key.gateway), key.incarnation, historyTimeout)
 		}
 	}
 	return g
 }
 
+// versionInterval is a time in which one of several versions, in ascending order, was in force.
+type versionInterval struct {
+	from, to time.Time
+	versions []int
+}
+
+// neverDecreases reports whether one version can be chosen for each interval so that none is lower than that of an interval
+// which had ended before. The lowest choice for each interval, in the order of their starts, leaves most room for the others.
+func neverDecreases(all []versionInterval) bool {
+	slices.SortFunc(all, func(a, b versionInterval) int { return a.from.Compare(b.from) })
+	type choice struct {
+		ended   time.Time
+		version int
+	}
+	var open []choice
+	reached := 0
+	for _, i := range all {
+		open = slices.DeleteFunc(open, func(o choice) bool {
+			ended := o.ended.Before(i.from)
+			if ended {
+				reached = max(reached, o.version)
+			}
+			return ended
+		})
+		at := slices.IndexFunc(i.versions, func(v int) bool { return v >= reached })
+		if at < 0 {
+			return false
+		}
+		open = append(open, choice{i.to, i.versions[at]})
+	}
+	return true
+}
+
 // regression finds a pair of requests of which the later one met an older configuration. It returns
 // the ID of the later one and a description; if there is no such pair, the ID of the first request.
 func (c *checker) regression(gateway, incarnation int) (id, why string) {
