Soak: clients repeat, instances reject and respond late, stops overlap; one check over all attempts

Cause: the soak could not see requests that were rejected and ran. Its clients never repeated a request, its instances seldom rejected one, and their responses in excess stated another request's ID always.

Change: clients repeat after 429, 503, 408, 421 and after a connection that a stopping process closed, under the same ID and a new one, at the same host and others; one in four goes on using a connection whose end was announced. Instances follow up to half of their responses by 1 to 3 in excess (200, 500, 421, 429, 503, with the ID of the request before or none; at once, 0.3 s later, before the next response), run one request at a time for a while, and half of them state the ID in rejections. Processes stop and reload in overlapping series. Checked: at most one run over all attempts; nothing runs whose connection a stopping process closed unanswered. Two planted violations; a killed process promises nothing.

An instance that crashed while a gateway was being started could not listen again, since the child held its port between fork and exec (seen twice: 127.x:8050 and :8055, a gateway's start logged 25 ms later). The port is now closed while no child is being started.

--- a/internal/lab/soak/actions.go
+++ b/internal/lab/soak/actions.go
@@ -263,6 +263,10 @@
 func (w *world) applyInstanceFault(a Action) {
 	p := w.places[a.Place]
 	switch a.Fault {
+	case FaultLateResponses:
+		p.sendLateResponses(a.Rate, a.Duration)
+	case FaultFull:
+		w.fill(a)
 	case FaultShedAll:
 		w.shedRequests(a, 1)
 	case FaultShedSome:
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -69,6 +69,8 @@
 	gateway     int
 	incarnation int
 	connUsed    bool
+	// toldToClose is true if a response has announced the end of the connection.
+	toldToClose bool
 	callCount   int
 	// lastCall is the call that was sent last.
 	lastCall *Call
@@ -87,6 +89,7 @@
 			continue
 		}
 		c.sendCall(c.nextCall())
+		c.repeat(ctx)
 		c.resume(ctx, c.lastCall)
 		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(c.w.o.ThinkTime)))
 	}
@@ -124,7 +127,7 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.connUsed = conn, bufio.NewReader(conn), false
+	c.conn, c.reader, c.connUsed, c.toldToClose = conn, bufio.NewReader(conn), false, false
 	return true
 }
 
@@ -139,7 +142,7 @@
 	}
 	c.callCount++
 	id := fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
-	call := &Call{ID: id, Kind: kind, Gateway: c.gateway, Incarnation: c.incarnation, Body: "body of " + id, Timeout: callTimeout, ReusedConn: c.connUsed}
+	call := &Call{ID: id, Kind: kind, Gateway: c.gateway, Incarnation: c.incarnation, Body: "body of " + id, Timeout: callTimeout, ReusedConn: c.connUsed, TakenForOpen: c.toldToClose}
 	call.Path = fmt.Sprintf("/%s/%d", kind, c.callCount)
 	switch {
 	case kind.Streams():
@@ -156,7 +159,7 @@
 
 // resume resumes a stream that broke after some of its events, at any gateway and several times if need be.
 func (c *client) resume(ctx context.Context, broken *Call) {
-	begun, events := broken.ID, receivedEvents(broken.ResponseBody)
+	begun, attempt, events := broken.ID, broken.Attempt, receivedEvents(broken.ResponseBody)
 	for range maxResumptions {
 		if ctx.Err() != nil || broken.Kind != Stream || broken.Poisoned || broken.Complete || !broken.CanceledAt.IsZero() || events == 0 {
 			return
@@ -168,7 +171,8 @@
 		c.callCount++
 		next := *broken
 		next.ID = fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
-		next.Resumes, next.After, next.Gateway, next.Incarnation = begun, events, c.gateway, c.incarnation
+		next.Resumes, next.ResumesAttempt, next.After, next.Gateway, next.Incarnation = begun, attempt, events, c.gateway, c.incarnation
+		next.Begun, next.Attempt, next.TakenForOpen, next.Unread = "", 0, false, false
 		next.Status, next.Sealed, next.Complete, next.ResponseBody, next.ReusedConn, next.Unsent, next.Err = 0, false, false, "", false, false, ""
 		c.sendCall(&next)
 		broken = &next
@@ -203,6 +207,7 @@
 		if err != nil {
 			call.Err = err.Error()
 		}
+		call.Unread = err != nil && c.takesForUnread(call)
 	})
 	c.connUsed = true
 	if !keep {
@@ -230,7 +235,7 @@
 
 // encode returns the request text of a call.
 func (c *client) encode(call *Call) string {
-	r := fleetcaller.Request{ID: call.ID, Path: call.Path, Body: call.Body, Host: hostName, Key: workspaceKey, Timeout: call.Timeout}
+	r := fleetcaller.Request{ID: call.ID, Attempt: attemptText(call.Attempt), Path: call.Path, Body: call.Body, Host: hostName, Key: workspaceKey, Timeout: call.Timeout}
 	r.Resumes, r.LastEvent = call.Resumes, call.After
 	if call.Kind.Streams() {
 		r.Prompt = &fleetcaller.Prompt{Model: modelName, Parts: c.promptParts(call), MaxOutputTokens: streamEvents}
@@ -268,6 +273,8 @@
 	a, err := fleetcaller.ReadResponse(c.reader)
 	c.w.observed.record(func() {
 		call.Status, call.Sealed, call.ResponseBody, call.Complete = a.Status, a.Sealed, a.Body, a.Complete
+		call.RetryAfter = a.RetryAfter
 	})
-	return err == nil && !a.ClosesConnection, err
+	c.toldToClose = c.toldToClose || a.ClosesConnection
+	return err == nil && (!a.ClosesConnection || c.ignoresClose()), err
 }
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -12,7 +12,7 @@
 type checker struct {
 	o        Options
 	observed *Observations
-	// calls and arrivals are indexed by request ID. The arrivals of a request are ordered by time.
+	// calls and arrivals are indexed by the key of the attempt. The arrivals of an attempt are ordered by time.
 	calls       map[string]*Call
 	arrivals    map[string][]*Arrival
 	faultsEnded time.Time
@@ -32,7 +32,7 @@
 		// rate is the number of cases that a run needs per process and minute of faults.
 		rate float64
 	}{
-		{c.responsesComplete, 100}, {c.refusedNeverRun, 5}, {c.atMostOnce, 30}, {c.requestsUnchanged, 100}, {c.routedAsConfigured, 100}, {c.allowedNotDenied, 100},
+		{c.responsesComplete, 100}, {c.refusedNeverRun, 5}, {c.atMostOnce, 30}, {c.atMostOnceOverAttempts, 5}, {c.closedUnreadNeverRuns, 0}, {c.requestsUnchanged, 100}, {c.routedAsConfigured, 100}, {c.allowedNotDenied, 100},
 		{c.reusedConnsAnswered, 30}, {c.answeredInTime, 0}, {c.configurationInForce, 10}, {c.configurationMonotonic, 20}, {c.withdrawnGetNoWork, minWithdrawalRate},
 		{c.rateLimits, minLimitCaseRate},
 		{c.budget, 0}, {c.deadlines, 30}, {c.canceledWorkEnds, 2}, {c.resumedRunsExclusive, 0}, {c.streamsOfOneVersion, minResumptionRate}, {c.resumptionsServed, 0}, {c.poisonPartsStopped, 0}, {c.singleHolder, 1}, {c.ordersUnderLease, 1},
@@ -62,25 +62,26 @@
 	o.Bounds = o.relaxedBounds()
 	c := &checker{o: o, observed: f, calls: map[string]*Call{}, arrivals: map[string][]*Arrival{}, faultsEnded: faultsEnded}
 	for _, call := range f.Calls {
-		c.calls[call.ID] = call
+		c.calls[call.key()] = call
 	}
 	slices.SortStableFunc(f.Arrivals, func(a, b *Arrival) int { return a.At.Compare(b.At) })
 	for _, a := range f.Arrivals {
 		if a.Ended.IsZero() {
 			a.Ran = !a.PrefillOnly // the instance never finished the request, so that it may have run
 		}
-		c.arrivals[a.ID] = append(c.arrivals[a.ID], a)
+		c.arrivals[a.key()] = append(c.arrivals[a.key()], a)
 	}
 	return c
 }
 
 func (c *checker) summary() *Report {
 	r := &Report{
-		Seed: c.o.Seed, Processes: c.o.Processes, Length: c.o.Length, Dir: c.o.Dir, Calls: len(c.observed.Calls), Arrivals: len(c.observed.Arrivals),
+		Seed: c.o.Seed, Processes: c.o.Processes, Length: c.o.Length, Dir: c.o.Dir, Calls: len(c.observed.Calls), Arrivals: len(c.observed.Arrivals), LateResponses: c.observed.LateResponses,
 		Outcomes: map[string]int{}, Faults: map[Fault]int{},
 	}
 	for _, call := range c.observed.Calls {
 		r.Outcomes[outcome(call)]++
+		r.Repeated += boolInt(call.Begun != "")
 	}
 	for _, d := range c.observed.Disturbances {
 		r.Faults[d.Fault]++
@@ -101,10 +102,10 @@
 	return fmt.Sprint(call.Status)
 }
 
-// runs returns the arrivals of a request that an instance began to run.
-func (c *checker) runs(id string) []*Arrival {
+// runs returns the arrivals of a call that an instance began to run.
+func (c *checker) runs(call *Call) []*Arrival {
 	var out []*Arrival
-	for _, a := range c.arrivals[id] {
+	for _, a := range c.arrivals[call.key()] {
 		if a.Ran {
 			out = append(out, a)
 		}
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -53,7 +53,7 @@
 func (c *checker) streamsOfOneVersion() Guarantee {
 	g := Guarantee{Name: "a stream that a client resumes continues at the version that began it"}
 	for _, call := range c.observed.Calls {
-		begun := c.calls[call.Resumes]
+		begun := c.calls[call.resumedKey()]
 		if begun == nil || receivedEvents(call.ResponseBody) == 0 {
 			continue
 		}
@@ -84,7 +84,7 @@
 			begun += boolInt(served)
 			continue
 		}
-		if c.enginesOf(writtenBy(c.calls[call.Resumes].ResponseBody), call) < minEnginesOfVersion {
+		if c.enginesOf(writtenBy(c.calls[call.resumedKey()].ResponseBody), call) < minEnginesOfVersion {
 			continue
 		}
 		resumed++
@@ -157,7 +157,7 @@
 // instanceReturned reports whether an instance responded to a request with the status that the
 // client got.
 func (c *checker) instanceReturned(call *Call) bool {
-	return slices.ContainsFunc(c.arrivals[call.ID], func(a *Arrival) bool { return a.Status == call.Status })
+	return slices.ContainsFunc(c.arrivals[call.key()], func(a *Arrival) bool { return a.Status == call.Status })
 }
 
 // refusals are the statuses that guarantee that a request has not run and never will.
@@ -171,7 +171,7 @@
 			continue
 		}
 		g.Cases++
-		for _, a := range c.runs(call.ID) {
+		for _, a := range c.runs(call) {
 			g.addViolation(call.ID, "%s: rejected with %d, but ran at %s", call.ID, call.Status, a.Instance)
 		}
 	}
@@ -213,7 +213,7 @@
 			continue
 		}
 		g.Cases++
-		arrivals := c.arrivals[call.ID]
+		arrivals := c.arrivals[call.key()]
 		completed := len(arrivals) > 0 && !anyAborted(arrivals)
 		if call.Status == 0 && call.CanceledAt.IsZero() && completed && call.duration() < call.Timeout {
 			unanswered[call.Gateway] = append(unanswered[call.Gateway], call)
--- a/internal/lab/soak/check_arrivals.go
+++ b/internal/lab/soak/check_arrivals.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		g.Cases++
-		if runs := c.runs(call.ID); len(runs) > 1 {
+		if runs := c.runs(call); len(runs) > 1 {
 			g.addViolation(call.ID, "%s: ran %d times, at %s and %s", call.ID, len(runs), runs[0].Instance, runs[1].Instance)
 		}
 	}
@@ -30,7 +30,7 @@
 	g := Guarantee{Name: "instances get the requests of clients, unchanged"}
 	for _, a := range c.observed.Arrivals {
 		g.Cases++
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		switch {
 		case call == nil:
 			g.addViolation(a.ID, "%s: arrived at %s, but no client sent it", a.ID, a.Instance)
@@ -51,7 +51,7 @@
 func (c *checker) routedAsConfigured() Guarantee {
 	g := Guarantee{Name: "requests run only where a configuration routes them"}
 	for _, a := range c.observed.Arrivals {
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		if call == nil || !a.Ran && !a.PrefillOnly || a.Status == http.StatusMisdirectedRequest {
 			continue // an instance that is not the intended one responds with 421, to a prefill too, and runs nothing
 		}
@@ -82,7 +82,7 @@
 	judged, excused := 0, 0
 	for _, a := range c.observed.Arrivals {
 		at, ok := withdrawnAt[a.Instance]
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		if !ok || call == nil || a.At.Before(at) {
 			continue
 		}
@@ -118,7 +118,7 @@
 	g := Guarantee{Name: "instances get no more time than the client has remaining"}
 	var over []*Arrival
 	for _, a := range c.observed.Arrivals {
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		if call == nil || !c.undisturbed(call.Gateway, a.At) {
 			continue
 		}
@@ -151,7 +151,7 @@
 		if call.CanceledAt.IsZero() || !c.undisturbed(call.Gateway, cutoff) {
 			continue
 		}
-		for _, a := range c.arrivals[call.ID] {
+		for _, a := range c.arrivals[call.key()] {
 			g.Cases++
 			due := a.At.Add(workTime + streamEvents*eventGap) // by then, the run has ended on its own
 			switch {
@@ -186,7 +186,7 @@
 		if !call.Kind.Streams() || !c.undisturbed(call.Gateway, call.Ended) {
 			continue
 		}
-		runs := c.runs(call.ID)
+		runs := c.runs(call)
 		for n := 1; n < len(runs); n++ {
 			g.Cases++
 			before, at := runs[n-1], runs[n].At.Add(maxRunOverlap)
--- a/internal/lab/soak/check_process.go
+++ b/internal/lab/soak/check_process.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		g.Cases++
-		arrivals := c.arrivals[call.ID]
+		arrivals := c.arrivals[call.key()]
 		passedOn := len(arrivals) > 0 || call.duration() > c.o.Bounds.UnansweredRead
 		if call.CanceledAt.IsZero() && !call.Complete && !call.Unsent && passedOn && !anyAborted(arrivals) && call.duration() < call.Timeout {
 			g.addViolation(call.ID, "%s: interrupted after %s while %s stopped: %s", call.ID, call.duration(), gatewayName(call.Gateway), call.Err)
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -136,6 +136,13 @@
 			_, a := f.addAnsweredCall("r", Once, 40)
 			f.addRepeat(a, 1)
 		}},
+		"ran once in each of two attempts": {(*checker).atMostOnceOverAttempts, func(f *Observations) {
+			f.addAttempts(http.StatusServiceUnavailable)
+		}},
+		"ran although its connection was closed unread": {(*checker).closedUnreadNeverRuns, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Once, 40)
+			c.Status, c.Complete, c.Unread = 0, false, true
+		}},
 		"no client sent it": {(*checker).requestsUnchanged, func(f *Observations) {
 			_, a := f.addAnsweredCall("r", Once, 40)
 			a.ID = "q"
@@ -247,6 +254,26 @@
 	}
 }
 
+// addAttempts adds two attempts of a request under one ID, both of which ran. The first one got the given status.
+func (f *Observations) addAttempts(status int) {
+	first, _ := f.addAnsweredCall("r", Once, 40)
+	first.Status = status
+	second, a := f.addAnsweredCall("r", Once, 41)
+	second.Begun, second.Attempt, a.Attempt = "r", 1, "1"
+}
+
+// TestKilledProcessPromisesNothing covers a client that repeats a request which a killed process had read.
+func TestKilledProcessPromisesNothing(t *testing.T) {
+	f := sampleObservations()
+	f.Disturbances = []*Disturbance{{Fault: FaultKill, Gateways: []int{0}, From: at(40), To: at(41)}}
+	f.addAttempts(0)
+	f.Calls[0].Unread = true
+	c := newChecker(Options{Bounds: DefaultBounds, Processes: 2}, f, at(80))
+	require.Empty(t, c.atMostOnceOverAttempts().Violations)
+	require.Empty(t, c.closedUnreadNeverRuns().Violations)
+	require.Equal(t, 1, c.atMostOnceOverAttempts().Cases)
+}
+
 // unserved returns a violation in which the calls that lost selects are rejected. All others are served.
 func unserved(lost func(c *Call) bool) func(f *Observations) {
 	return func(f *Observations) {
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
+	"github.com/rockdoor/rockdoor/internal/standin/lateresponse"
 )
 
 const (
@@ -66,6 +68,8 @@
 	// draining is true if the current instance has announced that it drains, deregistered if its
 	// registration was removed.
 	draining, deregistered bool
+	// lateShare is the share of responses that are followed by responses in excess.
+	lateShare float64
 	// server is nil while no instance is running. listener is closed separately, because just after
 	// the start the server has not taken it over yet.
 	server   *http.Server
@@ -100,10 +104,11 @@
 
 func (p *place) serve(l net.Listener) {
 	s := &http.Server{Handler: p}
+	lateresponse.Configure(s)
 	p.mu.Lock()
 	p.server, p.listener = s, l
 	p.mu.Unlock()
-	go func() { _ = s.Serve(l) }() // ends when the place is closed
+	go func() { _ = s.Serve(lateresponse.Listener(l)) }() // ends when the place is closed
 }
 
 // start creates a new instance and registers it.
@@ -112,6 +117,7 @@
 	p.starts++
 	e := fleetengine.New(instanceID(p.number, p.starts), p.Stage)
 	e.ResponseDelay, e.RoleChange, e.OrderDelay = workTime, roleChangeTime, lateOrderDelay
+	e.IdentifyRejections = p.w.identifiesRejections(p.number)
 	if p.Service == serviceModels {
 		e.Events, e.Gap = streamEvents, eventGap
 		e.Software = p.w.softwareVersion(p.number, p.starts)
@@ -188,8 +194,10 @@
 		return false
 	}
 	p.w.observed.record(func() { p.w.observed.endEngine(old.ID); p.w.markAborted(old.ID) }) // before the in-flight requests end
+	syscall.ForkLock.RLock()                                                                // a child between fork and exec would keep the port
 	_ = listener.Close()                                                                    // the next instance listens here
-	_ = server.Close()                                                                      // aborts the open connections on purpose
+	syscall.ForkLock.RUnlock()
+	_ = server.Close() // aborts the open connections on purpose
 	p.w.runAfter(expiry, func() {
 		p.w.store.Deregister(old.ID)
 		p.recordWithdrawal(old.ID)
@@ -287,6 +295,7 @@
 	}()
 	e.ServeHTTP(rec, r)
 	done = true
+	p.followUp(r, in)
 }
 
 // responseRecorder records the status of a response and when it began.
--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -99,7 +99,7 @@
 	var out []*Arrival
 	noticedAt := map[int]time.Time{}
 	for _, a := range c.observed.Arrivals {
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		if a.Instance != l.Instance || call == nil || a.At.Before(l.From) || a.At.After(l.To) {
 			continue
 		}
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	Kind Kind
 	Path string
 	Body string
+	// Begun is the ID of the client's first attempt, empty if this is it. Attempt counts the attempts under one ID, from 0.
+	Begun   string
+	Attempt int
 	// Gateway is the number of the gateway process, Incarnation the number of times that it had
 	// been started.
 	Gateway, Incarnation int
@@ -46,10 +50,11 @@
 	Sent, Ended time.Time
 	// Timeout is the deadline that the client states, relative to Sent.
 	Timeout time.Duration
-	// Resumes is the ID of the call that began the stream which this one resumes after the event After. It is empty for
-	// a new request.
-	Resumes string
-	After   int
+	// Resumes is the ID of the call that began the stream which this one resumes after the event After, ResumesAttempt its
+	// attempt. It is empty for a new request.
+	Resumes        string
+	ResumesAttempt int
+	After          int
 	// Subject is the last part of the prompt that other requests share, empty for none.
 	Subject string
 	// Poisoned is true if a part of the prompt crashes engines.
@@ -65,9 +70,37 @@
 	// Complete is true if the framing of the response says that it is complete.
 	Complete     bool
 	ResponseBody string
-	// ReusedConn is true if the connection had carried an earlier request.
-	ReusedConn bool
-	Err        string
+	// RetryAfter is how long a rejection asks the client to wait.
+	RetryAfter time.Duration
+	// ReusedConn is true if the connection had carried an earlier request, TakenForOpen if its end had been announced.
+	ReusedConn, TakenForOpen bool
+	// Unread is true if the client takes the request for one that the process has not read.
+	Unread bool
+	Err    string
+}
+
+// key tells the attempts of all clients apart.
+func (c *Call) key() string { return attemptKey(c.ID, attemptText(c.Attempt)) }
+
+// resumedKey returns the key of the call that began the stream which this one resumes.
+func (c *Call) resumedKey() string { return attemptKey(c.Resumes, attemptText(c.ResumesAttempt)) }
+
+// key returns the key of the call that the arrival belongs to.
+func (a *Arrival) key() string { return attemptKey(a.ID, a.Attempt) }
+
+func attemptKey(id, attempt string) string {
+	if attempt == "" {
+		return id
+	}
+	return id + "#" + attempt
+}
+
+// attemptText returns what a request states as the number of its attempt.
+func attemptText(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
 }
 
 // duration returns the time from sending the request to its end.
@@ -167,7 +200,9 @@
 	Engines      []*EngineRun
 	// PartCrashes are the times at which engines crashed under a part of a prompt.
 	PartCrashes []time.Time
-	Starts      map[int][]time.Time
+	// LateResponses counts the responses in excess.
+	LateResponses int
+	Starts        map[int][]time.Time
 }
 
 func newObservations() *Observations { return &Observations{Starts: map[int][]time.Time{}} }
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -100,7 +100,7 @@
 	from := c.observed.PartCrashes[poisonCrashes-1].Add(c.o.Bounds.ContactTime)
 	var late []*Arrival
 	for _, a := range c.observed.Arrivals {
-		call := c.calls[a.ID]
+		call := c.calls[a.key()]
 		if call != nil && a.Ran && isPoisoned(a.Parts) && call.Sent.After(from) && c.undisturbed(call.Gateway, a.At) {
 			late = append(late, a)
 		}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -162,6 +162,13 @@
 	return g.incarnation, g.running() && g.sentSignal == ""
 }
 
+// stopping reports whether an incarnation was told to exit by itself.
+func (g *gateway) stopping(incarnation int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.incarnation == incarnation && g.sentSignal == "SIGTERM" && !g.exceededGrace
+}
+
 // pid returns the process ID of this incarnation.
 func (g *gateway) pid() (pid int, running bool) {
 	g.mu.Lock()
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -37,15 +37,17 @@
 
 // Report summarizes a run and its results.
 type Report struct {
-	Seed       uint64
-	Processes  int
-	Length     time.Duration
-	Dir        string
-	Calls      int
-	Outcomes   map[string]int
-	Arrivals   int
-	Faults     map[Fault]int
-	Guarantees []Guarantee
+	Seed      uint64
+	Processes int
+	Length    time.Duration
+	Dir       string
+	Calls     int
+	// Repeated counts the calls that repeat another one, LateResponses the responses in excess.
+	Repeated, LateResponses int
+	Outcomes                map[string]int
+	Arrivals                int
+	Faults                  map[Fault]int
+	Guarantees              []Guarantee
 	// ServedShare is the share of requests after the recovery that got a complete response.
 	ServedShare float64
 }
@@ -76,6 +78,7 @@
 	fmt.Fprintf(w, "seed %d: %d processes, faults for %s, %d requests, %d arrivals at instances\n", r.Seed, r.Processes, r.Length, r.Calls, r.Arrivals)
 	fmt.Fprintf(w, "responses: %s\n", counts(r.Outcomes))
 	fmt.Fprintf(w, "faults: %s\n", counts(r.Faults))
+	fmt.Fprintf(w, "%d requests were repeated by their clients, %d responses in excess\n", r.Repeated, r.LateResponses)
 	for _, g := range r.Guarantees {
 		fmt.Fprintf(w, "%-9s %8d cases  %s%s\n", verdict(g), g.Cases, g.Name, g.Closest)
 		for n, v := range g.Violations {
--- a/internal/standin/fleetcaller/fleetcaller.go
+++ b/internal/standin/fleetcaller/fleetcaller.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 // Request is a request of a client.
 type Request struct {
 	ID, Path, Body string
+	// Attempt tells the attempts under one ID apart, empty for the first one.
+	Attempt string
 	// Host is the value of the Host header. Key is the API key of the client's workspace.
 	Host, Key string
 	// Timeout is the client timeout. The request states it as its deadline.
@@ -47,6 +50,9 @@
 	if r.Prompt != nil {
 		b.WriteString(r.Prompt.header())
 	}
+	if r.Attempt != "" {
+		fmt.Fprintf(&b, "Client-Attempt: %s\r\n", r.Attempt)
+	}
 	if r.Resumes != "" {
 		fmt.Fprintf(&b, "Resumes: %s\r\nLast-Event-Id: %d\r\n", r.Resumes, r.LastEvent)
 	}
@@ -75,6 +81,8 @@
 	Complete bool
 	// ClosesConnection is true if the server closes the connection after the response.
 	ClosesConnection bool
+	// RetryAfter is how long the client should wait before it asks again, 0 if the response does not say.
+	RetryAfter time.Duration
 }
 
 // ReadResponse reads the response to one request. If it fails, it also returns the part of the
@@ -89,6 +97,9 @@
 	out := Response{
 		Status: resp.StatusCode, Sealed: resp.Header.Get("X-Response-Seal") != "", Body: string(body), Complete: err == nil, ClosesConnection: resp.Close,
 	}
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		out.RetryAfter = time.Duration(s * float64(time.Second))
+	}
 	if err == nil && r.Buffered() > 0 {
 		err = ErrExtraBytes
 	}
--- a/internal/standin/fleetengine/arrival.go
+++ b/internal/standin/fleetengine/arrival.go
@@ -24,6 +24,8 @@
 	headerShuttingDown = "Server-Leaving"
 	// headerRateLimit states the rate limit of an instance in its responses.
 	headerRateLimit = "Server-Limit"
+	// headerAttempt is a header of the stand-ins, which passes through like any other.
+	headerAttempt = "Client-Attempt"
 	// headerNotRun marks responses to requests that the instance did not run.
 	headerNotRun = "X-Not-Executed"
 )
@@ -31,7 +33,9 @@
 // Arrival is a call as an instance receives it.
 type Arrival struct {
 	// ID is the ID of a client's request, empty for other calls.
-	ID                 string
+	ID string
+	// Attempt tells the attempts of a client under one ID apart, empty for the first one.
+	Attempt            string
 	Method, Path, Body string
 	// TargetInstance is the ID of the instance that the call is intended for, empty if the call
 	// states none.
@@ -50,7 +54,7 @@
 func ParseArrival(r *http.Request, body []byte) Arrival {
 	remaining, err := time.ParseDuration(r.Header.Get("X-Deadline-Ms") + "ms")
 	return Arrival{
-		ID: r.Header.Get(headerRequestID), Method: r.Method, Path: r.RequestURI, Body: string(body), TargetInstance: r.Header.Get("X-Expect-Instance"),
+		ID: r.Header.Get(headerRequestID), Attempt: r.Header.Get(headerAttempt), Method: r.Method, Path: r.RequestURI, Body: string(body), TargetInstance: r.Header.Get("X-Expect-Instance"),
 		Remaining: remaining, HasDeadline: err == nil, PrefillOnly: r.Header.Get("X-Serving-Stage") == StagePrefill, Parts: parseParts(r.Header),
 	}
 }
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -94,6 +94,8 @@
 	// are set before the engine is used; afterwards, SetShuttingDown sets ShuttingDown.
 	ShuttingDown bool
 	RetryAfter   time.Duration
+	// IdentifyRejections has rejections state the ID of the request, too.
+	IdentifyRejections bool
 	// Unframed makes the responses to requests have neither a length nor chunks: they end with their connection.
 	Unframed bool
 	// PoisonBody is the body of a poison request, empty for none: the engine crashes when it starts to
@@ -121,6 +123,8 @@
 	orders         []Order
 	acceptedOrders int64
 	changingStage  bool
+	// capacity is the number of requests that are run at a time, 0 for no limit. running is that of those under way.
+	capacity, running int
 }
 
 // Order is an order to change the stage.
@@ -208,6 +212,30 @@
 	return e.fault
 }
 
+// SetCapacity limits the number of requests that are run at a time. Others are rejected; 0 means no limit.
+func (e *Engine) SetCapacity(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.capacity = n
+}
+
+// begin takes a place for a request. It returns false if there is none.
+func (e *Engine) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.capacity > 0 && e.running >= e.capacity {
+		return false
+	}
+	e.running++
+	return true
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
 // SetShuttingDown makes the engine state in all further responses that it is shutting down.
 func (e *Engine) SetShuttingDown() {
 	e.mu.Lock()
@@ -325,12 +353,19 @@
 	}
 	a := ParseArrival(r, body)
 	run := Run{At: time.Now(), ID: a.ID, Path: a.Path, Header: r.Header.Clone(), Body: a.Body, LastEvent: r.Header.Get("Last-Event-Id")}
+	if e.IdentifyRejections {
+		w.Header().Set(headerRequestID, a.ID)
+	}
 	if !e.isTarget(a) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	fault := e.nextFault()
-	if fault == Shed {
+	full := !e.begin()
+	if !full {
+		defer e.end()
+	}
+	if fault == Shed || full {
 		e.record(run, &e.shedRequests)
 		if e.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
