Log on which connection an attempt went, what that had carried, and why a response counts as its own

Counters: upstream.responses_{identified,anonymous,stray}, upstream.discarded_REASON for each reason to close a connection. A protocol states the ID in a response instead of whether it matches; several different IDs count as another's. The completion service now closes a connection after a response without an ID, as the gateways do; nothing else changes.

--- a/engine/serving.go
+++ b/engine/serving.go
@@ -116,12 +116,8 @@
 	DecodeRequest(h http.Header) (Call, error)
 	// Forward returns the headers to send to an instance.
 	Forward(h http.Header, s SendOptions) http.Header
-	// Matches reports whether the headers of a response belong to the request with the
-	// given ID.
-	Matches(id string, h http.Header) bool
-	// Identifies reports whether the headers state that the response belongs to the request. A response that matches without
-	// that may be a repeated one to an earlier request.
-	Identifies(id string, h http.Header) bool
+	// ResponseID returns the ID of the request that the headers of a response state, empty if they state none.
+	ResponseID(h http.Header) string
 	// ReadOutcome decodes the status and the headers of a response.
 	ReadOutcome(status int, h http.Header) Verdict
 	// DecodePrefillResult decodes the response to a request with PrefillOnly.
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -72,7 +72,7 @@
 	s.Header.Set(openai.AttemptHeader, s.ID)
 	resp, err := r.client.Do(ctx, upstream.Request{
 		Address: s.Address, Method: s.Method, URI: s.URI, Host: s.Address, Header: s.Header, Body: s.Body, ID: s.ID, Repeatable: s.Repeatable,
-		Matches: func(h http.Header) bool { return matchesAttempt(h, s.ID) },
+		ResponseID: func(h http.Header) string { return upstream.StatedID(h, openai.AttemptHeader) },
 	})
 	if fault.Is(err, fault.Unavailable) {
 		a.end(charts.Unsent, err)
@@ -88,13 +88,6 @@
 	return a
 }
 
-// matchesAttempt reports whether a response belongs to the attempt. If the target does not echo
-// the ID, the response is assumed to belong to it.
-func matchesAttempt(h http.Header, id string) bool {
-	got := h.Get(openai.AttemptHeader)
-	return got == "" || got == id
-}
-
 // checkHeaders ends the attempt if the response headers say that the target rejected the request
 // without running it. Otherwise the attempt enters the state answering.
 func (a *Attempt) checkHeaders() {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -36,6 +36,18 @@
 	level.Debug(q.s.o.Logger).Log(kv...)
 }
 
+// evidenceFields returns what the last exchange rested on, for a log line.
+func (q *request) evidenceFields() []any {
+	if q.evidence == nil {
+		return nil
+	}
+	out := q.evidence.LogFields()
+	if q.evidence.Helper != "" {
+		out = append(out, "via", q.evidence.Helper)
+	}
+	return out
+}
+
 // logOutcome logs and counts the outcome of the request.
 func (q *request) logOutcome(outcome string, err error) {
 	took := time.Since(q.arrived)
@@ -49,9 +61,7 @@
 	if q.plan.Target != nil {
 		kv = append(kv, "runner", q.plan.Target.ID)
 	}
-	if q.via != "" {
-		kv = append(kv, "via", q.via)
-	}
+	kv = append(kv, q.evidenceFields()...)
 	if outcome == string(placement.ReasonNonePermitted) || outcome == string(placement.ReasonFull) {
 		kv = append(kv, "out_of_use", q.outOfUse())
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -19,12 +19,15 @@
 // exchange sends the request to an instance, and records what the response headers say about the
 // instance: its shutdown, a requested backoff, its rate limit.
 func (q *request) exchange(ctx context.Context, i *fleet.Instance, s engine.SendOptions) (*upstream.Response, engine.Verdict, error) {
-	q.notSent, q.via = false, ""
+	q.notSent, q.evidence = false, nil
 	resp, err := q.s.o.Client.Do(ctx, q.upstreamRequest(i, s))
 	if err != nil {
+		if e, ok := upstream.EvidenceOf(err); ok {
+			q.evidence = &e
+		}
 		return nil, engine.Verdict{}, err
 	}
-	q.via = resp.Helper()
+	q.evidence = &resp.Evidence
 	v := q.s.o.Protocol.ReadOutcome(resp.Status, resp.Header)
 	if v.Misdirected {
 		return resp, v, nil // the headers may describe another instance
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -102,8 +102,8 @@
 	sentAt bootclock.Instant
 	// notSent is true if checkBeforeSend cancelled the last send.
 	notSent bool
-	// via is the process that relayed the connection of the last exchange, empty if it was direct.
-	via string
+	// evidence is that of the last exchange, nil if it used no connection.
+	evidence *upstream.Evidence
 	// hang watches the attempt at the target.
 	hang *hangWatch
 	// trial is true if the request is quarantined and this attempt is its permitted trial.
@@ -257,7 +257,7 @@
 		return replyFromState("budget-empty", err, defaultRetry)
 	}
 	q.retryCharged = false
-	level.Info(q.s.o.Logger).Log("msg", "retrying request", "request", q.call.ID, "sends", q.sends, "runs", q.runs, "err", err)
+	level.Info(q.s.o.Logger).Log(append([]any{"msg", "retrying request", "request", q.call.ID, "sends", q.sends, "runs", q.runs, "err", err}, q.evidenceFields()...)...)
 	return nil
 }
 
@@ -456,8 +456,7 @@
 	return upstream.Request{
 		Address: i.Address, Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
 		Header:     q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
-		Matches:    func(h http.Header) bool { return q.s.o.Protocol.Matches(q.call.ID, h) },
-		Identifies: func(h http.Header) bool { return q.s.o.Protocol.Identifies(q.call.ID, h) },
+		ResponseID: q.s.o.Protocol.ResponseID,
 		MaxIdle:    q.maxIdleConns(),
 		BeforeSend: func() error { return q.checkBeforeSend(i) },
 		ID:         q.call.ID, Repeatable: s.PrefillOnly || q.route.Repeatable() && q.runs+1 < q.route.MaxAttempts,
--- a/internal/standin/lateresponse/lateresponse_test.go
+++ b/internal/standin/lateresponse/lateresponse_test.go
@@ -41,7 +41,9 @@
 				require.NoError(t, err)
 				return resp.StatusCode
 			}
-			send := func(path string) { fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", path) }
+			send := func(path string) {
+				fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", path)
+			}
 			send("/first")
 			require.Equal(t, http.StatusOK, status())
 			if c.beforeNext {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,6 +43,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// number tells the connections of the process apart in its log. requests counts the requests that this one has carried,
+	// including the one under way.
+	number   uint64
+	requests int
 	// headLimit is how many bytes of a head may still be read from the connection, negative for no limit. It is used by
 	// the goroutine that reads.
 	headLimit int
@@ -64,6 +68,11 @@
 	return ""
 }
 
+// evidence returns the evidence of the request under way before any response.
+func (c *conn) evidence() Evidence {
+	return Evidence{Conn: c.number, Carried: c.requests - 1, Helper: c.helper(), Attribution: NoResponse}
+}
+
 // unacknowledgedBytes returns the number of sent bytes that the other host, or the process that relays the connection,
 // has not acknowledged.
 func (c *conn) unacknowledgedBytes() int { return tcpqueue.Unacknowledged(c.Conn) }
@@ -102,8 +111,8 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc, headLimit: -1}
+func newConn(nc net.Conn, number uint64) *conn {
+	c := &conn{Conn: nc, number: number, headLimit: -1}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -133,9 +133,6 @@
 	return r.client.paths.IsSilent(r.address)
 }
 
-// Helper returns the name of the process that relays the connection, empty if it is direct.
-func (r *Response) Helper() string { return r.conn.helper() }
-
 // OwnPathLost reports whether an exchange ended with err because of the path from this host to the instance.
 func (r *Response) OwnPathLost(ctx context.Context, err error) bool {
 	switch {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,20 +62,16 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	// Matches reports whether the headers of a response belong to this request. If it is nil,
-	// every response does.
-	Matches func(http.Header) bool
-	// Identifies reports whether the headers of a response that matches state that it belongs to this request. The
-	// connection is closed after one that does not: when it comes a second time, it would be taken for the response to the next
-	// request. If it is nil, every response that matches does.
-	Identifies func(http.Header) bool
+	// ID identifies the request in its response, and in the log of a process that relays it.
+	ID string
+	// ResponseID returns the request ID that the headers of a response state, empty for none. If it is nil, every response
+	// belongs to the request.
+	ResponseID func(http.Header) string
 	// BeforeSend is called just before the request is written. If it returns an error, the
 	// request is not sent. It may be nil.
 	BeforeSend func() error
 	// NewConn forces a new connection.
 	NewConn bool
-	// ID identifies the request in the log of a process that relays it.
-	ID string
 	// Repeatable has the request given up as soon as the path to the instance is known to be cut. Another one
 	// waits, as the path may work again in time.
 	Repeatable bool
@@ -119,6 +115,8 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 	open map[string]int
+	// lastConn is the number of the last connection.
+	lastConn uint64
 	// interruptible has the exchanges over direct connections that may be given up, by address.
 	interruptible map[string]map[*Response]bool
 }
@@ -162,6 +160,8 @@
 	Body io.Reader
 	// Length is the Content-Length of the body, -1 if it is unknown.
 	Length int64
+	// Evidence says why it counts as the response to the request.
+	Evidence Evidence
 
 	client  *Client
 	address string
@@ -180,8 +180,6 @@
 	// stop removes the callback that interrupts reads and writes when the context ends. It returns
 	// false if the callback has started.
 	stop func() bool
-	// unidentified is true if the response may belong to another request.
-	unidentified bool
 	// mismatched is true once a response to another request has been received.
 	mismatched bool
 	// bodyRead is true once the body has been read to its end. Until then, remaining bytes of
@@ -222,7 +220,7 @@
 		c.drop(r.Address, cn)
 		return nil, err
 	}
-	resp := &Response{client: c, address: r.Address, maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), anonymous: r.Matches == nil, directOnly: r.DirectOnly}
+	resp := &Response{client: c, address: r.Address, maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), anonymous: r.ResponseID == nil, Evidence: cn.evidence(), directOnly: r.DirectOnly}
 	resp.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if r.Repeatable && !r.DirectOnly && cn.helper() == "" {
 		c.addInterruptible(resp)
@@ -235,6 +233,7 @@
 		go resp.write(&r)
 	}
 	if err := resp.readHeaders(&r); err != nil {
+		err := error(&exchangeError{err, resp.Evidence})
 		unacknowledged := cn.unacknowledgedBytes()
 		ownPath := resp.OwnPathLost(ctx, err)
 		resp.discard()
@@ -305,9 +304,9 @@
 	close(r.writeDone)
 }
 
-// readHeaders reads responses until one matches the request.
+// readHeaders reads responses until one belongs to the request.
 func (r *Response) readHeaders(req *Request) error {
-	matches, forMethod := req.Matches, &http.Request{Method: req.Method}
+	forMethod := &http.Request{Method: req.Method}
 	limit := maxHeadBytes
 	for range maxStrayResponses {
 		r.conn.headLimit = limit
@@ -322,10 +321,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches == nil || matches(resp.Header) {
+		if r.attribute(req, resp.Header); r.Evidence.Attribution != Stray {
 			r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 			r.Body = eofReader{resp.Body, &r.bodyRead}
-			r.unidentified = req.Identifies != nil && !req.Identifies(resp.Header)
 			return nil
 		}
 		if !r.mismatched {
@@ -344,13 +342,35 @@
 	return errors.New("responses belong to other requests")
 }
 
+// attribute records how a response is related to the request.
+func (r *Response) attribute(req *Request, h http.Header) {
+	e := &r.Evidence
+	if req.ResponseID != nil {
+		e.Stated = req.ResponseID(h)
+	}
+	switch e.Stated {
+	case "":
+		e.Attribution = Anonymous
+	case req.ID:
+		e.Attribution = Identified
+	default:
+		e.Attribution = Stray
+	}
+	r.client.count("responses_" + string(e.Attribution))
+}
+
 // Close ends the exchange. If complete is true and the body has been read to its end, the
 // connection is returned to the pool unless it cannot be reused. Otherwise it is closed, which
 // tells the instance to stop.
 func (r *Response) Close(complete bool) {
 	r.client.removeInterruptible(r)
 	r.once.Do(func() {
-		if !complete || !r.reusable() || !r.stop() {
+		if reason := r.reasonToDiscard(complete); reason != "" {
+			r.client.count("discarded_" + reason)
+			r.discardConn()
+			return
+		}
+		if !r.stop() {
 			r.discardConn()
 			return
 		}
@@ -377,13 +397,24 @@
 	r.client.drop(r.address, r.conn)
 }
 
-func (r *Response) reusable() bool {
+// reasonToDiscard returns why the connection cannot carry another request, empty if it can.
+func (r *Response) reasonToDiscard(complete bool) string {
 	select {
 	case <-r.writeDone:
 	default:
-		return false // the response arrived before the request was fully written
+		return "unwritten" // the response arrived before the request was fully written
+	}
+	switch {
+	case !complete || !r.bodyRead || r.writeErr != nil:
+		return "incomplete"
+	case r.mismatched || r.conn.reader.Buffered() > 0:
+		return "stray"
+	case r.Evidence.Attribution == Anonymous && !r.anonymous:
+		return "anonymous" // when it comes a second time, it would be taken for the response to the next request
+	case r.resp.Close:
+		return "announced"
 	}
-	return r.writeErr == nil && r.bodyRead && !r.mismatched && !r.unidentified && !r.resp.Close && r.conn.reader.Buffered() == 0
+	return ""
 }
 
 // idleTimeout returns how long a connection may be idle after a response with these headers.
@@ -411,6 +442,7 @@
 			cn.wrote.Store(false)
 			return c.begin(cn, r)
 		}
+		c.count("discarded_idle")
 		c.drop(r.Address, cn)
 	}
 	dial := c.paths.Dial
@@ -424,12 +456,15 @@
 	c.count("connections")
 	c.mu.Lock()
 	c.open[r.Address]++
+	c.lastConn++
+	number := c.lastConn
 	c.mu.Unlock()
-	return c.begin(newConn(nc), r)
+	return c.begin(newConn(nc, number), r)
 }
 
 // begin announces a request to the process that relays the connection, if there is one.
 func (c *Client) begin(cn *conn, r *Request) (*conn, error) {
+	cn.requests++
 	relayed, ok := cn.Conn.(*peer.RelayedConn)
 	if !ok {
 		return cn, nil
@@ -448,7 +483,7 @@
 	defer c.mu.Unlock()
 	all := c.idle[r.Address]
 	for n, cn := range slices.Backward(all) {
-		if cn.unidentified != (r.Matches == nil) || r.DirectOnly && cn.helper() != "" || !c.paths.MayReuse(r.Address, cn.helper()) {
+		if cn.unidentified != (r.ResponseID == nil) || r.DirectOnly && cn.helper() != "" || !c.paths.MayReuse(r.Address, cn.helper()) {
 			continue
 		}
 		c.idle[r.Address] = slices.Delete(all, n, n+1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -53,7 +53,7 @@
 func request(address, id string, body string) Request {
 	return Request{
 		Address: address, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		ID: id, ResponseID: func(h http.Header) string { return StatedID(h, "Id") },
 	}
 }
 
@@ -353,10 +353,8 @@
 	c := New(metrics.NewRegistry())
 	do := func(id string) string {
 		r := request(address, id, "")
-		r.Matches = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }
-		r.Identifies = func(h http.Header) bool { return h.Get("Id") == id }
 		if id == "" {
-			r.Matches, r.Identifies = nil, nil
+			r.ResponseID = nil
 		}
 		return get(t, c, r)
 	}
