--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -453,10 +453,9 @@
 	time.Sleep(d.set.Limits.StopGrace.Std())
 	d.handOverClaims(background)
 	d.fire(charts.GraceOver)
-	d.clientServer.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(background, d.set.Limits.StopTimeout.Std())
 	defer cancel()
-	if err := d.clientServer.Shutdown(ctx); err != nil {
+	if err := httpserve.Shutdown(ctx, d.clientServer); err != nil {
 		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of stopTimeout", "requests", d.entry.InFlight())
 	}
 	uctx, ucancel := context.WithTimeout(background, unregisterTimeout)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -20,3 +20,10 @@
 	}
 	return err
 }
+
+// Shutdown closes the listeners and the idle connections of a server, and waits until ctx ends or the other connections
+// have been closed after their response.
+func Shutdown(ctx context.Context, s *http.Server) error {
+	s.SetKeepAlivesEnabled(false)
+	return s.Shutdown(ctx)
+}
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -32,6 +32,8 @@
 	Misdirect Fault = "misdirect"
 	// Error runs the request and responds with 500.
 	Error Fault = "error"
+	// Unavailable runs the request and responds with 503.
+	Unavailable Fault = "unavailable"
 	// LoseResponse runs the request and closes the connection without a response.
 	LoseResponse Fault = "lose-answer"
 	// CutMidEvent closes the connection in the middle of the second event of a response.
@@ -455,9 +457,13 @@
 	case Hang:
 		<-r.Context().Done()
 		return
-	case Error:
+	case Error, Unavailable:
+		status := http.StatusInternalServerError
+		if fault == Unavailable {
+			status = http.StatusServiceUnavailable
+		}
 		w.Header().Set("X-Response-Seal", "seal-"+e.ID)
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "failed")
 		return
 	case Unsealed:
