A response without a request ID counts only as the first one on its connection

Callers got 503 for requests that ran, and requests ran twice: an instance sent a rejection without an ID a second time, late, while the next request on the connection ran. Successes and failures of other requests reached callers in the same way.

Cause: a kept connection proves who answered last, not who answers next; an absent ID counted as one that matches.

Change: without an ID, a response belongs to the request only if it is the first on a connection that has carried nothing else. Otherwise it is ambiguous: what may be repeated is lost at once, what may not waits 250 ms for the response with its ID and is then lost (502). Where a service has responded without IDs, each request to it gets a connection of its own: for ten minutes after one that could be told, for ten seconds after an ambiguous one, so that its rejections are believed. Why it works: the response is bound to the attempt by the connection or by the ID.

The stand-in of completion engines repeats the attempt's ID in rejections too, as the protocol says of all responses. A test expected a kept connection after an instance had rejected without an ID; it expects a new one for each request now.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -456,7 +456,7 @@
 	return upstream.Request{
 		Address: i.Address, Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
 		Header:     q.s.o.Protocol.Forward(endToEnd(q.http.Header), s),
-		ResponseID: q.s.o.Protocol.ResponseID,
+		ResponseID: q.s.o.Protocol.ResponseID, Group: q.service,
 		MaxIdle:    q.maxIdleConns(),
 		BeforeSend: func() error { return q.checkBeforeSend(i) },
 		ID:         q.call.ID, Repeatable: s.PrefillOnly || q.route.Repeatable() && q.runs+1 < q.route.MaxAttempts,
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -171,6 +171,11 @@
 	}
 	prompt := req.PromptText()
 	phase, kv := r.Header.Get(openai.PhaseHeader), r.Header.Get(openai.KVHeader)
+	id := r.Header.Get(openai.AttemptHeader)
+	if f.WrongID {
+		id = "other-" + id
+	}
+	w.Header().Set(openai.AttemptHeader, id)
 	if f.Refuse || !s.accepts(phase, kv, answer.Tokens(prompt)) {
 		w.Header().Set(openai.NotRunHeader, "true")
 		http.Error(w, "not accepting work", http.StatusServiceUnavailable)
@@ -204,11 +209,6 @@
 		q.remainingPrefill = from
 	}
 	s.sched.enqueue(q)
-	id := r.Header.Get(openai.AttemptHeader)
-	if f.WrongID {
-		id = "other-" + id
-	}
-	w.Header().Set(openai.AttemptHeader, id)
 	out := responseWriter{w: w, id: id, req: &req, prompt: prompt, chat: r.URL.Path == "/v1/chat/completions"}
 	if f.CutBeforeHeaders {
 		panic(http.ErrAbortHandler)
@@ -257,9 +257,7 @@
 	case <-q.ctx.Done():
 		panic(http.ErrAbortHandler)
 	}
-	id := r.Header.Get(openai.AttemptHeader)
-	w.Header().Set(openai.AttemptHeader, id)
-	writeJSON(w, http.StatusOK, openai.KVExport{KV: s.opts.Name + "/" + id, PromptTokens: tokens})
+	writeJSON(w, http.StatusOK, openai.KVExport{KV: s.opts.Name + "/" + r.Header.Get(openai.AttemptHeader), PromptTokens: tokens})
 }
 
 // runContext returns a context that is cancelled with the request or when the engine aborts all
--- a/internal/upstream/evidence.go
+++ b/internal/upstream/evidence.go
@@ -16,8 +16,10 @@
 	NoResponse Attribution = "none"
 	// Identified: it states the ID of the request.
 	Identified Attribution = "identified"
-	// Anonymous: it states no ID.
-	Anonymous Attribution = "anonymous"
+	// First: it states no ID, but is the first response on a connection that has carried nothing else.
+	First Attribution = "first"
+	// Ambiguous: it states no ID, and may be a response in excess to an earlier request on the connection.
+	Ambiguous Attribution = "ambiguous"
 	// Stray: it states the ID of another request.
 	Stray Attribution = "stray"
 )
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -99,9 +99,8 @@
 	c := New(metrics.NewRegistry())
 	do := func(id string) (*Response, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		defer cancel()
-		r := request(address, id, "")
-		return c.Do(ctx, r)
+		t.Cleanup(cancel)
+		return c.Do(ctx, request(address, id, ""))
 	}
 	a, err := do("a")
 	require.NoError(t, err)
@@ -111,7 +110,7 @@
 	require.True(t, fault.Is(err, fault.Unknown), "%v", err)
 	require.Less(t, time.Since(begun), limit)
 	require.Zero(t, c.OpenConns(address))
-	for n := range 5 { // the service is known by now to reject without an ID
+	for n := range 5 { // the instance is known by now to reject without an ID
 		resp, err := do(fmt.Sprint("c", n))
 		require.NoError(t, err)
 		require.Equal(t, http.StatusServiceUnavailable, resp.Status, "the first response on a connection belongs to the request")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -45,6 +45,9 @@
 	// strayTimeout bounds the wait for the right response after a response to another
 	// request: an instance that has confused the two will not send another.
 	strayTimeout = time.Second
+	// ambiguityTimeout bounds the wait for a response with the request's ID after one without an ID that may be
+	// another's. An instance that runs the request responds within some tens of ms.
+	ambiguityTimeout = 250 * time.Millisecond
 	// maxInlineBody is the largest body that is written before the response is read. A
 	// larger one is written concurrently, as an instance may respond before it has read
 	// the body.
@@ -67,6 +70,9 @@
 	// ResponseID returns the request ID that the headers of a response state, empty for none. If it is nil, every response
 	// belongs to the request.
 	ResponseID func(http.Header) string
+	// Group names the instances that run the same program, so that all of them state IDs in their responses, or not. Without
+	// it, the address stands for itself.
+	Group string
 	// BeforeSend is called just before the request is written. If it returns an error, the
 	// request is not sent. It may be nil.
 	BeforeSend func() error
@@ -112,9 +118,10 @@
 	dial  DialFunc
 	paths Paths
 
-	mu   sync.Mutex
-	idle map[string][]*conn
-	open map[string]int
+	mu        sync.Mutex
+	idle      map[string][]*conn
+	open      map[string]int
+	anonymous anonymousGroups
 	// lastConn is the number of the last connection.
 	lastConn uint64
 	// interruptible has the exchanges over direct connections that may be given up, by address.
@@ -165,6 +172,7 @@
 
 	client  *Client
 	address string
+	group   string
 	maxIdle int
 	conn    *conn
 	resp    *http.Response
@@ -220,7 +228,7 @@
 		c.drop(r.Address, cn)
 		return nil, err
 	}
-	resp := &Response{client: c, address: r.Address, maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), anonymous: r.ResponseID == nil, Evidence: cn.evidence(), directOnly: r.DirectOnly}
+	resp := &Response{client: c, address: r.Address, group: r.group(), maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), anonymous: r.ResponseID == nil, Evidence: cn.evidence(), directOnly: r.DirectOnly}
 	resp.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if r.Repeatable && !r.DirectOnly && cn.helper() == "" {
 		c.addInterruptible(resp)
@@ -233,6 +241,9 @@
 		go resp.write(&r)
 	}
 	if err := resp.readHeaders(&r); err != nil {
+		if resp.Evidence.Attribution == Ambiguous {
+			c.anonymous.record(resp.group, suspicionTime)
+		}
 		err := error(&exchangeError{err, resp.Evidence})
 		unacknowledged := cn.unacknowledgedBytes()
 		ownPath := resp.OwnPathLost(ctx, err)
@@ -304,6 +315,9 @@
 	close(r.writeDone)
 }
 
+// group returns the group of the instance.
+func (r *Request) group() string { return cmp.Or(r.Group, r.Address) }
+
 // readHeaders reads responses until one belongs to the request.
 func (r *Response) readHeaders(req *Request) error {
 	forMethod := &http.Request{Method: req.Method}
@@ -321,17 +335,24 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.attribute(req, resp.Header); r.Evidence.Attribution != Stray {
+		r.attribute(req, resp.Header)
+		wait := strayTimeout
+		switch r.Evidence.Attribution {
+		case Identified, First:
 			r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 			r.Body = eofReader{resp.Body, &r.bodyRead}
 			return nil
+		case Ambiguous:
+			if req.Repeatable || r.client.anonymous.has(r.group) {
+				return errAmbiguous
+			}
+			wait = ambiguityTimeout
 		}
 		if !r.mismatched {
 			r.mismatched = true
-			timer := time.AfterFunc(strayTimeout, func() { _ = r.conn.SetDeadline(time.Unix(1, 0)) })
+			timer := time.AfterFunc(wait, func() { _ = r.conn.SetDeadline(time.Unix(1, 0)) })
 			defer timer.Stop()
 		}
-		r.client.count("stray_answers")
 		if resp.Close {
 			return errors.New("response belongs to another request")
 		}
@@ -348,17 +369,25 @@
 	if req.ResponseID != nil {
 		e.Stated = req.ResponseID(h)
 	}
-	switch e.Stated {
-	case "":
-		e.Attribution = Anonymous
-	case req.ID:
+	switch {
+	case e.Stated == "" && (e.Carried == 0 || req.ResponseID == nil) && !r.mismatched:
+		e.Attribution = First
+	case e.Stated == "":
+		e.Attribution = Ambiguous
+	case e.Stated == req.ID:
 		e.Attribution = Identified
 	default:
 		e.Attribution = Stray
 	}
 	r.client.count("responses_" + string(e.Attribution))
+	if e.Attribution == First && req.ResponseID != nil {
+		r.client.anonymous.record(r.group, anonymousTime)
+	}
 }
 
+// errAmbiguous is returned for a response that may be another request's.
+var errAmbiguous = errors.New("response states no request ID and may be that of an earlier request on the connection")
+
 // Close ends the exchange. If complete is true and the body has been read to its end, the
 // connection is returned to the pool unless it cannot be reused. Otherwise it is closed, which
 // tells the instance to stop.
@@ -409,7 +438,7 @@
 		return "incomplete"
 	case r.mismatched || r.conn.reader.Buffered() > 0:
 		return "stray"
-	case r.Evidence.Attribution == Anonymous && !r.anonymous:
+	case r.Evidence.Attribution != Identified && !r.anonymous:
 		return "anonymous" // when it comes a second time, it would be taken for the response to the next request
 	case r.resp.Close:
 		return "announced"
@@ -433,7 +462,7 @@
 
 // get returns an idle connection from the pool, or a new one.
 func (c *Client) get(ctx context.Context, r *Request) (*conn, error) {
-	for !r.NewConn {
+	for !r.NewConn && !c.anonymous.has(r.group()) {
 		cn := c.pop(r)
 		if cn == nil {
 			break
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -360,7 +360,7 @@
 	}
 	require.Empty(t, do("rejected"))
 	require.Equal(t, "response on connection 2", do("next"))
-	require.Equal(t, "response on connection 2", do("reused"))
+	require.Equal(t, "response on connection 3", do("other"), "an instance that rejects without an ID gets a connection for each request")
 	require.Empty(t, do(""), "a call without an ID has a connection of its own")
-	require.Equal(t, "response on connection 2", do("last"))
+	require.Equal(t, "response on connection 5", do("last"))
 }
