A connection carries each request ID once

Callers that repeated a rejected request under the same ID at the same gateway had it run twice, or were told 503 although it ran.

Cause: an ID says which request, not which attempt. The second attempt went to the same instance on the same connection, and a copy of the first rejection, which states that ID, was taken for its response.

Change: each connection remembers hashes of the IDs that it has carried, and is not used for one of them again; it ends after 1,024 requests, so that this stays within 8 KB.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +33,9 @@
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
 	readBufferBytes   = 4 << 10
+	// maxRequestsPerConn bounds the IDs that a connection remembers, 8 KB. A new connection for one in a thousand requests
+	// costs little.
+	maxRequestsPerConn = 1024
 	// maxHeadBytes bounds what is read until the headers of the right response are complete: heads, hints, and responses
 	// to other requests without their bodies. Heads of instances have some hundred bytes.
 	maxHeadBytes = 64 << 10
@@ -43,10 +48,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// number tells the connections of the process apart in its log. requests counts the requests that this one has carried,
-	// including the one under way.
-	number   uint64
-	requests int
+	// number tells the connections of the process apart in its log.
+	number uint64
+	// ids has hashes of the IDs of the requests that the connection has carried, including the one under way.
+	ids []uint64
 	// headLimit is how many bytes of a head may still be read from the connection, negative for no limit. It is used by
 	// the goroutine that reads.
 	headLimit int
@@ -68,9 +73,17 @@
 	return ""
 }
 
+// hasCarried reports whether the connection has carried a request with an ID, or one whose hash is the same.
+func (c *conn) hasCarried(id uint64) bool { return slices.Contains(c.ids, id) }
+
+// idSeed makes the hashes of IDs differ in each process.
+var idSeed = maphash.MakeSeed()
+
+func hashOf(id string) uint64 { return maphash.String(idSeed, id) }
+
 // evidence returns the evidence of the request under way before any response.
 func (c *conn) evidence() Evidence {
-	return Evidence{Conn: c.number, Carried: c.requests - 1, Helper: c.helper(), Attribution: NoResponse}
+	return Evidence{Conn: c.number, Carried: len(c.ids) - 1, Helper: c.helper(), Attribution: NoResponse}
 }
 
 // unacknowledgedBytes returns the number of sent bytes that the other host, or the process that relays the connection,
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// TestConnectionEndsOnceItHasCarriedManyRequests checks that a connection is not used beyond the IDs that it remembers.
+func TestConnectionEndsOnceItHasCarriedManyRequests(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			write(c, id, fmt.Sprint(n))
+		}
+	})
+	c := New(metrics.NewRegistry())
+	for n := range maxRequestsPerConn + 1 {
+		want := fmt.Sprint(1 + n/maxRequestsPerConn)
+		require.Equal(t, want, get(t, c, request(address, fmt.Sprint("r", n), "")))
+	}
+}
+
 // TestAmbiguousRejectionMayHaveRun has an instance reject a request without an ID on a connection that has carried another one.
 // Nothing follows.
 func TestAmbiguousRejectionMayHaveRun(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -442,6 +442,8 @@
 		return "anonymous" // when it comes a second time, it would be taken for the response to the next request
 	case r.resp.Close:
 		return "announced"
+	case len(r.conn.ids) >= maxRequestsPerConn:
+		return "used_up"
 	}
 	return ""
 }
@@ -493,7 +495,7 @@
 
 // begin announces a request to the process that relays the connection, if there is one.
 func (c *Client) begin(cn *conn, r *Request) (*conn, error) {
-	cn.requests++
+	cn.ids = append(cn.ids, hashOf(r.ID))
 	relayed, ok := cn.Conn.(*peer.RelayedConn)
 	if !ok {
 		return cn, nil
@@ -508,10 +510,14 @@
 // pop takes the most recently used connection that may be used for a request from the pool, so that unneeded ones
 // reach their idle timeout. It returns nil if there is none.
 func (c *Client) pop(r *Request) *conn {
+	id := hashOf(r.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := c.idle[r.Address]
 	for n, cn := range slices.Backward(all) {
+		if cn.hasCarried(id) && r.ResponseID != nil {
+			continue // a late response to that request could not be told from the response to this one
+		}
 		if cn.unidentified != (r.ResponseID == nil) || r.DirectOnly && cn.helper() != "" || !c.paths.MayReuse(r.Address, cn.helper()) {
 			continue
 		}
