Calls whose responses state no ID have connections of their own

A list of cached parts that an engine sent a second time was read as its report: no role, no order in progress, none accepted; so an order of roles could go out with a sequence number that the engine had not stated. Callers did not see it yet.

Cause: reports, lists and releases of KV caches shared connections with each other, and nothing in their responses says to which call they belong. Change: a call without IDs opens a connection and closes it. These calls are few: a report for each order of roles, a list for each engine when a process becomes a scheduler, a release for each KV cache that was not used. The option to force a new connection is gone, since only such calls used it.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -57,9 +57,6 @@
 	headLimit int
 	// wrote is true once a byte of the current request may have been sent.
 	wrote atomic.Bool
-	// unidentified is true if the last response could not be told from others. Requests whose responses can be told are
-	// not sent after it.
-	unidentified bool
 	// idleSince is when the connection became idle. It may be reused until idleTimeout later.
 	idleSince   time.Time
 	idleTimeout time.Duration
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -67,8 +67,8 @@
 	Body    []byte
 	// ID identifies the request in its response, and in the log of a process that relays it.
 	ID string
-	// ResponseID returns the request ID that the headers of a response state, empty for none. If it is nil, every response
-	// belongs to the request.
+	// ResponseID returns the request ID that the headers of a response state, empty for none. If it is nil, responses state
+	// none, and the request gets a connection of its own.
 	ResponseID func(http.Header) string
 	// Group names the instances that run the same program, so that all of them state IDs in their responses, or not. Without
 	// it, the address stands for itself.
@@ -76,8 +76,6 @@
 	// BeforeSend is called just before the request is written. If it returns an error, the
 	// request is not sent. It may be nil.
 	BeforeSend func() error
-	// NewConn forces a new connection.
-	NewConn bool
 	// Repeatable has the request given up as soon as the path to the instance is known to be cut. Another one
 	// waits, as the path may work again in time.
 	Repeatable bool
@@ -181,8 +179,6 @@
 	writeErr  error
 	// ownPath is true if the path to the instance is known to be cut.
 	ownPath atomic.Bool
-	// anonymous is true if responses to the request cannot be told from others.
-	anonymous bool
 	// directOnly is true if only the path from this host matters.
 	directOnly bool
 	// stop removes the callback that interrupts reads and writes when the context ends. It returns
@@ -228,7 +224,7 @@
 		c.drop(r.Address, cn)
 		return nil, err
 	}
-	resp := &Response{client: c, address: r.Address, group: r.group(), maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), anonymous: r.ResponseID == nil, Evidence: cn.evidence(), directOnly: r.DirectOnly}
+	resp := &Response{client: c, address: r.Address, group: r.group(), maxIdle: cmp.Or(r.MaxIdle, defaultMaxIdle), conn: cn, writeDone: make(chan struct{}), Evidence: cn.evidence(), directOnly: r.DirectOnly}
 	resp.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if r.Repeatable && !r.DirectOnly && cn.helper() == "" {
 		c.addInterruptible(resp)
@@ -370,7 +366,7 @@
 		e.Stated = req.ResponseID(h)
 	}
 	switch {
-	case e.Stated == "" && (e.Carried == 0 || req.ResponseID == nil) && !r.mismatched:
+	case e.Stated == "" && e.Carried == 0 && !r.mismatched:
 		e.Attribution = First
 	case e.Stated == "":
 		e.Attribution = Ambiguous
@@ -407,7 +403,7 @@
 			r.discardConn()
 			return
 		}
-		r.conn.idleTimeout, r.conn.unidentified = idleTimeout(r.Header), r.anonymous
+		r.conn.idleTimeout = idleTimeout(r.Header)
 		r.client.put(r.address, r.conn, r.maxIdle)
 	})
 }
@@ -438,7 +434,7 @@
 		return "incomplete"
 	case r.mismatched || r.conn.reader.Buffered() > 0:
 		return "stray"
-	case r.Evidence.Attribution != Identified && !r.anonymous:
+	case r.Evidence.Attribution != Identified:
 		return "anonymous" // when it comes a second time, it would be taken for the response to the next request
 	case r.resp.Close:
 		return "announced"
@@ -464,7 +460,7 @@
 
 // get returns an idle connection from the pool, or a new one.
 func (c *Client) get(ctx context.Context, r *Request) (*conn, error) {
-	for !r.NewConn && !c.anonymous.has(r.group()) {
+	for r.ResponseID != nil && !c.anonymous.has(r.group()) {
 		cn := c.pop(r)
 		if cn == nil {
 			break
@@ -515,10 +511,10 @@
 	defer c.mu.Unlock()
 	all := c.idle[r.Address]
 	for n, cn := range slices.Backward(all) {
-		if cn.hasCarried(id) && r.ResponseID != nil {
+		if cn.hasCarried(id) {
 			continue // a late response to that request could not be told from the response to this one
 		}
-		if cn.unidentified != (r.ResponseID == nil) || r.DirectOnly && cn.helper() != "" || !c.paths.MayReuse(r.Address, cn.helper()) {
+		if r.DirectOnly && cn.helper() != "" || !c.paths.MayReuse(r.Address, cn.helper()) {
 			continue
 		}
 		c.idle[r.Address] = slices.Delete(all, n, n+1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,7 +85,7 @@
 	}
 	require.Equal(t, 1, c.OpenConns(address))
 	fresh := request(address, "d", "")
-	fresh.NewConn = true
+	fresh.ResponseID = nil
 	require.Equal(t, "2", get(t, c, fresh))
 	c.CloseIdle(address)
 	require.Zero(t, c.OpenConns(address))
