A server that is told to stop runs no request whose connection it closes

The completion service closed kept connections without a response although it ran the requests on them; a client that takes such a request for unread repeats it, so that it runs twice.

Cause: before Shutdown, the service disabled keep-alives, which closes idle connections at once. A request that has been read from one of them in this moment still runs. Go's Shutdown first marks the server as shutting down, and a connection looks at the mark between reading a request and running it; disabling keep-alives has no such mark.

Change: Shutdown alone, through httpserve, for the gateways too, which did so before.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -502,7 +502,7 @@
 	go d.deregister()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.bounds.Load().Grace.Std()-exitMargin))
 	defer cancel()
-	go func() { _ = d.clientServer.Shutdown(ctx) }() // the error is ignored: waitUntilIdle waits for the requests in flight
+	go func() { _ = httpserve.Shutdown(ctx, d.clientServer) }() // the error is ignored: waitUntilIdle waits for the requests in flight
 	idle := d.waitUntilIdle(ctx)
 	if d.usage != nil {
 		d.usage.Sync(ctx) // another process must hold the counts before this one exits
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -22,8 +22,6 @@
 }
 
 // Shutdown closes the listeners and the idle connections of a server, and waits until ctx ends or the other connections
-// have been closed after their response.
-func Shutdown(ctx context.Context, s *http.Server) error {
-	s.SetKeepAlivesEnabled(false)
-	return s.Shutdown(ctx)
-}
+// have been closed after their response. Keep-alives must not be disabled before: that closes idle connections without
+// keeping a request from running that has just been read from one of them.
+func Shutdown(ctx context.Context, s *http.Server) error { return s.Shutdown(ctx) }
