A 503 of an instance that ran the request is no promise to the client

An instance that runs a request and responds with 503, 429 or 408, without stating that it has not run, had that relayed. To clients these statuses promise that the request has not run; they repeat it.

Cause: the status was relayed as any other response, although only the header of the instance makes it a rejection.

Change: such a response is a lost attempt: repeated where that is allowed, otherwise 502, without the instance's seal. The completion service states the outcome in a header of its own and is unchanged.

--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -25,6 +25,15 @@
 // codeDeadline is the outcome of a request whose deadline has passed.
 const codeDeadline = "deadline"
 
+// promisesNotRun reports whether clients take a status for the promise that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // replyFromState returns a reply whose status is derived from the state of the request.
 func replyFromState(code string, err error, retryAfter time.Duration) *reply {
 	return &reply{code: code, err: err, retryAfter: retryAfter}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -360,6 +360,12 @@
 	}
 	q.runs++
 	q.kvSource = nil // the instance has consumed it
+	if promisesNotRun(resp.Status) {
+		resp.DiscardBody()
+		q.ticket.RunEnded(placement.Failed)
+		q.avoid[plan.Target.ID] = true
+		return lifecycle.Lost, fault.Newf(fault.Unknown, "check the instance", "instance %s responded with status %d without stating that the request has not run", plan.Target.ID, resp.Status)
+	}
 	if !isStream(resp) {
 		q.countRun() // the run of a stream is counted at its first event
 	}
