--- a/internal/upstream/anonymous.go
+++ b/internal/upstream/anonymous.go
@@ -11,7 +11,7 @@
 const (
 	// anonymousTime is how long a group counts as one that responds without IDs after a response without one that is known
 	// to belong to its request.
-	anonymousTime = 10 * time.Minute
+	anonymousTime = time.Hour
 	// suspicionTime is the same after a response that may be another request's. If the group does respond without IDs,
 	// responses on new connections show it meanwhile.
 	suspicionTime = 10 * time.Second
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// TestResponseInsideAHeadIsNotTaken has a response in excess begin in the middle of the head of the next one.
+func TestResponseInsideAHeadIsNotTaken(t *testing.T) {
+	for name, text := range lateResponses {
+		if name != "success" {
+			text += "\r\n"
+		}
+		for part, head := range map[string]string{"in the status line": "HTTP/1.1 200", "after a field": "HTTP/1.1 200 OK\r\nId: b\r\n", "in a field": "HTTP/1.1 200 OK\r\nId: "} {
+			t.Run(name+"/"+part, func(t *testing.T) {
+				address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					id, _, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					write(c, id, "own")
+					if _, _, err = readRequest(r); err == nil {
+						_, _ = io.WriteString(c, head+text+"Content-Length: 3\r\n\r\nown")
+						_, _ = r.ReadByte()
+					}
+				})
+				c := New(metrics.NewRegistry())
+				require.Equal(t, "own", get(t, c, request(address, "a", "")))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := c.Do(ctx, request(address, "b", ""))
+				require.True(t, fault.Is(err, fault.Unknown), "%v", err)
+				require.Zero(t, c.OpenConns(address))
+			})
+		}
+	}
+}
+
 // TestConnectionEndsOnceItHasCarriedManyRequests checks that a connection is not used beyond the IDs that it remembers.
 func TestConnectionEndsOnceItHasCarriedManyRequests(t *testing.T) {
 	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -210,6 +210,15 @@
 	_, err = c.Do(context.Background(), request(address, "a", ""))
 	require.True(t, fault.Is(err, fault.Unknown), "the instance may have started to run the request")
 
+	address = serve(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	for range 20 {
+		_, err = c.Do(context.Background(), request(address, "a", strings.Repeat("x", 64<<10)))
+		require.True(t, fault.Is(err, fault.Unknown), "bytes may have been passed to the kernel before the reset")
+	}
+
 	r := request(address, "a", "")
 	r.BeforeSend = func() error { return fault.New(fault.Unavailable, "too late", "none") }
 	_, err = c.Do(context.Background(), r)
