--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -20,7 +20,7 @@
 )
 
 // serve runs f for each accepted connection and returns the listener's address.
-func serve(t *testing.T, f func(n int, c net.Conn, r *bufio.Reader)) string {
+func serve(t testing.TB, f func(n int, c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
