Soak: processes with a share of a core; streams that clients resume have ended at the former engine

Cause: the rule that a stream continued elsewhere has ended at its former engine within 400 ms was checked within one request only, and never on hosts with a part of a core.

A planted violation.

--- a/cmd/rockdoor-lab/soak.go
+++ b/cmd/rockdoor-lab/soak.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "processes", Usage: "number of gateways", Value: soakProcesses},
 			&cli.IntFlag{Name: "callers", Usage: "number of clients for each gateway", Value: soakClients},
 			&cli.DurationFlag{Name: "think", Usage: "mean `TIME` between a response and the client's next request; 0 uses that of a small deployment"},
+			&cli.Float64Flag{Name: "share", Usage: "share of the time in which each process runs, as on a host with a part of a core; 0 is all of it"},
 			&cli.StringFlag{Name: "site", Usage: "`FILE` of the users' platform with the layout and bounds of the run; --processes 0 then runs one gateway per host"},
 			&cli.BoolFlag{Name: "regressions", Usage: "repeat all runs that ever failed instead of a seed"},
 			&cli.StringFlag{Name: "binary", Usage: "the rockdoor `FILE` to run; by default the one beside this program"},
@@ -84,6 +85,7 @@
 		return err
 	}
 	o.ClientsPerProcess, o.ThinkTime, o.Dir = c.Int("callers"), c.Duration("think"), dir
+	o.CPUShare = c.Float64("share")
 	o.Command, o.Progress = []string{binary}, c.App.Writer
 	r, err := soak.Run(c.Context, o)
 	if err != nil {
--- a/internal/lab/soak/check_arrivals.go
+++ b/internal/lab/soak/check_arrivals.go
@@ -178,22 +178,38 @@
 // maxRunOverlap is how long an earlier run may continue beside the one that resumes it.
 const maxRunOverlap = 400 * time.Millisecond
 
-// resumedRunsExclusive checks that a stream that is resumed at another engine has ended at the
+// resumedRunsExclusive checks that a stream that is resumed at another engine, by a process or by its client, has ended at the
 // previous one.
 func (c *checker) resumedRunsExclusive() Guarantee {
 	g := Guarantee{Name: "a stream that is resumed elsewhere has ended at the previous engine"}
+	longest := time.Duration(0)
+	check := func(call *Call, before, next *Arrival) {
+		g.Cases++
+		overlap := before.Ended.Sub(next.At)
+		if before.Ended.IsZero() {
+			overlap = maxRunOverlap + time.Nanosecond
+		}
+		longest = max(longest, overlap)
+		if overlap > maxRunOverlap {
+			g.addViolation(call.ID, "%s: resumed at %s while %s still ran it", call.ID, next.Instance, before.Instance)
+		}
+	}
 	for _, call := range c.observed.Calls {
 		if !call.Kind.Streams() || !c.undisturbed(call.Gateway, call.Ended) {
 			continue
 		}
 		runs := c.runs(call)
 		for n := 1; n < len(runs); n++ {
-			g.Cases++
-			before, at := runs[n-1], runs[n].At.Add(maxRunOverlap)
-			if before.Ended.IsZero() || before.Ended.After(at) {
-				g.addViolation(call.ID, "%s: resumed at %s while %s still ran it", call.ID, runs[n].Instance, before.Instance)
-			}
+			check(call, runs[n-1], runs[n])
+		}
+		begun := c.calls[call.resumedKey()]
+		if begun == nil || len(runs) == 0 || !c.undisturbed(begun.Gateway, runs[0].At) {
+			continue
+		}
+		for _, before := range c.runs(begun) {
+			check(call, before, runs[0])
 		}
 	}
+	g.Closest = fmt.Sprintf(" (the longest overlap: %s)", longest.Round(time.Millisecond))
 	return g
 }
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -203,6 +203,12 @@
 			a.Ended = at(42)
 			f.addRepeat(a, 0.5)
 		}},
+		"client resumes a stream that goes on": {(*checker).resumedRunsExclusive, func(f *Observations) {
+			_, a := f.addAnsweredCall("r", Stream, 40)
+			a.Ended = at(41)
+			c, _ := f.addAnsweredCall("q", Stream, 40.5)
+			c.Resumes = "r"
+		}},
 		"order after the lease was lost": {(*checker).ordersUnderLease, func(f *Observations) {
 			f.Orders = []*Order{{To: "i-1", Holder: "gateway-0", Token: 1, At: at(31)}}
 		}},
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -33,6 +33,9 @@
 	MemoryMB float64
 	// Bounds are the limits that the deployment requires the processes to keep.
 	Bounds Bounds
+	// CPUShare is the share of the time in which each process runs, as on a host that is given a part of a core; 0 means
+	// all of it.
+	CPUShare float64
 	// BoundsFactor multiplies the time bounds in which a process must react, for machines that are
 	// busy with other work. Guarantees without a time bound are not affected. A factor
 	// below 1, such as 0, counts as 1.
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -226,6 +226,28 @@
 	})
 }
 
+// throttlePeriod is the period in which a process is given its share of the time. Kernels use the same for quotas.
+const throttlePeriod = 100 * time.Millisecond
+
+// throttle lets the process run for a share of the time only, until the run ends.
+func (g *gateway) throttle(share float64) {
+	signal := func(s syscall.Signal) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.activeFreezes == 0 {
+			g.signal(s)
+		}
+	}
+	run := time.Duration(share * float64(throttlePeriod))
+	for g.w.ctx.Err() == nil {
+		signal(syscall.SIGCONT)
+		time.Sleep(run)
+		signal(syscall.SIGSTOP)
+		time.Sleep(throttlePeriod - run)
+	}
+	signal(syscall.SIGCONT)
+}
+
 // freeze suspends the process for a time. Overlapping freezes end with the last one.
 func (g *gateway) freeze(length time.Duration, d *Disturbance) {
 	g.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -48,6 +48,11 @@
 		return nil, err
 	}
 	w.watchStarvation()
+	if o.CPUShare > 0 {
+		for _, g := range w.gateways {
+			go g.throttle(o.CPUShare)
+		}
+	}
 	stopProgress := w.printProgress()
 	stopClients := w.startClients(op)
 	time.Sleep(warmUp)
