Routes are matched on the bytes of the path that are sent

A path with characters that a URL library escapes, such as a letter beyond ASCII, was matched in its escaped form and sent as it was: callers of a route with such a prefix got 404, and an escaped prefix matched what it does not begin.

Cause: the path of the parsed URL was used, whose printed form may differ from the target. Change: the path is cut out of the target.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -164,7 +165,7 @@
 		return nil, replyWithStatus(http.StatusServiceUnavailable, "not-ready",
 			fault.New(fault.Unavailable, "no configuration has been loaded yet", "ask again after the time in Retry-After"), notReadyRetry)
 	}
-	route := view.Config.Route(hostOnly(r.Host), r.URL.EscapedPath())
+	route := view.Config.Route(hostOnly(r.Host), targetPath(r))
 	if route == nil {
 		return nil, replyWithStatus(http.StatusNotFound, "no-route",
 			fault.New(fault.NotFound, "no route for "+r.Host+r.URL.Path, "check the host name and the path"), 0)
@@ -196,6 +197,18 @@
 	return min(client, route)
 }
 
+// targetPath returns the path of the request target as the client sent it, which is what an instance receives. The path of
+// the parsed URL may differ.
+func targetPath(r *http.Request) string {
+	target := r.RequestURI
+	if _, rest, absolute := strings.Cut(target, "://"); absolute && !strings.HasPrefix(target, "/") {
+		_, path, _ := strings.Cut(rest, "/") // after the authority
+		target = "/" + path
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 func hostOnly(hostport string) string {
 	if host, _, err := net.SplitHostPort(hostport); err == nil {
 		return host
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -131,7 +131,7 @@
 // service for the next attempt.
 func (q *request) RefreshConfig() *reply {
 	view := q.s.o.View()
-	route := view.Config.Route(hostOnly(q.http.Host), q.http.URL.EscapedPath())
+	route := view.Config.Route(hostOnly(q.http.Host), targetPath(q.http))
 	if route == nil {
 		return replyFromState("no-route", fault.New(fault.NotFound, "route has been removed", "check the host name and the path"), defaultRetry)
 	}
