The completion service passes the target on as its client sent it

A target with characters that a URL library escapes reached the server in another form: /alerts/é as /alerts/%C3%A9.

Cause: the target was printed from the parsed URL. Change: the target of the request line is used, and the parsed one only where the request line names the host too.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -87,7 +87,15 @@
 }
 
 func newCall(r *http.Request, s *control.Snapshot) *call {
-	return &call{id: ulid.Make().String(), snapshot: s, method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeaders(r.Header)}
+	return &call{id: ulid.Make().String(), snapshot: s, method: r.Method, uri: targetOf(r), header: endToEndHeaders(r.Header)}
+}
+
+// targetOf returns the request target for a target server: as the client sent it, unless it names the host too.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
 }
 
 // stream reports whether the response is a stream of events.
