Roles leave each software version an engine that decodes

Cause: a plan of roles did not regard versions, although a stream continues only at the version that began it. Change: while there are several versions, the last engine of one that decodes keeps its role; if all that decode are lost, a prefill engine of the version is ordered to decode while its streams may be resumed (15 s).

--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -69,6 +69,8 @@
 	policies    map[string]roles.Policy
 	lastOrderAt map[string]time.Time
 	engineBuf   []roles.Engine
+	// generatedAt is when an engine of each software version last decoded.
+	generatedAt map[softwareVersion]time.Time
 
 	mu      sync.Mutex
 	pending map[string]*pendingOrder
@@ -88,7 +90,7 @@
 func New(o Options) *Keeper {
 	return &Keeper{
 		opts: o, logger: log.With(o.Logger, "component", "roles"),
-		policies: map[string]roles.Policy{}, lastOrderAt: map[string]time.Time{}, pending: map[string]*pendingOrder{},
+		policies: map[string]roles.Policy{}, lastOrderAt: map[string]time.Time{}, generatedAt: map[softwareVersion]time.Time{}, pending: map[string]*pendingOrder{},
 	}
 }
 
@@ -151,7 +153,10 @@
 	maxConcurrent := max(minConcurrent, int(maxConcurrentShare*float64(len(v.Usable(service)))))
 	for range maxConcurrent {
 		in := k.policyInput(v, service)
-		c := p.Decide(in)
+		c := k.restoreVersion(v, service, in)
+		if c == nil {
+			c = p.Decide(in)
+		}
 		if c == nil || !mayOrder || k.inProgress() >= maxConcurrent {
 			return
 		}
@@ -192,6 +197,7 @@
 			e.PrefillSpeed, e.DecodeSpeed = k.opts.Placer.Speeds(e.Name)
 		}
 	}
+	k.keepVersions(v, service, in)
 	k.engineBuf = in.Engines
 	in.QueueDelay = queue / time.Duration(max(prefillEngines, 1))
 	return in
