Log when a service is found to respond without request IDs, and when that ends

Cause: that each request to a service gets a connection is a belief, and no line said when and on what evidence it began.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,6 +158,7 @@
 func (d *Daemon) newSender() *attempt.Sender {
 	sender := attempt.NewSender(d.reg)
 	client := sender.Client()
+	client.SetLogger(d.logger)
 	paths := reach.NewDialer(reach.Options{
 		Self: d.self.Name, Direct: client.Connect, Instance: d.targetAt, Peers: d.syncPeers, Transport: d.transport, OnSilent: client.InterruptSilent, Metrics: d.reg, Logger: d.logger,
 	})
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -181,6 +181,7 @@
 		ApplyLimit: set.Bounds.Apply.Std(), PropagationLimit: set.Bounds.PropagationLimit(), SettleTime: set.Bounds.Settle.Std(), ExpiredRetention: set.Bounds.Drain.Std() - expiryMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
+	d.client.SetLogger(d.logger)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChangingRole)
 	d.suspects = quarantine.NewTable()
 	d.suspects.SetTrialPermission(func() bool { _, ok := d.authority.Grant(); return ok }) // one trial in the fleet
--- a/internal/gatewayd/late_test.go
+++ b/internal/gatewayd/late_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -209,6 +210,9 @@
 		require.Zero(t, got.twice)
 		require.Zero(t, got.rejectedAndRun)
 		require.LessOrEqual(t, got.lost, maxLost*len(all))
+		for _, p := range all {
+			require.Equal(t, identify, !strings.Contains(p.log.String(), "respond without request IDs"), p.settings.Name)
+		}
 		served[identify] = got.share()
 	}
 	require.GreaterOrEqual(t, served[false], served[true]-tolerance)
--- a/internal/upstream/anonymous.go
+++ b/internal/upstream/anonymous.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/rockdoor/rockdoor/bootclock"
 )
 
@@ -21,25 +24,46 @@
 // without an ID belongs to its request only if it is the first one on a connection, so these groups need a connection
 // for each request. It is safe for concurrent use.
 type anonymousGroups struct {
-	mu    sync.Mutex
-	until map[string]bootclock.Instant
+	mu     sync.Mutex
+	until  map[string]bootclock.Instant
+	logger log.Logger
+}
+
+func newAnonymousGroups() *anonymousGroups {
+	return &anonymousGroups{until: map[string]bootclock.Instant{}, logger: log.NewNopLogger()}
 }
 
-// record records a response without an ID.
-func (a *anonymousGroups) record(group string, d time.Duration) {
+// record records a response without an ID to a request.
+func (a *anonymousGroups) record(group, request string, e Evidence) {
+	d := anonymousTime
+	if e.Attribution == Ambiguous {
+		d = suspicionTime
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.until == nil {
-		a.until = map[string]bootclock.Instant{}
+	known := a.hasLocked(group)
+	if !known {
+		maps.DeleteFunc(a.until, func(_ string, until bootclock.Instant) bool { return until <= bootclock.Now() })
+	}
+	a.until[group] = max(a.until[group], bootclock.Now().Add(d))
+	if !known {
+		level.Info(a.logger).Log(append([]any{"msg", "instances respond without request IDs, each request gets a connection", "service", group, "request", request, "for", d}, e.LogFields()...)...)
 	}
-	now := bootclock.Now()
-	maps.DeleteFunc(a.until, func(_ string, until bootclock.Instant) bool { return until <= now })
-	a.until[group] = max(a.until[group], now.Add(d))
 }
 
 // has reports whether a group responds without IDs.
 func (a *anonymousGroups) has(group string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.until[group] > bootclock.Now()
+	return a.hasLocked(group)
+}
+
+func (a *anonymousGroups) hasLocked(group string) bool {
+	until, ok := a.until[group]
+	if ok && until <= bootclock.Now() {
+		delete(a.until, group)
+		level.Info(a.logger).Log("msg", "instances have not responded without request IDs lately, connections are kept again", "service", group)
+		return false
+	}
+	return ok
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rockdoor/rockdoor/fault"
@@ -119,7 +120,7 @@
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	open      map[string]int
-	anonymous anonymousGroups
+	anonymous *anonymousGroups
 	// lastConn is the number of the last connection.
 	lastConn uint64
 	// interruptible has the exchanges over direct connections that may be given up, by address.
@@ -128,11 +129,14 @@
 
 // New returns a client that registers its metrics in reg.
 func New(reg metrics.Registry) *Client {
-	c := &Client{reg: reg, dial: dialDirect, idle: map[string][]*conn{}, open: map[string]int{}, interruptible: map[string]map[*Response]bool{}}
+	c := &Client{reg: reg, dial: dialDirect, idle: map[string][]*conn{}, open: map[string]int{}, interruptible: map[string]map[*Response]bool{}, anonymous: newAnonymousGroups()}
 	c.paths = onlyDirect{c}
 	return c
 }
 
+// SetLogger sets the log of what the client learns of instances. It must be called before the client is used.
+func (c *Client) SetLogger(l log.Logger) { c.anonymous.logger = log.With(l, "component", "upstream") }
+
 // SetDial replaces the function that connects to instances from this host. It must be called before the
 // client is used.
 func (c *Client) SetDial(dial DialFunc) { c.dial = dial }
@@ -238,7 +242,7 @@
 	}
 	if err := resp.readHeaders(&r); err != nil {
 		if resp.Evidence.Attribution == Ambiguous {
-			c.anonymous.record(resp.group, suspicionTime)
+			c.anonymous.record(resp.group, r.ID, resp.Evidence)
 		}
 		err := error(&exchangeError{err, resp.Evidence})
 		unacknowledged := cn.unacknowledgedBytes()
@@ -377,7 +381,7 @@
 	}
 	r.client.count("responses_" + string(e.Attribution))
 	if e.Attribution == First && req.ResponseID != nil {
-		r.client.anonymous.record(r.group, anonymousTime)
+		r.client.anonymous.record(r.group, req.ID, *e)
 	}
 }
 
