Count the versions of engines in the pass that reads their load

Change: versions are counted where the engines are read anyway, in a small list; engines are looked up only while several versions serve.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -142,7 +142,7 @@
 	}
 	c.callCount++
 	id := fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
-	call := &Call{ID: id, Kind: kind, Gateway: c.gateway, Incarnation: c.incarnation, Body: "body of " + id, Timeout: callTimeout, ReusedConn: c.connUsed, TakenForOpen: c.toldToClose}
+	call := &Call{ID: id, Kind: kind, Gateway: c.gateway, Incarnation: c.incarnation, Body: "body of " + id, Timeout: callTimeout, ReusedConn: c.connUsed, EndAnnounced: c.toldToClose}
 	call.Path = fmt.Sprintf("/%s/%d", kind, c.callCount)
 	switch {
 	case kind.Streams():
@@ -172,7 +172,7 @@
 		next := *broken
 		next.ID = fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
 		next.Resumes, next.ResumesAttempt, next.After, next.Gateway, next.Incarnation = begun, attempt, events, c.gateway, c.incarnation
-		next.Begun, next.Attempt, next.TakenForOpen, next.Unread = "", 0, false, false
+		next.Begun, next.Attempt, next.EndAnnounced, next.Unread = "", 0, false, false
 		next.Status, next.Sealed, next.Complete, next.ResponseBody, next.ReusedConn, next.Unsent, next.Err = 0, false, false, "", false, false, ""
 		c.sendCall(&next)
 		broken = &next
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -72,8 +72,8 @@
 	ResponseBody string
 	// RetryAfter is how long a rejection asks the client to wait.
 	RetryAfter time.Duration
-	// ReusedConn is true if the connection had carried an earlier request, TakenForOpen if its end had been announced.
-	ReusedConn, TakenForOpen bool
+	// ReusedConn is true if the connection had carried an earlier request, EndAnnounced if its end had been announced.
+	ReusedConn, EndAnnounced bool
 	// Unread is true if the client takes the request for one that the process has not read.
 	Unread bool
 	Err    string
--- a/internal/lab/soak/repeat.go
+++ b/internal/lab/soak/repeat.go
@@ -65,7 +65,7 @@
 func (c *client) nextAttempt(before *Call) *Call {
 	next := &Call{
 		ID: before.ID, Begun: before.Begun, Attempt: before.Attempt + 1, Kind: before.Kind, Path: before.Path, Body: before.Body, Timeout: before.Timeout,
-		Gateway: c.gateway, Incarnation: c.incarnation, ReusedConn: c.connUsed, TakenForOpen: c.toldToClose,
+		Gateway: c.gateway, Incarnation: c.incarnation, ReusedConn: c.connUsed, EndAnnounced: c.toldToClose,
 	}
 	if next.Begun == "" {
 		next.Begun = before.ID
@@ -81,7 +81,7 @@
 // carried others, and had been announced to end, or its process was told to stop.
 func (c *client) takesForUnread(call *Call) bool {
 	return call.Status == 0 && call.ReusedConn && call.CanceledAt.IsZero() && time.Since(call.Sent) < call.Timeout &&
-		(call.TakenForOpen || c.w.gateways[call.Gateway].stopping(call.Incarnation))
+		(call.EndAnnounced || c.w.gateways[call.Gateway].stopping(call.Incarnation))
 }
 
 // cuts are the faults that end connections whose requests have been read.
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -64,13 +64,14 @@
 	opts   Options
 	logger log.Logger
 
-	// policies, lastOrderAt and engineBuf, which is reused for each policy input, are accessed only
+	// policies, lastOrderAt, versions, decodedAt and engineBuf, which is reused for each policy input, are accessed only
 	// by the goroutine of Run.
 	policies    map[string]roles.Policy
 	lastOrderAt map[string]time.Time
 	engineBuf   []roles.Engine
-	// generatedAt is when an engine of each software version last decoded.
-	generatedAt map[softwareVersion]time.Time
+	// versions counts the engines of the last policy input. decodedAt is when an engine of each version last decoded.
+	versions  versionCounts
+	decodedAt map[softwareVersion]time.Time
 
 	mu      sync.Mutex
 	pending map[string]*pendingOrder
@@ -90,7 +91,7 @@
 func New(o Options) *Keeper {
 	return &Keeper{
 		opts: o, logger: log.With(o.Logger, "component", "roles"),
-		policies: map[string]roles.Policy{}, lastOrderAt: map[string]time.Time{}, generatedAt: map[softwareVersion]time.Time{}, pending: map[string]*pendingOrder{},
+		policies: map[string]roles.Policy{}, lastOrderAt: map[string]time.Time{}, decodedAt: map[softwareVersion]time.Time{}, pending: map[string]*pendingOrder{},
 	}
 }
 
@@ -174,6 +175,7 @@
 	prefillEngines := 0
 	usable := v.Usable(service)
 	in.Engines = slices.Grow(k.engineBuf[:0], len(usable))
+	k.versions = k.versions[:0]
 	k.opts.Placer.EachLoad(service, usable, func(i *fleet.Instance, load placement.Load, queueTime time.Duration) {
 		role, movable := i.Role, true
 		if at, changed := k.lastOrderAt[i.ID]; changed {
@@ -186,6 +188,7 @@
 			prefillEngines++
 			queue += queueTime
 		}
+		k.versions.add(i.Software, role)
 		in.Engines = append(in.Engines, roles.Engine{
 			Name: i.ID, Domain: i.Domain, Role: role, Movable: movable, Requests: load.LongResponses, Slots: i.Slots,
 			PrefillTokens: load.Pending.All().Tokens,
