A stream continues if its scheduler already knows the last engines of its version to drain

The roles had no part in it: no role decision is in the logs of the failed runs.

Cause, from those logs: the process knew that one of the two engines drained and not yet that the other did. So it asked its scheduler, which knew both and places nothing on draining engines. With a view as new as the scheduler's, the process places such a stream itself, on the engines that drain. Change: when a scheduler rejects a stream because it knows no instance of the version, and the process does, the process places it itself.

That test now prints the lines of its streams and roles if one is lost.

--- a/internal/gatewayd/versions_test.go
+++ b/internal/gatewayd/versions_test.go
@@ -326,6 +326,9 @@
 			clients.ended.Wait()
 			mixed, continued := clients.resume(all)
 			t.Logf("%d of %d streams have events of two versions; %d continued", mixed, streams, continued)
+			if continued < streams {
+				logLines(t, all, "request=r-", "component=resumption", "component=roles")
+			}
 			require.Zero(t, mixed)
 			require.GreaterOrEqual(t, float64(continued), 0.95*streams)
 		})
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -109,6 +109,10 @@
 	}
 	for _, s := range c.ranking.order(c.o.View().Schedulers, c.placeAttempts()) {
 		plan, t, err := c.placeAt(ctx, s, j)
+		if err == nil && knowsNoInstanceFor(j, plan) {
+			level.Info(c.logger).Log("msg", "scheduler knows no instance that continues the stream", "request", j.Call.ID, "scheduler", s.Name, "software", *j.Software)
+			break
+		}
 		if err == nil {
 			return plan, t
 		}
@@ -123,6 +127,12 @@
 	return plan, t
 }
 
+// knowsNoInstanceFor reports whether a scheduler rejected a stream that only one software version can continue, although this
+// process knows instances of it. The scheduler may know that they drain; for a while they continue streams nevertheless.
+func knowsNoInstanceFor(j *placement.Job, plan placement.Plan) bool {
+	return j.Software != nil && len(j.Permitted) > 0 && plan.Reason == placement.ReasonNonePermitted
+}
+
 // OtherSchedulers returns the schedulers other than this process, in order of preference.
 func (c *Client) OtherSchedulers() []members.Member {
 	all := c.o.View().Schedulers
