A request that may have run is not repeated once its route forbids it

Callers could get a request run twice (TWICE) when its response was lost while a configuration came into force that makes its route, or the longer one that now matches it, one whose requests run at most once. Cause: the permission to repeat was that of the configuration of the lost attempt; the next attempt took the newest configuration but did not ask again. Change: with each new configuration a request that may have run ends with 502 unless its route, as it is now, lets it be repeated. Evidence and result: gateway.TestRequestThatMayHaveRunIsNotRepeatedOnceItsRouteForbidsIt, 2 runs before, 1 after; the package's tests pass with the race detector.

Whether the reported cases are of this kind is not known: the users' configurations seldom change the type of a route.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -141,6 +141,10 @@
 	}
 	firstAttempt := q.service == ""
 	q.workspace, q.route, q.configVersion = workspace, withWorkspaceRank(route, workspace), view.Config.Version
+	if q.runs > 0 && !route.Repeatable() {
+		err := fault.New(fault.Unknown, "the response was lost, and the route has changed to one whose requests run at most once", "the request may have run")
+		return replyFromState("lost", err, 0)
+	}
 	if firstAttempt && q.resumes() {
 		if rep := q.findOrigin(); rep != nil {
 			return rep
