--- a/internal/lab/soak/check_arrivals.go
+++ b/internal/lab/soak/check_arrivals.go
@@ -145,7 +145,7 @@
 func (c *checker) canceledWorkEnds() Guarantee {
 	g := Guarantee{Name: "no work starts or continues for clients that have disconnected"}
 	var after, continued []*Arrival
-	eligible := 0
+	eligible, longest := 0, time.Duration(0)
 	for _, call := range c.observed.Calls {
 		cutoff := call.CanceledAt.Add(c.o.Bounds.WorkAfterCancel)
 		if call.CanceledAt.IsZero() || !c.undisturbed(call.Gateway, cutoff) {
@@ -160,12 +160,16 @@
 			case !a.Ran || !call.Kind.Streams() || due.Before(cutoff):
 			default:
 				eligible++
+				if !a.Ended.IsZero() {
+					longest = max(longest, a.Ended.Sub(call.CanceledAt))
+				}
 				if a.Ended.IsZero() || a.Ended.After(cutoff) {
 					continued = append(continued, a)
 				}
 			}
 		}
 	}
+	g.Closest = fmt.Sprintf(" (%d runs were under way, the last ended %s after its client)", eligible, longest.Round(time.Millisecond))
 	if len(after) > maxArrivalsAfterCancel {
 		g.addViolation(after[0].ID, "%d arrivals more than %s after the client had disconnected, first %s at %s", len(after), c.o.Bounds.WorkAfterCancel, after[0].ID, after[0].Instance)
 	}
