Requests in flight at the end of the grace period are answered

Callers saw the connection of a request closed without a response (EOF) when the process that had it was told to stop and its grace period ended while the request ran. A client that takes that for an unread request, since the response before announced the end of the connection, sends it again: it runs twice.

Cause: the process exited with requests in flight and left the kernel to close their connections. Streams that have begun break off, as before.

The test now expects the message of the response that was chosen ("the process has to exit"); the status is as strict as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,9 @@
 	startup       startupWaiter
 	inFlight      atomic.Int64
 	stopping      atomic.Bool
+	// ending is done once endRequests has been called.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a server.
@@ -113,6 +116,7 @@
 		notices: notice.NewTable(o.Logger), limits: o.RateLimits,
 		crashDetector: &suspects.CrashDetector{Table: o.Quarantine, RefusesConnections: o.Client.RefusesConnections, Logger: o.Logger},
 	}
+	s.ending, s.endRequests = context.WithCancel(context.Background())
 	s.withdrawals = withdrawals{server: s, attempts: map[*waitingAttempt]bool{}}
 	return s
 }
@@ -130,6 +134,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// EndRequests ends the requests in flight. Those whose response has not begun get 502 if they may have run, otherwise 503.
+func (s *Server) EndRequests() { s.endRequests() }
+
 // DisableKeepAlives makes every later response close its client connection, so that clients
 // reconnect to other processes.
 func (s *Server) DisableKeepAlives() { s.stopping.Store(true) }
@@ -150,6 +157,7 @@
 	defer q.releaseBuffers()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
 	q.ctx = ctx
 	q.serve()
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -25,6 +25,9 @@
 // codeDeadline is the outcome of a request whose deadline has passed.
 const codeDeadline = "deadline"
 
+// codeShutdown is the outcome of a request that was in flight when the grace period of the process ended.
+const codeShutdown = "shutdown"
+
 // promisesNotRun reports whether clients take a status for the promise that their request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -265,12 +265,15 @@
 	return nil
 }
 
-// expiredReply returns the reply to a request whose deadline has passed or whose client has
-// disconnected.
+// expiredReply returns the reply to a request whose deadline has passed, whose client has
+// disconnected, or that ends with the process.
 func (q *request) expiredReply() *reply {
 	if err := q.http.Context().Err(); err != nil || q.clientGone {
 		return &reply{code: "caller-gone", err: errors.CombineErrors(err, q.writeErr), silent: true}
 	}
+	if q.s.ending.Err() != nil {
+		return replyFromState(codeShutdown, fault.New(fault.Exhausted, "the process has to exit", "send the request to another process if it may be repeated"), 0)
+	}
 	return replyFromState(codeDeadline, fault.New(fault.Exhausted, "time is up", "send the request with a longer timeout"), 0)
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -67,6 +67,8 @@
 	// a request that was sent before its connection was closed.
 	idlePollInterval  = 50 * time.Millisecond
 	requiredIdlePolls = 4
+	// endPollInterval is how often a process that exits looks whether the last responses have been sent.
+	endPollInterval = 10 * time.Millisecond
 	// softLimitShare is the share of the memory that is set as the soft limit of the Go runtime:
 	// from there on the garbage collector runs more often.
 	softLimitShare = 0.7
@@ -510,9 +512,20 @@
 	}
 	if !idle {
 		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of the grace period", "in_hand", d.gateway.InFlight())
+		d.endRequests()
 	}
 }
 
+// endRequests ends the requests in flight, and waits until their responses have been sent.
+func (d *Daemon) endRequests() {
+	d.gateway.EndRequests()
+	until := time.Now().Add(exitMargin / 2)
+	for d.gateway.InFlight() > 0 && time.Now().Before(until) {
+		time.Sleep(endPollInterval)
+	}
+	time.Sleep(endPollInterval) // a request is no longer in flight shortly before its response is sent
+}
+
 // waitUntilIdle waits until no request, also of a process for which this one relays, has been in flight for
 // requiredIdlePolls polls in a row. It
 // reports false if ctx ends first while requests are in flight. It does not wait for idle
--- a/internal/gatewayd/grace_test.go
+++ b/internal/gatewayd/grace_test.go
@@ -30,6 +30,6 @@
 	require.Eventually(t, func() bool { return len(d.engines[0].Runs())+len(d.engines[1].Runs()) == requests }, startTimeout, 5*time.Millisecond)
 	p.stop()
 	for range requests {
-		require.Regexp(t, "^502 .*may have run", <-statuses)
+		require.Regexp(t, "^502 the process has to exit", <-statuses)
 	}
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -183,6 +183,7 @@
 	"budget-empty":   {"an instance refused the request or failed, and the retry budget of the service is used up", "see in the lines of the other requests which instances refuse requests"},
 	"lost":           {"an instance failed, or the connection to it broke, when the request may already have run, so the request was not retried; attribution=ambiguous: a response came that may be another request's, and none with this one's ID", "see the log of the instance that the decision names as runner; have it state the request ID in all its responses, rejections too"},
 	"deadline":       {"the deadline of the request passed before the response was complete", "see ahead (queueing delay) and read (prefill time) of the decision; late=true means that no engine was expected to meet the latency target"},
+	"shutdown":       {"the grace period of the process ended before the response was complete", "let the grace period exceed the timeouts of the routes"},
 	"caller-gone":    {"the client disconnected before the response was complete", "none"},
 	"over-share":     {"there was too little engine time, the workspace had asked for more than its share of it, and the others left too little, so the request was rejected at once", "see which workspaces ask for how much with rockdoor gateway shares; give the workspace a greater weight or a floor with rockdoor shares apply, or add engines"},
 }
