Soak: overlapping faults replace a file of a process

Cause: two clock faults of one process overlapped and wrote the same temporary file; the first rename took it from the second. Change: a temporary file of its own for each call.

--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -66,13 +66,18 @@
 	return nil
 }
 
-// replaceFile writes a file so that a process which reads it meanwhile gets the old content or the new one.
+// replaceFile writes a file so that a process which reads it meanwhile gets the old content or the new one. Overlapping calls
+// for the same file are safe; one of them is the last.
 func replaceFile(name, text string) error {
-	next := name + ".next"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+	next, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name)+".next-")
+	if err != nil {
+		return err
+	}
+	_, err = next.WriteString(text)
+	if err = errors.Join(err, next.Close()); err != nil {
 		return err
 	}
-	return os.Rename(next, name)
+	return os.Rename(next.Name(), name)
 }
 
 // writeSettings writes the settings file as the platform does.
