The check of a repeated request's route is a function of its own

Change: repeatForbidden holds what it asks of a request that may have run. No change of behaviour; the tests of outcomes, promises and resumptions pass.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -141,9 +141,8 @@
 	}
 	firstAttempt := q.service == ""
 	q.workspace, q.route, q.configVersion = workspace, withWorkspaceRank(route, workspace), view.Config.Version
-	if q.runs > 0 && !route.Repeatable() {
-		err := fault.New(fault.Unknown, "the response was lost, and the route has changed to one whose requests run at most once", "the request may have run")
-		return replyFromState("lost", err, 0)
+	if rep := q.repeatForbidden(); rep != nil {
+		return rep
 	}
 	if firstAttempt && q.resumes() {
 		if rep := q.findOrigin(); rep != nil {
@@ -165,6 +164,15 @@
 	return nil
 }
 
+// repeatForbidden returns a reply if the request may have run and its route, as it is configured now, does not let it be repeated.
+func (q *request) repeatForbidden() *reply {
+	if q.runs == 0 || q.route.Repeatable() {
+		return nil
+	}
+	err := fault.New(fault.Unknown, "the response was lost, and the route has changed to one whose requests run at most once", "the request may have run")
+	return replyFromState("lost", err, 0)
+}
+
 // ChooseTarget implements lifecycle.Steps.
 func (q *request) ChooseTarget() *reply {
 	if time.Until(q.deadline) < minRemaining || q.ctx.Err() != nil {
