A read is served again once a trial succeeds after many instances were lost together

Callers of a polled read got 503 for ten minutes after the loss of six or more instances that all had it in flight (a failure domain of a large fleet), although the trial 2 s later succeeded.

Cause: crashes count despite completions if they are many and few instances have completed the request, as of a poison request that one instance survives. A loss of many instances at one moment looks the same, and the one completion of the trial didn't clear it. Change: a completion 2 s or more after the last crash, by an instance that had not completed the request before, clears what is still blamed; each instance does so once in ten minutes.

The tests of poison requests and parts in gateways pass.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -245,21 +245,30 @@
 	if s.lastSuccess.number == 0 || n.At > s.lastSuccess.At {
 		s.lastSuccess = n
 	}
-	switch {
-	case s.kind != KindRequest:
-		// Any first event clears a part.
-	case !s.clears(n.Observation):
+	if s.kind != KindRequest {
+		return // any first event clears a part
+	}
+	if s.clears(n.Observation) && (s.lastClear.number == 0 || n.At > s.lastClear.At) {
+		s.lastClear = n
+	}
+	if n.CompletedBy != "" {
 		others := slices.DeleteFunc(s.currentCompletions(n.At), func(c numberedObservation) bool { return c.CompletedBy == n.CompletedBy })
 		s.completions = append(others[:min(len(others), maxCrashes-1)], n)
-	case s.lastClear.number == 0 || n.At > s.lastClear.At:
-		s.lastClear = n
 	}
 }
 
-// clears reports whether a successful run clears all crashes before it: a trial, or one by no known
-// instance.
+// clears reports whether a successful run clears all crashes before it: one by no known instance, a trial after the
+// quarantine time, or an earlier trial by an instance that had not completed the request. What one instance survives
+// again and again is cleared once.
 func (s *suspect) clears(o Observation) bool {
-	return o.CompletedBy == "" || o.At.Sub(s.lastCrash()) >= quarantineTime
+	since := o.At.Sub(s.lastCrash())
+	switch {
+	case o.CompletedBy == "", since >= quarantineTime:
+		return true
+	case since < firstTrialDelay || len(s.evidence()) < quarantineThreshold:
+		return false
+	}
+	return !slices.ContainsFunc(s.currentCompletions(o.At), func(n numberedObservation) bool { return n.CompletedBy == o.CompletedBy })
 }
 
 // currentCompletions returns the completions of the last quarantineTime.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -282,3 +282,32 @@
 		require.Error(t, err, text)
 	}
 }
+
+// TestReadIsServedAfterATrialThatFollowsAMassLoss loses many instances at once while all of them run a read that harms none.
+func TestReadIsServedAfterATrialThatFollowsAMassLoss(t *testing.T) {
+	table, now := newTestTable()
+	f := testFingerprint(1)
+	for n := range maxCrashes {
+		table.RecordCrash(f, fmt.Sprint("i-", n), 0)
+	}
+	require.True(t, table.Admit(f).Refused)
+	*now += bootclock.Instant(firstTrialDelay)
+	require.True(t, table.Admit(f).Trial)
+	table.RecordCompletion(f, "other")
+	require.False(t, table.Admit(f).Refused)
+}
+
+// TestSurvivorClearsAPoisonRequestOnce has the only instance that survives a request complete each trial of it.
+func TestSurvivorClearsAPoisonRequestOnce(t *testing.T) {
+	table, now := newTestTable()
+	f := testFingerprint(1)
+	for round := range 3 {
+		for n := range maxCrashes {
+			*now += bootclock.Instant(2 * sameCrashWindow)
+			table.RecordCrash(f, fmt.Sprint(round, "-", n), 0)
+		}
+		*now += bootclock.Instant(firstTrialDelay)
+		table.RecordCompletion(f, "survivor")
+		require.Equal(t, round > 0, table.Verdict(f).Refused, "round %d", round)
+	}
+}
