Name the outcome of lost requests; say what the soak's waitToRepeat returns

Cause: the code of the outcome stood twice as text, and a doc comment of the soak told a result that the function doesn't have. Change: a constant, a comment. No change of behaviour; the tests of outcomes and promises pass.

--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -25,6 +25,9 @@
 // codeDeadline is the outcome of a request whose deadline has passed.
 const codeDeadline = "deadline"
 
+// codeLost is the outcome of a request that may have run and got no complete response.
+const codeLost = "lost"
+
 // codeShutdown is the outcome of a request that was in flight when the grace period of the process ended.
 const codeShutdown = "shutdown"
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -170,7 +170,7 @@
 		return nil
 	}
 	err := fault.New(fault.Unknown, "the response was lost, and the route has changed to one whose requests run at most once", "the request may have run")
-	return replyFromState("lost", err, 0)
+	return replyFromState(codeLost, err, 0)
 }
 
 // ChooseTarget implements lifecycle.Steps.
@@ -213,7 +213,7 @@
 	case q.clientGone || q.ctx.Err() != nil:
 		return q.expiredReply()
 	}
-	return replyFromState("lost", err, 0)
+	return replyFromState(codeLost, err, 0)
 }
 
 // placementJob returns the description of the request for the scheduler.
--- a/internal/lab/soak/repeat.go
+++ b/internal/lab/soak/repeat.go
@@ -47,7 +47,8 @@
 	return call.Kind == Repeat && (call.Status == 0 || call.Status >= http.StatusInternalServerError)
 }
 
-// waitToRepeat waits as the response says, and connects again. It returns false if that takes too long.
+// waitToRepeat waits as the response says, but no longer than a client does, and connects again if need be. It returns false if
+// it could not connect.
 func (c *client) waitToRepeat(call *Call) bool {
 	wait := min(call.RetryAfter, time.Duration(maxRetryShare*float64(call.Timeout)))
 	time.Sleep(wait)
