--- a/quarantine/drawn_test.go
+++ b/quarantine/drawn_test.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	drawnDays    = 1000
-	dayLength    = time.Minute
-	dayStep      = 100 * time.Millisecond
-	soundReads   = 10
-	restartTime  = 1500 * time.Millisecond
-	domains      = 3
-	racksPerZone = 3
+	drawnDays      = 1000
+	dayLength      = time.Minute
+	dayStep        = 100 * time.Millisecond
+	soundReads     = 10
+	// restartTime is the time from a crash until the instance is up again.
+	restartTime    = 1500 * time.Millisecond
+	domains        = 3
+	racksPerDomain = 3
 )
 
 // drawnDay is a day on which instances crash together, and perhaps one request crashes each instance that runs it.
@@ -60,14 +61,14 @@
 
 // drawGroup returns instances that crash for the same reason: all of a domain, of a rack, or some.
 func (d *drawnDay) drawGroup() (out []int) {
-	domain, rack := d.rng.IntN(domains), d.rng.IntN(racksPerZone)
+	domain, rack := d.rng.IntN(domains), d.rng.IntN(racksPerDomain)
 	switch d.rng.IntN(3) {
 	case 0:
 		for i := domain; i < d.instances; i += domains {
 			out = append(out, i)
 		}
 	case 1:
-		for i := domain + domains*rack; i < d.instances; i += domains * racksPerZone {
+		for i := domain + domains*rack; i < d.instances; i += domains * racksPerDomain {
 			out = append(out, i)
 		}
 	default:
