--- a/quarantine/drawn_test.go
+++ b/quarantine/drawn_test.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	drawnDays      = 1000
-	dayLength      = time.Minute
-	dayStep        = 100 * time.Millisecond
-	soundReads     = 10
+	drawnDays  = 1000
+	dayLength  = time.Minute
+	dayStep    = 100 * time.Millisecond
+	soundReads = 10
 	// restartTime is the time from a crash until the instance is up again.
 	restartTime    = 1500 * time.Millisecond
 	domains        = 3
