A time that is not a number has the same value on every processor

Cause: millis converts float64 to int64. The language leaves the result open when the value doesn't fit; amd64 gives the smallest int64, which the placement takes for "unknown", arm64 gives 0 for NaN and the largest one for infinity.

Change: millis checks the range and returns the value that the placement expects. On amd64 nothing changes.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -425,4 +426,14 @@
 	fullRetryAfter = 200 * time.Millisecond
 )
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// unknownDuration stands for a time that is not a number or beyond the range of a time.Duration.
+const unknownDuration time.Duration = math.MinInt64
+
+// millis converts milliseconds. Go leaves the conversion of a value out of range to the processor, so it is checked.
+func millis(ms float64) time.Duration {
+	ns := ms * float64(time.Millisecond)
+	if math.IsNaN(ns) || math.Abs(ns) >= math.MaxInt64 {
+		return unknownDuration
+	}
+	return time.Duration(ns)
+}
