--- a/objstore/era.go
+++ b/objstore/era.go
@@ -17,6 +17,9 @@
 // ValidEra reports whether an era fits into a Version.
 func ValidEra(era int64) bool { return era >= 0 && era <= maxEra }
 
+// ValidNumber reports whether a number that the store assigned fits into a Version beside the era.
+func ValidNumber(number int64) bool { return number >= 0 && number < 1<<eraShift }
+
 // InEra combines an era and a number that the store assigned in that era. The results are ordered
 // across eras.
 func InEra(era, number int64) int64 { return era<<eraShift | number }
--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -20,7 +20,7 @@
 const MaxHeaderBytes = 64 << 10
 
 // Do makes one call. A nil body sends none, and a nil out ignores the response
-// body. The response may have at most maxBytes. The errors are of the kinds that objstore.Store documents. The request body
+// body. An out of type *[]byte receives it as it is. The response may have at most maxBytes. The errors are of the kinds that objstore.Store documents. The request body
 // cannot be read a second time, so that the transport never retries a write by
 // itself.
 func Do(ctx context.Context, client *http.Client, method, url string, body []byte, out any, maxBytes int64) error {
@@ -59,6 +59,10 @@
 	if err := statusError(resp.StatusCode, method, req.URL.Path, data); err != nil {
 		return err
 	}
+	if raw, ok := out.(*[]byte); ok {
+		*raw = data
+		return nil
+	}
 	if out == nil || len(data) == 0 {
 		return nil
 	}
