Entries of the store that cannot be decoded are logged once, counted and shown

Operators saw nothing of an entry that no host could read but a loss of the store; a registration that could not be decoded was logged anew with each list.

Change: the client of the store remembers up to 100 rejected objects until they change or go. Each revision of one gives one log line with key, revision and reason, and counts in platform.objects_rejected; rockdoor gateway status lists them. The line of the former form, for registrations only, is gone.

TestOddEntryAmongRegistrations finds one line and one entry in the status of a process.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -102,6 +102,9 @@
 			if st.CutPaths > 0 || st.RelayedConnections > 0 {
 				fmt.Fprintf(c.App.Writer, "%d instances are reached only through peers, last through %s; %d connections are relayed for others\n\n", st.CutPaths, st.LastHelper, st.RelayedConnections)
 			}
+			for _, r := range st.Rejects {
+				fmt.Fprintf(c.App.Writer, "ignored: %q, revision %d: %s\n", r.Key, r.Version, r.Reason)
+			}
 			t := newTable(c, "INSTANCE", "SERVICE", "DOMAIN", "ROLE", "STATE", "REQUESTS", "STARTING", "PROMPTS", "LATE")
 			for _, i := range st.Instances {
 				t.AppendRow([]any{i.ID, i.Service, i.Domain, i.Role, instanceState(i), i.Load.Requests, i.Load.Starting, i.Load.Pending.All().Prompts, i.Load.Pending.Late().Prompts})
--- a/internal/discovery/batches.go
+++ b/internal/discovery/batches.go
@@ -33,7 +33,7 @@
 		if e.Deleted || keyPrefix(e.Object.Key) != d.o.Prefixes.Instances {
 			continue
 		}
-		if i, err := d.o.DecodeInstance(e.Object); err == nil { // an error is logged when the update is applied
+		if i, err := d.o.DecodeInstance(e.Object); err == nil {
 			f.decoded[e.Object.Key] = i
 		}
 		if n%decodeBatch == decodeBatch-1 {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -54,7 +54,7 @@
 	// Stale is the same store with reads that may be seconds old, used for rules and members.
 	Stale    objstore.Store
 	Prefixes Prefixes
-	// DecodeConfig and DecodeInstance decode stored objects.
+	// DecodeConfig and DecodeInstance decode stored objects. They report those that cannot be decoded, which are then ignored.
 	DecodeConfig   func(objstore.Object) (*fleet.Config, error)
 	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
 	// RedactConfig returns a copy of a stored configuration without secrets, for other processes. If
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -102,7 +102,6 @@
 		i, err = d.o.DecodeInstance(obj)
 	}
 	if err != nil {
-		level.Error(d.logger).Log("msg", "registration ignored: it cannot be decoded", "key", obj.Key, "revision", obj.Version, "err", err)
 		d.count("registrations_rejected")
 		if id := objectName(obj.Key); d.instances[id] != nil && obj.Version > d.versions[id] {
 			d.versions[id] = obj.Version
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -168,6 +168,10 @@
 	d.store.OnInvalidEra(func(text string) {
 		level.Error(d.logger).Log("msg", "store returned an invalid era; keeping the last valid one", "text", text)
 	})
+	d.store.OnReject(func(r platform.Reject) {
+		metrics.GetOrRegisterCounter("platform.objects_rejected", d.reg).Inc(1)
+		level.Error(d.logger).Log("msg", "object in the store ignored: it cannot be decoded", "key", r.Key, "revision", r.Version, "reason", r.Reason)
+	})
 	self := members.Member{
 		Name: set.Name, Incarnation: d.runID, Host: set.Name, Domain: set.Domain,
 		Peer: set.Peer, Admin: set.Metrics, Listen: set.Listen, Weight: set.Weight,
@@ -179,7 +183,7 @@
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix, Directory: platform.DirectoryPrefix,
 		},
-		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance, RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
+		DecodeConfig: d.store.DecodeConfig, DecodeInstance: d.store.DecodeInstance, RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
 		ApplyLimit: set.Bounds.Apply.Std(), PropagationLimit: set.Bounds.PropagationLimit(), SettleTime: set.Bounds.Settle.Std(), ExpiredRetention: set.Bounds.Drain.Std() - expiryMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
--- a/internal/gatewayd/odd_test.go
+++ b/internal/gatewayd/odd_test.go
@@ -56,6 +56,9 @@
 			v := p.daemon.discovery.View()
 			require.True(t, v.StoreUp)
 			require.Equal(t, name == "none", v.Instances["i-00"] != nil, "an entry that no instance wrote")
+			rejects := p.fetchStatus(t).Rejects
+			require.Equal(t, name != "none", len(rejects) == 1, "%v", rejects)
+			require.Equal(t, len(rejects), strings.Count(p.log.String(), "object in the store ignored"))
 		})
 	}
 }
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/internal/scheduler"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/placement"
+	"github.com/rockdoor/rockdoor/platform"
 )
 
 // Status is the state of a gateway as operators see it.
@@ -46,6 +47,8 @@
 	CutPaths           int    `json:"cutPaths"`
 	LastHelper         string `json:"lastHelper,omitempty"`
 	RelayedConnections int64  `json:"relayedConnections"`
+	// Rejects are the objects in the store that this process has read and ignores, since they cannot be decoded.
+	Rejects []platform.Reject `json:"rejects,omitempty"`
 	// Followers says how current the processes are that get their updates from this one.
 	Followers scheduler.Followers `json:"followers"`
 	Instances []InstanceStatus    `json:"instances"`
@@ -109,6 +112,7 @@
 	}
 	st.CutPaths, _ = d.paths.CutPaths()
 	st.LastHelper, st.RelayedConnections = d.paths.LastHelper(), d.relay.Open()
+	st.Rejects = d.store.Rejects()
 	if v.Config != nil {
 		st.Config = v.Config.Version
 	}
