Resumptions: log what each conclusion about a stream's origin rests on

Resumed streams were answered with text of two versions, and the log said only that one version was known. Each decision now has a line with the versions that this process, its peers and the store named, whether they are complete, the age of the registrations, and how many peers were asked and answered; peers that did not answer are counted. The decisions are unchanged; go test ./internal/resumption passes.

--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -251,30 +251,36 @@
 // Find returns the origin of the stream that a client resumes. It asks the peers unless this process has a record.
 // service is the service of the stream if there is no record.
 func (r *Registry) Find(ctx context.Context, workspace, request, service string, life time.Duration) (Origin, Source) {
-	o, source := r.find(ctx, workspace, request, service, life)
+	d := &decision{}
+	o, source := r.find(ctx, workspace, request, service, life, d)
 	r.count("found." + string(source))
+	level.Info(r.logger).Log(append([]any{"msg", "origin of a stream", "request", request, "known_by", source, "software", o.Software, "service", service}, d.fields()...)...)
 	return o, source
 }
 
-func (r *Registry) find(ctx context.Context, workspace, request, service string, life time.Duration) (Origin, Source) {
+func (r *Registry) find(ctx context.Context, workspace, request, service string, life time.Duration, d *decision) (Origin, Source) {
 	if request != "" {
 		if rec, ok := r.table.find(workspace, request); ok {
 			return known(rec.Origin, SourceRecord)
 		}
 	}
-	answers := r.ask(ctx, &peerpb.StreamQuery{Request: request, Workspace: workspace, Service: service, LifeMs: uint32(life.Milliseconds())})
-	evidence := []Evidence{r.history.evidence(r.o.View(), service, life)}
+	answers, asked := r.ask(ctx, &peerpb.StreamQuery{Request: request, Workspace: workspace, Service: service, LifeMs: uint32(life.Milliseconds())})
+	v := r.o.View()
+	own := r.history.evidence(v, service, life)
+	*d = decision{own: own, age: v.InstancesAge(), asked: asked, answered: len(answers)}
+	evidence := []Evidence{own}
 	for _, a := range answers {
 		if a.GetOrigin() != nil {
 			return known(decodeOrigin(a.GetOrigin()), SourcePeer)
 		}
 		evidence = append(evidence, Evidence{Versions: a.GetVersions(), Complete: a.GetComplete()})
 	}
+	d.peers = evidence[1:]
 	if version, ok := onlyVersion(evidence); ok {
 		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
 	}
 	if r.reader != nil {
-		return r.findStored(ctx, workspace, request, service, life, evidence)
+		return r.findStored(ctx, workspace, request, service, life, evidence, d)
 	}
 	return Origin{}, SourceNone
 }
@@ -312,8 +318,8 @@
 }
 
 // ask asks all peers. It returns the answers that it has once one of them has a record, all have answered or
-// askTimeout is over. An answer with a record is the first.
-func (r *Registry) ask(ctx context.Context, q *peerpb.StreamQuery) []*peerpb.StreamReply {
+// askTimeout is over, and the number of peers. An answer with a record is the only one.
+func (r *Registry) ask(ctx context.Context, q *peerpb.StreamQuery) (out []*peerpb.StreamReply, asked int) {
 	peers := r.o.Peers()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -322,22 +328,22 @@
 		go func() {
 			resp, err := r.o.Transport.Call(ctx, p.Peer, &peerpb.Request{Body: &peerpb.Request_StreamQuery{StreamQuery: q}})
 			if err != nil {
+				r.count("peer_silent")
 				level.Debug(r.logger).Log("msg", "peer not asked for the origin of a stream", "peer", p.Name, "request", q.GetRequest(), "err", err)
 			}
 			replies <- resp.GetStreamQuery()
 		}()
 	}
-	var out []*peerpb.StreamReply
 	for range peers {
 		reply := <-replies
 		if reply.GetOrigin() != nil {
-			return []*peerpb.StreamReply{reply}
+			return []*peerpb.StreamReply{reply}, len(peers)
 		}
 		if reply != nil {
 			out = append(out, reply)
 		}
 	}
-	return out
+	return out, len(peers)
 }
 
 // HandlePeer implements peer.Handler.
--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -179,17 +179,18 @@
 }
 
 // findStored returns the origin of a stream by what the store has, and otherwise adds the stored versions to the evidence.
-func (r *Registry) findStored(ctx context.Context, workspace, request, service string, life time.Duration, evidence []Evidence) (Origin, Source) {
+func (r *Registry) findStored(ctx context.Context, workspace, request, service string, life time.Duration, evidence []Evidence, d *decision) (Origin, Source) {
 	versions, records, err := r.reader.read(ctx)
+	d.storeErr = err
 	if err != nil {
-		level.Info(r.logger).Log("msg", "origins of streams not read from the store", "request", request, "err", err)
 		return Origin{}, SourceNone
 	}
 	now := r.reader.o.Clock()
+	d.stored = versions.evidence(service, now, life)
 	if rec, ok := records[streamKey{workspace, request}]; ok && request != "" && now.UnixMilli() < rec.Until {
 		return known(Origin{Request: request, Workspace: workspace, Service: rec.Service, Software: rec.Software, Ambiguous: rec.Ambiguous}, SourceStore)
 	}
-	if version, ok := onlyVersion(append(evidence, versions.evidence(service, now, life))); ok {
+	if version, ok := onlyVersion(append(evidence, d.stored)); ok {
 		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
 	}
 	return Origin{}, SourceNone
