Resumptions: versions are published before they serve, and a fresh read of the list decides

Callers got 200 with text of two versions: a stream that began at a version that had just joined was continued at the old one, at a host out of step and after all hosts had been killed. Cause: silent peers, registrations of up to twice the propagation limit and a list that lags behind the first use counted as proof that only one version had served.

An instance of a version now gets new requests only once the sender and the scheduler know that the list of versions in the store has it (fleet.Published, filtered in View.Pool). The holder of the duties writes it within 100 ms; if it does not within some seconds, another process does. Only a read of the list that began after the resumption arrived can then conclude that there was one version; processes whose reads fail reject at once. Waiting requests share reads. Without a store all peers must have answered. The holder marks versions as gone only by current registrations. Both halves are one change, since each is unsound without the other.

The unit tests fail if the filter, the sharing rule of reads, the rule about silent peers or the forgetting of absent versions is taken out.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -12,7 +12,7 @@
 // bounded cost, however many instances a service has.
 const GroupSize = 120
 
-// Pool holds the instances that may run the requests of one route to one service. It is immutable.
+// Pool holds the instances that may run new requests of one route to one service. It is immutable.
 type Pool struct {
 	// All is sorted by ID.
 	All []*Instance
@@ -109,7 +109,8 @@
 
 func newPoolCache() *poolCache { return &poolCache{byKey: map[poolKey]*Pool{}} }
 
-// Pool returns the usable instances of a service on which the rules permit requests of the route.
+// Pool returns the usable instances of a service on which the rules permit requests of the route, of published versions if
+// there are any.
 // It is empty if the view has not been indexed.
 func (v *View) Pool(route, service string) *Pool {
 	if v.Rules == nil {
@@ -123,12 +124,18 @@
 	defer v.poolCache.mu.Unlock()
 	p := v.poolCache.byKey[key]
 	if p == nil {
-		p = &Pool{All: v.filterByRules(route, service)}
+		p = &Pool{All: v.Published.filter(service, v.filterByRules(route, service))}
 		v.poolCache.byKey[key] = p
 	}
 	return p
 }
 
+// PermittedOf returns the usable instances of a service that have a software version, published or not, and on which the rules
+// permit requests of the route, sorted by ID.
+func (v *View) PermittedOf(route, service, version string) []*Instance {
+	return OfSoftware(v.filterByRules(route, service), version)
+}
+
 func (v *View) filterByRules(route, service string) []*Instance {
 	all := v.usable[service]
 	if v.Rules == nil {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -57,6 +57,8 @@
 	// Era is the number of times that the store was restored from an older snapshot, 0 if the store
 	// doesn't report it.
 	Era int64
+	// Published are the software versions that may begin streams, nil if they are not known.
+	Published *Published
 
 	usable    map[string][]*Instance
 	poolCache *poolCache
@@ -97,7 +99,7 @@
 	if len(changed) == 0 {
 		v.Instances, v.usable, v.poolCache, v.addresses = before.Instances, before.usable, before.poolCache, before.addresses
 		v.software = before.software
-		if v.Rules != before.Rules {
+		if v.Rules != before.Rules || v.Published != before.Published {
 			v.poolCache = newPoolCache()
 		}
 		return
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -213,6 +213,9 @@
 // View returns the latest view. It never blocks.
 func (d *Discovery) View() *fleet.View { return d.view.Load() }
 
+// SetPublished sets the software versions that may begin streams.
+func (d *Discovery) SetPublished(ctx context.Context, p *fleet.Published) { d.send(ctx, p) }
+
 // Ready returns a channel that is closed once the view suffices to serve requests.
 func (d *Discovery) Ready() <-chan struct{} { return d.ready }
 
@@ -260,6 +263,8 @@
 		d.cur.ConfigUnconfirmed = bool(e)
 	case directoryRead:
 		d.joinFromDirectory(e.directory)
+	case *fleet.Published:
+		d.cur.Published = e
 	}
 	d.chooseMode(ctx)
 	d.publish()
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -91,7 +91,7 @@
 	if resumed != nil {
 		job.Permitted, job.Groups = nil, nil
 		if resumed.KnownBy != resumption.SourceNone {
-			job.Permitted = fleet.OfSoftware(pool.All, resumed.Software)
+			job.Permitted = v.PermittedOf(route.Name, service, resumed.Software)
 		}
 	}
 	plan := s.o.Placer.Preview(job)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -61,7 +61,7 @@
 	if q.origin == nil {
 		return pool.All, pool.Groups
 	}
-	if all = fleet.OfSoftware(pool.All, q.origin.Software); len(all) == 0 {
+	if all = q.s.o.View().PermittedOf(q.route.Name, q.service, q.origin.Software); len(all) == 0 {
 		all = q.lastOfVersion()
 	}
 	return all, nil
--- a/internal/gatewayd/duties.go
+++ b/internal/gatewayd/duties.go
@@ -19,7 +19,7 @@
 		Self: self, Authority: d.authority, Store: d.store, Stale: d.store.WithStaleReads(), Prefix: platform.MemberPrefix, View: d.discovery.View,
 		HasContact: d.schedulerServer.HasContact, WithoutContact: d.schedulerClient.WithoutContact, ReviewInterval: prune.ReviewInterval, RemoveAfter: prune.RemoveAfter, Logger: d.logger,
 	})
-	versions := resumption.NewKeeper(resumption.KeeperOptions{StoreOptions: *d.streamStore(self), Authority: d.authority, View: d.discovery.View, Logger: d.logger})
+	versions := resumption.NewKeeper(resumption.KeeperOptions{StoreOptions: *d.streamStore(self), Authority: d.authority, View: d.discovery.View, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), Logger: d.logger})
 	d.duties = append(d.duties, d.roles.Run, pruner.Run, versions.Run, d.crashKeeper.Run)
 	api := platform.NewDutyClient(d.client, d.settings.Duties.Address)
 	if d.settings.Duties.Has(platform.DutyCapacity) {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -247,7 +247,7 @@
 	o := scheduler.Options{Self: self, View: d.discovery.View, Transport: d.transport, Placer: d.placer, Limits: d.limits, Quarantine: d.suspects, OnConfigOffer: d.discovery.ConfigOffered, InstancePrefix: platform.InstancePrefix, HasContact: d.hasContact, PropagationLimit: d.settings.Bounds.PropagationLimit(), Clock: d.clock, Metrics: d.reg, Logger: d.logger}
 	d.schedulerClient, d.schedulerServer = scheduler.NewClient(o), scheduler.NewServer(o, d.discovery.Feed())
 	d.streams = resumption.New(resumption.Options{
-		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), DrainUse: d.settings.Bounds.Drain.Std() - expiryMargin, Store: d.streamStore(self), Metrics: d.reg, Logger: d.logger,
+		View: d.discovery.View, Transport: d.transport, Peers: d.schedulerClient.OtherSchedulers, StaleAfter: staleViews * d.settings.Bounds.PropagationLimit(), DrainUse: d.settings.Bounds.Drain.Std() - expiryMargin, Store: d.streamStore(self), OnPublished: d.discovery.SetPublished, Metrics: d.reg, Logger: d.logger,
 	})
 	d.crashSync = suspects.New(suspects.Options{Run: d.runID, Table: d.suspects, Transport: d.transport, Peers: d.observationPeers, Logger: d.logger})
 	d.crashKeeper = suspects.NewKeeper(suspects.KeeperOptions{
@@ -258,7 +258,7 @@
 
 // streamStore returns where the origins of streams are kept for the time after the loss of all processes.
 func (d *Daemon) streamStore(self members.Member) *resumption.StoreOptions {
-	return &resumption.StoreOptions{Store: d.store, Prefix: platform.StreamsPrefix, Process: self.Name, Writer: self.Incarnation, Clock: d.clock.Now}
+	return &resumption.StoreOptions{Store: d.store, Stale: d.store.WithStaleReads(), Prefix: platform.StreamsPrefix, Process: self.Name, Writer: self.Incarnation, Clock: d.clock.Now}
 }
 
 // buildPaths builds the components that connect to instances and relay connections.
--- a/internal/gatewayd/joined_test.go
+++ b/internal/gatewayd/joined_test.go
@@ -88,6 +88,9 @@
 					logLines(t, all, "resuming stream", "component=resumption")
 				}
 				require.Zero(t, mixed)
+				if wait > time.Second {
+					require.Positive(t, ofJoined)
+				}
 				require.GreaterOrEqual(t, float64(continued), c.minShare*float64(streams-ofJoined))
 			})
 		}
@@ -125,6 +128,9 @@
 				logLines(t, all, "resuming stream", "component=resumption")
 			}
 			require.Zero(t, mixed)
+			if wait > time.Second {
+				require.Positive(t, ofJoined)
+			}
 		})
 	}
 }
--- a/internal/resumption/keeper.go
+++ b/internal/resumption/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,7 +16,7 @@
 
 const (
 	// keepInterval is how often the versions are compared with those in the store.
-	keepInterval = 500 * time.Millisecond
+	keepInterval = 100 * time.Millisecond
 	// clockMargin covers the differences between the wall clocks of the processes.
 	clockMargin = time.Second
 )
@@ -25,6 +26,8 @@
 type storedVersions struct {
 	// Since is when the object was first written, 0 if it never was.
 	Since int64 `json:"since"`
+	// From has, by service, when its first version was published.
+	From map[string]int64 `json:"from,omitempty"`
 	// Until has, by service and version, when the last instance of the version was seen, 0 if there is one.
 	Until map[string]map[string]int64 `json:"until"`
 }
@@ -32,7 +35,8 @@
 // evidence returns what the object says of a service's versions during the latest period.
 func (s *storedVersions) evidence(service string, now time.Time, period time.Duration) Evidence {
 	from := now.Add(-period - clockMargin).UnixMilli()
-	e := Evidence{Complete: s.Since != 0 && s.Since <= from}
+	e := Evidence{Complete: s.Since != 0 && s.Since <= from && s.From[service] <= from}
+	e.Complete = e.Complete && len(s.Until[service]) > 0 // otherwise a version may serve that was never published
 	for version, until := range s.Until[service] {
 		if until == 0 || until >= from {
 			e.Versions = append(e.Versions, version)
@@ -41,9 +45,34 @@
 	return e
 }
 
+// serving returns the versions of each service that serve, sorted.
+func (s *storedVersions) serving() map[string][]string {
+	out := map[string][]string{}
+	for service, versions := range s.Until {
+		for version, until := range versions {
+			if until == 0 {
+				out[service] = append(out[service], version)
+			}
+		}
+		slices.Sort(out[service])
+	}
+	return out
+}
+
+// with returns the object with the versions that serve now added.
+func (s *storedVersions) with(serving map[string][]string, now time.Time) storedVersions {
+	all := s.serving()
+	for service, versions := range serving {
+		all[service] = append(all[service], versions...)
+	}
+	out, _ := s.next(all, now)
+	return out
+}
+
 // next returns the object for the versions that serve now. It reports whether it differs.
 func (s *storedVersions) next(serving map[string][]string, now time.Time) (storedVersions, bool) {
-	out := storedVersions{Since: s.Since, Until: map[string]map[string]int64{}}
+	out := storedVersions{Since: s.Since, From: map[string]int64{}, Until: map[string]map[string]int64{}}
+	maps.Copy(out.From, s.From)
 	changed := s.Since == 0
 	if changed {
 		out.Since = now.UnixMilli()
@@ -60,8 +89,8 @@
 		out.Until[service] = kept
 	}
 	for service, versions := range serving {
-		if out.Until[service] == nil {
-			out.Until[service] = map[string]int64{}
+		if len(out.Until[service]) == 0 {
+			out.Until[service], out.From[service] = map[string]int64{}, now.UnixMilli()
 		}
 		for _, version := range versions {
 			out.Until[service][version] = 0
@@ -81,7 +110,9 @@
 	StoreOptions
 	Authority duty.Granter
 	View      func() *fleet.View
-	Logger    log.Logger
+	// StaleAfter is the age from which registrations count as out of date, 0 for never.
+	StaleAfter time.Duration
+	Logger     log.Logger
 }
 
 // Keeper keeps the versions in the store while its process holds the duties.
@@ -99,7 +130,7 @@
 // Run keeps the versions until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	periodic.Run(ctx, keepInterval, func(ctx context.Context) {
-		if v := k.o.View(); v.InstancesKnown {
+		if v := k.o.View(); v.InstancesKnown && (k.o.StaleAfter == 0 || v.InstancesAge() <= k.o.StaleAfter) {
 			k.object.Update(ctx, func(stored storedVersions) (storedVersions, bool) { return stored.next(v.Software(), k.o.Clock()) })
 		}
 	})
--- /dev/null
+++ b/internal/resumption/list_test.go
@@ -0,0 +1,223 @@
+package resumption
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/members"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/memstore"
+)
+
+// heldStore is a store whose reads of an object can be held up or fail.
+type heldStore struct {
+	*memstore.Store
+	mu   sync.Mutex
+	gets int
+	down bool
+	hold chan struct{} // closed: not held up
+}
+
+func newHeldStore() *heldStore {
+	s := &heldStore{Store: memstore.New(), hold: make(chan struct{})}
+	close(s.hold)
+	return s
+}
+
+func (s *heldStore) Get(ctx context.Context, key string) (objstore.Object, error) {
+	s.mu.Lock()
+	s.gets++
+	down, hold := s.down, s.hold
+	s.mu.Unlock()
+	if down {
+		return objstore.Object{}, fault.New(fault.Unavailable, "down", "wait")
+	}
+	obj, err := s.Store.Get(ctx, key) // what the store has when the read arrives
+	<-hold
+	return obj, err
+}
+
+func (s *heldStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *heldStore) reads() (n int) {
+	s.set(func() { n = s.gets })
+	return n
+}
+
+// listedWorld is a process with a store whose list has had the versions for longer than a stream may live.
+func listedWorld(t *testing.T, listed []string, serving ...string) (*world, *heldStore) {
+	w, s := newWorld(serving...), newHeldStore()
+	w.o.Store = &StoreOptions{Store: s, Prefix: "streams/", Process: "p", Writer: "w", Clock: time.Now}
+	w.reader, w.list = &reader{o: *w.o.Store}, &versionList{o: *w.o.Store, processes: func() int { return 1 }}
+	w.setList(t, listed...)
+	w.pass(life)
+	w.view.InstancesConfirmedAt = w.view.InstancesConfirmedAt.Add(time.Minute)
+	return w, s
+}
+
+// setList writes the list.
+func (w *world) setList(t *testing.T, versions ...string) {
+	ctx, since := context.Background(), time.Now().Add(-time.Minute)
+	o := *w.o.Store
+	o.Store = o.Store.(*heldStore).Store
+	old, at, err := getVersions(ctx, o)
+	require.NoError(t, err)
+	next, _ := old.next(map[string][]string{"s": versions}, since)
+	text, err := json.Marshal(next)
+	require.NoError(t, err)
+	_, err = o.Store.Put(ctx, "streams/"+versionsName, text, at, "w")
+	require.NoError(t, err)
+}
+
+// silentPeer is a peer that can't be reached.
+func (w *world) silentPeer() {
+	w.o.Peers = func() []members.Member { return []members.Member{{Name: "silent", Peer: "127.0.0.1:1"}} }
+}
+
+// withTransport lets the process call peers.
+func (w *world) withTransport(t *testing.T) {
+	w.o.Transport = peer.NewTransport(&peerpb.Identity{Name: "own"}, w, metrics.NewRegistry(), log.NewNopLogger())
+	t.Cleanup(w.o.Transport.Close)
+}
+
+// TestSilenceIsNoAgreement has a process that knows one version, by registrations that count as current. The only peer does
+// not answer; it may have begun the stream at another version.
+func TestSilenceIsNoAgreement(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed []string
+		down   bool
+		want   Source
+	}{
+		"the list has the same version":    {[]string{"v1"}, false, SourceOnlyVersion},
+		"the list has another version too": {[]string{"v1", "v2"}, false, SourceNone},
+		"the list has another version":     {[]string{"v2"}, false, SourceNone},
+		"the list is empty":                {nil, false, SourceNone},
+		"the store does not answer":        {[]string{"v1"}, true, SourceNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, s := listedWorld(t, c.listed, "v1")
+			w.silentPeer()
+			w.withTransport(t)
+			s.set(func() { s.down = c.down })
+			version, source := w.find("r")
+			require.Equal(t, c.want, source)
+			if c.want == SourceOnlyVersion {
+				require.Equal(t, "v1", version)
+			}
+		})
+	}
+	w := newWorld("v1")
+	w.pass(life)
+	w.silentPeer()
+	w.withTransport(t)
+	_, source := w.find("r")
+	require.Equal(t, SourceNone, source, "there is no store")
+}
+
+// TestListIsReadAfterTheResumptionArrived has the list change while a read of it is under way. A resumption that arrives then
+// must not be decided by that read.
+func TestListIsReadAfterTheResumptionArrived(t *testing.T) {
+	w, s := listedWorld(t, []string{"v1"}, "v1")
+	hold := make(chan struct{})
+	s.set(func() { s.hold = hold })
+	before := s.reads()
+	first := make(chan Source)
+	go func() { _, source := w.find("first"); first <- source }()
+	require.Eventually(t, func() bool { return s.reads() == before+1 }, time.Second, time.Millisecond)
+	w.setList(t, "v1", "v2")
+	const later = 20
+	sources := make(chan Source, later)
+	for range later {
+		go func() { _, source := w.find("later"); sources <- source }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(hold)
+	require.Equal(t, SourceOnlyVersion, <-first)
+	for range later {
+		require.Equal(t, SourceNone, <-sources)
+	}
+	require.LessOrEqual(t, s.reads()-before, 3, "the later ones share reads")
+}
+
+// TestVersionsArePublishedBeforeUse has a version join. Its instances get no new request before the list has it.
+func TestVersionsArePublishedBeforeUse(t *testing.T) {
+	ctx := context.Background()
+	w, s := listedWorld(t, []string{"v1"}, "v1", "v2")
+	var published *fleet.Published
+	w.o.OnPublished = func(_ context.Context, p *fleet.Published) { published = p }
+	permitted := func() (versions []string) {
+		v := *w.view
+		v.Published = published
+		v.Index()
+		for _, i := range v.Permitted("r", "s") {
+			versions = append(versions, i.Software)
+		}
+		return versions
+	}
+	require.Equal(t, []string{"v1", "v2"}, permitted(), "nothing is known to be published")
+	p := &publisher{r: w.Registry}
+	p.update(ctx)
+	require.Equal(t, []string{"v1"}, permitted())
+	require.Equal(t, "v2", w.view.PermittedOf("r", "s", "v2")[0].Software, "streams that it began continue there")
+
+	s.set(func() { s.down = true })
+	p.readAt = time.Time{}
+	p.update(ctx)
+	require.Equal(t, []string{"v1"}, permitted(), "the store does not answer")
+	s.set(func() { s.down = false })
+
+	w.setList(t, "v1", "v2")
+	p.readAt = time.Time{}
+	p.update(ctx)
+	require.Equal(t, []string{"v1", "v2"}, permitted())
+	reads := s.reads()
+	p.readAt = time.Time{}
+	p.update(ctx)
+	require.Equal(t, reads, s.reads(), "nothing is missing")
+
+	w.serve("v1")
+	p.update(ctx)
+	w.setList(t, "v1")
+	w.serve("v1", "v2")
+	p.readAt = time.Time{}
+	p.update(ctx)
+	require.Equal(t, []string{"v1"}, permitted(), "a version that comes back is published again before it serves")
+	w.serve("v2")
+	w.o.OnPublished(ctx, fleet.NewPublished(map[string][]string{"s": {"v1"}}))
+	require.Equal(t, []string{"v2"}, permitted(), "no published version serves")
+}
+
+// TestVersionIsPublishedWithoutTheHolder has nobody hold the duties.
+func TestVersionIsPublishedWithoutTheHolder(t *testing.T) {
+	ctx := context.Background()
+	w, _ := listedWorld(t, []string{"v1"}, "v2")
+	w.o.OnPublished = func(context.Context, *fleet.Published) {}
+	p := &publisher{r: w.Registry}
+	step := func() (v storedVersions) {
+		p.readAt = time.Time{}
+		p.update(ctx)
+		v, _, err := getVersions(ctx, *w.o.Store)
+		require.NoError(t, err)
+		return v
+	}
+	list := step()
+	require.Equal(t, []string{"v1"}, list.serving()["s"], "the holder has time to do it")
+	p.writeAt = time.Now().Add(-time.Millisecond)
+	list = step()
+	require.Equal(t, []string{"v1", "v2"}, list.serving()["s"], "versions that only others know stay")
+}
--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -66,9 +66,11 @@
 	// DrainUse is how long a draining instance may still get streams that only it can continue.
 	DrainUse time.Duration
 	// Store is for the time after the loss of all processes, nil for none.
-	Store   *StoreOptions
-	Metrics metrics.Registry
-	Logger  log.Logger
+	Store *StoreOptions
+	// OnPublished is called with the versions that may begin streams, when they change. It may be nil.
+	OnPublished func(context.Context, *fleet.Published)
+	Metrics     metrics.Registry
+	Logger      log.Logger
 }
 
 // Registry knows the origins of streams. It is safe for concurrent use.
@@ -77,9 +79,10 @@
 	logger  log.Logger
 	history *history
 	table   *table
-	// saver and reader are nil without a store.
+	// saver, reader and list are nil without a store.
 	saver  *saver
 	reader *reader
+	list   *versionList
 
 	mu sync.Mutex
 	// pending are records to be sent. sharing has the services whose records are sent, see shares.
@@ -103,6 +106,7 @@
 	}
 	if o.Store != nil {
 		r.saver, r.reader = &saver{o: *o.Store, versions: map[int]objstore.Version{}}, &reader{o: *o.Store}
+		r.list = &versionList{o: *o.Store, processes: func() int { return o.View().Processes }}
 	}
 	return r
 }
@@ -111,6 +115,9 @@
 func (r *Registry) Run(ctx context.Context) error {
 	if r.saver != nil {
 		go r.runSaver(ctx)
+		if r.o.OnPublished != nil {
+			go r.runPublisher(ctx)
+		}
 	}
 	tick := time.NewTicker(observeInterval)
 	defer tick.Stop()
@@ -264,27 +271,44 @@
 			return known(rec.Origin, SourceRecord)
 		}
 	}
+	own := r.history.evidence(r.o.View(), service, life)
+	listed := r.startList(ctx, own)
 	answers, asked := r.ask(ctx, &peerpb.StreamQuery{Request: request, Workspace: workspace, Service: service, LifeMs: uint32(life.Milliseconds())})
 	v := r.o.View()
-	own := r.history.evidence(v, service, life)
+	own = r.history.evidence(v, service, life) // the process may have stood still meanwhile
 	*d = decision{own: own, age: v.InstancesAge(), asked: asked, answered: len(answers)}
-	evidence := []Evidence{own}
 	for _, a := range answers {
 		if a.GetOrigin() != nil {
 			return known(decodeOrigin(a.GetOrigin()), SourcePeer)
 		}
-		evidence = append(evidence, Evidence{Versions: a.GetVersions(), Complete: a.GetComplete()})
+		d.peers = append(d.peers, Evidence{Versions: a.GetVersions(), Complete: a.GetComplete()})
+	}
+	if listed != nil {
+		read := <-listed
+		d.stored, d.listErr = read.evidence(service, life, r), read.err
 	}
-	d.peers = evidence[1:]
-	if version, ok := onlyVersion(evidence); ok {
+	if version, ok := d.onlyVersion(r.list != nil); ok {
 		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
 	}
 	if r.reader != nil {
-		return r.findStored(ctx, workspace, request, service, life, evidence, d)
+		return r.findStored(ctx, workspace, request, d)
 	}
 	return Origin{}, SourceNone
 }
 
+// startList begins to read the list of versions if it may show that the service had only one.
+func (r *Registry) startList(ctx context.Context, own Evidence) <-chan listResult {
+	if r.list == nil || len(own.Versions) > 1 {
+		return nil
+	}
+	out := make(chan listResult, 1)
+	go func() {
+		versions, err := r.list.read(ctx)
+		out <- listResult{versions, err}
+	}()
+	return out
+}
+
 // MayContinueAt reports whether a draining instance may still continue a stream.
 func (r *Registry) MayContinueAt(i *fleet.Instance) bool {
 	r.history.observe(r.o.View())
@@ -300,8 +324,22 @@
 	return o, s
 }
 
-// onlyVersion returns the version of all streams of a service, if it is certain that there was only one: all that is
-// known names the same version, and at least one process has known all instances.
+// onlyVersion returns the version of all streams of a service, if it is certain that there was only one. With a store, that takes
+// the list of versions, read after the resumption arrived: a stream begins only at a version that is in it by then,
+// whoever can't be asked. Without a store, all peers must have answered.
+func (d *decision) onlyVersion(withStore bool) (string, bool) {
+	all := append([]Evidence{d.own}, d.peers...)
+	if !withStore {
+		version, ok := onlyVersion(all)
+		return version, ok && d.answered == d.asked
+	}
+	for n := range all {
+		all[n].Complete = false
+	}
+	return onlyVersion(append(all, d.stored))
+}
+
+// onlyVersion returns the version that all evidence names, if at least one part of it is complete.
 func onlyVersion(all []Evidence) (string, bool) {
 	var versions []string
 	complete := false
--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -39,6 +39,8 @@
 // StoreOptions of a Registry.
 type StoreOptions struct {
 	Store objstore.Store
+	// Stale is for reads that may be seconds old, nil if there is no cheaper way to read.
+	Stale objstore.Store
 	// Prefix is the key prefix of the objects, Process the name of this process in their names, and Writer
 	// identifies this run of the process.
 	Prefix, Process, Writer string
@@ -128,44 +130,36 @@
 
 	mu     sync.Mutex
 	readAt time.Time
-	// versions and records are the result of the last read.
-	versions storedVersions
-	records  map[streamKey]storedRecord
-	err      error
+	// records are the result of the last read.
+	records map[streamKey]storedRecord
+	err     error
 }
 
-// read returns what the store had at most readInterval ago.
-func (s *reader) read(ctx context.Context) (storedVersions, map[streamKey]storedRecord, error) {
+// read returns the records that the store had at most readInterval ago.
+func (s *reader) read(ctx context.Context) (map[streamKey]storedRecord, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Since(s.readAt) < readInterval {
-		return s.versions, s.records, s.err
+		return s.records, s.err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	objs, _, err := s.o.Store.List(ctx, s.o.Prefix)
 	s.readAt, s.err = time.Now(), err
 	if err != nil {
-		return storedVersions{}, nil, err
+		return nil, err
 	}
-	s.versions, s.records = storedVersions{}, map[streamKey]storedRecord{}
+	s.records = map[streamKey]storedRecord{}
 	for _, obj := range objs {
 		s.decode(obj)
 	}
-	return s.versions, s.records, nil
+	return s.records, nil
 }
 
 // decode adds the content of an object. One that can't be decoded says nothing.
 func (s *reader) decode(obj objstore.Object) {
-	if obj.Key == s.o.Prefix+versionsName {
-		var v storedVersions
-		if json.Unmarshal(obj.Value, &v) == nil {
-			s.versions = v
-		}
-		return
-	}
 	var records []storedRecord
-	if json.Unmarshal(obj.Value, &records) != nil {
+	if obj.Key == s.o.Prefix+versionsName || json.Unmarshal(obj.Value, &records) != nil {
 		return
 	}
 	for _, rec := range records {
@@ -178,20 +172,16 @@
 	}
 }
 
-// findStored returns the origin of a stream by what the store has, and otherwise adds the stored versions to the evidence.
-func (r *Registry) findStored(ctx context.Context, workspace, request, service string, life time.Duration, evidence []Evidence, d *decision) (Origin, Source) {
-	versions, records, err := r.reader.read(ctx)
-	d.storeErr = err
+// findStored returns the origin of a stream by the records in the store.
+func (r *Registry) findStored(ctx context.Context, workspace, request string, d *decision) (Origin, Source) {
+	records, err := r.reader.read(ctx)
+	d.recordsErr = err
 	if err != nil {
 		return Origin{}, SourceNone
 	}
 	now := r.reader.o.Clock()
-	d.stored = versions.evidence(service, now, life)
 	if rec, ok := records[streamKey{workspace, request}]; ok && request != "" && now.UnixMilli() < rec.Until {
 		return known(Origin{Request: request, Workspace: workspace, Service: rec.Service, Software: rec.Software, Ambiguous: rec.Ambiguous}, SourceStore)
 	}
-	if version, ok := onlyVersion(append(evidence, d.stored)); ok {
-		return Origin{Request: request, Workspace: workspace, Service: service, Software: version}, SourceOnlyVersion
-	}
 	return Origin{}, SourceNone
 }
--- a/internal/scheduler/codec.go
+++ b/internal/scheduler/codec.go
@@ -59,7 +59,7 @@
 	pool := v.Pool(route.Name, service.Name)
 	permitted, groups := pool.All, pool.Groups
 	if m.Software != nil {
-		permitted, groups = fleet.OfSoftware(permitted, m.GetSoftware()), nil
+		permitted, groups = v.PermittedOf(route.Name, service.Name, m.GetSoftware()), nil
 	}
 	return &placement.Job{
 		Route: route, Service: service, Call: call, Domain: m.GetDomain(), Remaining: micros(m.GetLeftUs()), ResponseTime: micros(m.GetResponseUs()), Elapsed: micros(m.GetSpentUs()),
