A malformed event in a stream is logged and counted

A host logged nothing when an engine sent bytes in place of an event, so that the log couldn't tell what clients had got, from whom, and over which connection.

Package eventstream checks the form and the ID of each event of a run. The gateway logs the first malformed one of a response with the engine, the position, the reason, the length and the first 64 bytes, and counts it (gateway.malformed_events). What is relayed doesn't change.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -66,7 +66,7 @@
 		return lifecycle.Lost, streamErr
 	}
 	q.s.count("backup_used")
-	res, err := q.relayEvents(resp)
+	res, err := q.relayEvents(resp, backup)
 	if res == lifecycle.Lost {
 		q.reportBrokenConnection(backup)
 	}
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 )
 
 // BenchmarkRequest measures one request through a gateway on loopback, with the client and the
@@ -23,3 +24,17 @@
 		}
 	}
 }
+
+// BenchmarkEvent measures one event of a stream through a gateway on loopback.
+func BenchmarkEvent(b *testing.B) {
+	const events = 1000
+	all := engines(fleetengine.StageDecode, "i-1")
+	all[0].Events = events
+	r := newHarness(b, harnessOptions{model: all})
+	b.ReportAllocs()
+	for n := 0; n < b.N; n += events {
+		if a := r.send(http.MethodPost, pathModel, fmt.Sprint(n), "body", nil); a.status != http.StatusOK || a.truncated {
+			b.Fatal(a.status)
+		}
+	}
+}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -36,6 +37,18 @@
 	level.Debug(q.s.o.Logger).Log(kv...)
 }
 
+// maxLoggedBytes bounds what is logged of a malformed event.
+const maxLoggedBytes = 64
+
+// logMalformedEvent logs and counts bytes that an instance sent in place of the next event.
+func (q *request) logMalformedEvent(from *fleet.Instance, event []byte, err error) {
+	q.s.count("malformed_events")
+	level.Warn(q.s.o.Logger).Log(append([]any{
+		"msg", "malformed event", "request", q.call.ID, "route", q.route.Name, "instance", from.ID, "send", q.sends, "after", q.resumeAfter(), "events", q.events,
+		"reason", err, "bytes", len(event), "begins", fmt.Sprintf("%q", event[:min(len(event), maxLoggedBytes)]),
+	}, q.evidenceFields()...)...)
+}
+
 // evidenceFields returns what the last exchange rested on, for a log line.
 func (q *request) evidenceFields() []any {
 	if q.evidence == nil {
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -52,3 +52,22 @@
 	require.Positive(t, left("first_event_left"))
 	require.Less(t, left("first_event_left"), testClientTimeout)
 }
+
+// TestMalformedEventIsLogged has an engine send many bytes that are no event, so that the log line has to be bounded.
+func TestMalformedEventIsLogged(t *testing.T) {
+	var text lockedBuilder
+	e := fleetengine.New("a", fleetengine.StageDecode)
+	e.Events, e.Garble.Change = 2, func(events []string) string {
+		return events[0] + "garbage" + strings.Repeat("\x00", 1000) + "\n\n" + events[1]
+	}
+	e.Fail(fleetengine.Garbled, 1)
+	r := newHarness(t, harnessOptions{model: []*fleetengine.Engine{e}, logger: log.NewLogfmtLogger(&text)})
+	r.send(http.MethodPost, pathAtMostOnceStream, "r", "x", nil)
+	require.EqualValues(t, 1, r.counter("malformed_events"))
+	_, line, _ := strings.Cut(text.String(), `msg="malformed event"`)
+	line, _, _ = strings.Cut(line, "\n")
+	for _, field := range []string{"request=r ", "instance=a ", "after=1 ", "bytes=1009 ", `garbage\\x00`, "conn="} {
+		require.Contains(t, line, field)
+	}
+	require.Less(t, len(line), 1000)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/eventstream"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 )
@@ -66,7 +68,7 @@
 func (q *request) relay(resp *upstream.Response) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeGrace)) // if it is not supported, a slow client is not cut off
 	if isStream(resp) {
-		return q.relayEvents(resp)
+		return q.relayEvents(resp, q.plan.Target)
 	}
 	if q.responseStarted {
 		resp.Close(false)
@@ -109,8 +111,9 @@
 
 // relayEvents relays each complete event of a stream as it arrives. The headers are sent
 // with the first event, so that until then the request can be retried at another instance.
-func (q *request) relayEvents(resp *upstream.Response) (lifecycle.Outcome, error) {
-	in := bufio.NewReader(resp.Body)
+func (q *request) relayEvents(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
+	in, check := bufio.NewReader(resp.Body), eventstream.After(q.resumeAfter())
+	malformed := false
 	for {
 		event, err := readEvent(in)
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
@@ -127,6 +130,10 @@
 			}
 			return lifecycle.Delivered, nil
 		}
+		if _, err := check.Check(event); err != nil && !malformed {
+			malformed = true
+			q.logMalformedEvent(from, event, err)
+		}
 		if res, err := q.relayEvent(resp, event); err != nil {
 			resp.Close(false)
 			return res, err
