A response that has begun without event IDs is not continued by another run

On a route whose requests may be repeated, an event stream without IDs that was cut after its first events went on with a whole run of another engine: clients got pieces of two runs in one response, which ended as complete. A cut response that is too large to buffer was run once more in vain.

Only streams of streaming routes have IDs after which another run can continue. Everywhere else a response that has begun now ends visibly broken.

--- a/internal/gateway/garbage_test.go
+++ b/internal/gateway/garbage_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// TestResponseWithoutEventIDsIsNotContinued interrupts events without IDs on a route whose requests may be repeated but whose
+// responses are not streams that can be resumed.
+func TestResponseWithoutEventIDsIsNotContinued(t *testing.T) {
+	const sent = "data: a\n\ndata: b\n\n"
+	all := engines("", "i-1", "i-2")
+	for _, e := range all {
+		e.Events, e.Garble.Change = 2, func([]string) string { return sent + "data" }
+	}
+	var placed atomic.Int64
+	r := newHarness(t, harnessOptions{plain: all, onPlaced: func(_ *harness, p placement.Plan) {
+		if placed.Add(1) == 1 {
+			all[p.Target.ID[2]-'1'].Fail(fleetengine.Garbled, 1)
+		}
+	}})
+	got := r.send(http.MethodGet, pathIdempotent, "a", "", nil)
+	require.Equal(t, sent, got.body)
+	require.True(t, got.truncated)
+	require.Equal(t, 1, allRuns(all))
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -200,9 +200,10 @@
 	return q.send()
 }
 
-// CanRetryAfterRun implements lifecycle.Steps.
+// CanRetryAfterRun implements lifecycle.Steps. Only the streams of streaming routes have IDs after which another run can
+// continue a response that has begun.
 func (q *request) CanRetryAfterRun() bool {
-	return q.ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts
+	return q.ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts && (!q.responseStarted || q.route.Kind == fleet.Streaming)
 }
 
 // FinalReply implements lifecycle.Steps.
