Bytes that are no event are not relayed

Clients got events that no run had written, in streams that ended as complete: whatever an engine sent up to a blank line was taken for an event, and one without an ID for one that needs no check. After an event of ID 900, the true events were dropped as repeated ones.

Change: on streaming routes each event is checked before it is relayed: UTF-8 without control characters, lines that are fields or comments, one ID, the next number. Otherwise the stream is broken: its connection is closed, nothing after is read, the engine is blamed once, and a stream that may be resumed goes on at another engine after the last sound event. The path of this host has no part in it, so that it isn't held responsible. Blocks of comments only are not relayed. Routes of other kinds relay events as they come, as before.

Why it works: IDs count by one and a run continues after Last-Event-Id, so what is missing, foreign or repeated shows; what is read is either the next event of the run or ends the stream.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,7 +113,6 @@
 // with the first event, so that until then the request can be retried at another instance.
 func (q *request) relayEvents(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
 	in, check := bufio.NewReader(resp.Body), eventstream.After(q.resumeAfter())
-	malformed := false
 	for {
 		event, err := readEvent(in)
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
@@ -130,18 +129,29 @@
 			}
 			return lifecycle.Delivered, nil
 		}
-		if _, err := check.Check(event); err != nil && !malformed {
-			malformed = true
-			q.logMalformedEvent(from, event, err)
+		id := ""
+		if q.route.Kind == fleet.Streaming { // elsewhere events need no ID
+			if id, err = check.Check(event); err != nil {
+				resp.Close(false)
+				q.logMalformedEvent(from, event, err)
+				return lifecycle.Lost, fault.Wrap(errors.Mark(err, errMalformed), fault.Unknown, "stream has bytes that are not its next event", "it is resumed if its route allows it")
+			}
+			if id == "" {
+				continue // comments
+			}
 		}
-		if res, err := q.relayEvent(resp, event); err != nil {
+		if res, err := q.relayEvent(resp, id, event); err != nil {
 			resp.Close(false)
 			return res, err
 		}
 	}
 }
 
-var errGivenUp = errors.New("attempt was given up before its first event")
+var (
+	errGivenUp = errors.New("attempt was given up before its first event")
+	// errMalformed marks errors of streams that the instance itself has broken.
+	errMalformed = errors.New("stream is malformed")
+)
 
 // isStream reports whether a response is an event stream.
 func isStream(resp *upstream.Response) bool {
@@ -168,12 +178,8 @@
 	q.s.time("first_event", time.Since(q.arrived))
 }
 
-func (q *request) relayEvent(resp *upstream.Response, event []byte) (lifecycle.Outcome, error) {
+func (q *request) relayEvent(resp *upstream.Response, id string, event []byte) (lifecycle.Outcome, error) {
 	q.ticket.Event()
-	id := eventID(event)
-	if id != "" && q.lastEventID != "" && !isLaterEvent(id, q.lastEventID) {
-		return lifecycle.Delivered, nil // the client has received it already
-	}
 	if !q.responseStarted {
 		if !q.hang.responded() {
 			return lifecycle.Lost, errGivenUp // nothing of it has been sent to the client
@@ -186,24 +192,11 @@
 	if err := http.NewResponseController(q.w).Flush(); err != nil {
 		return q.clientWriteFailed(err)
 	}
-	if id != "" {
-		q.lastEventID = id
-	}
+	q.lastEventID = id
 	q.events++
 	return lifecycle.Delivered, nil
 }
 
-// isLaterEvent reports whether an event ID comes after the last one. IDs that are not numbers
-// count as later if they differ.
-func isLaterEvent(id, last string) bool {
-	a, err1 := strconv.ParseInt(id, 10, 64)
-	b, err2 := strconv.ParseInt(last, 10, 64)
-	if err1 != nil || err2 != nil {
-		return id != last
-	}
-	return a > b
-}
-
 // readEvent reads up to and including the blank line that ends an event. At the end of the
 // stream it returns io.EOF with the incomplete event, if there is one.
 func readEvent(in *bufio.Reader) ([]byte, error) {
@@ -226,13 +219,3 @@
 		lineStart = len(event)
 	}
 }
-
-// eventID returns the ID of an event, empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -398,7 +398,7 @@
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s responded with status %d", plan.Target.ID, resp.Status)
 	}
 	res, err := q.relay(resp)
-	if res == lifecycle.Lost && !q.clientGone && resp.OwnPathLost(q.ctx, err) {
+	if res == lifecycle.Lost && !q.clientGone && !errors.Is(err, errMalformed) && resp.OwnPathLost(q.ctx, err) {
 		q.releaseBrokenPath(plan.Target)
 		return q.resumeAtBackup(err)
 	}
