--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -200,9 +200,10 @@
 	return q.send()
 }
 
-// CanRetryAfterRun implements lifecycle.Steps.
+// CanRetryAfterRun implements lifecycle.Steps. Only the streams of streaming routes have IDs after which another run can
+// continue a response that has begun.
 func (q *request) CanRetryAfterRun() bool {
-	return q.ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts
+	return q.ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts && (!q.responseStarted || q.route.Kind == fleet.Streaming)
 }
 
 // FinalReply implements lifecycle.Steps.
@@ -397,7 +398,7 @@
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s responded with status %d", plan.Target.ID, resp.Status)
 	}
 	res, err := q.relay(resp)
-	if res == lifecycle.Lost && !q.clientGone && resp.OwnPathLost(q.ctx, err) {
+	if res == lifecycle.Lost && !q.clientGone && !errors.Is(err, errMalformed) && resp.OwnPathLost(q.ctx, err) {
 		q.releaseBrokenPath(plan.Target)
 		return q.resumeAtBackup(err)
 	}
