Resumptions: records reach the store at once, and a resumption reads what was written before it

After all hosts had been killed, or at a host without its peers, resumed streams were rejected although the store could have had their records. Cause: a process waited 500 ms before each write, and a read of the records was used for a second, also for resumptions that arrived after it.

The first records are written at once, later ones after 0.1 to 0.5 s by the size of the fleet, into the object of the current half second. Reads of the records are shared like those of the list and begin after the resumption arrived. While the store is away, streams are reported to peers, and records that wait are written when it is back.

TestRecordsAreInTheStoreAtOnce fails with the pause put back: 602 ms where 500 ms are asked for.

--- a/internal/gatewayd/joined_test.go
+++ b/internal/gatewayd/joined_test.go
@@ -64,7 +64,7 @@
 		minShare float64
 	}{
 		"without the store":           {true, false, 0.95},
-		"without peers":               {false, true, 0},
+		"without peers":               {false, true, 0.95},
 		"without the store and peers": {true, true, 0},
 	} {
 		for _, wait := range []time.Duration{300 * time.Millisecond, 1800 * time.Millisecond} {
--- a/internal/resumption/list.go
+++ b/internal/resumption/list.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/rockdoor/rockdoor/fault"
@@ -11,30 +10,16 @@
 )
 
 const (
-	// readGap is the minimum time between two reads of the list by one process, as a share for each process of the fleet.
-	// maxReadGap limits it.
-	readGap    = 2 * time.Millisecond
-	maxReadGap = 500 * time.Millisecond
+	// listGap is the minimum time between two reads of the list by one process, for each process of the fleet. maxListGap
+	// limits it.
+	listGap    = 2 * time.Millisecond
+	maxListGap = 500 * time.Millisecond
 )
 
-// versionList reads the list of versions in the store. Callers share reads, but a read never begins before a caller that gets its
-// result has asked for it. It is safe for concurrent use.
+// versionList reads the list of versions in the store.
 type versionList struct {
 	o StoreOptions
-	// processes returns the number of processes of the fleet.
-	processes func() int
-
-	mu sync.Mutex
-	// next is the read that has not begun, nil if nobody waits for one. running is the read under way.
-	next, running *listRead
-	begunAt       time.Time
-}
-
-// listRead is one read of the list. Its result is set once done is closed.
-type listRead struct {
-	done     chan struct{}
-	versions storedVersions
-	err      error
+	*sharedReads[storedVersions]
 }
 
 // listResult is the result of a read.
@@ -56,40 +41,16 @@
 	}
 }
 
-// read returns the list as it was after the call began, or later.
-func (l *versionList) read(ctx context.Context) (storedVersions, error) {
-	l.mu.Lock()
-	read := l.next
-	if read == nil {
-		read = &listRead{done: make(chan struct{})}
-		l.next = read
-		go l.run(read, l.running)
-	}
-	l.mu.Unlock()
-	select {
-	case <-read.done:
-		return read.versions, read.err
-	case <-ctx.Done():
-		return storedVersions{}, fault.Wrap(ctx.Err(), fault.Unavailable, "send the request again", "list of versions not read")
-	}
-}
-
-// run carries out a read once the one before has ended.
-func (l *versionList) run(read, before *listRead) {
-	if before != nil {
-		<-before.done
+func newVersionList(o StoreOptions, processes func() int) *versionList {
+	l := &versionList{o: o}
+	l.sharedReads = &sharedReads[storedVersions]{
+		gap: func() time.Duration { return min(time.Duration(processes())*listGap, maxListGap) },
+		load: func(ctx context.Context) (storedVersions, error) {
+			v, _, err := getVersions(ctx, o)
+			return v, err
+		},
 	}
-	l.mu.Lock()
-	wait := min(time.Duration(l.processes())*readGap, maxReadGap) - time.Since(l.begunAt)
-	l.mu.Unlock()
-	time.Sleep(wait)
-	l.mu.Lock()
-	l.next, l.running, l.begunAt = nil, read, time.Now()
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
-	read.versions, _, read.err = getVersions(ctx, l.o)
-	close(read.done)
+	return l
 }
 
 // getVersions reads the list of versions. It is empty if nobody has written it.
--- a/internal/resumption/list_test.go
+++ b/internal/resumption/list_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -63,7 +64,7 @@
 func listedWorld(t *testing.T, listed []string, serving ...string) (*world, *heldStore) {
 	w, s := newWorld(serving...), newHeldStore()
 	w.o.Store = &StoreOptions{Store: s, Prefix: "streams/", Process: "p", Writer: "w", Clock: time.Now}
-	w.reader, w.list = &reader{o: *w.o.Store}, &versionList{o: *w.o.Store, processes: func() int { return 1 }}
+	w.reader, w.list = newRecordReader(*w.o.Store), newVersionList(*w.o.Store, func() int { return 1 })
 	w.setList(t, listed...)
 	w.pass(life)
 	w.view.InstancesConfirmedAt = w.view.InstancesConfirmedAt.Add(time.Minute)
@@ -221,3 +222,24 @@
 	list = step()
 	require.Equal(t, []string{"v1", "v2"}, list.serving()["s"], "versions that only others know stay")
 }
+
+// TestRecordsAreInTheStoreAtOnce has all processes end right after streams began.
+func TestRecordsAreInTheStoreAtOnce(t *testing.T) {
+	w, _ := listedWorld(t, []string{"v1", "v2"}, "v1", "v2")
+	w.view.StoreUp = true
+	w.saver = &saver{o: *w.o.Store, versions: map[int]objstore.Version{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.runSaver(ctx)
+	for n, version := range []string{"v1", "v2", "v1", "v2"} {
+		began := time.Now()
+		w.Began(Origin{Request: fmt.Sprint(n), Workspace: "w", Service: "s", Software: version}, life)
+		next, _ := listedWorld(t, nil, "v1", "v2")
+		next.reader = newRecordReader(*w.o.Store)
+		require.Eventually(t, func() bool {
+			got, source := next.find(fmt.Sprint(n))
+			return source == SourceStore && got == version
+		}, time.Second, 10*time.Millisecond)
+		require.Less(t, time.Since(began), slotTime, "the first write is made at once, later ones wait a little")
+	}
+}
--- a/internal/resumption/registry.go
+++ b/internal/resumption/registry.go
@@ -81,7 +81,7 @@
 	table   *table
 	// saver, reader and list are nil without a store.
 	saver  *saver
-	reader *reader
+	reader *sharedReads[storedRecords]
 	list   *versionList
 
 	mu sync.Mutex
@@ -105,8 +105,8 @@
 		sharing: map[string]bool{}, wake: make(chan struct{}, 1), wakeSaver: make(chan struct{}, 1),
 	}
 	if o.Store != nil {
-		r.saver, r.reader = &saver{o: *o.Store, versions: map[int]objstore.Version{}}, &reader{o: *o.Store}
-		r.list = &versionList{o: *o.Store, processes: func() int { return o.View().Processes }}
+		r.saver, r.reader = &saver{o: *o.Store, versions: map[int]objstore.Version{}}, newRecordReader(*o.Store)
+		r.list = newVersionList(*o.Store, func() int { return o.View().Processes })
 	}
 	return r
 }
@@ -145,10 +145,10 @@
 }
 
 // shares reports whether peers need the records of a service: they can't tell the version of a stream from the
-// versions that serve, or this process can't rule that out.
+// versions that serve, or from the list in the store, or this process can't rule that out.
 func (r *Registry) shares(service string) bool {
 	v := r.o.View()
-	return !v.InstancesKnown || len(r.history.evidence(v, service, maxLife).Versions) > 1 || !r.history.isCurrent(v)
+	return !v.InstancesKnown || !v.StoreUp && r.list != nil || len(r.history.evidence(v, service, maxLife).Versions) > 1 || !r.history.isCurrent(v)
 }
 
 // review records the versions of all instances. Once the records of a service have to be shared, those of
@@ -166,6 +166,12 @@
 			r.enqueue(r.table.ownOf(service)...)
 		}
 	}
+	r.mu.Lock()
+	waiting := len(r.unsaved) > 0
+	r.mu.Unlock()
+	if waiting {
+		notify(r.wakeSaver)
+	}
 	metrics.GetOrRegisterGauge("resumption.records", r.o.Metrics).Update(int64(r.table.size()))
 }
 
--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -21,17 +21,22 @@
 	// versionsName is the name of the object with the versions. The names of the other objects begin with recordsName.
 	versionsName = "versions"
 	recordsName  = "records/"
-	// saveInterval is the minimum time between two writes of records by one process.
-	saveInterval = 500 * time.Millisecond
-	// maxSlots limits the objects of one process. Records of streams that live longer than maxSlots intervals are
+	// saveGap is the minimum time between two writes of records by one process, for each process of the fleet. minSaveGap and
+	// slotTime limit it.
+	saveGap    = 16 * time.Millisecond
+	minSaveGap = 100 * time.Millisecond
+	// slotTime is how long a process writes its new records to the same object before it turns to the next one.
+	slotTime = 500 * time.Millisecond
+	// maxSlots limits the objects of one process. Records of streams that live longer than maxSlots times slotTime are
 	// overwritten while they are valid.
 	maxSlots = 40
 	// maxSaving is the number of processes up to which records are written to the store: the writes of more would
 	// take too much of the store's rate.
 	maxSaving = 64
-	// readTimeout limits a read of the store for which a client waits. Its result is used for readInterval.
-	readTimeout  = 250 * time.Millisecond
-	readInterval = time.Second
+	// readTimeout limits a read of the store for which a client waits. recordsGap is the minimum time between two reads of the
+	// records by one process.
+	readTimeout = 250 * time.Millisecond
+	recordsGap  = 200 * time.Millisecond
 	// writeTimeout limits a write.
 	writeTimeout = time.Second
 )
@@ -63,17 +68,25 @@
 	o StoreOptions
 	// versions are those of the objects that this process has written, by slot.
 	versions map[int]objstore.Version
+	// period counts the slotTimes until the latest write, and records has what was written in it.
+	period  int64
+	records []storedRecord
 }
 
-// save writes records to the object whose turn it is.
+// save adds records to the object whose turn it is.
 func (s *saver) save(ctx context.Context, records []storedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	value, err := json.Marshal(records)
+	if period := s.o.Clock().UnixMilli() / slotTime.Milliseconds(); period != s.period {
+		s.period, s.records = period, nil
+	}
+	s.records = append(s.records, records...)
+	s.records = s.records[max(0, len(s.records)-maxUnsaved):]
+	value, err := json.Marshal(s.records)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "records of streams cannot be encoded", "report this as a defect")
 	}
-	slot := int(s.o.Clock().UnixMilli()/saveInterval.Milliseconds()) % maxSlots
+	slot := int(s.period % maxSlots)
 	key := fmt.Sprintf("%s%s%s/%d", s.o.Prefix, recordsName, s.o.Process, slot)
 	obj, err := s.o.Store.Put(ctx, key, value, s.versions[slot], s.o.Writer)
 	if fault.Is(err, fault.Conflict) { // an earlier run of the process wrote it
@@ -89,14 +102,15 @@
 	return nil
 }
 
-// runSaver writes records to the store, at most one object each saveInterval, until ctx ends.
+// runSaver writes records to the store until ctx ends, the first ones at once.
 func (r *Registry) runSaver(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-r.wakeSaver:
-			time.Sleep(saveInterval)
+			time.Sleep(batchDelay)
 			r.savePending(ctx)
+			time.Sleep(min(max(time.Duration(r.o.View().Processes)*saveGap, minSaveGap), slotTime))
 		}
 	}
 }
@@ -124,51 +138,39 @@
 	}
 }
 
-// reader reads what the processes have written to the store. It is safe for concurrent use.
-type reader struct {
-	o StoreOptions
-
-	mu     sync.Mutex
-	readAt time.Time
-	// records are the result of the last read.
-	records map[streamKey]storedRecord
-	err     error
-}
-
-// read returns the records that the store had at most readInterval ago.
-func (s *reader) read(ctx context.Context) (map[streamKey]storedRecord, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Since(s.readAt) < readInterval {
-		return s.records, s.err
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	objs, _, err := s.o.Store.List(ctx, s.o.Prefix)
-	s.readAt, s.err = time.Now(), err
-	if err != nil {
-		return nil, err
-	}
-	s.records = map[streamKey]storedRecord{}
-	for _, obj := range objs {
-		s.decode(obj)
+// storedRecords are the records of all processes.
+type storedRecords map[streamKey]storedRecord
+
+// newRecordReader returns reads of what the processes have written to the store.
+func newRecordReader(o StoreOptions) *sharedReads[storedRecords] {
+	return &sharedReads[storedRecords]{
+		gap: func() time.Duration { return recordsGap },
+		load: func(ctx context.Context) (storedRecords, error) {
+			objs, _, err := o.Store.List(ctx, o.Prefix)
+			out := storedRecords{}
+			for _, obj := range objs {
+				if strings.HasPrefix(obj.Key, o.Prefix+recordsName) {
+					out.decode(obj)
+				}
+			}
+			return out, err
+		},
 	}
-	return s.records, nil
 }
 
 // decode adds the content of an object. One that can't be decoded says nothing.
-func (s *reader) decode(obj objstore.Object) {
+func (s storedRecords) decode(obj objstore.Object) {
 	var records []storedRecord
-	if obj.Key == s.o.Prefix+versionsName || json.Unmarshal(obj.Value, &records) != nil {
+	if json.Unmarshal(obj.Value, &records) != nil {
 		return
 	}
 	for _, rec := range records {
 		key := streamKey{rec.Workspace, rec.Request}
-		if old, known := s.records[key]; known {
+		if old, known := s[key]; known {
 			rec.Ambiguous = rec.Ambiguous || old.Ambiguous || old.Service != rec.Service || old.Software != rec.Software
 			rec.Until = max(rec.Until, old.Until)
 		}
-		s.records[key] = rec
+		s[key] = rec
 	}
 }
 
@@ -179,7 +181,7 @@
 	if err != nil {
 		return Origin{}, SourceNone
 	}
-	now := r.reader.o.Clock()
+	now := r.o.Store.Clock()
 	if rec, ok := records[streamKey{workspace, request}]; ok && request != "" && now.UnixMilli() < rec.Until {
 		return known(Origin{Request: request, Workspace: workspace, Service: rec.Service, Software: rec.Software, Ambiguous: rec.Ambiguous}, SourceStore)
 	}
