--- a/internal/resumption/publish.go
+++ b/internal/resumption/publish.go
@@ -16,9 +16,10 @@
 
 const (
 	// publishInterval is how often a process looks for versions that it doesn't know to be published, and askInterval the minimum
-	// time between two reads of the list for them.
+	// time between two reads of the list for them, plus askSpread for each process of the fleet.
 	publishInterval = 50 * time.Millisecond
 	askInterval     = 100 * time.Millisecond
+	askSpread       = time.Millisecond
 	// publishAfter is how long a process waits for the holder of the duties to publish a version before it does so itself.
 	// publishSpread is the range of a random delay, for each process of the fleet.
 	publishAfter  = time.Second
@@ -59,7 +60,7 @@
 		p.writeAt = time.Time{}
 		return
 	}
-	if time.Since(p.readAt) < askInterval {
+	if time.Since(p.readAt) < askInterval+time.Duration(v.Processes)*askSpread {
 		return
 	}
 	p.readAt = time.Now()
