The stand-in of the store can hold entries that JSON encoders reject

No stand-in could show what processes do about an entry of another writer that is nested 20,000 deep or whose metadata are no numbers: the store encodes what it is given.

--- a/internal/standin/fleetstore/fleetstore.go
+++ b/internal/standin/fleetstore/fleetstore.go
@@ -50,6 +50,8 @@
 	Metadata meta            `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status"`
+	// token stands for the text that clients read in place of the object, empty for none.
+	token string
 }
 
 type event struct {
@@ -78,6 +80,8 @@
 	era int64
 	// eraText replaces the era in responses if it is not empty.
 	eraText string
+	// rawEntries are the texts of entries of other writers, by token.
+	rawEntries map[string]string
 }
 
 // headerEra states the era in all responses of a store that counts eras.
@@ -210,6 +214,10 @@
 
 // put creates or replaces an object. The caller holds s.mu.
 func (s *Server) put(kind, name string, spec json.RawMessage) object {
+	return s.putObject(kind, name, spec, "")
+}
+
+func (s *Server) putObject(kind, name string, spec json.RawMessage, token string) object {
 	s.recordUndo(kind, name)
 	s.rev++
 	if s.objects[kind] == nil {
@@ -219,7 +227,7 @@
 	if !ok {
 		o.Metadata = meta{Name: name, Created: s.rev, Finalizers: []string{}}
 	}
-	o.Metadata.Revision, o.Spec = s.rev, spec
+	o.Metadata.Revision, o.Spec, o.token = s.rev, spec, token
 	s.objects[kind][name] = o
 	s.history = append(s.history, event{Object: o, kind: kind, rev: s.rev})
 	s.notifyObserver(Change{Kind: kind, Name: name, Spec: spec})
--- a/internal/standin/fleetstore/front.go
+++ b/internal/standin/fleetstore/front.go
@@ -116,7 +116,7 @@
 
 // withClientAddresses returns an object with the addresses that this client is meant to see.
 func (f *ClientHandler) withClientAddresses(kind string, o object) object {
-	if len(o.Spec) > 0 {
+	if len(o.Spec) > 0 && o.token == "" {
 		o.Spec = f.addresses.rewrite(f.client, kind, o.Metadata.Name, o.Spec)
 	}
 	return o
@@ -137,7 +137,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		reply(w, f.withClientAddresses(kind, o))
+		f.server.reply(w, f.withClientAddresses(kind, o))
 	case q.Has("watch"):
 		f.watch(w, r, kind, staleBy)
 	default:
@@ -162,7 +162,7 @@
 		items = append(items, f.withClientAddresses(kind, objects[name]))
 	}
 	out["items"] = items
-	reply(w, out)
+	f.server.reply(w, out)
 }
 
 func (f *ClientHandler) watch(w http.ResponseWriter, r *http.Request, kind string, staleBy time.Duration) {
@@ -184,7 +184,7 @@
 			for i := range events {
 				events[i].Object = f.withClientAddresses(kind, events[i].Object)
 			}
-			reply(w, map[string]any{"events": events, "current_rev": rev})
+			f.server.reply(w, map[string]any{"events": events, "current_rev": rev})
 			return
 		}
 		select {
@@ -194,7 +194,7 @@
 			if withheld {
 				rev = since
 			}
-			reply(w, map[string]any{"events": []event{}, "current_rev": rev})
+			f.server.reply(w, map[string]any{"events": []event{}, "current_rev": rev})
 			return
 		case <-changed:
 		case <-nextVisible(staleBy):
@@ -230,8 +230,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(f.withClientAddresses(kind, o)) // fails only if the client has disconnected
 }
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
-}
