Soak: garbage in streams, releases beside hosts out of step, odd entries

The soak showed none of the three reported faults: engines never wrote bytes that are no event into streams that end well, no version joined one that had served alone, clients gave up when no process was ready, and all entries of the store were sound.

Engines now garble some streams, in the forms of the stand-in. Another writer leaves odd entries among those of the instances while a process and an instance start. Four checks are new: each event is the next one that a run of its request wrote, of one version; streams with garbage continue; instances that register get requests; processes that start become ready.

Measured: TestChecksFindViolations plants nine violations of the new checks and finds each; sound streams pass.

--- a/internal/lab/soak/actions.go
+++ b/internal/lab/soak/actions.go
@@ -42,6 +42,9 @@
 	if a.TargetWatcher {
 		a.Gateways = w.storeWatcher(a.Gateways)
 	}
+	if a.OutOfStep {
+		w.outOfStep.Store(&a.Gateways)
+	}
 	d := &Disturbance{Fault: a.Fault, Gateways: a.Gateways, From: time.Now(), To: time.Now().Add(a.Duration)}
 	w.observed.record(func() { w.observed.Disturbances = append(w.observed.Disturbances, d) })
 	w.logEvent("%s", a)
@@ -57,6 +60,10 @@
 	case FaultAPI:
 		w.api.SetFaults(fleetapi.Faults{LoseResponses: true})
 		w.runAfter(a.Duration, func() { w.api.SetFaults(fleetapi.Faults{}) })
+	case FaultOddEntries:
+		w.writeOddEntries(a)
+	case FaultRelease:
+		w.release(a)
 	case FaultStoreRestore:
 		w.restoreStore(op, a.Duration)
 	case FaultStoreRefusesSome, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreLoses, FaultStoreLate, FaultStoreSilentWatches, FaultStoreStale, FaultStoreDropsHistory:
@@ -265,6 +272,8 @@
 	switch a.Fault {
 	case FaultLateResponses:
 		p.sendLateResponses(a.Rate, a.Duration)
+	case FaultGarble:
+		p.garble(a.Count, a.Duration)
 	case FaultFull:
 		w.fill(a)
 	case FaultShedAll:
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -33,6 +33,10 @@
 	longPromptShare = 0.5
 	// maxResumptions is how often a client resumes a stream.
 	maxResumptions = 3
+	// resumeWait is how long a client waits for a gateway at which it can resume a stream.
+	resumeWait = 6 * time.Second
+	// killedDelay is how long it waits before it resumes a stream once more that no gateway answered.
+	killedDelay = 200 * time.Millisecond
 	// promptPrefixes is the number of different prefixes of long prompts.
 	promptPrefixes = 20
 	// shortPromptTokens and longPromptTokens are the tokens in the part that is unique to a prompt.
@@ -140,6 +144,9 @@
 			break
 		}
 	}
+	if c.w.isReleasing() && c.rng.Float64() < streamShare {
+		kind = Stream
+	}
 	c.callCount++
 	id := fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
 	call := &Call{ID: id, Kind: kind, Gateway: c.gateway, Incarnation: c.incarnation, Body: "body of " + id, Timeout: callTimeout, ReusedConn: c.connUsed, EndAnnounced: c.toldToClose}
@@ -160,12 +167,9 @@
 // resume resumes a stream that broke after some of its events, at any gateway and several times if need be.
 func (c *client) resume(ctx context.Context, broken *Call) {
 	begun, attempt, events := broken.ID, broken.Attempt, receivedEvents(broken.ResponseBody)
-	for range maxResumptions {
-		if ctx.Err() != nil || broken.Kind != Stream || broken.Poisoned || broken.Complete || !broken.CanceledAt.IsZero() || events == 0 {
-			return
-		}
-		c.closeConn()
-		if !c.connectToAny() {
+	for resumed, until := 0, time.Now().Add(resumeWait); resumed < maxResumptions && time.Now().Before(until); {
+		mayResume := broken.Kind == Stream && !broken.Poisoned && !broken.Complete && (broken.CanceledAt.IsZero() || broken.Dropped) && events > 0
+		if !mayResume || !c.reconnect(ctx) {
 			return
 		}
 		c.callCount++
@@ -173,13 +177,30 @@
 		next.ID = fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
 		next.Resumes, next.ResumesAttempt, next.After, next.Gateway, next.Incarnation = begun, attempt, events, c.gateway, c.incarnation
 		next.Begun, next.Attempt, next.EndAnnounced, next.Unread = "", 0, false, false
+		next.CanceledAt, next.Dropped = time.Time{}, false
 		next.Status, next.Sealed, next.Complete, next.ResponseBody, next.ReusedConn, next.Unsent, next.Err = 0, false, false, "", false, false, ""
 		c.sendCall(&next)
+		if next.Status == 0 { // the gateway may have been killed
+			time.Sleep(killedDelay)
+		} else {
+			resumed++
+		}
 		broken = &next
 		events += receivedEvents(next.ResponseBody)
 	}
 }
 
+// reconnect connects to any gateway. While none is ready it waits, for up to resumeWait.
+func (c *client) reconnect(ctx context.Context) bool {
+	c.closeConn()
+	for until := time.Now().Add(resumeWait); ctx.Err() == nil && time.Now().Before(until); time.Sleep(reconnectDelay) {
+		if c.connectOutOfStep() || c.connectToAny() {
+			return true
+		}
+	}
+	return false
+}
+
 // receivedEvents returns the number of whole events in a response.
 func receivedEvents(body string) int { return strings.Count(body, "\n\n") }
 
@@ -188,7 +209,10 @@
 	c.lastCall = call
 	text := c.encode(call)
 	stop := func() {}
-	if c.rng.Float64() < cancelShare {
+	call.Dropped = call.Kind == Stream && c.w.isReleasing() && c.rng.Float64() < dropShare
+	if call.Dropped {
+		stop = c.cancelAfter(call, time.Duration(c.rng.Int64N(int64(maxDropDelay))))
+	} else if c.rng.Float64() < cancelShare {
 		stop = c.cancelAfter(call, time.Duration(c.rng.Int64N(int64(maxCancelDelay))))
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(call.Timeout + clientTimeoutSlack)) // on a closed connection the write below fails
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -18,7 +18,7 @@
 	if v := writtenBy(call.ResponseBody); v != "" {
 		return expectedEvents(call, versionMark+v)
 	}
-	for n := range softwareVersions { // the first event is cut: any version may have written it
+	for n := range maxVersions { // the first event is cut: any version may have written it
 		if all := expectedEvents(call, versionMark+versionName(n)); strings.HasPrefix(all, call.ResponseBody) {
 			return all
 		}
--- a/internal/lab/soak/check_process.go
+++ b/internal/lab/soak/check_process.go
@@ -89,21 +89,24 @@
 
 // runningTime returns how long a process was not frozen, from its start until a time.
 func (f *Observations) runningTime(gateway int, started, until time.Time) time.Duration {
-	freezes := slices.DeleteFunc(slices.Clone(f.Disturbances), func(d *Disturbance) bool {
-		return d.Fault != FaultFreeze || !slices.Contains(d.Gateways, gateway) || d.From.Before(started)
-	})
-	slices.SortFunc(freezes, func(a, b *Disturbance) int { return a.From.Compare(b.From) })
-	awake, from := time.Duration(0), started
-	for _, d := range freezes {
+	return f.undisturbedTime(gateway, started, until, func(d *Disturbance) bool { return d.Fault == FaultFreeze && !d.From.Before(started) })
+}
+
+// undisturbedTime returns how long a process was not disturbed between two times by a fault for which counts returns true.
+func (f *Observations) undisturbedTime(gateway int, started, until time.Time, counts func(*Disturbance) bool) time.Duration {
+	all := slices.DeleteFunc(slices.Clone(f.Disturbances), func(d *Disturbance) bool { return !d.affects(gateway) || !counts(d) })
+	slices.SortFunc(all, func(a, b *Disturbance) int { return a.From.Compare(b.From) })
+	undisturbed, from := time.Duration(0), started
+	for _, d := range all {
 		if !d.From.Before(until) {
 			break
 		}
-		awake += max(0, d.From.Sub(from))
+		undisturbed += max(0, d.From.Sub(from))
 		if d.To.After(from) {
 			from = d.To
 		}
 	}
-	return awake + max(0, until.Sub(from))
+	return undisturbed + max(0, until.Sub(from))
 }
 
 // defectPatterns are texts in a log that show a defect.
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -24,6 +24,7 @@
 func sampleObservations() *Observations {
 	f := newObservations()
 	f.Starts[0], f.Starts[1] = []time.Time{at(-100)}, []time.Time{at(-100)}
+	f.Ready[0], f.Ready[1] = []time.Time{at(-99)}, []time.Time{at(-99)}
 	f.ConfigWrites = []ConfigWrite{{1, at(-50), at(-50)}, {2, at(10), at(10)}, {3, at(20), at(20)}}
 	f.Leases = []Lease{{"gateway-0", 1, at(-90)}, {"gateway-1", 2, at(30)}}
 	return f
@@ -43,7 +44,7 @@
 		Instance: "i-1", Service: serviceApp, At: at(sent + 0.01), Ended: at(sent + 0.09), Status: http.StatusOK, Ran: true,
 	}
 	if kind.Streams() {
-		a.Service, c.Timeout = serviceModels, streamTimeout
+		a.Service, a.Software, c.Timeout = serviceModels, writtenBy(c.ResponseBody), streamTimeout
 	}
 	f.Calls, f.Arrivals = append(f.Calls, c), append(f.Arrivals, a)
 	return c, a
@@ -90,6 +91,46 @@
 			c.Resumes, c.After = "r", receivedEvents(begun.ResponseBody)
 			c.ResponseBody = expectedEvents(c, versionMark+"v2")
 		}},
+		"event that no run wrote in a complete stream": {(*checker).streamsAsWritten, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody = strings.Replace(c.ResponseBody, "id: 3\n", "data: garbage\n\nid: 3\n", 1)
+		}},
+		"event without an ID is the last": {(*checker).streamsAsWritten, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody += "garbage"
+		}},
+		"complete stream ends early": {(*checker).streamsAsWritten, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody = c.ResponseBody[:strings.Index(c.ResponseBody, "id: 16")]
+		}},
+		"event is missing": {(*checker).streamsAsWritten, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody = c.ResponseBody[strings.Index(c.ResponseBody, "id: 2"):]
+		}},
+		"event of a version at which the request did not run": {(*checker).streamsAsWritten, func(f *Observations) {
+			_, a := f.addAnsweredCall("r", Stream, 40)
+			a.Software = "v2"
+		}},
+		"events of two versions at which the request ran": {(*checker).streamsAsWritten, func(f *Observations) {
+			c, a := f.addAnsweredCall("r", Stream, 40)
+			f.addRepeat(a, 0.01).Software = "v2"
+			c.ResponseBody = strings.Replace(c.ResponseBody, "-16 by v1", "-16 by v2", 1)
+		}},
+		"streams with garbage do not continue": {(*checker).garbledStreamsContinue, func(f *Observations) {
+			for n := range 2 * minResumptions {
+				c, _ := f.addAnsweredCall(fmt.Sprint("r", n), Stream, 40)
+				if n%2 == 0 {
+					f.Garbled[c.ID], c.Complete, c.ResponseBody = true, false, ""
+				}
+			}
+		}},
+		"new instance gets no request": {(*checker).newInstancesGetWork, func(f *Observations) {
+			f.Registered = []Registered{{"i-9", serviceApp, at(30)}}
+			addCalls(f, minNewcomerChances, Once, func(*Call, *Arrival) {})
+		}},
+		"process does not become ready": {(*checker).processesBecomeReady, func(f *Observations) {
+			f.Starts[0], f.Ready[0] = append(f.Starts[0], at(40)), []time.Time{at(47)}
+		}},
 		"requests with a poison part go on": {(*checker).poisonPartsStopped, func(f *Observations) {
 			for n := range poisonCrashes {
 				f.PartCrashes = append(f.PartCrashes, at(30+float64(n)))
@@ -252,6 +293,7 @@
 		t.Run(name, func(t *testing.T) {
 			healthy := sampleObservations()
 			healthy.addAnsweredCall("sound", Once, 95)
+			healthy.addAnsweredCall("stream", Stream, 95)
 			require.Empty(t, c.check(newChecker(Options{Bounds: DefaultBounds, Processes: 2}, healthy, at(80))).Violations)
 			violated := sampleObservations()
 			c.violate(violated)
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -33,7 +33,9 @@
 	// softwareVersions is the number of versions of the engines' program. In one of oneVersionSeeds seeds there is
 	// only one.
 	softwareVersions = 2
-	oneVersionSeeds  = 4
+	// maxVersions is the largest number of versions in a run.
+	maxVersions     = 20
+	oneVersionSeeds = 4
 	// instancesHost is the last octet of the IP address of all instances, instancesPort the port of
 	// the first one.
 	instancesHost = 254
@@ -70,6 +72,8 @@
 	draining, deregistered bool
 	// lateShare is the share of responses that are followed by responses in excess.
 	lateShare float64
+	// version is the number of the version of the engines in seeds with releases.
+	version int
 	// server is nil while no instance is running. listener is closed separately, because just after
 	// the start the server has not taken it over yet.
 	server   *http.Server
@@ -120,14 +124,16 @@
 	e.IdentifyRejections = p.w.identifiesRejections(p.number)
 	if p.Service == serviceModels {
 		e.Events, e.Gap = streamEvents, eventGap
-		e.Software = p.w.softwareVersion(p.number, p.starts)
+		e.Software = p.software()
 		p.poison(e)
+		p.setGarble(e)
 		p.recordEngine(e)
 	}
 	e.OnStageChange = func(stage string) { p.register(e, stage) }
 	p.current, p.draining, p.deregistered = e, false, false
 	p.mu.Unlock()
 	p.register(e, p.Stage)
+	p.recordRegistration(e.ID)
 }
 
 // register writes the registration of an instance if it is still the current one.
@@ -165,7 +171,7 @@
 
 // recordEngine records the start of a decode engine.
 func (p *place) recordEngine(e *fleetengine.Engine) {
-	if p.Stage == fleetengine.StageDecode {
+	if p.isDecode() {
 		p.w.observed.record(func() {
 			p.w.observed.Engines = append(p.w.observed.Engines, &EngineRun{Instance: e.ID, Software: e.Software, Started: time.Now()})
 		})
@@ -283,7 +289,7 @@
 
 func (p *place) serveRequest(e *fleetengine.Engine, w http.ResponseWriter, r *http.Request, in fleetengine.Arrival) {
 	rec := &responseRecorder{ResponseWriter: w, status: http.StatusOK}
-	a := &Arrival{Arrival: in, Instance: e.ID, Service: p.Service, At: time.Now()}
+	a := &Arrival{Arrival: in, Instance: e.ID, Software: e.Software, Service: p.Service, At: time.Now()}
 	p.w.observed.record(func() { p.w.observed.Arrivals = append(p.w.observed.Arrivals, a) })
 	done := false
 	defer func() {
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -61,6 +61,8 @@
 	Poisoned bool
 	// CanceledAt is when the client closed its connection before the response; zero if it did not.
 	CanceledAt time.Time
+	// Dropped is true if the client closed its connection to resume the stream elsewhere.
+	Dropped bool
 	// Unsent is true if the connection ended before the request had been written completely.
 	Unsent bool
 	// Status is 0 if no response header was received.
@@ -110,7 +112,9 @@
 type Arrival struct {
 	fleetengine.Arrival
 	Instance, Service string
-	At                time.Time
+	// Software is the version of the instance's program, empty for none.
+	Software string
+	At       time.Time
 	// Ended is when the instance finished the request; zero while it works on it.
 	Ended time.Time
 	// Status is the status of the response. Aborted is true if the instance aborted the connection.
@@ -202,10 +206,17 @@
 	PartCrashes []time.Time
 	// LateResponses counts the responses in excess.
 	LateResponses int
-	Starts        map[int][]time.Time
+	// Starts are the times at which processes were started, Ready those at which the balancer found them ready first, by
+	// process number.
+	Starts, Ready map[int][]time.Time
+	Registered    []Registered
+	// Garbled has the IDs of the requests for which an instance sent garbage.
+	Garbled map[string]bool
 }
 
-func newObservations() *Observations { return &Observations{Starts: map[int][]time.Time{}} }
+func newObservations() *Observations {
+	return &Observations{Starts: map[int][]time.Time{}, Ready: map[int][]time.Time{}, Garbled: map[string]bool{}}
+}
 
 // endEngine records the end of an engine. The caller holds the lock.
 func (f *Observations) endEngine(id string) {
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -99,6 +99,11 @@
 	// Count is the number of requests that an instance fails, or of configurations written in a
 	// row.
 	Count int
+	// Places are the places whose engines are replaced by those of the version with the number Version.
+	Places  []int
+	Version int
+	// OutOfStep is true if clients prefer the affected processes to resume streams.
+	OutOfStep bool
 	// Duration is how long the fault lasts.
 	Duration   time.Duration
 	Conditions Conditions
@@ -120,6 +125,12 @@
 	if strings.HasPrefix(string(a.Fault), "instance") {
 		text += fmt.Sprintf(" at place %d, %d times", a.Place, a.Count)
 	}
+	if a.Fault == FaultOddEntries {
+		text += fmt.Sprintf(": %d from form %d", a.Count, a.Place)
+	}
+	if a.Fault == FaultRelease {
+		text += fmt.Sprintf(" of %s at places %v", versionName(a.Version), a.Places)
+	}
 	return strings.TrimSpace(text + " " + a.Service)
 }
 
@@ -192,7 +203,8 @@
 		out = slices.DeleteFunc(out, func(a Action) bool { return slices.Contains(storeWideFaults, a.Fault) && a.At > storeFaultsEnd(length) })
 		out = slices.Concat(out, s.withdrawals(length), s.watcherFaults(length), s.storeRestores(length), s.rollingRestart(length))
 	}
-	out = slices.Concat(out, rateLimitActions(seed, layout, length), rejectionActions(seed, processes, layout, length), sickInstanceActions(seed, layout, length), lateResponseActions(seed, processes, layout, length))
+	out = slices.Concat(out, rateLimitActions(seed, layout, length), rejectionActions(seed, processes, layout, length), sickInstanceActions(seed, layout, length), lateResponseActions(seed, processes, layout, length),
+		garbageActions(seed, layout, length), oddEntryActions(seed, processes, layout, length), releaseActions(seed, processes, layout, length))
 	out = slices.DeleteFunc(out, func(a Action) bool { return a.At >= length })
 	slices.SortStableFunc(out, func(a, b Action) int { return int(a.At - b.At) })
 	return out
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -32,6 +32,10 @@
 type world struct {
 	// scheduleBegun is when the faults began, nil before.
 	scheduleBegun atomic.Pointer[time.Time]
+	// released is when versions changed last, nil before.
+	released atomic.Pointer[time.Time]
+	// outOfStep are the processes that were suspended or cut off last while a version joins, nil before.
+	outOfStep     atomic.Pointer[[]int]
 	o             Options
 	subnet        string
 	observed      *Observations
@@ -262,10 +266,15 @@
 	client := &http.Client{Timeout: balancerInterval / 2, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, g := range w.gateways {
 		go func() {
-			misses := 0
+			misses, lastReady := 0, 0
 			for w.ctx.Err() == nil {
+				incarnation, _ := g.state()
 				if misses++; isReady(client, g) {
 					misses = 0
+					if incarnation != lastReady {
+						lastReady = incarnation
+						w.observed.record(func() { w.observed.Ready[g.number] = append(w.observed.Ready[g.number], time.Now()) })
+					}
 				}
 				w.mu.Lock()
 				w.inRotation[g.number] = misses == 0 || w.inRotation[g.number] && misses < balancerMisses
