Resumptions: versions that no instance has are not reported as published

A process that lacked one version for long read the list again and again, and reported versions that its view doesn't have each time, two log lines a read. What a read brings is now reduced to the versions in the view before it is compared and reported. Found by reading; TestVersionsArePublishedBeforeUse has the case, go test -race -count=3 of the package passes.

--- a/internal/resumption/list_test.go
+++ b/internal/resumption/list_test.go
@@ -182,10 +182,11 @@
 	require.Equal(t, []string{"v1"}, permitted(), "the store does not answer")
 	s.set(func() { s.down = false })
 
-	w.setList(t, "v1", "v2")
+	w.setList(t, "v1", "v2", "v0")
 	p.readAt = time.Time{}
 	p.update(ctx)
 	require.Equal(t, []string{"v1", "v2"}, permitted())
+	require.False(t, published.Has("s", "v0"), "no instance has it; it is read again when one has")
 	reads := s.reads()
 	p.readAt = time.Time{}
 	p.update(ctx)
--- a/internal/resumption/publish.go
+++ b/internal/resumption/publish.go
@@ -72,9 +72,12 @@
 		level.Debug(p.r.logger).Log("msg", "published versions not read", "err", err)
 		return
 	}
-	known := list.serving()
-	if p.known == nil || !maps.EqualFunc(known, p.known, slices.Equal) {
-		p.known = known
+	before := p.known
+	p.known = list.serving()
+	if v.InstancesKnown {
+		p.forget(serving)
+	}
+	if before == nil || !maps.EqualFunc(before, p.known, slices.Equal) {
 		p.report(ctx)
 	}
 	p.publishLate(cctx, v, list, at)
