The completion service does not pass on events that are no JSON objects

An engine's event of any data reached the client of a completion stream, which ended as complete, while a response in one piece was checked to be JSON.

Each event except the last of a stream must now hold a JSON object. Any other ends the attempt, is logged with its first bytes, and counts against the engine; an idempotent request goes on at another engine after the events delivered, the others end with the error event.

The stand-in has a fault for it. Two tests have a case more each and also check that no garbage arrives; nothing else in them changes.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -80,13 +80,16 @@
 		"response to another request": {WrongID: true},
 		"garbage":                     {Garbage: true},
 		"interrupted stream":          {CutAfter: 3},
+		"garbage in a stream":         {GarbageAfter: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
 			f.engineFaults(faults)
-			g := f.chat("review", faults.CutAfter > 0)
+			stream := faults.CutAfter > 0 || faults.GarbageAfter > 0
+			g := f.chat("review", stream)
 			require.Equal(t, 1, f.engineRuns())
-			if faults.CutAfter > 0 {
+			require.NotContains(t, g.body, "data: garbage")
+			if stream {
 				_, done := text(t, strings.Split(g.body, `data: {"error"`)[0])
 				require.False(t, done)
 				require.Contains(t, g.body, codeUnknown, "a typed error event ends the stream")
@@ -106,12 +109,14 @@
 		"closed before headers":       {CutBeforeHeaders: true},
 		"response to another request": {WrongID: true},
 		"interrupted stream":          {CutAfter: 3},
+		"garbage in a stream":         {GarbageAfter: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
 			f.engines[0].SetFaults(faults)
 			for range 4 {
 				g := f.chat("notes", true)
+				require.NotContains(t, g.body, "data: garbage")
 				got, done := text(t, g.body)
 				require.True(t, done, g.body)
 				require.Equal(t, answer.Text("hello", 6), got, "no token may be lost or repeated")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/rockdoor/rockdoor/engine/openai"
@@ -98,6 +100,10 @@
 // relayStream forwards a stream, event by event.
 func (r *run) relayStream(a *attempt.Attempt, work *routing.Work) {
 	err := a.Events(func(data string) error {
+		if !isObject(data) {
+			level.Warn(r.s.o.Logger).Log("msg", "malformed event", "request", r.c.id, "target", r.target.Name, "events", r.delivered, "bytes", len(data), "begins", fmt.Sprintf("%.64q", data))
+			return fault.Newf(fault.Unknown, "check the engine", "engine %s sent an event that is not a JSON object", r.target.Name)
+		}
 		work.Token()
 		if err := r.writeEvent(data); err != nil {
 			return fault.Wrap(err, fault.Unknown, "client disconnected", "none")
@@ -112,6 +118,11 @@
 	}
 }
 
+// isObject reports whether the data of an event are a JSON object, as all but the last event of a stream have.
+func isObject(data string) bool {
+	return strings.HasPrefix(strings.TrimLeft(data, " \t\n"), "{") && json.Valid([]byte(data))
+}
+
 // writeEvent sends one event to the client. The first event is preceded by the
 // response header.
 func (r *run) writeEvent(data string) error {
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -48,6 +48,8 @@
 	RateLimit string `json:"rateLimit"`
 	// Garbage responds with a body that is not valid in the API.
 	Garbage bool `json:"garbage"`
+	// GarbageAfter, if positive, adds an event that is not valid in the API after this many pieces of a stream.
+	GarbageAfter int `json:"garbageAfter"`
 	// CrashInOrder makes the engine crash while it changes its role for an order. It then serves no
 	// requests until a reset.
 	CrashInOrder bool `json:"crashInOrder"`
@@ -226,6 +228,9 @@
 		if f.CutAfter > 0 && i-from >= f.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if f.GarbageAfter > 0 && i-from == f.GarbageAfter && req.Stream {
+			out.writeEvent("garbage")
+		}
 		out.writePiece(i)
 		pieces++
 	}
