The lab's client counts a stream with a malformed event as wrong

The client of rockdoor-lab skipped events that it could not decode, so that a run of load never showed what a garbled stream of the completion service brings to its clients: such a response counted as right.

An event that is not a chunk now makes the response a wrong one.

--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -189,7 +189,7 @@
 func (r *Result) readStream(resp *http.Response, due time.Time, want string) {
 	var got strings.Builder
 	var gaps []time.Duration
-	last := due
+	last, malformed := due, false
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			break
@@ -205,7 +205,11 @@
 			return
 		}
 		var c openai.Chunk
-		if json.Unmarshal([]byte(ev.Data), &c) != nil || len(c.Choices) == 0 || c.Choices[0].Delta == nil || c.Choices[0].Delta.Content == "" {
+		if json.Unmarshal([]byte(ev.Data), &c) != nil {
+			malformed = true
+			continue
+		}
+		if len(c.Choices) == 0 || c.Choices[0].Delta == nil || c.Choices[0].Delta.Content == "" {
 			continue
 		}
 		now := time.Now()
@@ -223,7 +227,7 @@
 		return
 	}
 	r.Gap = Percentile(gaps, 0.95)
-	r.WrongResponse = got.String() != want
+	r.WrongResponse = malformed || got.String() != want
 }
 
 func streamError(data string) string {
