A version that takes another's place is published before it serves

Cause: if no published version had an instance that takes new requests, all versions served. Draining instances take none, so a version in the place of another served before the list had it, and the list proved the old one.

Change: unpublished versions serve only at services of which the list has no version, so that it proves nothing of them, and at services that have lacked a version for long: a second while the list can't be read, five while nobody writes it. Another process than the holder publishes after 0.3 s in place of 1 s, since callers may wait. The assertion "no published version serves" of a test stated the fault; it is replaced by one for closed services and one for open ones.

--- a/internal/gatewayd/joined_test.go
+++ b/internal/gatewayd/joined_test.go
@@ -134,3 +134,34 @@
 		})
 	}
 }
+
+// TestHostOutOfStepWhenAVersionReplacesAnother has v1 drain as v2 joins, while two hosts lack the store and their peers. They
+// reach the store again when streams that began at the third host are resumed at them.
+func TestHostOutOfStepWhenAVersionReplacesAnother(t *testing.T) {
+	const (
+		streams = 40
+		gap     = 50 * time.Millisecond
+	)
+	d, all, links := singleVersion(t, gap)
+	for _, p := range all[1:] {
+		links[p.settings.Name].cut.Store(true)
+		p.daemon.transport.Close()
+	}
+	old := d.engines[4:7]
+	d.join(all[0], gap)
+	for _, e := range old {
+		d.registerEngine(e, d.addresses[e.ID], "draining")
+	}
+	publishes := func() bool { return all[0].daemon.discovery.View().Published.Has("llm", "v2") }
+	require.Eventually(t, publishes, 3*time.Second, time.Millisecond)
+	clients := beginStreams(t, all[:1], streams, 1)
+	clients.disconnect()
+	clients.ended.Wait()
+	ofJoined := clients.begunAt("v2")
+	for _, p := range all[1:] {
+		links[p.settings.Name].cut.Store(false)
+	}
+	mixed, continued := clients.resume(all[1:])
+	t.Logf("%d of %d streams began at the version that joined; %d have events of two versions; %d continued", ofJoined, streams, mixed, continued)
+	require.Zero(t, mixed)
+}
--- a/internal/resumption/list_test.go
+++ b/internal/resumption/list_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/bootclock"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
@@ -200,8 +201,10 @@
 	p.update(ctx)
 	require.Equal(t, []string{"v1"}, permitted(), "a version that comes back is published again before it serves")
 	w.serve("v2")
-	w.o.OnPublished(ctx, fleet.NewPublished(map[string][]string{"s": {"v1"}}))
-	require.Equal(t, []string{"v2"}, permitted(), "no published version serves")
+	w.o.OnPublished(ctx, fleet.NewPublished(map[string][]string{"s": {"v1"}}, nil))
+	require.Empty(t, permitted(), "no published version serves")
+	w.o.OnPublished(ctx, fleet.NewPublished(map[string][]string{"s": {"v1"}}, map[string]bool{"s": true}))
+	require.Equal(t, []string{"v2"}, permitted(), "no published version serves, and the service is open")
 }
 
 // TestVersionIsPublishedWithoutTheHolder has nobody hold the duties.
@@ -244,3 +247,54 @@
 		require.Less(t, time.Since(began), slotTime, "the first write is made at once, later ones wait a little")
 	}
 }
+
+// begins returns the versions at which a process with these instances begins streams.
+func begins(p *fleet.Published, instances ...*fleet.Instance) (versions []string) {
+	v := fleet.View{InstancesKnown: true, InstancesConfirmedAt: bootclock.Now(), Instances: map[string]*fleet.Instance{}, Published: p}
+	for _, i := range instances {
+		v.Instances[i.ID] = i
+	}
+	v.Index()
+	for _, i := range v.Permitted("r", "s") {
+		versions = append(versions, i.Software)
+	}
+	return versions
+}
+
+// TestVersionThatReplacesAnotherIsPublishedBeforeUse has the last instance of v1 drain when v2 joins.
+func TestVersionThatReplacesAnotherIsPublishedBeforeUse(t *testing.T) {
+	ctx := context.Background()
+	w, s := listedWorld(t, []string{"v1"}, "v1")
+	var published *fleet.Published
+	w.o.OnPublished = func(_ context.Context, p *fleet.Published) { published = p }
+	p := &publisher{r: w.Registry}
+	update := func() []string {
+		p.readAt = time.Time{}
+		p.update(ctx)
+		return begins(published, w.view.Instances["i-0"], &fleet.Instance{ID: "i-9", Service: "s", Software: "v2"})
+	}
+	p.update(ctx)
+	w.view.Instances = map[string]*fleet.Instance{
+		"i-0": {ID: "i-0", Service: "s", Software: "v1", Draining: true}, "i-9": {ID: "i-9", Service: "s", Software: "v2"},
+	}
+	w.view.Index()
+	require.Empty(t, update(), "v2 isn't in the list")
+	w.setList(t, "v1", "v2")
+	require.Equal(t, []string{"v2"}, update())
+
+	w.setList(t)
+	s.set(func() { s.down = true })
+	p, published = &publisher{r: w.Registry}, fleet.NewPublished(nil, nil) // a process that starts
+	require.Empty(t, update(), "the list can't be read")
+	p.lacking["s"] = time.Now().Add(-openUnread - time.Second)
+	require.Equal(t, []string{"v2"}, update(), "the service has no other version, and the store is away")
+}
+
+// TestNewServiceServesBeforeItIsListed has a service of which the list has no version.
+func TestNewServiceServesBeforeItIsListed(t *testing.T) {
+	w, _ := listedWorld(t, nil, "v1")
+	var published *fleet.Published
+	w.o.OnPublished = func(_ context.Context, p *fleet.Published) { published = p }
+	(&publisher{r: w.Registry}).update(context.Background())
+	require.Equal(t, []string{"v1"}, begins(published, &fleet.Instance{ID: "i-0", Service: "s", Software: "v1"}))
+}
--- a/internal/resumption/publish.go
+++ b/internal/resumption/publish.go
@@ -22,14 +22,25 @@
 	askSpread       = time.Millisecond
 	// publishAfter is how long a process waits for the holder of the duties to publish a version before it does so itself.
 	// publishSpread is the range of a random delay, for each process of the fleet.
-	publishAfter  = time.Second
+	publishAfter  = 300 * time.Millisecond
 	publishSpread = 5 * time.Millisecond
+	// openUnread and openUnwritten are how long a service is without a version that the list lacks, while the list can't be
+	// read and while nobody writes it. A service that has no other version then uses this one.
+	openUnread    = time.Second
+	openUnwritten = 5 * time.Second
 )
 
 // publisher learns which versions are published. Only one goroutine may use it.
 type publisher struct {
 	r     *Registry
 	known map[string][]string
+	// listed has the services that the list has versions of. unread is true if the last read failed.
+	listed map[string]bool
+	unread bool
+	// lacking is since when a service has had a version that isn't known to be published.
+	lacking map[string]time.Time
+	// reportedOpen are the services that were last reported to be open.
+	reportedOpen map[string]bool
 	// readAt is when the list was last read, writeAt when this process publishes what is missing then, both 0 for never.
 	readAt, writeAt time.Time
 }
@@ -53,34 +64,67 @@
 func (p *publisher) update(ctx context.Context) {
 	v := p.r.o.View()
 	serving := v.Software()
-	if v.InstancesKnown && p.forget(serving) {
-		p.report(ctx)
-	}
-	if p.known != nil && !p.lacks(serving) {
+	changed := v.InstancesKnown && p.forget(serving)
+	if p.known == nil || p.lacks(serving) {
+		changed = p.refresh(ctx, v) || changed
+	} else {
 		p.writeAt = time.Time{}
-		return
 	}
+	if open := p.openServices(serving, time.Now()); changed || !maps.Equal(open, p.reportedOpen) {
+		p.reportedOpen = open
+		p.report(ctx)
+	}
+}
+
+// refresh reads the list, unless it was read just now. It reports whether other versions are known to be published than before.
+func (p *publisher) refresh(ctx context.Context, v *fleet.View) (changed bool) {
 	if time.Since(p.readAt) < askInterval+time.Duration(v.Processes)*askSpread {
-		return
+		return false
 	}
 	p.readAt = time.Now()
 	cctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	list, at, err := p.read(cctx, v.Processes)
-	if err != nil {
+	if p.unread = err != nil; p.unread {
 		p.r.count("list_unread")
 		level.Debug(p.r.logger).Log("msg", "published versions not read", "err", err)
-		return
+		return false
 	}
 	before := p.known
-	p.known = list.serving()
-	if v.InstancesKnown {
-		p.forget(serving)
+	p.known, p.listed = list.serving(), map[string]bool{}
+	for service, versions := range list.Until {
+		p.listed[service] = len(versions) > 0
 	}
-	if before == nil || !maps.EqualFunc(before, p.known, slices.Equal) {
-		p.report(ctx)
+	if v.InstancesKnown {
+		p.forget(v.Software())
 	}
 	p.publishLate(cctx, v, list, at)
+	return before == nil || !maps.EqualFunc(before, p.known, slices.Equal)
+}
+
+// openServices returns the services that may use a version that isn't known to be published if they have no other: those that
+// the list has no version of, so that nobody concludes that there was only one, and those that have waited for too long.
+func (p *publisher) openServices(serving map[string][]string, now time.Time) map[string]bool {
+	limit := openUnwritten
+	if p.unread {
+		limit = openUnread
+	}
+	lacking, open := map[string]time.Time{}, map[string]bool{}
+	for service, versions := range serving {
+		if !slices.ContainsFunc(versions, func(version string) bool { return !slices.Contains(p.known[service], version) }) {
+			continue
+		}
+		since, known := p.lacking[service]
+		if !known {
+			since = now
+		}
+		lacking[service] = since
+		if p.known != nil && !p.listed[service] || now.Sub(since) > limit {
+			open[service] = true
+		}
+	}
+	p.lacking = lacking
+	return open
 }
 
 // read returns the list. In a fleet whose reads would burden the store it may be some seconds old: a version stays in it for
@@ -149,6 +193,6 @@
 }
 
 func (p *publisher) report(ctx context.Context) {
-	p.r.o.OnPublished(ctx, fleet.NewPublished(maps.Clone(p.known)))
-	level.Info(p.r.logger).Log("msg", "published versions", "services", len(p.known), "versions", describeVersions(p.known))
+	p.r.o.OnPublished(ctx, fleet.NewPublished(maps.Clone(p.known), p.reportedOpen))
+	level.Info(p.r.logger).Log("msg", "published versions", "services", len(p.known), "versions", describeVersions(p.known), "open", len(p.reportedOpen), "unread", p.unread)
 }
