The list of versions is confirmed again, and proves nothing of an earlier era

The list of published versions is what decides on streams without a record.

Cause: what was once read counted for good; the list had no mark of its era.

Change: processes read it again each 10 s, as its holder does, and publish what is missing. The list names its era: in a later one it counts from its next write on. A service without a start counts from its next write, too.

Price: a read each 10 s by each process.

--- a/internal/dutyobject/dutyobject.go
+++ b/internal/dutyobject/dutyobject.go
@@ -69,6 +69,9 @@
 	level.Info(o.o.Logger).Log("msg", "object written to the store", "key", o.o.Key, "token", g.Token, "err", err)
 }
 
+// Reread has the next call of Update read the object first.
+func (o *Object[T]) Reread() { o.token = 0 }
+
 // Read reads the object. Its value is zero if it does not exist, or can't be parsed.
 func (o *Object[T]) Read(ctx context.Context) (T, error) {
 	o.triedAt = time.Now()
--- a/internal/resumption/keeper.go
+++ b/internal/resumption/keeper.go
@@ -17,6 +17,8 @@
 const (
 	// keepInterval is how often the versions are compared with those in the store.
 	keepInterval = 100 * time.Millisecond
+	// confirmInterval is how often the object is read, in case that another writer has changed it.
+	confirmInterval = 10 * time.Second
 	// clockMargin covers the differences between the wall clocks of the processes.
 	clockMargin = time.Second
 )
@@ -24,8 +26,10 @@
 // storedVersions are the software versions of all services, as they are in the store. Times are in Unix
 // milliseconds.
 type storedVersions struct {
-	// Since is when the object was first written, 0 if it never was.
+	// Since is when the object was first written in the store's present era, 0 if it never was.
 	Since int64 `json:"since"`
+	// Era is the era of the store in which the object was written.
+	Era int64 `json:"era,omitempty"`
 	// From has, by service, when its first version was published.
 	From map[string]int64 `json:"from,omitempty"`
 	// Until has, by service and version, when the last instance of the version was seen, 0 if there is one.
@@ -35,7 +39,8 @@
 // evidence returns what the object says of a service's versions during the latest period.
 func (s *storedVersions) evidence(service string, now time.Time, period time.Duration) Evidence {
 	from := now.Add(-period - clockMargin).UnixMilli()
-	e := Evidence{Complete: s.Since != 0 && s.Since <= from && s.From[service] <= from}
+	since := s.From[service]
+	e := Evidence{Complete: s.Since != 0 && s.Since <= from && since != 0 && since <= from}
 	e.Complete = e.Complete && len(s.Until[service]) > 0 // otherwise a version may serve that was never published
 	for version, until := range s.Until[service] {
 		if until == 0 || until >= from {
@@ -60,20 +65,21 @@
 }
 
 // with returns the object with the versions that serve now added.
-func (s *storedVersions) with(serving map[string][]string, now time.Time) storedVersions {
+func (s *storedVersions) with(serving map[string][]string, now time.Time, era int64) storedVersions {
 	all := s.serving()
 	for service, versions := range serving {
 		all[service] = append(all[service], versions...)
 	}
-	out, _ := s.next(all, now)
+	out, _ := s.next(all, now, era)
 	return out
 }
 
-// next returns the object for the versions that serve now. It reports whether it differs.
-func (s *storedVersions) next(serving map[string][]string, now time.Time) (storedVersions, bool) {
-	out := storedVersions{Since: s.Since, From: map[string]int64{}, Until: map[string]map[string]int64{}}
+// next returns the object for the versions that serve now. It reports whether it differs. In a later era of the store than that of
+// the object, versions that were published meanwhile may be missing in it, so it begins anew.
+func (s *storedVersions) next(serving map[string][]string, now time.Time, era int64) (storedVersions, bool) {
+	out := storedVersions{Since: s.Since, Era: era, From: map[string]int64{}, Until: map[string]map[string]int64{}}
 	maps.Copy(out.From, s.From)
-	changed := s.Since == 0
+	changed := s.Since == 0 || s.Era != era
 	if changed {
 		out.Since = now.UnixMilli()
 	}
@@ -89,8 +95,11 @@
 		out.Until[service] = kept
 	}
 	for service, versions := range serving {
-		if len(out.Until[service]) == 0 {
-			out.Until[service], out.From[service] = map[string]int64{}, now.UnixMilli()
+		if len(out.Until[service]) == 0 || out.From[service] == 0 {
+			out.From[service], changed = now.UnixMilli(), true
+		}
+		if out.Until[service] == nil {
+			out.Until[service] = map[string]int64{}
 		}
 		for _, version := range versions {
 			out.Until[service][version] = 0
@@ -129,9 +138,16 @@
 
 // Run keeps the versions until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	confirmedAt := time.Now()
 	periodic.Run(ctx, keepInterval, func(ctx context.Context) {
+		if time.Since(confirmedAt) > confirmInterval {
+			confirmedAt = time.Now()
+			k.object.Reread()
+		}
 		if v := k.o.View(); v.InstancesKnown && (k.o.StaleAfter == 0 || v.InstancesAge() <= k.o.StaleAfter) {
-			k.object.Update(ctx, func(stored storedVersions) (storedVersions, bool) { return stored.next(v.Software(), k.o.Clock()) })
+			k.object.Update(ctx, func(stored storedVersions) (storedVersions, bool) {
+				return stored.next(v.Software(), k.o.Clock(), v.Era)
+			})
 		}
 	})
 }
--- a/internal/resumption/list.go
+++ b/internal/resumption/list.go
@@ -62,6 +62,8 @@
 	if err != nil {
 		return v, 0, err
 	}
-	err = json.Unmarshal(obj.Value, &v)
+	if err = json.Unmarshal(obj.Value, &v); v.Era != obj.Version.Era() {
+		v.Since = 0 // nobody has confirmed it since the store was restored
+	}
 	return v, obj.Version, err
 }
--- a/internal/resumption/list_test.go
+++ b/internal/resumption/list_test.go
@@ -79,7 +79,7 @@
 	o.Store = o.Store.(*heldStore).Store
 	old, at, err := getVersions(ctx, o)
 	require.NoError(t, err)
-	next, _ := old.next(map[string][]string{"s": versions}, since)
+	next, _ := old.next(map[string][]string{"s": versions}, since, 0)
 	text, err := json.Marshal(next)
 	require.NoError(t, err)
 	_, err = o.Store.Put(ctx, "streams/"+versionsName, text, at, "w")
@@ -189,7 +189,7 @@
 	require.Equal(t, []string{"v1", "v2"}, permitted())
 	require.False(t, published.Has("s", "v0"), "no instance has it; it is read again when one has")
 	reads := s.reads()
-	p.readAt = time.Time{}
+	p.readAt = time.Now().Add(-recheckInterval / 2)
 	p.update(ctx)
 	require.Equal(t, reads, s.reads(), "nothing is missing")
 
@@ -298,3 +298,33 @@
 	(&publisher{r: w.Registry}).update(context.Background())
 	require.Equal(t, []string{"v1"}, begins(published, &fleet.Instance{ID: "i-0", Service: "s", Software: "v1"}))
 }
+
+// TestListOfAnEarlierEraIsNoProof has the store restored from a snapshot that was made before v2 was published.
+func TestListOfAnEarlierEraIsNoProof(t *testing.T) {
+	long := time.Now().Add(-time.Hour)
+	list, _ := (&storedVersions{}).next(map[string][]string{"s": {"v1"}}, long, 0)
+	list, changed := list.next(map[string][]string{"s": {"v1"}}, time.Now(), 1)
+	require.True(t, changed, "the holder confirms the list in the new era")
+	require.False(t, list.evidence("s", time.Now(), life).Complete)
+	require.True(t, list.evidence("s", time.Now().Add(2*life), life).Complete)
+}
+
+// TestVersionThatIsDroppedFromTheListIsPublishedAgain has another writer take a version from the list that a process uses.
+func TestVersionThatIsDroppedFromTheListIsPublishedAgain(t *testing.T) {
+	ctx := context.Background()
+	w, _ := listedWorld(t, []string{"v1", "v2"}, "v1", "v2")
+	w.o.OnPublished = func(context.Context, *fleet.Published) {}
+	p := &publisher{r: w.Registry}
+	p.update(ctx)
+	w.setList(t, "v1")
+	for range 3 {
+		p.readAt = time.Now().Add(-recheckInterval - time.Second)
+		p.update(ctx)
+		if !p.writeAt.IsZero() {
+			p.writeAt = time.Now().Add(-time.Millisecond)
+		}
+	}
+	list, _, err := getVersions(ctx, *w.o.Store)
+	require.NoError(t, err)
+	require.Equal(t, []string{"v1", "v2"}, list.serving()["s"])
+}
--- a/internal/resumption/publish.go
+++ b/internal/resumption/publish.go
@@ -28,12 +28,16 @@
 	// read and while nobody writes it. A service that has no other version then uses this one.
 	openUnread    = time.Second
 	openUnwritten = 5 * time.Second
+	// recheckInterval is how often a process makes sure that what it knows to be published still is.
+	recheckInterval = 10 * time.Second
 )
 
 // publisher learns which versions are published. Only one goroutine may use it.
 type publisher struct {
 	r     *Registry
 	known map[string][]string
+	// era is that of the store in which known was read.
+	era int64
 	// listed has the services that the list has versions of. unread is true if the last read failed.
 	listed map[string]bool
 	unread bool
@@ -64,8 +68,11 @@
 func (p *publisher) update(ctx context.Context) {
 	v := p.r.o.View()
 	serving := v.Software()
+	if v.Era != p.era { // the list that was read may be of changes that the store has lost
+		p.known, p.era = nil, v.Era
+	}
 	changed := v.InstancesKnown && p.forget(serving)
-	if p.known == nil || p.lacks(serving) {
+	if p.known == nil || p.lacks(serving) || time.Since(p.readAt) > recheckInterval {
 		changed = p.refresh(ctx, v) || changed
 	} else {
 		p.writeAt = time.Time{}
@@ -159,7 +166,7 @@
 		return
 	}
 	o := p.r.o.Store
-	next := list.with(serving, o.Clock())
+	next := list.with(serving, o.Clock(), v.Era)
 	value, err := json.Marshal(next)
 	if err == nil {
 		_, err = o.Store.Put(ctx, o.Prefix+versionsName, value, at, o.Writer)
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -181,22 +181,22 @@
 	now := time.UnixMilli(1_000_000)
 	var s storedVersions
 	require.False(t, s.evidence("s", now, life).Complete, "nothing was ever written")
-	s, changed := s.next(map[string][]string{"s": {"v1"}}, now)
+	s, changed := s.next(map[string][]string{"s": {"v1"}}, now, 0)
 	require.True(t, changed)
-	_, changed = s.next(map[string][]string{"s": {"v1"}}, now.Add(time.Hour))
+	_, changed = s.next(map[string][]string{"s": {"v1"}}, now.Add(time.Hour), 0)
 	require.False(t, changed, "an object that doesn't change is not written")
 	require.False(t, s.evidence("s", now.Add(life), life).Complete)
 	require.Equal(t, Evidence{[]string{"v1"}, true}, s.evidence("s", now.Add(life+clockMargin), life))
 
 	now = now.Add(time.Minute)
-	s, changed = s.next(map[string][]string{"s": {"v1", "v2"}}, now)
+	s, changed = s.next(map[string][]string{"s": {"v1", "v2"}}, now, 0)
 	require.True(t, changed)
-	s, changed = s.next(map[string][]string{"s": {"v2"}}, now.Add(time.Second))
+	s, changed = s.next(map[string][]string{"s": {"v2"}}, now.Add(time.Second), 0)
 	require.True(t, changed)
 	now = now.Add(time.Second)
 	require.Len(t, s.evidence("s", now.Add(life), life).Versions, 2, "a stream of v1 may have been under way")
 	require.Equal(t, []string{"v2"}, s.evidence("s", now.Add(life+2*clockMargin), life).Versions)
-	s, _ = s.next(map[string][]string{"s": {"v3"}}, now.Add(2*historyRetention))
+	s, _ = s.next(map[string][]string{"s": {"v3"}}, now.Add(2*historyRetention), 0)
 	require.Equal(t, []string{"v2", "v3"}, slices.Sorted(maps.Keys(s.Until["s"])), "old versions are forgotten")
 }
 
