A directory with impossible counts ends no process

Callers could see: a host that had joined from a directory of the fleet with, for instance, 3 million processes and 10^15 instances ended with a panic as soon as no scheduler answered, and again after each start.

Cause: the time over which direct reads of the store are spread is a product of both counts; it overflowed, and a random pause of negative length is a panic.

Change: the product is computed as a float and limited to 15 minutes; at 2,000 processes and 20,000 instances it is 133 s, which stays.

--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -32,6 +32,8 @@
 	// second with any number of engines.
 	directReadInterval   = 10 * time.Millisecond
 	instancesPerInterval = 3000
+	// maxJitter bounds these times, whatever the directory says of the size of the fleet.
+	maxJitter = 15 * time.Minute
 	// snapshotInterval is the same for processes that already serve requests and fetch all
 	// instances from a scheduler. Decoding these keeps a small host from its requests for most
 	// of a second.
@@ -203,7 +205,8 @@
 func (d *Discovery) jitterRange(perProcess time.Duration) time.Duration {
 	v := d.View()
 	instances := max(int64(len(v.Instances)), d.expectedInstances.Load(), instancesPerInterval)
-	return time.Duration(int64(v.Processes) * instances / instancesPerInterval * int64(perProcess))
+	spread := float64(v.Processes) * float64(instances) / instancesPerInterval * float64(perProcess)
+	return time.Duration(min(max(spread, 0), float64(maxJitter)))
 }
 
 // readStoreIfStale reads the store directly if the data that this process receives is too old, or the
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,3 +25,15 @@
 		require.GreaterOrEqual(t, d.directReadJitter(), time.Duration(c.processes)*directReadInterval)
 	}
 }
+
+// TestOddDirectoryEndsNoProcess joins from directories with impossible counts. A pause of a random length must stay one.
+func TestOddDirectoryEndsNoProcess(t *testing.T) {
+	for _, c := range []struct{ processes, instances int }{{1 << 40, 1 << 62}, {math.MaxInt, math.MaxInt}, {3_000_000, 1 << 50}, {985, math.MinInt}, {math.MinInt, 10_003}} {
+		d := New(Options{Self: members.Member{Name: "self"}, RunID: "r", Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+		d.joinFromDirectory(directory{Processes: c.processes, Instances: c.instances, Schedulers: []members.Member{{Name: "other"}}, Watchers: []string{"other"}})
+		d.publish()
+		require.NotPanics(t, func() { rand.N(directReadPause + d.directReadJitter()) }, c)
+		require.GreaterOrEqual(t, d.directReadJitter(), time.Duration(0), c)
+		require.Less(t, d.directReadJitter(), time.Hour, c)
+	}
+}
