A directory with impossible counts is not used

Callers could see: a host that started beside a directory with 9*10^12 processes, which names schedulers that do not exist, was not ready after 2 s, and would have spread its own reads of the store over years.

Change: counts beyond a million processes or 16 million instances, or below zero, make it no usable directory; the members are listed instead, as without one. The log line names the counts and the remedy.

Measured: TestImpossibleDirectoryIsNotUsed failed before (not ready) and passes 3 of 3 times with the race detector.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -33,6 +33,12 @@
 // directoryRead is the event that the directory was read.
 type directoryRead struct{ directory }
 
+// Counts in the directory beyond these are not those of a fleet.
+const (
+	maxProcesses = 1 << 20
+	maxInstances = 1 << 24
+)
+
 // directoryTimeout bounds a write of the directory, including its retries.
 const directoryTimeout = 5 * time.Second
 
@@ -48,6 +54,9 @@
 	if err := json.Unmarshal(obj.Value, &dir); err != nil {
 		return dir, fault.Wrap(err, fault.NotFound, "directory of the fleet cannot be decoded", "the members are listed instead")
 	}
+	if dir.Processes > maxProcesses || dir.Instances < 0 || dir.Instances > maxInstances {
+		return dir, fault.Newf(fault.NotFound, "the members are listed instead; check who else writes to "+obj.Key, "directory of the fleet has %d processes and %d instances", dir.Processes, dir.Instances)
+	}
 	if dir.Processes <= members.MaxFullMesh || len(dir.Schedulers) == 0 {
 		return dir, fault.New(fault.NotFound, "directory is of a small fleet or names no schedulers", "the members are listed instead")
 	}
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -47,6 +47,18 @@
 	require.Equal(t, []string{"other"}, members.Names(view().Schedulers))
 }
 
+// TestImpossibleDirectoryIsNotUsed has a process start beside a directory with counts that no fleet has.
+func TestImpossibleDirectoryIsNotUsed(t *testing.T) {
+	for _, counts := range []string{`"processes": 9000000000000, "instances": 10`, `"processes": 985, "instances": -1`, `"processes": 985, "instances": 1125899906842624`, `"processes": 1e30`} {
+		fake := fleetstore.New()
+		setDirectory(fake, `{`+counts+`, "watchers": ["other"], "schedulers": [{"name": "other", "domain": "a", "peer": "10.0.0.9:1", "weight": 1}, {"name": "other-2", "domain": "a", "peer": "10.0.0.8:1", "weight": 1}]}`)
+		setConfig(fake, 1)
+		view := startOn(t, fake, newFakeRelay())
+		eventually(t, func() bool { return view().Ready() })
+		require.Equal(t, []string{"self"}, members.Names(view().Schedulers), counts)
+	}
+}
+
 // startWithPartialSnapshot starts a process that serves requests with a partial snapshot.
 func startWithPartialSnapshot(t *testing.T) (fakeRelay, func() *fleet.View) {
 	t.Helper()
