--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -177,6 +177,9 @@
 		next.ID = fmt.Sprintf("s%d-c%d-%d", c.w.o.Seed, c.number, c.callCount)
 		next.Resumes, next.ResumesAttempt, next.After, next.Gateway, next.Incarnation = begun, attempt, events, c.gateway, c.incarnation
 		next.Begun, next.Attempt, next.EndAnnounced, next.Unread = "", 0, false, false
+		if next.Dropped {
+			next.Subject = "" // the client asks for a part of what it had
+		}
 		next.CanceledAt, next.Dropped = time.Time{}, false
 		next.Status, next.Sealed, next.Complete, next.ResponseBody, next.ReusedConn, next.Unsent, next.Err = 0, false, false, "", false, false, ""
 		c.sendCall(&next)
