Names of stored records have no slash

Cause: the objects with records were named records/HOST/SLOT. The platform's store takes such a name in a create, but its paths have one segment for a name, so that the object could never be read or written again: "does not exist". The first write to each object worked, all later ones failed; since records are written at once, that is the second write already.

Change: the names have dots. The stand-in of the store, which took escaped slashes in a path, answers 404 as the platform does.

Measured: TestRecordsAreWrittenToTheSameObjectAgain fails with the old names.

--- a/internal/resumption/list_test.go
+++ b/internal/resumption/list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -17,9 +18,11 @@
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetstore"
 	"github.com/rockdoor/rockdoor/members"
 	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/objstore/memstore"
+	"github.com/rockdoor/rockdoor/platform"
 )
 
 // heldStore is a store whose reads of an object can be held up or fail.
@@ -328,3 +331,15 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{"v1", "v2"}, list.serving()["s"])
 }
+
+// TestRecordsAreWrittenToTheSameObjectAgain has a process write two batches of records within one slotTime.
+func TestRecordsAreWrittenToTheSameObjectAgain(t *testing.T) {
+	server := httptest.NewServer(fleetstore.New())
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String())
+	defer store.Close()
+	s := &saver{o: StoreOptions{Store: store, Prefix: platform.StreamsPrefix, Process: "edge-1", Writer: "w", Clock: time.Now}, versions: map[int]objstore.Version{}}
+	for range 3 {
+		require.NoError(t, s.save(context.Background(), []storedRecord{{Request: "r", Service: "s", Software: "v1"}}))
+	}
+}
--- a/internal/resumption/store.go
+++ b/internal/resumption/store.go
@@ -20,7 +20,7 @@
 const (
 	// versionsName is the name of the object with the versions. The names of the other objects begin with recordsName.
 	versionsName = "versions"
-	recordsName  = "records/"
+	recordsName  = "records."
 	// saveGap is the minimum time between two writes of records by one process, for each process of the fleet. minSaveGap and
 	// slotTime limit it.
 	saveGap    = 16 * time.Millisecond
@@ -87,7 +87,7 @@
 		return fault.Wrap(err, fault.Internal, "records of streams cannot be encoded", "report this as a defect")
 	}
 	slot := int(s.period % maxSlots)
-	key := fmt.Sprintf("%s%s%s/%d", s.o.Prefix, recordsName, s.o.Process, slot)
+	key := fmt.Sprintf("%s%s%s.%d", s.o.Prefix, recordsName, s.o.Process, slot)
 	obj, err := s.o.Store.Put(ctx, key, value, s.versions[slot], s.o.Writer)
 	if fault.Is(err, fault.Conflict) { // an earlier run of the process wrote it
 		if obj, err = s.o.Store.Get(ctx, key); err == nil {
--- a/internal/standin/fleetstore/front.go
+++ b/internal/standin/fleetstore/front.go
@@ -74,6 +74,10 @@
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
+	if strings.Contains(name, "/") { // a path has one segment for the name, escaped slashes or not
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	if faults.DownKind == kind {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
