--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -168,8 +168,9 @@
 	d.store.OnInvalidEra(func(text string) {
 		level.Error(d.logger).Log("msg", "store returned an invalid era; keeping the last valid one", "text", text)
 	})
+	rejections := metrics.GetOrRegisterCounter("platform.objects_rejected", d.reg)
+	d.store.OnRejection(func() { rejections.Inc(1) })
 	d.store.OnReject(func(r platform.Reject) {
-		metrics.GetOrRegisterCounter("platform.objects_rejected", d.reg).Inc(1)
 		level.Error(d.logger).Log("msg", "object in the store ignored: it cannot be decoded", "key", r.Key, "revision", r.Version, "reason", r.Reason)
 	})
 	self := members.Member{
