A process that starts serves before it knows what is published

Cause: with nothing known to be published, nothing served, and what a process knows lags its view by a read of the list.

Change: a service waits for an unpublished version only while instances of a published one drain, which is the case that the rule was made for.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -124,7 +124,7 @@
 	defer v.poolCache.mu.Unlock()
 	p := v.poolCache.byKey[key]
 	if p == nil {
-		p = &Pool{All: v.Published.filter(service, v.filterByRules(route, service))}
+		p = &Pool{All: v.Published.filter(service, v.filterByRules(route, service), v.Instances)}
 		v.poolCache.byKey[key] = p
 	}
 	return p
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -57,8 +57,6 @@
 	// DecodeConfig and DecodeInstance decode stored objects. They report those that cannot be decoded, which are then ignored.
 	DecodeConfig   func(objstore.Object) (*fleet.Config, error)
 	DecodeInstance func(objstore.Object) (*fleet.Instance, error)
-	// Published are the software versions that may begin streams until SetPublished is called.
-	Published *fleet.Published
 	// RedactConfig returns a copy of a stored configuration without secrets, for other processes. If
 	// nil, the configuration is passed on unchanged.
 	RedactConfig func(objstore.Object) objstore.Object
@@ -205,7 +203,7 @@
 	published := make(chan struct{})
 	d.published.Store(&published)
 	d.unconfirmable.Store(true) // until the refresher runs
-	d.cur.StoreUp, d.cur.Published = true, o.Published
+	d.cur.StoreUp = true
 	initial := d.cur
 	initial.Index()
 	d.view.Store(&initial)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -184,7 +184,7 @@
 		Prefixes: discovery.Prefixes{
 			Config: platform.ConfigPrefix, Instances: platform.InstancePrefix, Rules: platform.RulesPrefix, Members: platform.MemberPrefix, Directory: platform.DirectoryPrefix,
 		},
-		DecodeConfig: d.store.DecodeConfig, DecodeInstance: d.store.DecodeInstance, Published: fleet.NewPublished(nil, nil), RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
+		DecodeConfig: d.store.DecodeConfig, DecodeInstance: d.store.DecodeInstance, RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
 		ApplyLimit: set.Bounds.Apply.Std(), PropagationLimit: set.Bounds.PropagationLimit(), SettleTime: set.Bounds.Settle.Std(), ExpiredRetention: set.Bounds.Drain.Std() - expiryMargin, Metrics: d.reg, Logger: d.logger,
 	})
 	d.client = upstream.New(d.reg)
