Log responses that are not what a streaming route asks for

Cause: the report cannot be told apart by the log: a host relays a successful response of a streaming route that is no event stream without a word, and does not say whether a response went event by event, buffered or unbuffered. Change: a warning and the counter unexpected_responses with the reason, status, media type and length; the outcome line of each request says how it was relayed. No logic changes.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -5,11 +5,21 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
 
+// MediaType is that of event streams.
+const MediaType = "text/event-stream"
+
+// HasMediaType reports whether the value of a Content-Type header names an event stream, with any parameters.
+func HasMediaType(contentType string) bool {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(name), MediaType)
+}
+
 // Reasons why bytes are not the next event of a run.
 var (
 	ErrBlank   = errors.New("it has no line")
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -80,7 +80,7 @@
 // reads it; start is the part that has been read already. From here on the request cannot be
 // retried, and a slow client slows down the instance.
 func (q *request) relayUnbuffered(resp *upstream.Response, start []byte) (lifecycle.Outcome, error) {
-	q.responseStarted = true
+	q.responseStarted, q.relayedAs = true, relayedUnbuffered
 	q.copyHeaders(resp)
 	if resp.Length >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
 
@@ -49,6 +51,15 @@
 	}, q.evidenceFields()...)...)
 }
 
+// logUnexpectedResponse logs and counts a successful response that is not what the route asks for.
+func (q *request) logUnexpectedResponse(from *fleet.Instance, resp *upstream.Response, err error) {
+	q.s.count("unexpected_responses")
+	level.Warn(q.s.o.Logger).Log(append([]any{
+		"msg", "unexpected response", "request", q.call.ID, "route", q.route.Name, "instance", from.ID, "send", q.sends, "after", q.resumeAfter(), "events", q.events,
+		"reason", err, "status", resp.Status, "type", fmt.Sprintf("%.64q", strings.Join(resp.Header.Values("Content-Type"), ", ")), "length", resp.Length,
+	}, q.evidenceFields()...)...)
+}
+
 // evidenceFields returns what the last exchange rested on, for a log line.
 func (q *request) evidenceFields() []any {
 	if q.evidence == nil {
@@ -68,7 +79,7 @@
 	q.s.time("duration", took)
 	kv := []any{
 		"msg", "request", "request", q.call.ID, "workspace", q.workspaceName(), "route", q.route.Name, "service", q.service, "config", q.configVersion, "outcome", outcome,
-		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.lifecycle.MayHaveRun(),
+		"sends", q.sends, "runs", q.runs, "events", q.events, "may_have_run", q.lifecycle.MayHaveRun(), "relayed_as", q.relayedAs,
 		"read", q.prefillTime.Round(time.Millisecond), "took", took.Round(time.Millisecond),
 	}
 	if q.plan.Target != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,8 +68,10 @@
 func (q *request) relay(resp *upstream.Response) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeGrace)) // if it is not supported, a slow client is not cut off
 	if isStream(resp) {
+		q.relayedAs = relayedEvents
 		return q.relayEvents(resp, q.plan.Target)
 	}
+	q.relayedAs = relayedBuffered
 	if q.responseStarted {
 		resp.Close(false)
 		return lifecycle.Lost, fault.New(fault.Unknown, "instance answered a request to resume a stream with a response that is not a stream", "check the instance")
@@ -92,6 +94,13 @@
 	return lifecycle.Delivered, nil
 }
 
+// How a response is relayed, for the log.
+const (
+	relayedEvents     = "events"
+	relayedBuffered   = "buffered"
+	relayedUnbuffered = "unbuffered"
+)
+
 // clientWriteFailed records that a write to the client failed.
 func (q *request) clientWriteFailed(err error) (lifecycle.Outcome, error) {
 	q.clientGone, q.writeErr = true, err
@@ -153,6 +162,24 @@
 	errMalformed = errors.New("stream is malformed")
 )
 
+// Reasons why a successful response to a request of a streaming route cannot be its stream.
+var (
+	errStreamStatus = errors.New("its status is not 200")
+	errStreamType   = errors.New("its media type is not that of an event stream")
+)
+
+// checkStreamHead returns an error if a successful response cannot be the stream that a streaming route asks for.
+func checkStreamHead(resp *upstream.Response) error {
+	types := resp.Header.Values("Content-Type")
+	switch {
+	case resp.Status != http.StatusOK:
+		return errStreamStatus
+	case len(types) > 1 || len(types) == 1 && !eventstream.HasMediaType(types[0]):
+		return errStreamType
+	}
+	return nil
+}
+
 // isStream reports whether a response is an event stream.
 func isStream(resp *upstream.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -69,6 +69,8 @@
 	responseStarted bool
 	// lastEventID is the ID of the last stream event that was sent to the client.
 	lastEventID string
+	// relayedAs says how the last response was relayed, empty for none.
+	relayedAs string
 	// events counts the events that were sent to the client.
 	events int
 	// origin is what began the stream: an earlier attempt of the client, or the first run that brought an event. It
@@ -397,6 +399,11 @@
 		q.avoid[plan.Target.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s responded with status %d", plan.Target.ID, resp.Status)
 	}
+	if q.route.Kind == fleet.Streaming && resp.Status < http.StatusMultipleChoices {
+		if err := checkStreamHead(resp); err != nil {
+			q.logUnexpectedResponse(plan.Target, resp, err)
+		}
+	}
 	res, err := q.relay(resp)
 	if res == lifecycle.Lost && !q.clientGone && !errors.Is(err, errMalformed) && resp.OwnPathLost(q.ctx, err) {
 		q.releaseBrokenPath(plan.Target)
