A streaming route is answered by a stream of events or not at all

Callers saw: garbage as a complete answer of a streaming route, also after the numbered events that they had, where the engine's 200 had another type than that of event streams, TEXT/Event-Stream, none, or another 2xx status; and a stream without any event as a whole one. Cause: what a response is, was read from the response alone: relay took everything without the prefix text/event-stream for a plain body, which nobody looks at, whatever the route asks for. Change: on a streaming route a successful response must have status 200 and, if it states a type, that of event streams (any case and parameters); then its events are checked, also without a type. A stream that ends before its first event answers only a request that asks for the events after one. Everything else is a broken run: nothing of it is relayed, the engine is blamed once, the request goes elsewhere if it may be repeated. Continuation at a backup has the same check. The stand-in's engines respond with streams of one event unless told otherwise, as the protocol has it: tests of nine functions had engines answer plain text on a streaming route.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -55,7 +55,7 @@
 	})
 	q.sends++
 	if err == nil {
-		if verdict.NotRun || !verdict.Sealed || !isStream(resp) {
+		if verdict.NotRun || !verdict.Sealed || checkStreamHead(resp) != nil {
 			resp.DiscardBody()
 			err = fault.Newf(fault.Unavailable, "the stream ends here", "backup %s did not continue the stream, status %d", backup.ID, resp.Status)
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,8 +27,7 @@
 	maxEventBytes = 256 << 10
 	// writeGrace is how long after the deadline of the request the client may take to read the
 	// response.
-	writeGrace  = 2 * time.Second
-	eventStream = "text/event-stream"
+	writeGrace = 2 * time.Second
 )
 
 // hopHeaders are the hop-by-hop headers, which apply to one connection only.
@@ -65,11 +64,18 @@
 }
 
 // relay sends the response of an instance to the client.
-func (q *request) relay(resp *upstream.Response) (lifecycle.Outcome, error) {
+func (q *request) relay(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeGrace)) // if it is not supported, a slow client is not cut off
-	if isStream(resp) {
+	if q.route.Kind == fleet.Streaming && resp.Status < http.StatusMultipleChoices {
+		if err := checkStreamHead(resp); err != nil {
+			resp.Close(false)
+			q.logUnexpectedResponse(from, resp, err)
+			return lifecycle.Lost, fault.Wrap(errors.Mark(err, errMalformed), fault.Unknown, "response is not the stream that the route asks for", "another instance is tried if the request may be repeated")
+		}
+	}
+	if q.isStream(resp) {
 		q.relayedAs = relayedEvents
-		return q.relayEvents(resp, q.plan.Target)
+		return q.relayEvents(resp, from)
 	}
 	q.relayedAs = relayedBuffered
 	if q.responseStarted {
@@ -129,14 +135,7 @@
 			return lifecycle.Lost, fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if its route allows it")
 		}
 		if err != nil {
-			resp.Close(true)
-			if !q.responseStarted { // a stream without events
-				if !q.hang.responded() {
-					return lifecycle.Lost, errGivenUp
-				}
-				q.startResponse(resp)
-			}
-			return lifecycle.Delivered, nil
+			return q.endStream(resp, from)
 		}
 		id := ""
 		if q.route.Kind == fleet.Streaming { // elsewhere events need no ID
@@ -156,8 +155,27 @@
 	}
 }
 
+// endStream handles the end of a stream. One without events answers a request only if that asks for those after an event.
+func (q *request) endStream(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
+	switch {
+	case q.responseStarted:
+	case !q.hang.responded():
+		resp.Close(false)
+		return lifecycle.Lost, errGivenUp
+	case q.route.Kind == fleet.Streaming && q.call.LastEvent == "":
+		resp.Close(false)
+		q.logMalformedEvent(from, nil, errNoEvent)
+		return lifecycle.Lost, fault.Wrap(errors.Mark(errNoEvent, errMalformed), fault.Unknown, "stream ended before its first event", "another instance is tried if the request may be repeated")
+	default:
+		q.startResponse(resp)
+	}
+	resp.Close(true)
+	return lifecycle.Delivered, nil
+}
+
 var (
 	errGivenUp = errors.New("attempt was given up before its first event")
+	errNoEvent = errors.New("stream has no event")
 	// errMalformed marks errors of streams that the instance itself has broken.
 	errMalformed = errors.New("stream is malformed")
 )
@@ -180,9 +198,12 @@
 	return nil
 }
 
-// isStream reports whether a response is an event stream.
-func isStream(resp *upstream.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
+// isStream reports whether a response is relayed event by event. What a streaming route asks for is a stream whatever the type of the response.
+func (q *request) isStream(resp *upstream.Response) bool {
+	if q.route.Kind == fleet.Streaming {
+		return resp.Status < http.StatusMultipleChoices
+	}
+	return eventstream.HasMediaType(resp.Header.Get("Content-Type"))
 }
 
 // countRun calls Options.OnRunStart, once for each request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -354,7 +354,7 @@
 		}
 		return lifecycle.Lost, err
 	}
-	if (verdict.NotRun || !verdict.Sealed || resp.Status >= http.StatusInternalServerError || !isStream(resp)) && !q.hang.responded() {
+	if (verdict.NotRun || !verdict.Sealed || resp.Status >= http.StatusInternalServerError || !q.isStream(resp)) && !q.hang.responded() {
 		q.retryCharged = true
 	}
 	return q.receive(resp, verdict, plan)
@@ -384,7 +384,7 @@
 		q.avoid[plan.Target.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "check the instance", "instance %s responded with status %d without stating that the request has not run", plan.Target.ID, resp.Status)
 	}
-	if !isStream(resp) {
+	if !q.isStream(resp) {
 		q.countRun() // the run of a stream is counted at its first event
 	}
 	if !verdict.Sealed && resp.Status < http.StatusMultipleChoices {
@@ -399,12 +399,7 @@
 		q.avoid[plan.Target.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "another instance is tried", "instance %s responded with status %d", plan.Target.ID, resp.Status)
 	}
-	if q.route.Kind == fleet.Streaming && resp.Status < http.StatusMultipleChoices {
-		if err := checkStreamHead(resp); err != nil {
-			q.logUnexpectedResponse(plan.Target, resp, err)
-		}
-	}
-	res, err := q.relay(resp)
+	res, err := q.relay(resp, plan.Target)
 	if res == lifecycle.Lost && !q.clientGone && !errors.Is(err, errMalformed) && resp.OwnPathLost(q.ctx, err) {
 		q.releaseBrokenPath(plan.Target)
 		return q.resumeAtBackup(err)
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -142,9 +142,17 @@
 	At       time.Time
 }
 
-// New returns an engine in a stage. If the stage is empty, it is a backend server.
+// defaultEvents is the number of events of the streams of an engine unless Engine.Events is set.
+const defaultEvents = 1
+
+// New returns an engine in a stage, which responds with streams. If the stage is empty, it is a backend server, whose
+// responses are plain.
 func New(id, stage string) *Engine {
-	return &Engine{ID: id, stage: stage}
+	e := &Engine{ID: id, stage: stage}
+	if stage != "" {
+		e.Events = defaultEvents
+	}
+	return e
 }
 
 // Fail makes the next n requests and orders fail. If n is negative, all of them fail.
