A head that different readers read differently is no response

Callers saw: streams behind heads that cannot begin one passed on as whole, and requests held until their deadline after a status below 100 or 101. Cause: net/http removes what it tolerates: folded fields, a length beside a transfer encoding, the major version; responses below 200 were skipped as hints, whatever they are; of several seals the first counted. Change: the client of instances looks at the raw bytes of each head while they are read (no copy) and at version and status; a response that is not one of HTTP/1.x with a status of 100 or 102 to 599 ends the exchange as broken, counted as malformed_heads. A response with several seals has none. This holds for every call to an instance: requests, prefills, reports, orders, lists. Bytes after a whole body are still cut off with their connection, as the protocol says.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -55,6 +56,8 @@
 	// headLimit is how many bytes of a head may still be read from the connection, negative for no limit. It is used by
 	// the goroutine that reads.
 	headLimit int
+	// head looks at what is read while headLimit is not negative.
+	head headScanner
 	// wrote is true once a byte of the current request may have been sent.
 	wrote atomic.Bool
 	// idleSince is when the connection became idle. It may be reused until idleTimeout later.
@@ -103,9 +106,24 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLimit)])
 	c.headLimit -= n
+	c.head.scan(p[:n])
 	return n, err
 }
 
+// readHead reads the head of a response of at most *limit bytes, from which it subtracts what it reads.
+func (c *conn) readHead(forMethod *http.Request, limit *int) (*http.Response, error) {
+	c.head = headScanner{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // an error is impossible
+	c.head.scan(buffered)
+	c.headLimit = *limit
+	resp, err := http.ReadResponse(c.reader, forMethod)
+	*limit, c.headLimit = c.headLimit, -1
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkHead(resp, &c.head)
+}
+
 // DialFunc opens a connection to the address of an instance.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -323,13 +323,15 @@
 	forMethod := &http.Request{Method: req.Method}
 	limit := maxHeadBytes
 	for range maxStrayResponses {
-		r.conn.headLimit = limit
-		resp, err := http.ReadResponse(r.conn.reader, forMethod)
-		limit, r.conn.headLimit = r.conn.headLimit, -1
-		if err != nil {
-			if errors.Is(err, errHeadTooLarge) {
-				r.client.count("heads_too_large")
-			}
+		resp, err := r.conn.readHead(forMethod, &limit)
+		switch {
+		case errors.Is(err, errHeadTooLarge):
+			r.client.count("heads_too_large")
+			return err
+		case resp != nil && err != nil:
+			r.client.count("malformed_heads")
+			return err
+		case err != nil:
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
