A stopping process takes no request that it would cut off

Callers saw requests that became whole late in the grace period of a planned stop passed on and cut at its end: streams without their end, and 502 for requests that may not be repeated.

Cause: the time left was compared with the request's deadline only, never with the end of the process.

During a stop, each send now asks whether the run can be expected to end before the process does, once before placement and once before the first byte is written. The estimate is the time within which nearly all recent runs of the route ended; without any, the route's latency target, at least a second. A request that has no such time gets 503, not run, on a connection that closes. One whose deadline lies before the end of the process is served. A response that has begun is continued as long as possible. Once no request has been in flight for the idle time, what still arrives is rejected instead of being passed on by a process that exits. A body that is not whole at the end is answered with 408.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
+	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
@@ -94,10 +95,7 @@
 	buffers       memoryBudget
 	startup       startupWaiter
 	inFlight      atomic.Int64
-	stopping      atomic.Bool
-	// ending is done once endRequests has been called.
-	ending      context.Context
-	endRequests context.CancelFunc
+	drain         *httpserve.Drain
 }
 
 // New returns a server.
@@ -113,10 +111,9 @@
 	}
 	s := &Server{
 		o: o, streams: o.Streams, budget: newRetryBudget(o.Budget), startup: startupWaiter{started: time.Now(), ready: o.Ready},
-		notices: notice.NewTable(o.Logger), limits: o.RateLimits,
+		notices: notice.NewTable(o.Logger), limits: o.RateLimits, drain: httpserve.NewDrain(),
 		crashDetector: &suspects.CrashDetector{Table: o.Quarantine, RefusesConnections: o.Client.RefusesConnections, Logger: o.Logger},
 	}
-	s.ending, s.endRequests = context.WithCancel(context.Background())
 	s.withdrawals = withdrawals{server: s, attempts: map[*waitingAttempt]bool{}}
 	return s
 }
@@ -134,20 +131,11 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// EndRequests ends the requests in flight. Those whose response has not begun get 502 if they may have run, otherwise 503.
-func (s *Server) EndRequests() { s.endRequests() }
-
-// DisableKeepAlives makes every later response close its client connection, so that clients
-// reconnect to other processes.
-func (s *Server) DisableKeepAlives() { s.stopping.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	s.closeIfStopping(w)
 	arrived := time.Now()
 	q, rep := s.accept(w, r, arrived)
 	if rep != nil {
@@ -155,9 +143,10 @@
 		return
 	}
 	defer q.releaseBuffers()
+	s.closeIfStopping(w) // the stop may have begun while the body was read
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	defer context.AfterFunc(s.ending, cancel)()
+	defer context.AfterFunc(s.drain.Ending(), cancel)()
 	q.ctx = ctx
 	q.serve()
 }
@@ -184,6 +173,7 @@
 	}
 	q := &request{s: s, w: w, http: r, call: &call, route: withWorkspaceRank(route, workspace), workspace: workspace, arrived: arrived, avoid: map[string]bool{}, lifecycle: lifecycle.New(call.ID, s.o.Logger)}
 	q.deadline = arrived.Add(requestTimeout(call.ClientTimeout, route.Timeout))
+	defer s.endReading(w)()
 	if rep := q.readBody(view.Config.Limits); rep != nil {
 		q.releaseBuffers()
 		return nil, rep
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -180,6 +180,9 @@
 	if time.Until(q.deadline) < minRemaining || q.ctx.Err() != nil {
 		return q.expiredReply()
 	}
+	if rep := q.stoppingReply(); rep != nil {
+		return rep
+	}
 	if rep := q.quarantineReply(); rep != nil {
 		return rep
 	}
@@ -199,7 +202,10 @@
 // Attempt implements lifecycle.Steps.
 func (q *request) Attempt() (lifecycle.Outcome, error) {
 	defer func() { q.ticket.Cancel() }() // the ticket may have been replaced
-	return q.send()
+	run := q.s.drain.Start(q.route.Name)
+	outcome, err := q.send()
+	run.End(q.endedByItself(outcome))
+	return outcome, err
 }
 
 // CanRetryAfterRun implements lifecycle.Steps. Only the streams of streaming routes have IDs after which another run can
@@ -282,7 +288,7 @@
 	if err := q.http.Context().Err(); err != nil || q.clientGone {
 		return &reply{code: "caller-gone", err: errors.CombineErrors(err, q.writeErr), silent: true}
 	}
-	if q.s.ending.Err() != nil {
+	if q.s.drain.Ending().Err() != nil {
 		return replyFromState(codeShutdown, fault.New(fault.Exhausted, "the process has to exit", "send the request to another process if it may be repeated"), 0)
 	}
 	return replyFromState(codeDeadline, fault.New(fault.Exhausted, "time is up", "send the request with a longer timeout"), 0)
@@ -499,6 +505,9 @@
 }
 
 func (q *request) reasonNotToSend(i *fleet.Instance) error {
+	if err := q.errNoTimeLeft(); err != nil {
+		return err
+	}
 	switch {
 	case q.newlyQuarantined():
 		return fault.New(fault.Unavailable, "instances have crashed while running this request since it was placed", "the request is rejected")
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -501,29 +501,28 @@
 // stop shuts the service down: it first reports not ready, then accepts no new connections, then
 // waits for the requests in flight.
 func (d *Daemon) stop() {
-	begun := time.Now()
+	end := time.Now().Add(d.bounds.Load().Grace.Std() - exitMargin)
 	d.stopping.Store(true)
-	d.gateway.DisableKeepAlives()
+	d.gateway.BeginStop(end)
 	d.transport.DrainRelayed()
-	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InFlight())
+	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InFlight(), "left", time.Until(end).Round(time.Millisecond))
 	time.Sleep(d.bounds.Load().Notice.Std())
 	go d.deregister()
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.bounds.Load().Grace.Std()-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go func() { _ = httpserve.Shutdown(ctx, d.clientServer) }() // the error is ignored: waitUntilIdle waits for the requests in flight
-	idle := d.waitUntilIdle(ctx)
+	if !d.waitUntilIdle(ctx) {
+		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of the grace period", "in_hand", d.gateway.InFlight())
+	}
+	d.gateway.EndRequests() // also rejects what arrives from now on
 	if d.usage != nil {
 		d.usage.Sync(ctx) // another process must hold the counts before this one exits
 	}
-	if !idle {
-		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of the grace period", "in_hand", d.gateway.InFlight())
-		d.endRequests()
-	}
+	d.awaitResponses()
 }
 
-// endRequests ends the requests in flight, and waits until their responses have been sent.
-func (d *Daemon) endRequests() {
-	d.gateway.EndRequests()
+// awaitResponses waits until the responses of requests that have been ended have been sent.
+func (d *Daemon) awaitResponses() {
 	until := time.Now().Add(exitMargin / 2)
 	for d.gateway.InFlight() > 0 && time.Now().Before(until) {
 		time.Sleep(endPollInterval)
