Known red: the completion service leaves requests unanswered at the end of its stop

At the end of stopTimeout the process exits with requests in flight, among them requests that run at most once: 5 of 5 connections closed without an answer. Uploads that become whole late in a stop are passed on and cut.

--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/settings"
+	"github.com/rockdoor/rockdoor/internal/standin/platformd"
+	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+)
+
+const (
+	stopGrace   = 200 * time.Millisecond
+	stopTimeout = 2 * time.Second
+	awaitTime   = 20 * time.Second
+)
+
+func serveStandIn(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startProcess starts a process in front of a backend server whose requests run at most once. It returns the address for
+// clients, and functions that begin the stop of the process and wait for its end.
+func startProcess(t *testing.T, s *serviced.Server) (address string, stop, wait func()) {
+	t.Helper()
+	set, err := settings.Parse("test", fmt.Appendf(nil, `{"name": "p", "host": "h", "domain": "d", "listen": %q, "admin": %q, "peer": %q, "platform": "http://%s", "seeds": [],
+		"limits": {"stopGrace": %q, "stopTimeout": %q}, "control": {"heartbeat": "100ms", "staleAfter": "2s", "leaseTTL": "1s", "report": "200ms"}}`,
+		freeAddress(t), freeAddress(t), freeAddress(t), serveStandIn(t, platformd.New(0)), stopGrace, stopTimeout))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- New(set, log.NewNopLogger()).Run(ctx) }()
+	wait = sync.OnceFunc(func() { require.NoError(t, <-done) })
+	t.Cleanup(func() { cancel(); wait() })
+	config := fmt.Sprintf(`{"hosts": [{"name": "h", "domain": "d"}], "services": [{"name": "s", "servers": [{"name": "s0", "host": "h", "address": %q, "capacity": 100}]}],
+		"routes": [{"path": "/once/", "service": "s", "methods": ["POST"], "timeout": "30s"}], "workspaces": [{"name": "w"}]}`, serveStandIn(t, s))
+	require.Eventually(t, func() bool {
+		req, _ := http.NewRequest(http.MethodPut, "http://"+set.Admin+"/api/v1/config?author=test", strings.NewReader(config))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, awaitTime, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return startUpload(t, set.Listen, 0).finish() == "200 complete" }, awaitTime, 50*time.Millisecond)
+	return set.Listen, cancel, wait
+}
+
+// upload is a request whose last byte is sent after a delay.
+type upload struct {
+	conn  net.Conn
+	delay time.Duration
+}
+
+func startUpload(t *testing.T, address string, delay time.Duration) upload {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\n%s: w\r\nContent-Length: 2\r\n\r\nx", entry.HeaderWorkspace)
+	require.NoError(t, err)
+	return upload{conn, delay}
+}
+
+// finish completes the request and returns the status and the outcome that its response states, or the error.
+func (u upload) finish() string {
+	time.Sleep(u.delay)
+	if _, err := io.WriteString(u.conn, "y"); err != nil {
+		return err.Error()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(u.conn), nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(resp.StatusCode, " ", resp.Header.Get(entry.HeaderOutcome))
+}
+
+// TestRequestsAtTheEndOfStopTimeoutAreAnswered stops a process while its backend server holds requests that run at most once
+// for longer than stopTimeout.
+func TestRequestsAtTheEndOfStopTimeoutAreAnswered(t *testing.T) {
+	s := serviced.New("s0", 0)
+	address, stop, wait := startProcess(t, s)
+	s.SetFaults(serviced.Faults{NoResponse: true})
+	s.ClearRuns()
+	const requests = 5
+	results := make(chan string, requests)
+	for range requests {
+		go func() { results <- startUpload(t, address, 0).finish() }()
+	}
+	require.Eventually(t, func() bool { return len(s.Runs()) == requests }, awaitTime, 5*time.Millisecond)
+	stop()
+	wait()
+	for range requests {
+		require.Equal(t, "502 unknown", <-results)
+	}
+}
+
+// TestCompletionServiceTakesNothingThatItsStopCutsOff stops a process while uploads become whole at any moment of its stop.
+func TestCompletionServiceTakesNothingThatItsStopCutsOff(t *testing.T) {
+	const (
+		uploads = 16
+		runTime = 1400 * time.Millisecond
+		// slack is the time by which a request may be rejected too early.
+		slack = 400 * time.Millisecond
+	)
+	s := serviced.New("s0", runTime)
+	address, stop, wait := startProcess(t, s)
+	s.ClearRuns()
+	var all []upload
+	for n := range uploads {
+		all = append(all, startUpload(t, address, (stopGrace+stopTimeout)*time.Duration(n)/uploads))
+	}
+	time.Sleep(100 * time.Millisecond) // the process reads the headers
+	stop()
+	results := make([]string, uploads)
+	var wg sync.WaitGroup
+	for n, u := range all {
+		wg.Go(func() { results[n] = u.finish() })
+	}
+	wg.Wait()
+	wait()
+	served := 0
+	for n, result := range results {
+		t.Logf("whole at %v: %s", all[n].delay, result)
+		if result == "200 complete" {
+			served++
+			continue
+		}
+		require.Equal(t, "503 not_run", result, "whole at %v", all[n].delay)
+		require.Greater(t, all[n].delay+runTime+slack, stopGrace+stopTimeout, "rejected although there was time")
+	}
+	require.Len(t, s.Runs(), served, "a rejected request ran")
+}
