The completion service answers what is in flight at the end of its stop

Callers saw connections closed without an answer at the end of stopTimeout, 5 of 5 requests that run at most once, and requests passed on late in a stop and cut at its end.

Cause: the process returned from its shutdown at the end of stopTimeout and exited with requests in flight. One that was stopped before it had joined its peers, but already had clients, skipped the shutdown altogether.

At the end of stopTimeout requests are now ended and answered: 502 with the outcome unknown after a run, 503 with not_run before one, an error event in a stream. A call is rejected with 503, not run, if its model or route needs more time than is left, as at the gateway. A stop during the start finishes the requests in flight as well.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -342,6 +342,7 @@
 // process may exit.
 func (d *Daemon) runLifecycle(ctx, background context.Context) error {
 	if err := d.join(ctx); err != nil {
+		d.finishRequests(background) // clients may use a process before it is ready
 		d.fire(charts.StopAsked)
 		return nil
 	}
@@ -447,18 +448,27 @@
 	return false
 }
 
+// finishRequests refuses new connections and waits for the requests in flight. It ends those that have not ended after
+// stopTimeout.
+func (d *Daemon) finishRequests(background context.Context) {
+	end := time.Now().Add(d.set.Limits.StopTimeout.Std())
+	d.entry.Drain().Begin(end)
+	ctx, cancel := context.WithDeadline(background, end)
+	defer cancel()
+	if err := httpserve.Finish(ctx, d.clientServer, d.entry.Drain()); err != nil {
+		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of stopTimeout", "err", err)
+	}
+}
+
 // stop shuts down: the process first reports that it is not ready, then refuses new
 // connections, and then completes the in-flight requests.
 func (d *Daemon) stop(background context.Context) {
+	d.entry.Drain().Begin(time.Now().Add(d.set.Limits.StopGrace.Std() + d.set.Limits.StopTimeout.Std()))
 	d.heartbeater.SetPhase(background, peerpb.Phase_PHASE_LEAVING)
 	time.Sleep(d.set.Limits.StopGrace.Std())
 	d.handOverClaims(background)
 	d.fire(charts.GraceOver)
-	ctx, cancel := context.WithTimeout(background, d.set.Limits.StopTimeout.Std())
-	defer cancel()
-	if err := httpserve.Shutdown(ctx, d.clientServer); err != nil {
-		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of stopTimeout", "requests", d.entry.InFlight())
-	}
+	d.finishRequests(background)
 	uctx, ucancel := context.WithTimeout(background, unregisterTimeout)
 	defer ucancel()
 	if err := members.Unregister(uctx, d.store, members.KeyPrefix, d.self); err != nil {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -41,9 +41,10 @@
 	return l.Addr().String()
 }
 
-// startProcess starts a process in front of a backend server whose requests run at most once. It returns the address for
-// clients, and functions that begin the stop of the process and wait for its end.
-func startProcess(t *testing.T, s *serviced.Server) (address string, stop, wait func()) {
+// startProcess starts a process in front of a backend server whose requests run at most once. Without ready, it returns as soon
+// as the process serves, which is before it has joined its peers. It returns the address for clients, and functions that begin
+// the stop of the process and wait for its end.
+func startProcess(t *testing.T, s *serviced.Server, ready bool) (address string, stop, wait func()) {
 	t.Helper()
 	set, err := settings.Parse("test", fmt.Appendf(nil, `{"name": "p", "host": "h", "domain": "d", "listen": %q, "admin": %q, "peer": %q, "platform": "http://%s", "seeds": [],
 		"limits": {"stopGrace": %q, "stopTimeout": %q}, "control": {"heartbeat": "100ms", "staleAfter": "2s", "leaseTTL": "1s", "report": "200ms"}}`,
@@ -66,6 +67,17 @@
 		return resp.StatusCode == http.StatusOK
 	}, awaitTime, 20*time.Millisecond)
 	require.Eventually(t, func() bool { return startUpload(t, set.Listen, 0).finish() == "200 complete" }, awaitTime, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		if !ready {
+			return true
+		}
+		resp, err := http.Get("http://" + set.Admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, awaitTime, 20*time.Millisecond)
 	return set.Listen, cancel, wait
 }
 
@@ -105,20 +117,25 @@
 // TestRequestsAtTheEndOfStopTimeoutAreAnswered stops a process while its backend server holds requests that run at most once
 // for longer than stopTimeout.
 func TestRequestsAtTheEndOfStopTimeoutAreAnswered(t *testing.T) {
-	s := serviced.New("s0", 0)
-	address, stop, wait := startProcess(t, s)
-	s.SetFaults(serviced.Faults{NoResponse: true})
-	s.ClearRuns()
 	const requests = 5
-	results := make(chan string, requests)
-	for range requests {
-		go func() { results <- startUpload(t, address, 0).finish() }()
-	}
-	require.Eventually(t, func() bool { return len(s.Runs()) == requests }, awaitTime, 5*time.Millisecond)
-	stop()
-	wait()
-	for range requests {
-		require.Equal(t, "502 unknown", <-results)
+	for _, ready := range []bool{true, false} {
+		t.Run(fmt.Sprint("ready ", ready), func(t *testing.T) {
+			s := serviced.New("s0", 0)
+			address, stop, wait := startProcess(t, s, ready)
+			s.SetFaults(serviced.Faults{NoResponse: true})
+			s.ClearRuns()
+			results := make(chan string, requests)
+			for range requests {
+				u := startUpload(t, address, 0)
+				go func() { results <- u.finish() }()
+			}
+			require.Eventually(t, func() bool { return len(s.Runs()) == requests }, awaitTime, 5*time.Millisecond)
+			stop()
+			wait()
+			for range requests {
+				require.Equal(t, "502 unknown", <-results)
+			}
+		})
 	}
 }
 
@@ -131,7 +148,7 @@
 		slack = 400 * time.Millisecond
 	)
 	s := serviced.New("s0", runTime)
-	address, stop, wait := startProcess(t, s)
+	address, stop, wait := startProcess(t, s, true)
 	s.ClearRuns()
 	var all []upload
 	for n := range uploads {
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -34,6 +34,7 @@
 	codeKeyInUse     = "idempotency_key_in_use"
 	codeQuarantined  = "request_ends_targets"
 	codeClaimMissing = "claim_not_granted"
+	codeStopping     = "stopping"
 )
 
 // reply is a final response that rockdoor generates itself.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -32,6 +32,8 @@
 	// noTargetRetryAfter is the Retry-After time while no permitted target is
 	// active.
 	noTargetRetryAfter = 2 * time.Second
+	// stoppingRetryAfter is the Retry-After time of a process that is being stopped. It is short: other processes serve.
+	stoppingRetryAfter = 100 * time.Millisecond
 	// The queue factors limit the in-flight requests of a target, as a multiple of
 	// its capacity, for calls of each priority.
 	queueFactorUrgent = 2.0
@@ -71,8 +73,9 @@
 }
 
 func newRun(s *Server, c *call, w http.ResponseWriter, r *http.Request) *run {
-	ctx, stop := context.WithDeadline(r.Context(), c.deadline)
-	return &run{s: s, c: c, w: w, ctx: ctx, cancel: stop, lifecycle: lifecycle.New(c.id, s.o.Logger), start: time.Now(), avoid: map[string]bool{}}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	stop := context.AfterFunc(s.drain.Ending(), cancel)
+	return &run{s: s, c: c, w: w, ctx: ctx, cancel: func() { stop(); cancel() }, lifecycle: lifecycle.New(c.id, s.o.Logger), start: time.Now(), avoid: map[string]bool{}}
 }
 
 // do makes attempts until the call has a final state. It returns the error reply
@@ -102,6 +105,9 @@
 // ChooseTarget implements lifecycle.Steps. It adds the call to the load of the
 // chosen target.
 func (r *run) ChooseTarget() *reply {
+	if rep := r.rejectStopping(); rep != nil {
+		return rep
+	}
 	r.prefillSeparately()
 	if rep := r.rejectQuarantined(); rep != nil {
 		return rep
@@ -125,11 +131,28 @@
 	}
 	r.waiting = false
 	if rep == nil && r.work == nil {
-		rep = r.noTarget(permitted, full)
+		return r.noTarget(permitted, full)
+	}
+	if r.work != nil {
+		if rep = r.rejectStopping(); rep != nil { // prefill and grants take time
+			r.work.End()
+		}
 	}
 	return rep
 }
 
+// rejectStopping returns a reply if the process is being stopped and ends before the call can be expected to. A stream that
+// has begun is continued as long as possible.
+func (r *run) rejectStopping() *reply {
+	missing := r.s.drain.Missing(r.c.class, 0, 0, r.c.deadline)
+	if r.responseStarted || missing == 0 && r.s.drain.Ending().Err() == nil {
+		return nil
+	}
+	r.w.Header().Set("Connection", "close")
+	return errorReply(http.StatusServiceUnavailable, codeStopping,
+		fault.Newf(fault.Unavailable, "send the request to another entry host", "the process is being stopped: %s too little for a request of %s", missing.Round(time.Millisecond), r.c.class), stoppingRetryAfter)
+}
+
 // sleep returns false at once when the client leaves or the deadline passes.
 func (r *run) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -277,6 +300,7 @@
 	t := r.target
 	defer r.work.End()
 	done := r.s.breakers.begin(t.Name)
+	timed := r.s.drain.Start(r.c.class)
 	header := r.c.header.Clone()
 	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
 	if r.kv.KV != "" {
@@ -295,6 +319,7 @@
 	if a.State() == charts.AttemptAnswering {
 		r.relay(a, r.work)
 	}
+	timed.End(a.State() == charts.AttemptComplete || !time.Now().Before(r.c.deadline))
 	done(a.State(), a.Err())
 	if !errors.Is(a.Err(), upstream.ErrOwnPath) {
 		r.recordResult(a.State(), sent)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/rockdoor/rockdoor/internal/attempt"
 	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/control"
+	"github.com/rockdoor/rockdoor/internal/httpserve"
 	"github.com/rockdoor/rockdoor/internal/limits"
 	"github.com/rockdoor/rockdoor/internal/notice"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
@@ -71,6 +73,7 @@
 	retries   *limits.RetryBudget
 	outcomes  *outcomes
 	lengths   *lengths
+	drain     *httpserve.Drain
 
 	// placementMu makes the check of a workspace's share and the counting of the admitted call atomic.
 	placementMu sync.Mutex
@@ -100,6 +103,7 @@
 		retries:   limits.NewRetryBudget(),
 		outcomes:  newOutcomes(),
 		lengths:   newLengths(),
+		drain:     httpserve.NewDrain(),
 		policies:  map[string]routing.Policy{},
 	}
 	s.crashes = &suspects.CrashDetector{Table: o.Quarantine, RefusesConnections: s.sender.RefusesConnections, Logger: o.Logger}
@@ -119,6 +123,9 @@
 // InFlight returns the number of in-flight requests.
 func (s *Server) InFlight() int { return s.admission.InFlight() }
 
+// Drain returns what decides during a stop which requests are still taken, and ends those in flight.
+func (s *Server) Drain() *httpserve.Drain { return s.drain }
+
 // Close closes the idle connections to the targets.
 func (s *Server) Close() { s.sender.Close() }
 
@@ -257,6 +264,7 @@
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) *reply {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.o.Settings.Limits.BodyTimeout.Std()))
+	defer context.AfterFunc(s.drain.Ending(), func() { _ = rc.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.o.Settings.Limits.BodyBytes))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,3 +26,20 @@
 // have been closed after their response. Keep-alives must not be disabled before: that closes idle connections without
 // keeping a request from running that has just been read from one of them.
 func Shutdown(ctx context.Context, s *http.Server) error { return s.Shutdown(ctx) }
+
+// answerTimeout bounds how long the answers to requests that have been ended may take.
+const answerTimeout = time.Second
+
+// Finish shuts a server down like Shutdown. Requests that are in flight when ctx ends are ended through d and answered. It returns an
+// error if there were any.
+func Finish(ctx context.Context, s *http.Server, d *Drain) error {
+	err := Shutdown(ctx, s)
+	d.End()
+	if err == nil {
+		return nil
+	}
+	answered, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+	defer cancel()
+	_ = Shutdown(answered, s) // the requests in flight are reported already
+	return err
+}
