--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+	"github.com/rockdoor/rockdoor/placement"
 )
 
 // TestInterruptedStreamContinuesAtBackup interrupts streams that may run at most once, as happens when a
@@ -139,3 +140,27 @@
 	require.Equal(t, 2, runs)
 	require.Equal(t, 1, resumed)
 }
+
+// TestForeignResponseOfABackupIsNotRelayed interrupts streams that may run at most once, whose backups answer with a successful response
+// that is no stream. Nothing of it may follow the events of the first engine.
+func TestForeignResponseOfABackupIsNotRelayed(t *testing.T) {
+	for name, head := range fleetengine.ForeignHeads() {
+		interrupting, other := fleetengine.New("i-1", "decode"), fleetengine.New("i-2", "decode")
+		interrupting.Events, other.Events, other.Garble.Head = 4, 4, head
+		r := newHarness(t, harnessOptions{model: []*fleetengine.Engine{interrupting, other}, domains: map[string]string{"i-2": "b"}, spot: true, onPlaced: func(_ *harness, p placement.Plan) {
+			if p.Target.ID == "i-1" {
+				interrupting.Fail(fleetengine.CutMidEvent, 1)
+				other.Fail(fleetengine.Garbled, 1)
+			}
+		}})
+		for len(interrupting.Runs()) == 0 { // until this engine is chosen
+			before := len(other.Runs())
+			a := r.send(http.MethodPost, pathAtMostOnceStream, "s", "x", nil)
+			if len(interrupting.Runs()) > 0 {
+				require.Equal(t, "id: 1\ndata: s-1\n\n", a.body, name)
+				require.True(t, a.truncated, name)
+				require.Len(t, other.Runs(), before+1, name)
+			}
+		}
+	}
+}
