Known red: responses that other callers take for what they asked for

Cause: the class of the incident, what a response is, is read from the response alone, at the callers beside the gateway's relay.

--- /dev/null
+++ b/engine/httpcontrol/httpcontrol_test.go
@@ -0,0 +1,54 @@
+package httpcontrol
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/fault"
+)
+
+func start(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// TestResponsesThatAreNoStatusAreRejected has an engine answer the call for its status with something else.
+func TestResponsesThatAreNoStatusAreRejected(t *testing.T) {
+	const sound = `{"role":"prefill","changing":true,"token":7,"models":null,"asOf":"2026-01-02T03:04:05Z","running":1}`
+	status := func(body string) (engine.Status, error) {
+		return New(nil).Status(t.Context(), start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	}
+	for _, body := range []string{
+		``, `{}`, `null`, `[]`, `{"role":""}`, `{"role":"odd","changing":false,"asOf":"2026-01-02T03:04:05Z"}`, `{"role":"mixed"}`, sound + `{}`, sound + "garbage",
+		`{"role":"mixed","asOf":"2026-01-02T03:04:05Z","running":-1}`, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z","prefillTokens":-1}`, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z","token":-1}`,
+	} {
+		got, err := status(body)
+		require.True(t, fault.Is(err, fault.Unavailable), "%s: %+v", body, got)
+	}
+	got, err := status(sound + "\n")
+	require.NoError(t, err)
+	require.Equal(t, engine.RolePrefill, got.Role)
+}
+
+// TestRedirectsOfEnginesAreNotFollowed has an engine redirect calls to another one, which would answer in its place.
+func TestRedirectsOfEnginesAreNotFollowed(t *testing.T) {
+	var calls atomic.Int64
+	other := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = io.WriteString(w, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z"}`)
+	})
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		address := start(t, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+other+r.URL.Path, status) })
+		_, err := New(nil).Status(t.Context(), address)
+		require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+		require.True(t, fault.Is(New(nil).Send(t.Context(), address, engine.Order{ID: "o"}), fault.Unknown))
+	}
+	require.Zero(t, calls.Load())
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -45,6 +45,8 @@
 	url      string
 	mu       sync.Mutex
 	snapshot *control.Snapshot
+	// respond replaces responses of the engines. It returns false for those that the engine itself is to make.
+	respond func(engine int, w http.ResponseWriter, r *http.Request) bool
 }
 
 const testConfig = `{
@@ -88,7 +90,11 @@
 		e := engined.New(engined.Options{Name: fmt.Sprintf("e%d", i)})
 		t.Cleanup(e.Close)
 		f.engines = append(f.engines, e)
-		addresses = append(addresses, listener(t, e))
+		addresses = append(addresses, listener(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if f.respond == nil || !f.respond(i, w, r) {
+				e.ServeHTTP(w, r)
+			}
+		})))
 	}
 	for i := range 2 {
 		s := serviced.New(fmt.Sprintf("s%d", i), 0)
--- a/internal/lab/load/client_test.go
+++ b/internal/lab/load/client_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/engine/openai"
+	"github.com/rockdoor/rockdoor/internal/entry"
 )
 
 // TestClientNoticesMalformedEvents reads streams with and without an event that is not a chunk.
@@ -25,3 +27,17 @@
 		require.Equal(t, wrong, r.WrongResponse, body)
 	}
 }
+
+// TestForeignStatusIsNotAGoodResult has an entry host call a response with another status than 200 complete.
+func TestForeignStatusIsNotAGoodResult(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusPartialContent, http.StatusNotFound, http.StatusInternalServerError} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(entry.HeaderOutcome, string(Complete))
+			w.WriteHeader(status)
+		}))
+		got := newClient([]string{server.Listener.Addr().String()}).send(t.Context(), "a", Arrival{Class: &Class{Path: "/x"}}, time.Now())
+		server.Close()
+		require.Equal(t, Failed, got.Outcome, status)
+		require.False(t, got.Good, status)
+	}
+}
