A completion is answered by a completion, a stream of one by its events

Callers saw: successful responses of engines that are no completion as complete ones: 201, 206 and 299 with any body, 204 without one, {} and null, JSON or text in place of the stream that was asked for, a stream without any event. A sound stream of type TEXT/Event-Stream, or without a type, was rejected, and an error of type text/event-stream reached the client as a stream with status 200. Cause: the response was relayed by its own type: what had not the prefix text/event-stream was a plain body, and a plain body was checked only with status 200, for any JSON. Change: a successful response to a completion must have status 200. Where a stream was asked for, its type, if stated, must be that of event streams (any case and parameters), and it must have an event unless it resumes one; otherwise the body must be a JSON object with choices. All else is a broken attempt: a warning and the counter unexpected_responses with the reason, nothing reaches the client, the request goes elsewhere if it is idempotent. Statuses from 300 are relayed as they are. Why it works: the request decides what is read, and every byte that is relayed has passed the check of that kind.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -183,15 +183,19 @@
 	return nil
 }
 
-// Events calls f with the data of each event until the event that ends the stream. A stream that
-// ends without it counts as truncated. An error of f ends the attempt.
-func (a *Attempt) Events(f func(data string) error) error {
+// Events calls f with the data of each event until the event that ends the stream, and then end. A stream that
+// ends without that event counts as truncated. An error of f or end ends the attempt.
+func (a *Attempt) Events(f func(data string) error, end func() error) error {
 	for ev, err := range sse.Read(a.response.Body, &sse.ReadConfig{MaxEventSize: MaxEventBytes}) {
 		if err != nil {
 			a.Interrupt(fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if the request is idempotent"))
 			return a.err
 		}
 		if ev.Data == openai.Done {
+			if err := end(); err != nil {
+				a.Interrupt(err)
+				return err
+			}
 			a.end(charts.Finished, nil)
 			return nil
 		}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -16,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/attempt"
 	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/eventstream"
 	"github.com/rockdoor/rockdoor/routing"
 )
 
@@ -25,7 +26,6 @@
 	maxBufferedResponse = 8 << 20
 	// writeTimeout limits one write to the client.
 	writeTimeout = 30 * time.Second
-	eventStream  = "text/event-stream"
 )
 
 // relay forwards the response of an attempt to the client.
@@ -35,13 +35,54 @@
 		r.relayServiceResponse(a)
 	case a.Status() >= http.StatusInternalServerError:
 		a.Fail(fault.Newf(fault.Unavailable, "see the log of the engine", "engine %s answered %d", r.target.Name, a.Status()))
-	case r.c.stream() && strings.HasPrefix(a.Header().Get("Content-Type"), eventStream):
+	case a.Status() >= http.StatusMultipleChoices:
+		r.relayBuffered(a)
+	default:
+		r.relayCompletion(a, work)
+	}
+}
+
+// relayCompletion forwards a successful response if it is what the client asked for.
+func (r *run) relayCompletion(a *attempt.Attempt, work *routing.Work) {
+	err := r.checkCompletionHead(a)
+	switch {
+	case err != nil:
+		a.Interrupt(r.unexpectedResponse(a, err))
+	case r.c.stream():
 		r.relayStream(a, work)
 	default:
 		r.relayBuffered(a)
 	}
 }
 
+// Reasons why a successful response is not the completion that was asked for.
+var (
+	errStatus    = errors.New("its status is not 200")
+	errMediaType = errors.New("its media type is not that of an event stream")
+	errNoEvent   = errors.New("it has no event")
+	errNoChoices = errors.New("it is not a JSON object with choices")
+)
+
+// checkCompletionHead returns an error if a successful response cannot be the completion, or the stream, that was asked for.
+func (r *run) checkCompletionHead(a *attempt.Attempt) error {
+	types := a.Header().Values("Content-Type")
+	switch {
+	case a.Status() != http.StatusOK:
+		return errStatus
+	case r.c.stream() && (len(types) > 1 || len(types) == 1 && !eventstream.HasMediaType(types[0])):
+		return errMediaType
+	}
+	return nil
+}
+
+// unexpectedResponse logs and counts a successful response that is not what was asked for. It returns the error that ends the attempt.
+func (r *run) unexpectedResponse(a *attempt.Attempt, reason error) error {
+	r.s.count("unexpected_responses", r.c)
+	level.Warn(r.s.o.Logger).Log("msg", "unexpected response", "request", r.c.id, "target", r.target.Name, "reason", reason,
+		"status", a.Status(), "type", fmt.Sprintf("%.64q", strings.Join(a.Header().Values("Content-Type"), ", ")), "length", a.Length())
+	return fault.Wrap(reason, fault.Unknown, "engine "+r.target.Name+" sent a response that is not what was asked for", "check the engine")
+}
+
 // relayServiceResponse forwards the response of a plain service. A response of at
 // most maxBufferedResponse is buffered until it is complete, so that the request can
 // be retried if the response is truncated.
@@ -66,13 +107,18 @@
 	_, _ = (&deadlineWriter{w: r.w}).Write(body)
 }
 
-// validateCompletion returns an error if an engine's successful response is not
-// valid JSON.
+// validateCompletion returns an error if an engine's successful response is not a completion.
 func (r *run) validateCompletion(a *attempt.Attempt, body []byte) error {
-	if r.c.completion == nil || a.Status() != http.StatusOK || json.Valid(body) {
+	if r.c.completion == nil || a.Status() != http.StatusOK {
 		return nil
 	}
-	return fault.Newf(fault.Unknown, "check the engine", "engine %s sent a response that is not valid JSON", r.target.Name)
+	var w struct {
+		Choices []json.RawMessage `json:"choices"`
+	}
+	if json.Unmarshal(body, &w) != nil || w.Choices == nil {
+		return r.unexpectedResponse(a, errNoChoices)
+	}
+	return nil
 }
 
 // startResponse sends the response header.
@@ -110,6 +156,11 @@
 		}
 		r.delivered++
 		return nil
+	}, func() error {
+		if r.delivered == 0 {
+			return r.unexpectedResponse(a, errNoEvent)
+		}
+		return nil
 	})
 	if err == nil {
 		r.s.lengths.record(r.c.workspace.Name, r.c.class, r.delivered)
@@ -129,7 +180,7 @@
 	if !r.responseStarted {
 		r.responseStarted = true
 		h := r.w.Header()
-		h.Set("Content-Type", eventStream)
+		h.Set("Content-Type", eventstream.MediaType)
 		h.Set("Cache-Control", "no-cache")
 		h.Set("Trailer", HeaderOutcome)
 		r.setResponseHeaders(h)
