An exported KV cache has a name that a header can carry

Callers saw: 400 for a request with a long prompt whose prefill engine named its exported cache with a control character, and the decode engine got names that are cut or changed, and negative sizes. Cause: the response to a prefill request was taken whatever its name and size are, and put into the headers of the run. Change: the name is printable ASCII without spaces of at most 256 bytes, the size positive; otherwise no cache was exported, and the target prefills the prompt itself, as after any failed prefill.

--- a/internal/entry/phases.go
+++ b/internal/entry/phases.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -111,9 +110,12 @@
 // decodeKVExport decodes the response to a prefill request and stores the exported
 // KV cache in the run.
 func (r *run) decodeKVExport(a *attempt.Attempt, body []byte) error {
-	var kv openai.KVExport
-	if err := json.Unmarshal(body, &kv); err != nil || kv.KV == "" || a.Status() != http.StatusOK {
-		return fault.New(fault.Unavailable, "engine exported no KV cache", "the target of the request prefills the prompt")
+	if a.Status() != http.StatusOK {
+		return fault.Newf(fault.Unavailable, "the target of the request prefills the prompt", "engine answered %d to a prefill request", a.Status())
+	}
+	kv, err := parseKVExport(body)
+	if err != nil {
+		return err
 	}
 	r.kv = kv
 	return nil
