Show how much memory bodies reserve, and why a response is not buffered

Callers saw 503 memory-full, or a process that ended. relayed_as=unbuffered did not say whether the size of a response or the memory limit was the reason, and nothing showed how much was reserved, so that a budget that one source uses up could not be told from a budget that is absent.

Change: gauge gateway.buffered_bytes, counters gateway.answers_passed_on.size and .memory, and a debug line for each response that is not buffered.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"sync/atomic"
 
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
 	"github.com/rockdoor/rockdoor/internal/upstream"
@@ -42,7 +45,10 @@
 }
 
 // SetBufferLimit bounds the bytes of request and response bodies that are buffered. 0 means no limit.
-func (s *Server) SetBufferLimit(bytes int64) { s.buffers.limit.Store(bytes) }
+func (s *Server) SetBufferLimit(bytes int64) {
+	s.o.Metrics.GetOrRegister("gateway.buffered_bytes", metrics.NewFunctionalGauge(s.BufferedBytes))
+	s.buffers.limit.Store(bytes)
+}
 
 // readBuffered reads up to limit bytes into memory that it reserves for the request. The error is
 // io.EOF if the body was read to its end. It is errMemoryFull, with the bytes read so far, if
@@ -86,7 +92,7 @@
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	q.w.WriteHeader(resp.Status)
-	q.s.count("answers_passed_on")
+	q.s.countUnbuffered(q, resp, len(start))
 	if _, err := q.w.Write(start); err != nil {
 		resp.Close(false)
 		return q.clientWriteFailed(err)
@@ -103,6 +109,17 @@
 	return lifecycle.Delivered, nil
 }
 
+// countUnbuffered logs and counts a response that is not buffered whole, with the reason.
+func (s *Server) countUnbuffered(q *request, resp *upstream.Response, read int) {
+	reason := "memory"
+	if read >= maxBufferedResponse {
+		reason = "size"
+	}
+	s.count("answers_passed_on")
+	s.count("answers_passed_on." + reason)
+	level.Debug(s.o.Logger).Log("msg", "response not buffered", "request", q.call.ID, "service", q.service, "instance", q.plan.Target.ID, "reason", reason, "read", read, "length", resp.Length, "reserved", s.BufferedBytes())
+}
+
 // clientWriter records a failed write to the client, to tell it from a failed read of the response.
 type clientWriter struct {
 	w   http.ResponseWriter
