Endless comments break a stream

Callers of streaming routes waited until their deadline (504 after 2 s in the test) while an engine sent comments without end, and nothing was held against the engine.

Cause: blocks of comments are read and dropped; each is bounded, their number is not.

Change: comments between two events may have as many bytes as an event may (256 KB). Beyond that the stream is malformed: it is logged, counted, held against the engine and resumed where its route allows it. Comments as signs of life have a few bytes and are nowhere near it.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -127,7 +127,7 @@
 // relayEvents relays each complete event of a stream as it arrives. The headers are sent
 // with the first event, so that until then the request can be retried at another instance.
 func (q *request) relayEvents(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
-	in, check := bufio.NewReader(resp.Body), eventstream.After(q.resumeAfter())
+	in, check, commentBytes := bufio.NewReader(resp.Body), eventstream.After(q.resumeAfter()), 0
 	for {
 		event, err := readEvent(in)
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
@@ -139,7 +139,11 @@
 		}
 		id := ""
 		if q.route.Kind == fleet.Streaming { // elsewhere events need no ID
-			if id, err = check.Check(event); err != nil {
+			id, err = check.Check(event)
+			if commentBytes += len(event); err == nil && id == "" && commentBytes > maxEventBytes {
+				err = errComments // they are not relayed, so only the deadline would end them
+			}
+			if err != nil {
 				resp.Close(false)
 				q.logMalformedEvent(from, event, err)
 				return lifecycle.Lost, fault.Wrap(errors.Mark(err, errMalformed), fault.Unknown, "stream has bytes that are not its next event", "it is resumed if its route allows it")
@@ -147,6 +151,7 @@
 			if id == "" {
 				continue // comments
 			}
+			commentBytes = 0
 		}
 		if res, err := q.relayEvent(resp, id, event); err != nil {
 			resp.Close(false)
@@ -174,8 +179,9 @@
 }
 
 var (
-	errGivenUp = errors.New("attempt was given up before its first event")
-	errNoEvent = errors.New("stream has no event")
+	errGivenUp  = errors.New("attempt was given up before its first event")
+	errNoEvent  = errors.New("stream has no event")
+	errComments = errors.New("its comments between two events are larger than an event may be")
 	// errMalformed marks errors of streams that the instance itself has broken.
 	errMalformed = errors.New("stream is malformed")
 )
