Soak: foreign responses, bodies without end, slow uploads across stops

The soak never showed what callers reported: pieces of responses that are no streams, clients of a host that were rejected because of one service's bodies without end, requests that became whole during a planned stop and got no answer. None of its faults did any of it.

The comparison of responses knows bodies without end: they must be what the engine sent, and cut. plannedStopsLoseNothing leaves slow uploads to the check of their own, which counts from their last byte; nothing else of it changed.

--- a/internal/lab/soak/actions.go
+++ b/internal/lab/soak/actions.go
@@ -274,6 +274,10 @@
 		p.sendLateResponses(a.Rate, a.Duration)
 	case FaultGarble:
 		p.garble(a.Count, a.Duration)
+	case FaultForeign:
+		p.sendForeign(a.Count, a.Duration)
+	case FaultEndlessBody, FaultEndlessComments:
+		w.respondWithoutEnd(a)
 	case FaultFull:
 		w.fill(a)
 	case FaultShedAll:
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -31,6 +30,8 @@
 	// longPromptShare is the share of streams with long prompts, which one engine prefills and
 	// another decodes.
 	longPromptShare = 0.5
+	// maxKeptBody is the part of a response that is kept. Sound responses are shorter.
+	maxKeptBody = 64 << 10
 	// maxResumptions is how often a client resumes a stream.
 	maxResumptions = 3
 	// resumeWait is how long a client waits for a gateway at which it can resume a stream.
@@ -78,6 +79,8 @@
 	callCount   int
 	// lastCall is the call that was sent last.
 	lastCall *Call
+	// uploads is true if the client sends its requests slowly.
+	uploads bool
 }
 
 func newClient(w *world, op *operator, number, preferred int) *client {
@@ -92,7 +95,7 @@
 			time.Sleep(reconnectDelay)
 			continue
 		}
-		c.sendCall(c.nextCall())
+		c.sendCall(c.nextOwnCall())
 		c.repeat(ctx)
 		c.resume(ctx, c.lastCall)
 		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(c.w.o.ThinkTime)))
@@ -219,9 +222,9 @@
 		stop = c.cancelAfter(call, time.Duration(c.rng.Int64N(int64(maxCancelDelay))))
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(call.Timeout + clientTimeoutSlack)) // on a closed connection the write below fails
-	call.Sent = time.Now()
+	call.Sent, call.Slow = time.Now(), c.uploads
 	c.w.observed.record(func() { c.w.observed.Calls = append(c.w.observed.Calls, call) })
-	_, err := io.WriteString(c.conn, text)
+	err := c.write(call, text)
 	keep := false
 	if err == nil {
 		keep, err = c.readResponse(call)
@@ -299,7 +302,7 @@
 func (c *client) readResponse(call *Call) (keep bool, err error) {
 	a, err := fleetcaller.ReadResponse(c.reader)
 	c.w.observed.record(func() {
-		call.Status, call.Sealed, call.ResponseBody, call.Complete = a.Status, a.Sealed, a.Body, a.Complete
+		call.Status, call.Sealed, call.ResponseBody, call.Complete = a.Status, a.Sealed, strings.Clone(a.Body[:min(len(a.Body), maxKeptBody)]), a.Complete
 		call.RetryAfter = a.RetryAfter
 	})
 	c.toldToClose = c.toldToClose || a.ClosesConnection
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -32,7 +32,7 @@
 		// rate is the number of cases that a run needs per process and minute of faults.
 		rate float64
 	}{
-		{c.responsesComplete, 100}, {c.streamsAsWritten, 20}, {c.garbledStreamsContinue, 0}, {c.newInstancesGetWork, 0}, {c.processesBecomeReady, 0}, {c.refusedNeverRun, 5}, {c.atMostOnce, 30}, {c.atMostOnceOverAttempts, 5}, {c.closedUnreadNeverRuns, 0}, {c.requestsUnchanged, 100}, {c.routedAsConfigured, 100}, {c.allowedNotDenied, 100},
+		{c.responsesComplete, 100}, {c.streamsAsWritten, 20}, {c.garbledStreamsContinue, 0}, {c.foreignNotRelayed, 0}, {c.servedBesideEndless, 0}, {c.slowUploadsAnswered, 0}, {c.newInstancesGetWork, 0}, {c.processesBecomeReady, 0}, {c.refusedNeverRun, 5}, {c.atMostOnce, 30}, {c.atMostOnceOverAttempts, 5}, {c.closedUnreadNeverRuns, 0}, {c.requestsUnchanged, 100}, {c.routedAsConfigured, 100}, {c.allowedNotDenied, 100},
 		{c.reusedConnsAnswered, 30}, {c.answeredInTime, 0}, {c.configurationInForce, 10}, {c.configurationMonotonic, 20}, {c.withdrawnGetNoWork, minWithdrawalRate},
 		{c.rateLimits, minLimitCaseRate},
 		{c.budget, 0}, {c.deadlines, 30}, {c.canceledWorkEnds, 2}, {c.resumedRunsExclusive, 0}, {c.streamsOfOneVersion, minResumptionRate}, {c.resumptionsServed, 0}, {c.poisonPartsStopped, 0}, {c.singleHolder, 1}, {c.ordersUnderLease, 1},
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -141,7 +141,7 @@
 			g.addViolation(call.ID, "%s: success without a seal", call.ID)
 		case success && call.Complete && call.ResponseBody != want:
 			g.addViolation(call.ID, "%s: appears complete but is %q", call.ID, tail(call.ResponseBody))
-		case success && !strings.HasPrefix(want, call.ResponseBody):
+		case success && !strings.HasPrefix(want, call.ResponseBody) && !c.cutEndless(call):
 			g.addViolation(call.ID, "%s: does not match the expected response: %q", call.ID, tail(call.ResponseBody))
 		case !success && call.Sealed && !c.instanceReturned(call):
 			g.addViolation(call.ID, "%s: sealed response %d that no instance returned", call.ID, call.Status)
--- a/internal/lab/soak/check_process.go
+++ b/internal/lab/soak/check_process.go
@@ -18,20 +18,24 @@
 func (c *checker) plannedStopsLoseNothing() Guarantee {
 	g := Guarantee{Name: "a planned stop interrupts no request"}
 	for _, call := range c.observed.Calls {
-		stop := c.stopDuring(call)
-		if stop == nil || c.observed.wasDisturbed(call.Gateway, call.Sent.Add(-c.o.Bounds.ContactTime), call.Ended, isNotPlannedStop) {
+		if call.Slow || c.stopDuring(call) == nil || c.observed.wasDisturbed(call.Gateway, call.Sent.Add(-c.o.Bounds.ContactTime), call.Ended, isNotPlannedStop) {
 			continue
 		}
 		g.Cases++
-		arrivals := c.arrivals[call.key()]
-		passedOn := len(arrivals) > 0 || call.duration() > c.o.Bounds.UnansweredRead
-		if call.CanceledAt.IsZero() && !call.Complete && !call.Unsent && passedOn && !anyAborted(arrivals) && call.duration() < call.Timeout {
+		if c.interrupted(call, call.Sent) {
 			g.addViolation(call.ID, "%s: interrupted after %s while %s stopped: %s", call.ID, call.duration(), gatewayName(call.Gateway), call.Err)
 		}
 	}
 	return g
 }
 
+// interrupted reports whether a process left a request that was sent at a time, and that it had read, without its response.
+func (c *checker) interrupted(call *Call, sent time.Time) bool {
+	arrivals := c.arrivals[call.key()]
+	passedOn := len(arrivals) > 0 || call.Ended.Sub(sent) > c.o.Bounds.UnansweredRead
+	return call.CanceledAt.IsZero() && !call.Complete && !call.Unsent && passedOn && !anyAborted(arrivals) && call.duration() < call.Timeout
+}
+
 // stopDuring returns the planned stop of the process that overlapped with a request, or nil.
 func (c *checker) stopDuring(call *Call) *Disturbance {
 	for _, d := range c.observed.Disturbances {
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -125,6 +125,36 @@
 				}
 			}
 		}},
+		"bytes of a foreign response": {(*checker).foreignNotRelayed, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.ResponseBody, c.Complete = foreignMark, false
+		}},
+		"status of a foreign response": {(*checker).foreignNotRelayed, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", StreamOnce, 40)
+			c.Status, c.ResponseBody = http.StatusPartialContent, ""
+		}},
+		"body without end appears complete": {(*checker).responsesComplete, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Once, 40)
+			f.Endless["r"], c.ResponseBody = true, c.ResponseBody+strings.Repeat(fleetengine.EndlessFiller, 9)
+		}},
+		"other bytes in a body without end": {(*checker).responsesComplete, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Once, 40)
+			f.Endless["r"], c.Complete, c.ResponseBody = true, false, c.ResponseBody+fleetengine.EndlessFiller+"answer to q"
+		}},
+		"requests beside bodies without end are rejected": {(*checker).servedBesideEndless, func(f *Observations) {
+			f.Disturbances = []*Disturbance{{Fault: FaultEndlessBody, From: at(40), To: at(45)}}
+			for n := range minBeside {
+				c, _ := f.addAnsweredCall(fmt.Sprint("r", n), Stream, 41)
+				if n%20 == 0 {
+					c.ID, c.Status, c.Sealed = fmt.Sprint("q", n), http.StatusServiceUnavailable, false
+				}
+			}
+		}},
+		"slow upload across a stop is left without an answer": {(*checker).slowUploadsAnswered, func(f *Observations) {
+			f.Disturbances = []*Disturbance{{Fault: FaultStop, Gateways: []int{0}, From: at(40.2), To: at(45)}}
+			c, a := f.addAnsweredCall("r", Once, 40)
+			a.ID, c.Slow, c.Whole, c.Ended, c.Status, c.Complete = "q", true, at(40.5), at(40.9), 0, false
+		}},
 		"new instance gets no request": {(*checker).newInstancesGetWork, func(f *Observations) {
 			f.Registered = []Registered{{"i-9", serviceApp, at(30)}}
 			addCalls(f, minNewcomerChances, Once, func(*Call, *Arrival) {})
--- a/internal/lab/soak/instances.go
+++ b/internal/lab/soak/instances.go
@@ -127,8 +127,10 @@
 		e.Software = p.software()
 		p.poison(e)
 		p.setGarble(e)
+		p.setForeign(e)
 		p.recordEngine(e)
 	}
+	e.OnEndless = func(id string) { p.w.observed.record(func() { p.w.observed.Endless[id] = true }) }
 	e.OnStageChange = func(stage string) { p.register(e, stage) }
 	p.current, p.draining, p.deregistered = e, false, false
 	p.mu.Unlock()
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -63,6 +63,10 @@
 	CanceledAt time.Time
 	// Dropped is true if the client closed its connection to resume the stream elsewhere.
 	Dropped bool
+	// Whole is when the last byte of a slow upload was sent; zero for other requests and until then.
+	Whole time.Time
+	// Slow is true if the client sends the request with a pause.
+	Slow bool
 	// Unsent is true if the connection ended before the request had been written completely.
 	Unsent bool
 	// Status is 0 if no response header was received.
@@ -212,10 +216,12 @@
 	Registered    []Registered
 	// Garbled has the IDs of the requests for which an instance sent garbage.
 	Garbled map[string]bool
+	// Foreign and Endless have those for which one sent a response that is no stream, or a body without end.
+	Foreign, Endless map[string]bool
 }
 
 func newObservations() *Observations {
-	return &Observations{Starts: map[int][]time.Time{}, Ready: map[int][]time.Time{}, Garbled: map[string]bool{}}
+	return &Observations{Starts: map[int][]time.Time{}, Ready: map[int][]time.Time{}, Garbled: map[string]bool{}, Foreign: map[string]bool{}, Endless: map[string]bool{}}
 }
 
 // endEngine records the end of an engine. The caller holds the lock.
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -123,6 +123,7 @@
 			newClient(w, op, n, n%w.o.Processes).run(ctx)
 		}()
 	}
+	w.startUploaders(ctx, op, &all)
 	return func() { cancel(); all.Wait() }
 }
 
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -204,7 +204,7 @@
 		out = slices.Concat(out, s.withdrawals(length), s.watcherFaults(length), s.storeRestores(length), s.rollingRestart(length))
 	}
 	out = slices.Concat(out, rateLimitActions(seed, layout, length), rejectionActions(seed, processes, layout, length), sickInstanceActions(seed, layout, length), lateResponseActions(seed, processes, layout, length),
-		garbageActions(seed, layout, length), oddEntryActions(seed, processes, layout, length), releaseActions(seed, processes, layout, length))
+		garbageActions(seed, layout, length), foreignActions(seed, layout, length), oddEntryActions(seed, processes, layout, length), releaseActions(seed, processes, layout, length))
 	out = slices.DeleteFunc(out, func(a Action) bool { return a.At >= length })
 	slices.SortStableFunc(out, func(a, b Action) int { return int(a.At - b.At) })
 	return out
--- /dev/null
+++ b/internal/lab/soak/upload.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// maxUploadShare is the longest part of its timeout after which a slow upload becomes whole.
+	maxUploadShare = 0.8
+	// uploadedLast is the number of bytes at the end of a request for which the process waits.
+	uploadedLast = 5
+)
+
+// startUploaders starts a client for each process that sends its requests slowly, so that some become whole at a random moment
+// of a planned stop.
+func (w *world) startUploaders(ctx context.Context, op *operator, all *sync.WaitGroup) {
+	for n := range w.o.Processes {
+		all.Go(func() {
+			c := newClient(w, op, w.o.ClientsPerProcess*w.o.Processes+n, n)
+			c.uploads = true
+			c.run(ctx)
+		})
+	}
+}
+
+// nextOwnCall generates a request of a kind that the client sends. The kinds that show the configuration in force are sent at
+// once, because it may change during an upload.
+func (c *client) nextOwnCall() *Call {
+	call := c.nextCall()
+	for c.uploads && (call.Kind == Mark || call.Kind == Only) {
+		call = c.nextCall()
+	}
+	return call
+}
+
+// write sends a request. The end of a slow upload follows at a random moment within the timeout.
+func (c *client) write(call *Call, text string) error {
+	if !c.uploads {
+		_, err := io.WriteString(c.conn, text)
+		return err
+	}
+	split := len(text) - uploadedLast
+	if _, err := io.WriteString(c.conn, text[:split]); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(c.rng.Float64() * maxUploadShare * float64(call.Timeout)))
+	_, err := io.WriteString(c.conn, text[split:])
+	c.w.observed.record(func() { call.Whole = time.Now() })
+	return err
+}
+
+// slowUploadsAnswered checks that a process that is stopped responds to requests that become whole meanwhile.
+func (c *checker) slowUploadsAnswered() Guarantee {
+	g := Guarantee{Name: "a request that becomes whole during a planned stop gets an answer"}
+	for _, call := range c.observed.Calls {
+		stop := c.stopDuring(call)
+		if !call.Slow || call.Whole.IsZero() || stop == nil || call.Whole.Before(stop.From) || c.observed.wasDisturbed(call.Gateway, call.Sent.Add(-c.o.Bounds.ContactTime), call.Ended, isNotPlannedStop) {
+			continue
+		}
+		g.Cases++
+		if c.interrupted(call, call.Whole) {
+			g.addViolation(call.ID, "%s: became whole %s after %s was told to stop, interrupted %s later: %s",
+				call.ID, call.Whole.Sub(stop.From), gatewayName(call.Gateway), call.Ended.Sub(call.Whole), call.Err)
+		}
+	}
+	return g
+}
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -102,6 +102,10 @@
 	Unframed bool
 	// Garble says what garbled streams consist of.
 	Garble Garble
+	// Foreign says what the responses of the fault Foreign consist of.
+	Foreign Garble
+	// OnEndless is called with the ID of each request that gets a body without end. It may be nil.
+	OnEndless func(id string)
 	// PoisonBody is the body of a poison request, empty for none: the engine crashes when it starts to
 	// run a request with this body. Crash then simulates the end of the engine's process.
 	PoisonBody string
@@ -487,7 +491,15 @@
 		return
 	}
 	if fault == Garbled {
-		e.respondGarbled(w, run)
+		e.respondGarbled(w, run, e.Garble)
+		return
+	}
+	if fault == Foreign {
+		e.respondGarbled(w, run, e.Foreign)
+		return
+	}
+	if fault == EndlessBody || fault == EndlessComments {
+		e.respondWithoutEnd(w, run, fault)
 		return
 	}
 	if e.Unframed {
--- a/internal/standin/fleetengine/garble.go
+++ b/internal/standin/fleetengine/garble.go
@@ -12,6 +12,9 @@
 // Garbled sends a stream with bytes that the run did not write, as Engine.Garble says.
 const Garbled Fault = "garbled"
 
+// Foreign sends a response that is no stream, as Engine.Foreign says.
+const Foreign Fault = "foreign"
+
 // Garble says what a garbled stream consists of and how it is sent.
 type Garble struct {
 	// Change returns what is sent in place of the events that the run wrote. If it is nil, binary data follow the second event.
@@ -110,7 +113,7 @@
 }
 
 // respondGarbled sends a garbled stream and closes its connection.
-func (e *Engine) respondGarbled(w http.ResponseWriter, run Run) {
+func (e *Engine) respondGarbled(w http.ResponseWriter, run Run, g Garble) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -119,45 +122,46 @@
 	var events []string
 	for n := firstEvent(run); n <= e.Events; n++ {
 		event := e.event(run, n)
-		if e.Garble.CRLF {
+		if g.CRLF {
 			event = strings.ReplaceAll(event, "\n", "\r\n")
 		}
 		events = append(events, event)
 	}
 	body := strings.Join(events, "")
-	if change := e.Garble.Change; change != nil && len(events) > 0 {
+	if change := g.Change; change != nil && len(events) > 0 {
 		body = change(events)
 	} else if change == nil {
 		body = insert(2, "\x00\xff\xfe\x8f\x01\n\n")(events)
 	}
 	framing, end := "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"
 	switch {
-	case e.Garble.Length:
+	case g.Length:
 		framing, end = fmt.Sprintf("Content-Length: %d\r\n", len(body)), ""
 	case e.Unframed:
 		framing, end = "", ""
-	case e.Garble.BadEnd:
+	case g.BadEnd:
 		end = "\x00\xff\xfe\x8f\x01\r\n"
 	}
-	head := e.Garble.Head
+	head := g.Head
 	if head == (Head{}) {
 		head.Fields = streamType
 	}
 	_, _ = fmt.Fprintf(conn, "%s\r\nX-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\n%s%s\r\n", cmp.Or(head.Status, "HTTP/1.1 200 OK"), run.ID, e.ID, head.Fields, framing)
 	step := max(len(body), 1)
-	if e.Garble.Piecemeal {
+	if g.Piecemeal {
 		step = 1
 	}
 	for ; body != ""; body = body[min(step, len(body)):] {
-		e.writePiece(conn, body[:min(step, len(body))], strings.HasPrefix(framing, "Transfer"))
+		_ = e.writePiece(conn, body[:min(step, len(body))], strings.HasPrefix(framing, "Transfer")) // the client may have closed the connection
 	}
 	_, _ = io.WriteString(conn, end)
 }
 
 // writePiece writes a piece of a body, as a chunk if the body is chunked.
-func (e *Engine) writePiece(conn net.Conn, piece string, chunked bool) {
+func (e *Engine) writePiece(conn net.Conn, piece string, chunked bool) error {
 	if chunked {
 		piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 	}
-	_, _ = io.WriteString(conn, piece) // the client may have closed the connection
+	_, err := io.WriteString(conn, piece)
+	return err
 }
