--- a/internal/standin/cut/cut_test.go
+++ b/internal/standin/cut/cut_test.go
@@ -201,7 +201,7 @@
 						a := s.Start(t.Context(), attempt.Request{ID: "1", Address: address, Method: http.MethodPost, URI: "/", Header: http.Header{}})
 						err := a.Err()
 						if err == nil && kind == "stream" {
-							err = a.Events(func(string) error { return nil })
+							err = a.Events(func(string) error { return nil }, func() error { return nil })
 						} else if err == nil {
 							var got []byte
 							if got, err = a.ReadAll(1<<10, func(b []byte) error { return nil }); err == nil {
