--- a/internal/entry/review_foreign_test.go
+++ b/internal/entry/review_foreign_test.go
@@ -73,3 +73,14 @@
 		}
 	}
 }
+
+// TestFailureIsNotJoinedToACompletion has an engine continue a stream that has begun with a failure or a redirect.
+func TestFailureIsNotJoinedToACompletion(t *testing.T) {
+	for _, status := range []int{302, 400, 404, 429} {
+		f := foreignFleet(t, 2, engined.Faults{CutAfter: 3}, status, "text/plain", "garbage")
+		g := f.chat("notes", true)
+		if strings.Contains(g.body, "garbage") {
+			t.Errorf("%d: joined to the stream, outcome %q: %.40q ... %q", status, g.trailer.Get(HeaderOutcome), g.body, g.body[max(0, len(g.body)-40):])
+		}
+	}
+}
