The body of a discarded response is not waited for

Callers saw: requests held until their deadline, then 503 or 504, while a sound engine was free, where another engine rejected the request and did not send the body that it announced. Cause: DiscardBody read up to 64 KB without a bound in time before the request went on. Change: after 0.1 s the connection is closed instead of reused.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,6 +43,8 @@
 	maxStrayBytes     = 1 << 20
 	// maxDiscardBytes bounds the body that DiscardBody reads in order to reuse the connection.
 	maxDiscardBytes = 64 << 10
+	// discardTimeout bounds the time that DiscardBody waits for that body. A short one arrives with its head.
+	discardTimeout = 100 * time.Millisecond
 	// strayTimeout bounds the wait for the right response after a response to another
 	// request: an instance that has confused the two will not send another.
 	strayTimeout = time.Second
@@ -416,7 +418,11 @@
 
 // DiscardBody ends the exchange without using the body. A short body is read and discarded, so
 // that the connection can be reused.
-func (r *Response) DiscardBody() { r.Close(discardBody(r.Body, maxDiscardBytes) == nil) }
+func (r *Response) DiscardBody() {
+	timer := time.AfterFunc(discardTimeout, func() { _ = r.conn.SetDeadline(time.Unix(1, 0)) })
+	err := discardBody(r.Body, maxDiscardBytes)
+	r.Close(timer.Stop() && err == nil)
+}
 
 func (r *Response) discard() {
 	r.client.removeInterruptible(r)
