What the route asks for decides about HEAD, plain bodies and event 0 too

Cause: whether a stream may be without events was read from the presence of a header, and the form of events was asked of bodies whose route asks for none. Change: only GET-like requests need an event, and only those that ask for the first one; a plain route passes what is left at the end of a whole body, and pieces larger than an event. TestResponseWithoutEventIDsIsNotContinued took a body that ended well for an interrupted one; it now interrupts it (garbage in place of the last chunk) and asserts the same.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -49,6 +49,9 @@
 	return &Checker{next: last + 1}
 }
 
+// AtStart reports whether the next event is the first one of a stream.
+func (c *Checker) AtStart() bool { return c.next == 1 }
+
 // Check returns the ID of an event, which includes the blank line that ends it. The ID is empty for comments only, which are no
 // event. An error says why the bytes are not the next event of the run; nothing can be known about those that follow.
 func (c *Checker) Check(event []byte) (id string, err error) {
--- a/internal/gateway/garbage_test.go
+++ b/internal/gateway/garbage_test.go
@@ -86,7 +86,7 @@
 	const sent = "data: a\n\ndata: b\n\n"
 	all := engines("", "i-1", "i-2")
 	for _, e := range all {
-		e.Events, e.Garble.Change = 2, func([]string) string { return sent + "data" }
+		e.Events, e.Garble.Change, e.Garble.BadEnd = 2, func([]string) string { return sent + "data" }, true
 	}
 	var placed atomic.Int64
 	r := newHarness(t, harnessOptions{plain: all, onPlaced: func(_ *harness, p placement.Plan) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -66,7 +66,8 @@
 // relay sends the response of an instance to the client.
 func (q *request) relay(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeGrace)) // if it is not supported, a slow client is not cut off
-	if q.route.Kind == fleet.Streaming && resp.Status < http.StatusMultipleChoices {
+	q.relayedAs = ""
+	if q.isStream(resp) && q.route.Kind == fleet.Streaming {
 		if err := checkStreamHead(resp); err != nil {
 			resp.Close(false)
 			q.logUnexpectedResponse(from, resp, err)
@@ -130,12 +131,15 @@
 	in, check, commentBytes := bufio.NewReader(resp.Body), eventstream.After(q.resumeAfter()), 0
 	for {
 		event, err := readEvent(in)
+		if q.route.Kind != fleet.Streaming && len(event) > 0 && (errors.Is(err, io.EOF) || errors.Is(err, errEventTooLarge)) {
+			err = nil // a body of any form
+		}
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
 			resp.Close(false)
 			return lifecycle.Lost, fault.Wrap(err, fault.Unknown, "stream was cut", "it is resumed if its route allows it")
 		}
 		if err != nil {
-			return q.endStream(resp, from)
+			return q.endStream(resp, from, check)
 		}
 		id := ""
 		if q.route.Kind == fleet.Streaming { // elsewhere events need no ID
@@ -161,13 +165,13 @@
 }
 
 // endStream handles the end of a stream. One without events answers a request only if that asks for those after an event.
-func (q *request) endStream(resp *upstream.Response, from *fleet.Instance) (lifecycle.Outcome, error) {
+func (q *request) endStream(resp *upstream.Response, from *fleet.Instance, check *eventstream.Checker) (lifecycle.Outcome, error) {
 	switch {
 	case q.responseStarted:
 	case !q.hang.responded():
 		resp.Close(false)
 		return lifecycle.Lost, errGivenUp
-	case q.route.Kind == fleet.Streaming && q.call.LastEvent == "":
+	case q.route.Kind == fleet.Streaming && check.AtStart() && q.http.Method != http.MethodHead:
 		resp.Close(false)
 		q.logMalformedEvent(from, nil, errNoEvent)
 		return lifecycle.Lost, fault.Wrap(errors.Mark(errNoEvent, errMalformed), fault.Unknown, "stream ended before its first event", "another instance is tried if the request may be repeated")
@@ -179,15 +183,18 @@
 }
 
 var (
-	errGivenUp  = errors.New("attempt was given up before its first event")
-	errNoEvent  = errors.New("stream has no event")
-	errComments = errors.New("its comments between two events are larger than an event may be")
+	errGivenUp = errors.New("attempt was given up before its first event")
+	errNoEvent = errors.New("stream has no event")
+	// errEventTooLarge is returned by readEvent with the beginning of the event.
+	errEventTooLarge = fault.Newf(fault.Exhausted, "check the instance", "event is larger than %d bytes", maxEventBytes)
+	errComments      = errors.New("its comments between two events are larger than an event may be")
 	// errMalformed marks errors of streams that the instance itself has broken.
 	errMalformed = errors.New("stream is malformed")
 )
 
-// Reasons why a successful response to a request of a streaming route cannot be its stream.
+// Reasons why a successful response cannot be what its route asks for.
 var (
+	errNoSeal       = errors.New("it has not exactly one seal, or one of another encoding")
 	errStreamStatus = errors.New("its status is not 200")
 	errStreamType   = errors.New("its media type is not that of an event stream")
 )
@@ -261,7 +268,7 @@
 		event = append(event, part...)
 		switch {
 		case len(event) > maxEventBytes:
-			return event, fault.Newf(fault.Exhausted, "check the instance", "event is larger than %d bytes", maxEventBytes)
+			return event, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
