A stream does not go on at a route that has no streams any more

Callers saw: garbage behind the numbered events that they had, in the form of the report, complete and without a line in the log, where the kind of the route changed between two runs of a stream or between a stream and its resumption. Cause: each attempt takes the newest configuration, and whether a response is checked followed from the new kind alone. Change: a request whose client has events of a stream ends there if its route has no streams now: broken off within a response, 503 not run to a client that resumes.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -146,6 +146,9 @@
 	if rep := q.repeatForbidden(); rep != nil {
 		return rep
 	}
+	if rep := q.continuationForbidden(); rep != nil {
+		return rep
+	}
 	if firstAttempt && q.resumes() {
 		if rep := q.findOrigin(); rep != nil {
 			return rep
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -23,8 +23,16 @@
 const resumptionMargin = time.Second
 
 // resumes reports whether the client resumes a stream.
-func (q *request) resumes() bool {
-	return q.route.Kind == fleet.Streaming && (q.call.LastEvent != "" || q.call.Resumes != "")
+func (q *request) resumes() bool { return q.call.LastEvent != "" || q.call.Resumes != "" }
+
+// continuationForbidden returns a reply if the client has events of a stream and the route, as it is configured now, has no streams:
+// nothing says then what the rest of the stream may be.
+func (q *request) continuationForbidden() *reply {
+	if q.route.Kind == fleet.Streaming || !q.resumes() && q.lastEventID == "" {
+		return nil
+	}
+	err := fault.New(fault.Unavailable, "the route no longer answers with streams", "send the request anew, without the events received")
+	return replyFromState(codeUnknownOrigin, err, defaultRetry)
 }
 
 // resumptionTime returns the time within which clients may resume a stream of a route.
