Foreign responses of backups and successes without a seal are logged and closed at once

Callers saw: a client kept waiting for its deadline after the backup of its stream had answered with something else; operators saw nothing of successes without one seal. Cause: the response of the backup was discarded by reading it, and only two of the ways in which a response is refused had a line. Change: one check and one line for each; the connection is closed.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -10,6 +10,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/lifecycle"
+	"github.com/rockdoor/rockdoor/internal/upstream"
 	"github.com/rockdoor/rockdoor/placement"
 )
 
@@ -54,11 +55,11 @@
 		Source: &engine.KVSource{Address: backup.Address, Handle: q.call.ID},
 	})
 	q.sends++
-	if err == nil {
-		if verdict.NotRun || !verdict.Sealed || checkStreamHead(resp) != nil {
-			resp.DiscardBody()
-			err = fault.Newf(fault.Unavailable, "the stream ends here", "backup %s did not continue the stream, status %d", backup.ID, resp.Status)
-		}
+	if err == nil && verdict.NotRun {
+		resp.DiscardBody()
+		err = fault.Newf(fault.Unavailable, "the stream ends here", "backup %s rejected the request with status %d", backup.ID, resp.Status)
+	} else if err == nil {
+		err = q.checkContinuation(resp, verdict, backup)
 	}
 	level.Info(q.s.o.Logger).Log("msg", "continuing run at its backup", "request", q.call.ID, "backup", backup.ID, "after", q.lastEventID, "cut", streamErr, "err", err)
 	if err != nil {
@@ -73,6 +74,20 @@
 	return res, err
 }
 
+// checkContinuation returns an error if a response cannot be the rest of the stream, and closes it then.
+func (q *request) checkContinuation(resp *upstream.Response, verdict engine.Verdict, from *fleet.Instance) error {
+	err := checkStreamHead(resp)
+	if err == nil && !verdict.Sealed {
+		err = errNoSeal
+	}
+	if err != nil {
+		resp.Close(false)
+		q.logUnexpectedResponse(from, resp, err)
+		return fault.Wrap(err, fault.Unavailable, "backup "+from.ID+" did not continue the stream", "the stream ends here")
+	}
+	return nil
+}
+
 // checkBackup returns an error if a run cannot continue at its backup. Otherwise it charges
 // the send to the backup's rate limit and to the retry budget.
 func (q *request) checkBackup(backup *fleet.Instance) error {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -398,6 +398,7 @@
 	}
 	if !verdict.Sealed && resp.Status < http.StatusMultipleChoices {
 		resp.Close(false)
+		q.logUnexpectedResponse(plan.Target, resp, errNoSeal)
 		q.ticket.RunEnded(placement.Failed)
 		q.avoid[plan.Target.ID] = true
 		return lifecycle.Lost, fault.Newf(fault.Unknown, "check the instance", "instance %s sent a response without its seal", plan.Target.ID)
