A status of an engine names its role and whether it changes

Callers saw: nothing; {} or a status with an unknown role was that of an engine which changes nothing, has no load and a role that no order asked for: an order in progress counted as not applied after the settle time, and an incomplete one got a reset. Text after the status was ignored. Cause: absent fields were read as zero; the decoder stops after the first JSON value. Change: the whole body is one status, with a known role and changing, and no negative number; otherwise there is none, as after a failed call. asOf may be absent: nothing reads it.

--- a/engine/httpcontrol/httpcontrol.go
+++ b/engine/httpcontrol/httpcontrol.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 )
@@ -54,9 +56,37 @@
 	if resp.StatusCode != http.StatusOK {
 		return st, fault.Newf(fault.Unavailable, "check the engine", "engine %s returned HTTP status %d for its status", address, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&st); err != nil {
-		return st, fault.Wrap(err, fault.Unavailable, "engine "+address+" returned a status that cannot be decoded", "check the engine's version")
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err == nil {
+		st, err = decodeStatus(body)
+	}
+	if err != nil {
+		return engine.Status{}, fault.Wrap(err, fault.Unavailable, "engine "+address+" returned a status that cannot be decoded", "check the engine's version")
+	}
+	return st, nil
+}
+
+var (
+	errIncomplete = errors.New("role or changing is missing or unknown")
+	errNegative   = errors.New("token or load is negative")
+)
+
+func decodeStatus(body []byte) (engine.Status, error) {
+	var w struct {
+		engine.Status
+		Changing *bool `json:"changing"`
+	}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return engine.Status{}, err
+	}
+	st := w.Status
+	switch {
+	case st.Role != engine.RoleMixed && st.Role != engine.RolePrefill && st.Role != engine.RoleDecode, w.Changing == nil:
+		return engine.Status{}, errIncomplete
+	case min(st.Running, st.Waiting, st.PrefillTokens, st.DecodeTokens) < 0, st.Token < 0:
+		return engine.Status{}, errNegative
 	}
+	st.Changing = *w.Changing
 	return st, nil
 }
 
--- a/engine/httpcontrol/httpcontrol_test.go
+++ b/engine/httpcontrol/httpcontrol_test.go
@@ -26,8 +26,8 @@
 		return New(nil).Status(t.Context(), start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
 	}
 	for _, body := range []string{
-		``, `{}`, `null`, `[]`, `{"role":""}`, `{"role":"odd","changing":false,"asOf":"2026-01-02T03:04:05Z"}`, `{"role":"mixed"}`, sound + `{}`, sound + "garbage",
-		`{"role":"mixed","asOf":"2026-01-02T03:04:05Z","running":-1}`, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z","prefillTokens":-1}`, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z","token":-1}`,
+		``, `{}`, `null`, `[]`, `{"role":""}`, `{"role":"odd","changing":false,"asOf":"2026-01-02T03:04:05Z"}`, `{"changing":false}`, `{"role":"mixed"}`,
+		sound + `{}`, sound + "garbage", sound[:len(sound)-1] + `,"waiting":-1}`, sound[:len(sound)-1] + `,"prefillTokens":-1}`, sound[:len(sound)-1] + `,"decodeTokens":-1}`, sound[:len(sound)-1] + `,"token":-1}`,
 	} {
 		got, err := status(body)
 		require.True(t, fault.Is(err, fault.Unavailable), "%s: %+v", body, got)
@@ -42,7 +42,7 @@
 	var calls atomic.Int64
 	other := start(t, func(w http.ResponseWriter, _ *http.Request) {
 		calls.Add(1)
-		_, _ = io.WriteString(w, `{"role":"mixed","asOf":"2026-01-02T03:04:05Z"}`)
+		_, _ = io.WriteString(w, `{"role":"mixed","changing":false,"asOf":"2026-01-02T03:04:05Z"}`)
 	})
 	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
 		address := start(t, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+other+r.URL.Path, status) })
