A response of the lab with another status than 200 is not a good one

Cause: the lab's client took the outcome header of any response for its result; a response with status 204, 206, 404 or 500 that a host called complete counted as good, without a look at its body. Change: complete with another status than 200, which no class asks for, is failed.

--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -162,8 +162,11 @@
 	_ = json.NewDecoder(resp.Body).Decode(&e)
 	r.Code = e.Error.Code
 	r.Outcome = Outcome(resp.Header.Get(entry.HeaderOutcome))
-	if r.Outcome == "" {
+	switch r.Outcome {
+	case "":
 		r.Outcome = Broken
+	case Complete: // no class asks for another status than 200
+		r.Outcome = Failed
 	}
 	if ms, err := strconv.Atoi(resp.Header.Get("Retry-After-Ms")); err == nil {
 		r.RetryAfter = time.Duration(ms) * time.Millisecond
