--- a/internal/lab/load/client_test.go
+++ b/internal/lab/load/client_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/internal/entry"
 )
@@ -41,3 +42,16 @@
 		require.False(t, got.Good, status)
 	}
 }
+
+// TestMissingListOfRunsIsAnError has a stand-in answer the call for its runs with something else, which must not pass the checks.
+func TestMissingListOfRunsIsAnError(t *testing.T) {
+	for body, status := range map[string]int{`null`: 200, `[`: 200, `{}`: 200, `[]{}`: 200, `[]`: 206, ``: 204} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body) // fails where the status has no body
+		}))
+		_, err := FetchRuns(t.Context(), &config.Compiled{Targets: map[string]*config.Target{"a": {Address: server.Listener.Addr().String()}}})
+		server.Close()
+		require.Error(t, err, "%d %s", status, body)
+	}
+}
