The lab checks the runs of stand-ins only if it has their lists

Cause: null, a body of another status than 200, and text after the list were taken for the runs of a stand-in; without runs no check can fail. Change: the call asks for one list with status 200; all else ends the run with an error.

--- a/internal/lab/load/check.go
+++ b/internal/lab/load/check.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/selector"
@@ -44,8 +47,14 @@
 			return nil, fault.Wrap(err, fault.Unavailable, "stand-in "+t.Name+" did not return its runs", "check that it is running")
 		}
 		var runs []TargetRun
-		err = json.NewDecoder(resp.Body).Decode(&runs)
+		body, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
+		if err == nil {
+			err = json.Unmarshal(body, &runs)
+		}
+		if err == nil && (runs == nil || resp.StatusCode != http.StatusOK) {
+			err = errors.Newf("no list, status %d", resp.StatusCode)
+		}
 		if err != nil {
 			return nil, fault.Wrap(err, fault.Internal, "list of runs of stand-in "+t.Name+" cannot be decoded", "check that the target is a stand-in of this version")
 		}
