--- a/engine/httpcontrol/httpcontrol.go
+++ b/engine/httpcontrol/httpcontrol.go
@@ -67,7 +67,7 @@
 }
 
 var (
-	errIncomplete = errors.New("role, changing or asOf is missing or unknown")
+	errIncomplete = errors.New("role or changing is missing or unknown")
 	errNegative   = errors.New("token or load is negative")
 )
 
@@ -81,7 +81,7 @@
 	}
 	st := w.Status
 	switch {
-	case st.Role != engine.RoleMixed && st.Role != engine.RolePrefill && st.Role != engine.RoleDecode, w.Changing == nil, st.AsOf.IsZero():
+	case st.Role != engine.RoleMixed && st.Role != engine.RolePrefill && st.Role != engine.RoleDecode, w.Changing == nil:
 		return engine.Status{}, errIncomplete
 	case min(st.Running, st.Waiting, st.PrefillTokens, st.DecodeTokens) < 0, st.Token < 0:
 		return engine.Status{}, errNegative
