No source can take the memory for bodies from others

Callers of sound services got 503 memory-full for as long as one engine sent bodies without end.

Cause: all bodies shared one budget without shares. What had been read of an endless response stayed reserved until the deadline, also after it had been passed on, and responses, which can do without a buffer, used up what requests need to be accepted at all.

Change: a service or a route holds at most as much as it leaves free, each of its instances or workspaces at most as much as it leaves of that. Responses take at most three quarters, so that a quarter is always left for requests. Responses beyond their share are relayed unbuffered, as before. The start of such a response is released once it has been written, what an earlier attempt has read when the next one begins. An unbuffered response has a buffer of 8 KB rather than 32 KB, as their number is not limited.

Why it works: whatever a source takes, the same amount stays for others; none is held to a fixed share while it is alone.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
@@ -19,45 +18,38 @@
 const (
 	minReadBytes = 2 << 10
 	maxReadBytes = 32 << 10
+	// copyBytes is the buffer of a response that is relayed unbuffered. It is small because any number of responses may be.
+	copyBytes = 8 << 10
 )
 
-// errMemoryFull is returned by readBuffered if the memory limit or the limit on the body is reached.
+// errMemoryFull is returned by readBuffered if the limit on the body or the share of the memory is reached.
 var errMemoryFull = fault.New(fault.Exhausted, "memory limit for buffered bodies is reached", "ask again after the time in Retry-After")
 
-// memoryBudget limits the total size of the request and response bodies that are buffered until the
-// receiver has read them, so that a thousand slow clients cost a bounded amount of memory. It is
-// safe for concurrent use.
-type memoryBudget struct {
-	// limit and used are in bytes; a limit of 0 means none.
-	limit, used atomic.Int64
-}
-
-func (m *memoryBudget) reserve(n int64) bool {
-	for {
-		used, limit := m.used.Load(), m.limit.Load()
-		if limit > 0 && used+n > limit {
-			return false
-		}
-		if m.used.CompareAndSwap(used, used+n) {
-			return true
-		}
-	}
-}
-
 // SetBufferLimit bounds the bytes of request and response bodies that are buffered. 0 means no limit.
 func (s *Server) SetBufferLimit(bytes int64) {
 	s.o.Metrics.GetOrRegister("gateway.buffered_bytes", metrics.NewFunctionalGauge(s.BufferedBytes))
-	s.buffers.limit.Store(bytes)
+	s.o.Metrics.GetOrRegister("gateway.buffer_limit", metrics.NewFunctionalGauge(s.buffers.currentLimit))
+	s.buffers.setLimit(bytes)
 }
 
-// readBuffered reads up to limit bytes into memory that it reserves for the request. The error is
+// readBuffered reads up to limit bytes of the target's response into memory that it reserves for it. The error is
 // io.EOF if the body was read to its end. It is errMemoryFull, with the bytes read so far, if
 // limit bytes were read or no more memory can be reserved.
 func (q *request) readBuffered(from io.Reader, limit int) ([]byte, error) {
+	q.release(responseBodies) // what an earlier attempt has read is of no use
+	return q.readReserved(from, limit, source{class: responseBodies, owner: q.service, part: q.plan.Target.ID})
+}
+
+// readRequestBody is like readBuffered for the body of the request.
+func (q *request) readRequestBody(from io.Reader, limit int) ([]byte, error) {
+	return q.readReserved(from, limit, source{class: requestBodies, owner: q.route.Name, part: q.workspaceName()})
+}
+
+func (q *request) readReserved(from io.Reader, limit int, by source) ([]byte, error) {
 	var out []byte
 	for len(out) < limit {
 		n := min(max(len(out), minReadBytes), maxReadBytes, limit-len(out))
-		if !q.s.buffers.reserve(int64(n)) {
+		if !q.s.buffers.reserve(q, by, int64(n)) {
 			return out, errMemoryFull
 		}
 		q.bufferedBytes += int64(n)
@@ -74,12 +66,18 @@
 }
 
 // BufferedBytes returns how many bytes are reserved for buffered request and response bodies.
-func (s *Server) BufferedBytes() int64 { return s.buffers.used.Load() }
+func (s *Server) BufferedBytes() int64 { return s.buffers.reserved() }
 
 // releaseBuffers returns the memory that the request has reserved.
 func (q *request) releaseBuffers() {
-	q.s.buffers.used.Add(-q.bufferedBytes)
-	q.bufferedBytes = 0
+	q.release(requestBodies)
+	q.release(responseBodies)
+}
+
+func (q *request) release(class bodyClass) {
+	if q.bufferedBytes > 0 {
+		q.bufferedBytes -= q.s.buffers.release(q, class)
+	}
 }
 
 // relayUnbuffered relays a response that is too large to buffer at the speed at which the client
@@ -97,8 +95,9 @@
 		resp.Close(false)
 		return q.clientWriteFailed(err)
 	}
+	q.release(responseBodies)
 	to := &clientWriter{w: q.w}
-	_, err := io.CopyBuffer(to, struct{ io.Reader }{resp.Body}, make([]byte, maxReadBytes))
+	_, err := io.CopyBuffer(to, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
 	resp.Close(err == nil)
 	switch {
 	case to.err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,7 +238,7 @@
 	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return q.bodyError(http.StatusRequestTimeout, err)
 	}
-	body, err := q.readBuffered(http.MaxBytesReader(q.w, q.http.Body, limit), int(limit)+1)
+	body, err := q.readRequestBody(http.MaxBytesReader(q.w, q.http.Body, limit), int(limit)+1)
 	if errors.Is(err, errMemoryFull) {
 		q.w.Header().Set("Connection", "close")
 		return replyWithStatus(http.StatusServiceUnavailable, "memory-full", err, memoryFullRetry)
