Buffered bodies are limited without a memory limit in the settings

A process whose settings name no memoryMB kept up to 4 MB of each request and response: with 240 endless bodies its heap grew by 268 to 480 MB, and with enough of them it would end, and the requests of all its clients with it.

Cause: limitMemory set the limit of the buffers only if there was one of the process. A limit that rounds to 0 bytes meant none, too, and a huge one was converted to an integer beyond its range.

Change: 64 MB for buffered bodies if the settings name no limit, as much as a process of 256 MB gets; a line at start and reload names the limits. A limit is at least 1 byte.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -72,8 +72,10 @@
 	// softLimitShare is the share of the memory that is set as the soft limit of the Go runtime:
 	// from there on the garbage collector runs more often.
 	softLimitShare = 0.7
-	// bufferShare is the share of the memory that buffered request and response bodies may take.
-	bufferShare = 0.25
+	// bufferShare is the share of the memory that buffered request and response bodies may take, and defaultBufferBytes
+	// the same in bytes if no memory limit is set.
+	bufferShare        = 0.25
+	defaultBufferBytes = 64 << 20
 	// relayShare is the share of the memory that relayed connections of other processes may take, and
 	// defaultRelayBytes the same in bytes if no memory limit is set.
 	relayShare        = 0.125
@@ -491,11 +493,20 @@
 	level.Info(d.logger).Log("msg", "reload", "changed", *set != *d.settings, "at_next_start", set.NeedsRestart(d.settings))
 }
 
+// limitMemory applies the memory limit of the settings, in MB. Without one, only buffered bodies are limited.
 func (d *Daemon) limitMemory(mb float64) {
+	buffers := int64(defaultBufferBytes)
 	if mb > 0 {
-		debug.SetMemoryLimit(int64(mb * softLimitShare * (1 << 20)))
-		d.gateway.SetBufferLimit(int64(mb * bufferShare * (1 << 20)))
+		debug.SetMemoryLimit(memoryShare(mb, softLimitShare))
+		buffers = memoryShare(mb, bufferShare)
 	}
+	d.gateway.SetBufferLimit(buffers)
+	level.Info(d.logger).Log("msg", "memory limits", "memory_mb", mb, "buffer_bytes", buffers, "default", mb <= 0)
+}
+
+// memoryShare returns a share of a memory limit in bytes. It is positive, as 0 would mean that there is no limit.
+func memoryShare(mb, share float64) int64 {
+	return int64(max(1, min(mb*share*(1<<20), 1<<62)))
 }
 
 // stop shuts the service down: it first reports not ready, then accepts no new connections, then
