Release what a truncated response reserved when it is known to be truncated

It stayed reserved while the request was tried elsewhere, and counted for the service of the first attempt. The test of an endless body also asks that it is held against its engine once, as it is already.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
@@ -36,8 +37,11 @@
 // io.EOF if the body was read to its end. It is errMemoryFull, with the bytes read so far, if
 // limit bytes were read or no more memory can be reserved.
 func (q *request) readBuffered(from io.Reader, limit int) ([]byte, error) {
-	q.release(responseBodies) // what an earlier attempt has read is of no use
-	return q.readReserved(from, limit, source{class: responseBodies, owner: q.service, part: q.plan.Target.ID})
+	body, err := q.readReserved(from, limit, source{class: responseBodies, owner: q.service, part: q.plan.Target.ID})
+	if !errors.Is(err, io.EOF) && !errors.Is(err, errMemoryFull) {
+		q.release(responseBodies) // a truncated body is of no use
+	}
+	return body, err
 }
 
 // readRequestBody is like readBuffered for the body of the request.
@@ -90,7 +94,7 @@
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	q.w.WriteHeader(resp.Status)
-	q.s.countUnbuffered(q, resp, len(start))
+	q.countUnbuffered(resp, len(start))
 	if _, err := q.w.Write(start); err != nil {
 		resp.Close(false)
 		return q.clientWriteFailed(err)
@@ -109,14 +113,14 @@
 }
 
 // countUnbuffered logs and counts a response that is not buffered whole, with the reason.
-func (s *Server) countUnbuffered(q *request, resp *upstream.Response, read int) {
+func (q *request) countUnbuffered(resp *upstream.Response, read int) {
 	reason := "memory"
 	if read >= maxBufferedResponse {
 		reason = "size"
 	}
-	s.count("answers_passed_on")
-	s.count("answers_passed_on." + reason)
-	level.Debug(s.o.Logger).Log("msg", "response not buffered", "request", q.call.ID, "service", q.service, "instance", q.plan.Target.ID, "reason", reason, "read", read, "length", resp.Length, "reserved", s.BufferedBytes())
+	q.s.count("answers_passed_on")
+	q.s.count("answers_passed_on." + reason)
+	level.Debug(q.s.o.Logger).Log("msg", "response not buffered", "request", q.call.ID, "service", q.service, "instance", q.plan.Target.ID, "reason", reason, "read", read, "length", resp.Length, "reserved", q.s.BufferedBytes())
 }
 
 // clientWriter records a failed write to the client, to tell it from a failed read of the response.
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
+	"github.com/rockdoor/rockdoor/placement"
 )
 
 // TestEndlessEventIsBounded has an engine send an event that never ends.
@@ -63,7 +64,12 @@
 
 // TestEndlessBodyEndsAtTheDeadline has an instance send a body that never ends.
 func TestEndlessBodyEndsAtTheDeadline(t *testing.T) {
-	r := newHarness(t, harnessOptions{plain: []*fleetengine.Engine{fleetengine.New("i-1", "")}, memoryLimit: 1 << 20})
+	var failed atomic.Int64
+	r := newHarness(t, harnessOptions{plain: []*fleetengine.Engine{fleetengine.New("i-1", "")}, memoryLimit: 1 << 20, onPlaced: func(*harness, placement.Plan) {}, onAttemptEnded: func(o placement.Outcome) {
+		if o == placement.Failed {
+			failed.Add(1)
+		}
+	}})
 	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Seal", "s")
@@ -79,4 +85,5 @@
 	require.True(t, a.truncated || a.status != http.StatusOK, "the client must see that the response is incomplete")
 	require.Less(t, time.Since(started), 1500*time.Millisecond)
 	require.LessOrEqual(t, r.gateway.BufferedBytes(), int64(1<<20))
+	require.EqualValues(t, 1, failed.Load(), "it is held against its engine")
 }
