--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
@@ -19,45 +19,41 @@
 const (
 	minReadBytes = 2 << 10
 	maxReadBytes = 32 << 10
+	// copyBytes is the buffer of a response that is relayed unbuffered. It is small because any number of responses may be.
+	copyBytes = 8 << 10
 )
 
-// errMemoryFull is returned by readBuffered if the memory limit or the limit on the body is reached.
+// errMemoryFull is returned by readBuffered if the limit on the body or the share of the memory is reached.
 var errMemoryFull = fault.New(fault.Exhausted, "memory limit for buffered bodies is reached", "ask again after the time in Retry-After")
 
-// memoryBudget limits the total size of the request and response bodies that are buffered until the
-// receiver has read them, so that a thousand slow clients cost a bounded amount of memory. It is
-// safe for concurrent use.
-type memoryBudget struct {
-	// limit and used are in bytes; a limit of 0 means none.
-	limit, used atomic.Int64
-}
-
-func (m *memoryBudget) reserve(n int64) bool {
-	for {
-		used, limit := m.used.Load(), m.limit.Load()
-		if limit > 0 && used+n > limit {
-			return false
-		}
-		if m.used.CompareAndSwap(used, used+n) {
-			return true
-		}
-	}
-}
-
 // SetBufferLimit bounds the bytes of request and response bodies that are buffered. 0 means no limit.
 func (s *Server) SetBufferLimit(bytes int64) {
 	s.o.Metrics.GetOrRegister("gateway.buffered_bytes", metrics.NewFunctionalGauge(s.BufferedBytes))
-	s.buffers.limit.Store(bytes)
+	s.o.Metrics.GetOrRegister("gateway.buffer_limit", metrics.NewFunctionalGauge(s.buffers.currentLimit))
+	s.buffers.setLimit(bytes)
 }
 
-// readBuffered reads up to limit bytes into memory that it reserves for the request. The error is
+// readBuffered reads up to limit bytes of the target's response into memory that it reserves for it. The error is
 // io.EOF if the body was read to its end. It is errMemoryFull, with the bytes read so far, if
 // limit bytes were read or no more memory can be reserved.
 func (q *request) readBuffered(from io.Reader, limit int) ([]byte, error) {
+	body, err := q.readReserved(from, limit, source{class: responseBodies, owner: q.service, part: q.plan.Target.ID})
+	if !errors.Is(err, io.EOF) && !errors.Is(err, errMemoryFull) {
+		q.release(responseBodies) // a truncated body is of no use
+	}
+	return body, err
+}
+
+// readRequestBody is like readBuffered for the body of the request.
+func (q *request) readRequestBody(from io.Reader, limit int) ([]byte, error) {
+	return q.readReserved(from, limit, source{class: requestBodies, owner: q.route.Name, part: q.workspaceName()})
+}
+
+func (q *request) readReserved(from io.Reader, limit int, by source) ([]byte, error) {
 	var out []byte
 	for len(out) < limit {
 		n := min(max(len(out), minReadBytes), maxReadBytes, limit-len(out))
-		if !q.s.buffers.reserve(int64(n)) {
+		if !q.s.buffers.reserve(q, by, int64(n)) {
 			return out, errMemoryFull
 		}
 		q.bufferedBytes += int64(n)
@@ -74,12 +70,18 @@
 }
 
 // BufferedBytes returns how many bytes are reserved for buffered request and response bodies.
-func (s *Server) BufferedBytes() int64 { return s.buffers.used.Load() }
+func (s *Server) BufferedBytes() int64 { return s.buffers.reserved() }
 
 // releaseBuffers returns the memory that the request has reserved.
 func (q *request) releaseBuffers() {
-	q.s.buffers.used.Add(-q.bufferedBytes)
-	q.bufferedBytes = 0
+	q.release(requestBodies)
+	q.release(responseBodies)
+}
+
+func (q *request) release(class bodyClass) {
+	if q.bufferedBytes > 0 {
+		q.bufferedBytes -= q.s.buffers.release(q, class)
+	}
 }
 
 // relayUnbuffered relays a response that is too large to buffer at the speed at which the client
@@ -92,13 +94,14 @@
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	q.w.WriteHeader(resp.Status)
-	q.s.countUnbuffered(q, resp, len(start))
+	q.countUnbuffered(resp, len(start))
 	if _, err := q.w.Write(start); err != nil {
 		resp.Close(false)
 		return q.clientWriteFailed(err)
 	}
+	q.release(responseBodies)
 	to := &clientWriter{w: q.w}
-	_, err := io.CopyBuffer(to, struct{ io.Reader }{resp.Body}, make([]byte, maxReadBytes))
+	_, err := io.CopyBuffer(to, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
 	resp.Close(err == nil)
 	switch {
 	case to.err != nil:
@@ -110,14 +113,14 @@
 }
 
 // countUnbuffered logs and counts a response that is not buffered whole, with the reason.
-func (s *Server) countUnbuffered(q *request, resp *upstream.Response, read int) {
+func (q *request) countUnbuffered(resp *upstream.Response, read int) {
 	reason := "memory"
 	if read >= maxBufferedResponse {
 		reason = "size"
 	}
-	s.count("answers_passed_on")
-	s.count("answers_passed_on." + reason)
-	level.Debug(s.o.Logger).Log("msg", "response not buffered", "request", q.call.ID, "service", q.service, "instance", q.plan.Target.ID, "reason", reason, "read", read, "length", resp.Length, "reserved", s.BufferedBytes())
+	q.s.count("answers_passed_on")
+	q.s.count("answers_passed_on." + reason)
+	level.Debug(q.s.o.Logger).Log("msg", "response not buffered", "request", q.call.ID, "service", q.service, "instance", q.plan.Target.ID, "reason", reason, "read", read, "length", resp.Length, "reserved", q.s.BufferedBytes())
 }
 
 // clientWriter records a failed write to the client, to tell it from a failed read of the response.
