--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -10,16 +10,24 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rockdoor/rockdoor/internal/attempt"
+	"github.com/rockdoor/rockdoor/internal/charts"
 	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/peer"
+	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/reach"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/standin/platformd"
 	"github.com/rockdoor/rockdoor/internal/standin/serviced"
+	"github.com/rockdoor/rockdoor/members"
 )
 
 const (
@@ -34,6 +42,12 @@
 	return s.Listener.Addr().String()
 }
 
+// process is a running process. Stop begins its stop, wait waits for its end.
+type process struct {
+	address, peer, backend string
+	stop, wait             func()
+}
+
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -42,9 +56,8 @@
 }
 
 // startProcess starts a process in front of a backend server whose requests run at most once. Without ready, it returns as soon
-// as the process serves, which is before it has joined its peers. It returns the address for clients, and functions that begin
-// the stop of the process and wait for its end.
-func startProcess(t *testing.T, s *serviced.Server, ready bool) (address string, stop, wait func()) {
+// as the process serves, which is before it has joined its peers.
+func startProcess(t *testing.T, s *serviced.Server, ready bool) *process {
 	t.Helper()
 	set, err := settings.Parse("test", fmt.Appendf(nil, `{"name": "p", "host": "h", "domain": "d", "listen": %q, "admin": %q, "peer": %q, "platform": "http://%s", "seeds": [],
 		"limits": {"stopGrace": %q, "stopTimeout": %q}, "control": {"heartbeat": "100ms", "staleAfter": "2s", "leaseTTL": "1s", "report": "200ms"}}`,
@@ -53,10 +66,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- New(set, log.NewNopLogger()).Run(ctx) }()
-	wait = sync.OnceFunc(func() { require.NoError(t, <-done) })
-	t.Cleanup(func() { cancel(); wait() })
+	p := &process{address: set.Listen, peer: set.Peer, backend: serveStandIn(t, s), stop: cancel, wait: sync.OnceFunc(func() { require.NoError(t, <-done) })}
+	t.Cleanup(func() { p.stop(); p.wait() })
 	config := fmt.Sprintf(`{"hosts": [{"name": "h", "domain": "d"}], "services": [{"name": "s", "servers": [{"name": "s0", "host": "h", "address": %q, "capacity": 100}]}],
-		"routes": [{"path": "/once/", "service": "s", "methods": ["POST"], "timeout": "30s"}], "workspaces": [{"name": "w"}]}`, serveStandIn(t, s))
+		"routes": [{"path": "/once/", "service": "s", "methods": ["POST"], "timeout": "30s"}], "workspaces": [{"name": "w"}]}`, p.backend)
 	require.Eventually(t, func() bool {
 		req, _ := http.NewRequest(http.MethodPut, "http://"+set.Admin+"/api/v1/config?author=test", strings.NewReader(config))
 		resp, err := http.DefaultClient.Do(req)
@@ -78,7 +91,7 @@
 		defer resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	}, awaitTime, 20*time.Millisecond)
-	return set.Listen, cancel, wait
+	return p
 }
 
 // upload is a request whose last byte is sent after a delay.
@@ -121,17 +134,17 @@
 	for _, ready := range []bool{true, false} {
 		t.Run(fmt.Sprint("ready ", ready), func(t *testing.T) {
 			s := serviced.New("s0", 0)
-			address, stop, wait := startProcess(t, s, ready)
+			p := startProcess(t, s, ready)
 			s.SetFaults(serviced.Faults{NoResponse: true})
 			s.ClearRuns()
 			results := make(chan string, requests)
 			for range requests {
-				u := startUpload(t, address, 0)
+				u := startUpload(t, p.address, 0)
 				go func() { results <- u.finish() }()
 			}
 			require.Eventually(t, func() bool { return len(s.Runs()) == requests }, awaitTime, 5*time.Millisecond)
-			stop()
-			wait()
+			p.stop()
+			p.wait()
 			for range requests {
 				require.Equal(t, "502 unknown", <-results)
 			}
@@ -148,21 +161,21 @@
 		slack = 400 * time.Millisecond
 	)
 	s := serviced.New("s0", runTime)
-	address, stop, wait := startProcess(t, s, true)
+	p := startProcess(t, s, true)
 	s.ClearRuns()
 	var all []upload
 	for n := range uploads {
-		all = append(all, startUpload(t, address, (stopGrace+stopTimeout)*time.Duration(n)/uploads))
+		all = append(all, startUpload(t, p.address, (stopGrace+stopTimeout)*time.Duration(n)/uploads))
 	}
 	time.Sleep(100 * time.Millisecond) // the process reads the headers
-	stop()
+	p.stop()
 	results := make([]string, uploads)
 	var wg sync.WaitGroup
 	for n, u := range all {
 		wg.Go(func() { results[n] = u.finish() })
 	}
 	wg.Wait()
-	wait()
+	p.wait()
 	served := 0
 	for n, result := range results {
 		t.Logf("whole at %v: %s", all[n].delay, result)
@@ -175,3 +188,34 @@
 	}
 	require.Len(t, s.Runs(), served, "a rejected request ran")
 }
+
+// TestStoppingHelperFinishesRelayedRequests stops a process while requests of another process, which has no path of its own,
+// use it to reach their backend server.
+func TestStoppingHelperFinishesRelayedRequests(t *testing.T) {
+	const runTime = time.Second
+	s := serviced.New("s0", runTime)
+	p := startProcess(t, s, true)
+	s.ClearRuns()
+	reg := metrics.NewRegistry()
+	sender := attempt.NewSender(reg)
+	t.Cleanup(sender.Close)
+	client := sender.Client()
+	client.SetDial(func(context.Context, string) (net.Conn, error) { return nil, syscall.EHOSTUNREACH })
+	transport := peer.NewTransport(&peerpb.Identity{Name: "caller"}, nil, reg, log.NewNopLogger())
+	t.Cleanup(transport.Close)
+	client.SetPaths(reach.NewDialer(reach.Options{
+		Self: "caller", Direct: client.Connect, Instance: func(string) string { return "s0" }, Transport: transport, Metrics: reg, Logger: log.NewNopLogger(),
+		Peers: func() []members.Member { return []members.Member{{Name: "p", Peer: p.peer}} },
+	}))
+	answered := make(chan *attempt.Attempt, 1)
+	go func() {
+		answered <- sender.Start(t.Context(), attempt.Request{ID: "r", Address: p.backend, Method: http.MethodPost, URI: "/once/x", Header: http.Header{}})
+	}()
+	require.Eventually(t, func() bool { return len(s.Runs()) == 1 }, awaitTime, 5*time.Millisecond)
+	p.stop()
+	a := <-answered
+	require.Equal(t, charts.AttemptAnswering, a.State(), a.Err())
+	_, err := a.ReadAll(1000, func([]byte) error { return nil })
+	require.NoError(t, err)
+	p.wait()
+}
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -400,3 +400,16 @@
 	_, connected := hosts[0].relay.Connect(context.Background(), "h1", &peerpb.Connect{Instance: "other", Address: address})
 	require.Equal(t, peerpb.ConnectStatus_CONNECT_STATUS_UNKNOWN, connected.GetStatus(), "only instances are connected to")
 }
+
+// TestHelperThatBeginsToStopWhileItConnectsDeclines has a helper begin to stop during its connection to an instance. It has told
+// its callers already to use its connections no longer, so this one would be used until it is cut.
+func TestHelperThatBeginsToStopWhileItConnectsDeclines(t *testing.T) {
+	hosts, address := startHosts(t, 1, 1<<20)
+	asked := 0
+	relay := hosts[0].relay
+	relay.o.Stopping = func() bool { asked++; return asked > 1 }
+	conn, connected := relay.Connect(t.Context(), "h1", &peerpb.Connect{Instance: "i", Address: address})
+	require.Nil(t, conn)
+	require.Equal(t, peerpb.ConnectStatus_CONNECT_STATUS_BUSY, connected.GetStatus())
+	require.Zero(t, relay.Open())
+}
