--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -507,6 +507,7 @@
 	d.transport.DrainRelayed()
 	level.Info(d.logger).Log("msg", "stopping", "in_hand", d.gateway.InFlight(), "left", time.Until(end).Round(time.Millisecond))
 	time.Sleep(d.bounds.Load().Notice.Std())
+	d.transport.DrainRelayed() // connections that were set up while the stop began
 	go d.deregister()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -99,6 +99,11 @@
 	ctx, cancel := context.WithTimeout(ctx, helperDialTimeout)
 	defer cancel()
 	conn, err := r.o.Dialer.DialDirect(ctx, address)
+	if err == nil && r.o.Stopping() { // its caller was not told with the others to use it no longer
+		_ = conn.Close()
+		r.release()
+		return nil, peerpb.ConnectStatus_CONNECT_STATUS_BUSY
+	}
 	if err == nil {
 		return &countedConn{Conn: conn, release: r.release}, peerpb.ConnectStatus_CONNECT_STATUS_CONNECTED
 	}
