A completion process that stops finishes the requests it relays

Callers of other processes, whose hosts have no path to a target, had their requests cut when the process that relayed them stopped: it waited for its own requests only, and went on offering its relayed connections until it exited.

A stop now tells the callers of relayed connections to use them no longer, and waits for the exchanges under way within stopTimeout, as a gateway does.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,8 @@
 	loop        *control.Loop
 	heartbeater *control.Heartbeater
 	transport   *peer.Transport
+	// relay relays connections of peers.
+	relay *reach.Relay
 	// quarantineSyncer shares reports on requests that crash their targets with the peers.
 	quarantineSyncer *suspects.Syncer
 	// rateLimitSyncer divides the rate limits of the targets among the processes.
@@ -163,10 +165,11 @@
 		Self: d.self.Name, Direct: client.Connect, Instance: d.targetAt, Peers: d.syncPeers, Transport: d.transport, OnSilent: client.InterruptSilent, Metrics: d.reg, Logger: d.logger,
 	})
 	client.SetPaths(paths)
-	d.transport.SetRelay(reach.NewRelay(reach.RelayOptions{
+	d.relay = reach.NewRelay(reach.RelayOptions{
 		Dialer: paths, Address: d.targetAddress, Helpers: func(string) []members.Member { return nil },
 		Stopping: func() bool { return d.chart.State() != charts.ProcessServing }, MaxBytes: relayBytes, FreeIdle: d.transport.DrainIdleRelayed, Metrics: d.reg, Logger: d.logger,
-	}))
+	})
+	d.transport.SetRelay(d.relay)
 	return sender
 }
 
@@ -448,22 +451,39 @@
 	return false
 }
 
-// finishRequests refuses new connections and waits for the requests in flight. It ends those that have not ended after
-// stopTimeout.
+// finishRequests refuses new connections and waits for the requests in flight, also those that are relayed for peers. It ends
+// those that have not ended after stopTimeout.
 func (d *Daemon) finishRequests(background context.Context) {
 	end := time.Now().Add(d.set.Limits.StopTimeout.Std())
 	d.entry.Drain().Begin(end)
+	d.transport.DrainRelayed()
 	ctx, cancel := context.WithDeadline(background, end)
 	defer cancel()
 	if err := httpserve.Finish(ctx, d.clientServer, d.entry.Drain()); err != nil {
 		level.Warn(d.logger).Log("msg", "requests were still in flight at the end of stopTimeout", "err", err)
 	}
+	if d.awaitRelayed(ctx); d.relay.Active() > 0 {
+		level.Warn(d.logger).Log("msg", "requests of peers were still relayed at the end of stopTimeout", "requests", d.relay.Active())
+	}
+}
+
+// awaitRelayed waits, until ctx ends, for the requests that are relayed for peers.
+func (d *Daemon) awaitRelayed(ctx context.Context) {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for d.relay.Active() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
 }
 
 // stop shuts down: the process first reports that it is not ready, then refuses new
 // connections, and then completes the in-flight requests.
 func (d *Daemon) stop(background context.Context) {
 	d.entry.Drain().Begin(time.Now().Add(d.set.Limits.StopGrace.Std() + d.set.Limits.StopTimeout.Std()))
+	d.transport.DrainRelayed()
 	d.heartbeater.SetPhase(background, peerpb.Phase_PHASE_LEAVING)
 	time.Sleep(d.set.Limits.StopGrace.Std())
 	d.handOverClaims(background)
