--- a/internal/gatewayd/latestop_test.go
+++ b/internal/gatewayd/latestop_test.go
@@ -51,7 +51,7 @@
 		// spread is the time of the grace period of 3 s over which the uploads become whole.
 		spread = 2400 * time.Millisecond
 		// slack is the time by which a request may be rejected too early.
-		slack = 500 * time.Millisecond
+		slack = 300 * time.Millisecond
 	)
 	for _, path := range []string{"/app/x", "/llm/x"} {
 		for _, runTime := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2400 * time.Millisecond} {
@@ -101,3 +101,17 @@
 		}
 	}
 }
+
+// TestUploadUnderWayAtTheEndOfAStopIsAnswered stops a gateway while the body of a request stays incomplete.
+func TestUploadUnderWayAtTheEndOfAStopIsAnswered(t *testing.T) {
+	p := newDeployment(t).startGateway("a")
+	u := startUpload(t, p, "/app/x", "u", 0)
+	require.Eventually(t, func() bool { return p.daemon.gateway.InFlight() == 1 }, startTimeout, time.Millisecond)
+	begun := time.Now()
+	p.stop()
+	resp, err := fleetcaller.ReadResponse(bufio.NewReader(u.conn))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, resp.Status)
+	require.Less(t, time.Since(begun), p.settings.Bounds.Grace.Std())
+	require.NotContains(t, p.log.String(), "runs=1")
+}
