--- a/internal/standin/cut/cut_test.go
+++ b/internal/standin/cut/cut_test.go
@@ -147,6 +147,7 @@
 		for name, text := range framings(idHeader+": 1", body) {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/reset=%v", path, name, reset), func(t *testing.T) {
+					t.Parallel()
 					address, p := proxied(t, respond(t, text))
 					got, err := read(t.Context(), upstream.New(metrics.NewRegistry()), address)
 					require.NoError(t, err)
@@ -194,6 +195,7 @@
 		for name, text := range framings(openai.AttemptHeader+": 1", text) {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/reset=%v", kind, name, reset), func(t *testing.T) {
+					t.Parallel()
 					address, p := proxied(t, respond(t, text))
 					for n := range len(text) {
 						p.CutAfter(n, reset)
