Soak: a stream that its engine garbled is no slow upload without an answer

The trace shows a malformed event of its engine on a route whose requests run at most once (outcome lost): the process broke the stream off, as it must, and the stop has no part in it. The new check leaves out streams that had begun and for which an engine sent garbage or a foreign response; one that had not begun still needs a whole answer.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -353,6 +353,17 @@
 	require.Equal(t, 1, c.atMostOnceOverAttempts().Cases)
 }
 
+// TestGarbageInASlowUploadsStreamIsNoInterruption covers a stream that a process breaks off, during its stop, because of its engine.
+func TestGarbageInASlowUploadsStreamIsNoInterruption(t *testing.T) {
+	for status, violations := range map[int]int{http.StatusOK: 0, 0: 1} {
+		f := sampleObservations()
+		f.Disturbances = []*Disturbance{{Fault: FaultStop, Gateways: []int{0}, From: at(40.2), To: at(45)}}
+		c, _ := f.addAnsweredCall("r", StreamOnce, 40)
+		f.Garbled["r"], c.Slow, c.Whole, c.Ended, c.Status, c.Complete = true, true, at(40.5), at(40.9), status, false
+		require.Len(t, newChecker(Options{Bounds: DefaultBounds, Processes: 2}, f, at(80)).slowUploadsAnswered().Violations, violations)
+	}
+}
+
 // unserved returns a violation in which the calls that lost selects are rejected. All others are served.
 func unserved(lost func(c *Call) bool) func(f *Observations) {
 	return func(f *Observations) {
--- a/internal/lab/soak/upload.go
+++ b/internal/lab/soak/upload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -61,10 +62,16 @@
 			continue
 		}
 		g.Cases++
-		if c.interrupted(call, call.Whole) {
+		if c.interrupted(call, call.Whole) && !c.brokenByGarbage(call) {
 			g.addViolation(call.ID, "%s: became whole %s after %s was told to stop, interrupted %s later: %s",
 				call.ID, call.Whole.Sub(stop.From), gatewayName(call.Gateway), call.Ended.Sub(call.Whole), call.Err)
 		}
 	}
 	return g
 }
+
+// brokenByGarbage reports whether a stream had begun and an instance sent bytes for it that are no part of it. A process breaks
+// such a stream off if it may not or cannot resume it.
+func (c *checker) brokenByGarbage(call *Call) bool {
+	return call.Status == http.StatusOK && (c.observed.Garbled[call.ID] || c.observed.Foreign[call.ID])
+}
