Soak: a service without an instance is not lost to bodies without end

The new check leaves out rejections that say that the request's own service has no instance that accepts it; all other rejections and missing answers count as before.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -364,6 +364,19 @@
 	}
 }
 
+// TestRejectionForWantOfAnInstanceIsNotDueToBodiesWithoutEnd covers a service whose only instance is gone.
+func TestRejectionForWantOfAnInstanceIsNotDueToBodiesWithoutEnd(t *testing.T) {
+	for reason, violations := range map[string]int{noInstance + "mark-1 accepts the request": 0, "memory limit": 1} {
+		f := sampleObservations()
+		f.Disturbances = []*Disturbance{{Fault: FaultEndlessBody, From: at(40), To: at(45)}}
+		for range minBeside {
+			c, a := f.addAnsweredCall("r", Mark, 41)
+			a.ID, c.Status, c.ResponseBody = "q", http.StatusServiceUnavailable, reason
+		}
+		require.Len(t, newChecker(Options{Bounds: DefaultBounds, Processes: 2}, f, at(80)).servedBesideEndless().Violations, violations)
+	}
+}
+
 // unserved returns a violation in which the calls that lost selects are rejected. All others are served.
 func unserved(lost func(c *Call) bool) func(f *Observations) {
 	return func(f *Observations) {
--- a/internal/lab/soak/foreign.go
+++ b/internal/lab/soak/foreign.go
@@ -112,6 +112,8 @@
 	// their share that is not passed on may exceed that of others.
 	minBeside     = 50
 	maxLostBeside = 0.02
+	// noInstance begins the rejection of a request whose own service has no instance that accepts it.
+	noInstance = "no instance of "
 )
 
 // servedBesideEndless checks that undisturbed processes pass on requests of other services beside bodies without end as they do
@@ -124,7 +126,7 @@
 		if !countsAsAsked(call) || call.Slow || call.Resumes != "" || call.Kind == Only || !c.undisturbed(call.Gateway, call.Ended) {
 			continue
 		}
-		isLost := !wasServed(call) && len(c.arrivals[call.key()]) == 0
+		isLost := !wasServed(call) && len(c.arrivals[call.key()]) == 0 && !strings.HasPrefix(call.ResponseBody, noInstance)
 		if c.observed.besideEndless(call) {
 			beside++
 			if lost += boolInt(isLost); isLost {
