Requests may hold twice what they leave free

A request beyond its share is rejected, a response beyond its share is only not buffered. With shares of as much as is left free, a deployment with one route and one workspace had a third of the memory for the bodies of its requests, and all of it before there were shares: callers with large bodies would see 503 memory-full earlier than before.

Change: requests of a route may hold twice what they leave free, those of one of its workspaces twice what is left of that: four sevenths if they are alone. Limits are capped where multiplying them cannot overflow.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -15,6 +15,10 @@
 // unbuffered, while requests that find none are rejected, so the rest is kept for requests.
 const responseShare = 0.75
 
+// maxOverFree is how many times what it leaves free a source may hold, by class. It is larger for requests since they are
+// rejected beyond it.
+var maxOverFree = [bodyClasses]int64{requestBodies: 2, responseBodies: 1}
+
 // source is what memory is used on behalf of: a service and one of its instances, or a route and one of its workspaces.
 type source struct {
 	class       bodyClass
@@ -24,10 +28,9 @@
 func (s source) whole() source { return source{class: s.class, owner: s.owner} }
 
 // memoryBudget limits the total size of the request and response bodies that are buffered until the
-// receiver has read them, so that a thousand slow clients cost a bounded amount of memory. An owner gets at
-// most as much as it leaves free, and each of its parts at most as much as it leaves of that, so that no
-// source can take the memory from others, and those that are alone are not held to a fixed share. It is
-// safe for concurrent use.
+// receiver has read them, so that a thousand slow clients cost a bounded amount of memory. What an owner
+// gets is limited by what it leaves free, and what each of its parts gets by what it leaves of that, so that
+// no source can take the memory from others, and none is held to a fixed share. It is safe for concurrent use.
 type memoryBudget struct {
 	mu sync.Mutex
 	// limit is in bytes; 0 means none.
@@ -91,8 +94,8 @@
 	if by.class == responseBodies {
 		free = min(free, int64(responseShare*float64(m.limit))-m.used[responseBodies]-n)
 	}
-	owner, part := m.owners[by.whole()]+n, m.parts[by]+n
-	return owner <= free && part <= free-owner
+	owner, part, factor := m.owners[by.whole()]+n, m.parts[by]+n, maxOverFree[by.class]
+	return free > 0 && owner <= factor*free && part <= factor*(factor*free-owner)
 }
 
 func (m *memoryBudget) setHold(q *request, hold *reservation) {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -76,6 +76,8 @@
 	// the same in bytes if no memory limit is set.
 	bufferShare        = 0.25
 	defaultBufferBytes = 64 << 20
+	// maxMemoryBytes is above any real limit, and far enough from overflow to be multiplied.
+	maxMemoryBytes = 1 << 50
 	// relayShare is the share of the memory that relayed connections of other processes may take, and
 	// defaultRelayBytes the same in bytes if no memory limit is set.
 	relayShare        = 0.125
@@ -506,7 +508,7 @@
 
 // memoryShare returns a share of a memory limit in bytes. It is positive, as 0 would mean that there is no limit.
 func memoryShare(mb, share float64) int64 {
-	return int64(max(1, min(mb*share*(1<<20), 1<<62)))
+	return int64(max(1, min(mb*share*(1<<20), maxMemoryBytes)))
 }
 
 // stop shuts the service down: it first reports not ready, then accepts no new connections, then
