Stand-in: an endless event at a plain engine is a body without end

The body is now without end as the fault says, begins with the usual response and is recorded, so that the check compares each byte that reached the client and that it is not whole. Engines of streams send the same as before.

--- a/internal/standin/fleetengine/endless_body.go
+++ b/internal/standin/fleetengine/endless_body.go
@@ -15,6 +15,8 @@
 	EndlessComments Fault = "endless-comments"
 )
 
+const streamContentType = "text/event-stream"
+
 // EndlessFiller is what a body without end consists of.
 const EndlessFiller = "x"
 
@@ -35,8 +37,11 @@
 		e.OnEndless(run.ID)
 	}
 	contentType, framing, first, filler := "text/plain", "", "answer to "+run.ID, EndlessFiller
-	if fault == EndlessComments {
-		contentType, first, filler = "text/event-stream", "", ": comment\n\n"
+	switch fault {
+	case EndlessEvent:
+		contentType = streamContentType
+	case EndlessComments:
+		contentType, first, filler = streamContentType, "", ": comment\n\n"
 	}
 	if !e.Unframed {
 		framing = "Transfer-Encoding: chunked\r\n"
--- a/internal/standin/fleetengine/fleetengine.go
+++ b/internal/standin/fleetengine/fleetengine.go
@@ -54,7 +54,8 @@
 	HangMidStream Fault = "hang-mid-stream"
 	// EndlessHead sends a response header that does not end.
 	EndlessHead Fault = "endless-head"
-	// EndlessEvent sends an event that does not end in place of the response.
+	// EndlessEvent sends an event that does not end in place of the response, and a plain body of the type of streams if the engine
+	// has none.
 	EndlessEvent Fault = "endless-event"
 	// LateOrders closes the connection of an order without a response and applies the order later.
 	LateOrders Fault = "late-orders"
@@ -408,6 +409,10 @@
 		return
 	}
 	e.record(run, &e.runs)
+	if fault == EndlessEvent && e.Events == 0 {
+		e.respondWithoutEnd(w, run, fault)
+		return
+	}
 	if fault == EndlessHead || fault == EndlessEvent {
 		e.respondEndlessly(w, run, fault)
 		return
