Known red: a failure of the engine that resumes a stream follows its events

Cause: the class of the incident: the response to the request for the rest is relayed by its own status.

--- a/internal/entry/foreign_test.go
+++ b/internal/entry/foreign_test.go
@@ -14,6 +14,7 @@
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/standin/answer"
+	"github.com/rockdoor/rockdoor/internal/standin/engined"
 )
 
 // foreign has the first engine send a response. mediaType holds the values of Content-Type.
@@ -141,3 +142,27 @@
 		require.Zero(t, imports.Load(), body)
 	}
 }
+
+// TestForeignResponseToAResumptionIsNotForwarded cuts streams at one engine; the other one answers the request for their rest with a
+// successful response that is no stream. Nothing of it may follow the events that the client has.
+func TestForeignResponseToAResumptionIsNotForwarded(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusPartialContent, http.StatusBadRequest} {
+		f, calls := start(t), atomic.Int64{}
+		f.engines[1].SetFaults(engined.Faults{CutAfter: 3})
+		resumed := foreign(&calls, status, []string{"application/json"}, `{"choices": [], "garbage": 1}`)
+		f.respond = func(engine int, w http.ResponseWriter, r *http.Request) bool {
+			return r.Header.Get(openai.ResumeHeader) != "" && resumed(engine, w, r)
+		}
+		var got got
+		for n := 0; n < 20 && calls.Load() == 0; n++ { // until the first engine has the rest
+			got = f.chat("notes", true)
+		}
+		require.EqualValues(t, 1, calls.Load())
+		require.NotContains(t, got.body, "garbage", status)
+		pieces, done := text(t, strings.Split(got.body, `data: {"error"`)[0])
+		require.False(t, done)
+		require.Equal(t, answer.Text("hello", 3), pieces)
+		require.Contains(t, got.body, `data: {"error"`)
+		require.Equal(t, "unknown", got.trailer.Get(HeaderOutcome), status)
+	}
+}
