Once a stream of a completion has begun, only its rest may follow

Callers saw: behind the events of a stream the body of the failure (300 to 499) with which another engine answered the request for the rest, as part of a complete stream. Cause: a failure was relayed as a whole response whatever the client had received. Change: after the first event a failure of an engine is a broken attempt like any other response that is not the rest: another engine, or the error event that ends the stream.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -35,14 +35,14 @@
 		r.relayServiceResponse(a)
 	case a.Status() >= http.StatusInternalServerError, r.responseStarted && a.Status() >= http.StatusMultipleChoices:
 		a.Fail(fault.Newf(fault.Unavailable, "see the log of the engine", "engine %s answered %d", r.target.Name, a.Status()))
-	case a.Status() >= http.StatusMultipleChoices:
+	case a.Status() >= http.StatusMultipleChoices && !r.responseStarted:
 		r.relayBuffered(a)
 	default:
 		r.relayCompletion(a, work)
 	}
 }
 
-// relayCompletion forwards a successful response if it is what the client asked for.
+// relayCompletion forwards a response if it is what the client asked for. Once a stream has begun, a failure is not.
 func (r *run) relayCompletion(a *attempt.Attempt, work *routing.Work) {
 	err := r.checkCompletionHead(a)
 	switch {
@@ -63,7 +63,7 @@
 	errNoChoices = errors.New("it is not a JSON object with choices")
 )
 
-// checkCompletionHead returns an error if a successful response cannot be the completion, or the stream, that was asked for.
+// checkCompletionHead returns an error if a response cannot be the completion, or the stream, that was asked for.
 func (r *run) checkCompletionHead(a *attempt.Attempt) error {
 	types := a.Header().Values("Content-Type")
 	switch {
@@ -75,7 +75,7 @@
 	return nil
 }
 
-// unexpectedResponse logs and counts a successful response that is not what was asked for. It returns the error that ends the attempt.
+// unexpectedResponse logs and counts a response that is not what was asked for. It returns the error that ends the attempt.
 func (r *run) unexpectedResponse(a *attempt.Attempt, reason error) error {
 	r.s.count("unexpected_responses", r.c)
 	level.Warn(r.s.o.Logger).Log("msg", "unexpected response", "request", r.c.id, "target", r.target.Name, "reason", reason,
