--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -33,7 +33,7 @@
 	switch {
 	case r.c.completion == nil:
 		r.relayServiceResponse(a)
-	case a.Status() >= http.StatusInternalServerError, r.responseStarted && a.Status() >= http.StatusMultipleChoices:
+	case a.Status() >= http.StatusInternalServerError:
 		a.Fail(fault.Newf(fault.Unavailable, "see the log of the engine", "engine %s answered %d", r.target.Name, a.Status()))
 	case a.Status() >= http.StatusMultipleChoices && !r.responseStarted:
 		r.relayBuffered(a)
