Test of endless bodies: wait for connections, measure what is live

Requests are now sent once the engine has got the endless ones, or after 1 s, and the heap is what the last collection found in use.

--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"runtime/metrics"
 	"slices"
 	"strings"
 	"sync"
@@ -24,13 +26,14 @@
 const pathEndless = "/endless/"
 
 // endlessHarness has a second service on pathEndless whose engine answers requests with an ID that begins with "endless" with
-// size bytes and then with single ones without end, and others as it should.
-func endlessHarness(t *testing.T, memoryLimit int64, size int) *harness {
+// size bytes and then with single ones without end, and others as it should. It counts the requests that it gets in begun.
+func endlessHarness(t *testing.T, memoryLimit int64, size int, begun *atomic.Int64) *harness {
 	r := newHarness(t, harnessOptions{plain: []*fleetengine.Engine{fleetengine.New("i-1", "")}, memoryLimit: memoryLimit})
 	start := strings.Repeat("x", size)
 	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Seal", "s")
+		begun.Add(1)
 		for part := start; strings.HasPrefix(req.Header.Get("X-Request-Id"), "endless") && req.Context().Err() == nil; part = "x" {
 			_, _ = io.WriteString(w, part)
 			_ = http.NewResponseController(w).Flush()
@@ -68,22 +71,28 @@
 	}
 }
 
+// liveHeap returns the bytes that the last collection found to be in use.
+func liveHeap() int64 {
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 // TestEndlessBodiesLeaveMemoryToOthers has an engine send endless bodies, and clients of its service and of another one expect
 // responses meanwhile, in a process of 64 MB.
 func TestEndlessBodiesLeaveMemoryToOthers(t *testing.T) {
 	const memoryMB, bufferLimit, minServed = 64, 16 << 20, 0.98
 	read := func(resp *http.Response) { _, _ = io.Copy(io.Discard, resp.Body) }
 	for name, client := range map[string]func(*http.Response){
-		"reads": read, "does not read": func(resp *http.Response) { <-resp.Request.Context().Done() }, "leaves": func(resp *http.Response) { time.Sleep(300 * time.Millisecond) },
+		"reads": read, "does not read": func(resp *http.Response) { <-resp.Request.Context().Done() }, "leaves": func(resp *http.Response) { time.Sleep(300*time.Millisecond + rand.N(300*time.Millisecond)) },
 	} {
 		for _, endless := range []int{16, 100, 400} {
 			t.Run(fmt.Sprint(name, "/", endless), func(t *testing.T) {
-				r := endlessHarness(t, bufferLimit, 2*bufferLimit/endless)
-				var heap runtime.MemStats
+				var begun atomic.Int64
+				r := endlessHarness(t, bufferLimit, 2*bufferLimit/endless, &begun)
 				runtime.GC()
-				runtime.ReadMemStats(&heap)
-				before, most := heap.HeapAlloc, uint64(0)
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				before, most := liveHeap(), int64(0)
+				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				var all sync.WaitGroup
 				for n := range endless {
@@ -93,9 +102,12 @@
 						}
 					})
 				}
+				for end := time.Now().Add(time.Second); begun.Load() < int64(endless) && time.Now().Before(end); {
+					time.Sleep(10 * time.Millisecond) // until memory is what requests lack, not connections
+				}
+				time.AfterFunc(time.Second, cancel)
 				var sent, served [2]atomic.Int64
 				var failure atomic.Value
-				time.Sleep(200 * time.Millisecond)
 				for n, path := range []string{pathAtMostOnce, pathEndless} {
 					for range 4 {
 						all.Go(func() {
@@ -116,17 +128,16 @@
 				}
 				for ctx.Err() == nil {
 					runtime.GC() // a process with a memory limit collects before it grows over it
-					runtime.ReadMemStats(&heap)
-					most = max(most, heap.HeapAlloc)
+					most = max(most, liveHeap())
 					require.LessOrEqual(t, r.gateway.BufferedBytes(), int64(bufferLimit))
 					time.Sleep(200 * time.Millisecond)
 				}
 				all.Wait()
-				t.Logf("other service %d of %d, same service %d of %d, heap +%d MB", served[0].Load(), sent[0].Load(), served[1].Load(), sent[1].Load(), (int64(most)-int64(before))>>20)
+				t.Logf("other service %d of %d, same service %d of %d, heap +%d MB", served[0].Load(), sent[0].Load(), served[1].Load(), sent[1].Load(), (most-before)>>20)
 				for n := range served {
 					require.GreaterOrEqual(t, float64(served[n].Load()), minServed*float64(sent[n].Load()), "last failure: %v", failure.Load())
 				}
-				require.Less(t, int64(most)-int64(before), int64(memoryMB<<20))
+				require.Less(t, most-before, int64(memoryMB<<20))
 				require.Eventually(t, func() bool { return r.gateway.BufferedBytes() == 0 }, 3*time.Second, time.Millisecond)
 			})
 		}
