Runs under way show that a service has become slow

Cause: the estimate of a stopping process looked at runs under way only as long as few had ended. Change: those that have taken longer than usual count among the recent ones; those that have just begun say nothing. Result: TestRunsUnderWayShowThatRunsHaveBecomeSlow fails before, passes now. Requests that are sent before the first slow runs have aged cannot be told and are still cut.

--- a/internal/httpserve/drain.go
+++ b/internal/httpserve/drain.go
@@ -77,7 +77,8 @@
 	return max(0, d.expected(class, stated)-done-time.Until(*end))
 }
 
-// expected returns the time within which nearly all runs of a class end.
+// expected returns the time within which nearly all runs of a class end. A run under way counts with the time that it has taken so
+// far, so that runs that have become slower are noticed before they end.
 func (d *Drain) expected(class string, stated time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -85,12 +86,20 @@
 	if t == nil || len(t.recent) == 0 {
 		return max(stated, unknownRunTime, t.longestRunning())
 	}
-	sorted := slices.Sorted(slices.Values(t.recent))
-	expected := sorted[int(math.Ceil(expectedShare*float64(len(sorted))))-1]
-	if len(sorted) < recentRuns {
-		expected = max(expected, t.longestRunning())
+	known := slices.Sorted(slices.Values(t.recent))
+	usual := quantile(known)
+	for r := range t.running {
+		if age := time.Since(r.begun); age > usual {
+			known = append(known, age)
+		}
 	}
-	return time.Duration(float64(expected) * runTimeMargin)
+	slices.Sort(known)
+	return time.Duration(float64(quantile(known)) * runTimeMargin)
+}
+
+// quantile returns the time within which expectedShare of the sorted times lie.
+func quantile(sorted []time.Duration) time.Duration {
+	return sorted[int(math.Ceil(expectedShare*float64(len(sorted))))-1]
 }
 
 func (t *runTimes) longestRunning() (longest time.Duration) {
--- a/internal/httpserve/drain_test.go
+++ b/internal/httpserve/drain_test.go
@@ -42,6 +42,25 @@
 	require.False(t, fits(d, time.Second), "two of them")
 }
 
+// TestRunsUnderWayShowThatRunsHaveBecomeSlow has some runs take longer than the many that have ended.
+func TestRunsUnderWayShowThatRunsHaveBecomeSlow(t *testing.T) {
+	d := NewDrain()
+	for range 2 * recentRuns {
+		r := d.Start("c")
+		r.begun = r.begun.Add(-10 * time.Millisecond)
+		r.End(true)
+	}
+	for range recentRuns {
+		d.Start("c") // just begun, which says nothing
+	}
+	require.True(t, fits(d, 100*time.Millisecond))
+	for range 3 {
+		r := d.Start("c")
+		r.begun = r.begun.Add(-2 * time.Second)
+	}
+	require.False(t, fits(d, time.Second))
+}
+
 func TestClassesOfRunsAreBounded(t *testing.T) {
 	d := NewDrain()
 	var last *Run
