A run that panics does not stay among those under way

Cause: the end of a run was recorded after it returned, so that one that panics would count as a run without end, and a process that stops would reject its route (review, by reading). Change: recorded in a deferred call, in both servers.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -300,7 +300,8 @@
 	t := r.target
 	defer r.work.End()
 	done := r.s.breakers.begin(t.Name)
-	timed := r.s.drain.Start(r.c.class)
+	timed, counted := r.s.drain.Start(r.c.class), false
+	defer func() { timed.End(counted) }()
 	header := r.c.header.Clone()
 	header.Set(openai.PriorityHeader, enginePriority(r.c.priority))
 	if r.kv.KV != "" {
@@ -319,7 +320,7 @@
 	if a.State() == charts.AttemptAnswering {
 		r.relay(a, r.work)
 	}
-	timed.End(a.State() == charts.AttemptComplete || !time.Now().Before(r.c.deadline))
+	counted = a.State() == charts.AttemptComplete || !time.Now().Before(r.c.deadline)
 	done(a.State(), a.Err())
 	if !errors.Is(a.Err(), upstream.ErrOwnPath) {
 		r.recordResult(a.State(), sent)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -205,9 +205,10 @@
 // Attempt implements lifecycle.Steps.
 func (q *request) Attempt() (lifecycle.Outcome, error) {
 	defer func() { q.ticket.Cancel() }() // the ticket may have been replaced
-	run := q.s.drain.Start(q.route.Name)
+	run, counted := q.s.drain.Start(q.route.Name), false
+	defer func() { run.End(counted) }()
 	outcome, err := q.send()
-	run.End(q.endedByItself(outcome))
+	counted = q.endedByItself(outcome)
 	return outcome, err
 }
 
