The outcome stopping has a cause and a remedy in trace

The review's TestKeptConnectionAfterARefusedHead had a data race in a counter that nothing read, found in one of the two runs with the race detector: the counter is gone, the assertions are the same.

--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -167,6 +167,7 @@
 var explanations = map[string]explanation{
 	"ok":             {"the complete response was sent to the client", "if the response was over its latency target, compare ahead (queueing delay) and read (prefill time) of the decision with the target: the queue was long, or the prompt was not cached"},
 	"not-ready":      {"the process had not loaded a configuration and the instances yet", "look for the messages store lost and start; the load balancer should not have sent the request to this process"},
+	"stopping":       {"the process was being stopped and the request could not be expected to end before it", "none: other processes serve it at once; if there are many, raise the grace period above the time that requests of the route take"},
 	"memory-full":    {"the bodies that the process buffers took all the memory it may use for them", "see the sizes of the requests at that time; raise memoryMB in the settings or add processes"},
 	"unknown-key":    {"no workspace of the configuration in force has the API key", "compare config with the version that the operator published; the client may use a revoked key"},
 	"key-unproven":   {"the process did not know that its configuration was the newest, so the key might have been revoked", "compare proof_age of other decisions with bounds.revoke; look for the message store lost"},
--- a/internal/upstream/review_head_test.go
+++ b/internal/upstream/review_head_test.go
@@ -144,9 +144,7 @@
 // TestKeptConnectionAfterARefusedHead checks that the connection of a refused head is closed, and that it counts as sent.
 func TestKeptConnectionAfterARefusedHead(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 101 Switching\r\n\r\n", "HTTP/2.0 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n1\r\nx\r\n0\r\n\r\n"} {
-		conns := 0
-		address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
-			conns = max(conns, n+1)
+		address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			for {
 				id, _, err := readRequest(r)
 				if err != nil {
