--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 # Packages whose tests run many processes in real time. They run one at a time and apart from the
 # rest: under CPU contention, their assertions on times would fail.
-HEAVY := internal/(e2e|gatewayd|lab/soak)$$
+HEAVY := internal/(crowd|e2e|gatewayd|lab/soak)$$
 
 .PHONY: build demo demo-gateway test check soak bench proto docs
 
