Heads of requests take bounded memory at each HTTP listener of a gateway

What callers saw: a process of 64 MB that took 313 to 356 MB under 300 clients with heads of 60 KB in short fields, unfinished, held or served, at the port of clients, of readiness checks and of operators; on its host it is killed. Cause: net/http bounds one head in bytes. Parsed, a field costs a map entry, a slice and a string, some 17 times its bytes, and nothing bounds the sum. Change: package connlimit wraps each listener. It counts the bytes, lines and list entries of a head as the server reads them and reserves memory for them; beyond the share of heads (a tenth, resources) the slowest large head is closed, else the new one gets 503 with Retry-After before it is parsed. While a request is handled its head counts twice. The limit of the configuration holds from its version on (64 KB without one), its times extend ours; they were decoded and used by nothing. Closed and refused connections are counted by listener and cause and logged once a second, also what net/http rejects by itself; its error log, panics included, was discarded. Without memoryMB the limit comes from GOMEMLIMIT, the control group or the host, and is logged. TestProperClientsGetTheSameResponses compares 19 kinds of proper clients byte by byte with a server without the limiter.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"io"
-	stdlog "log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -24,6 +22,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/fleet"
 	"github.com/rockdoor/rockdoor/internal/cachescan"
+	"github.com/rockdoor/rockdoor/internal/connlimit"
 	"github.com/rockdoor/rockdoor/internal/discovery"
 	"github.com/rockdoor/rockdoor/internal/feed"
 	"github.com/rockdoor/rockdoor/internal/gateway"
@@ -36,6 +35,7 @@
 	"github.com/rockdoor/rockdoor/internal/profilesync"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/reach"
+	"github.com/rockdoor/rockdoor/internal/resources"
 	"github.com/rockdoor/rockdoor/internal/resumption"
 	"github.com/rockdoor/rockdoor/internal/rolekeeper"
 	"github.com/rockdoor/rockdoor/internal/scaler"
@@ -54,12 +54,6 @@
 )
 
 const (
-	// headerTimeout, maxHeaderBytes and idleTimeout apply to client connections. They are wider
-	// than any limit that an operator publishes, so a client that keeps the published
-	// limits never reaches these.
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 64 << 10
-	idleTimeout    = 2 * time.Minute
 	// exitMargin is the end of the grace period that is reserved for the exit of the process.
 	exitMargin = 500 * time.Millisecond
 	// A process that is shutting down exits once requiredIdlePolls polls in a row, one each
@@ -69,19 +63,11 @@
 	requiredIdlePolls = 4
 	// endPollInterval is how often a process that exits looks whether the last responses have been sent.
 	endPollInterval = 10 * time.Millisecond
-	// softLimitShare is the share of the memory that is set as the soft limit of the Go runtime:
-	// from there on the garbage collector runs more often.
-	softLimitShare = 0.7
-	// bufferShare is the share of the memory that buffered request and response bodies may take, and defaultBufferBytes
-	// the same in bytes if no memory limit is set.
-	bufferShare        = 0.25
-	defaultBufferBytes = 64 << 20
-	// maxMemoryBytes is above any real limit, and far enough from overflow to be multiplied.
-	maxMemoryBytes = 1 << 50
-	// relayShare is the share of the memory that relayed connections of other processes may take, and
-	// defaultRelayBytes the same in bytes if no memory limit is set.
-	relayShare        = 0.125
-	defaultRelayBytes = 64 << 20
+	// headMargin is the time that the head of a request may take on its way besides the time that its client has.
+	headMargin = 2 * time.Second
+	// maxDefaultBytes limits each of the memory of buffered bodies and of relayed connections if the settings name no memory
+	// limit.
+	maxDefaultBytes = 64 << 20
 	// staleViews is the age, as a multiple of the time that changes take to arrive, from which registrations count
 	// as out of date.
 	staleViews = 2
@@ -158,6 +144,9 @@
 	// shedder sheds new connections of clients while this host has more than it can do.
 	shedder  *overload.Shedder
 	stopping atomic.Bool
+	// resources are the limits of the process, connections limits what clients and peers may take of them.
+	resources   resources.Limits
+	connections *connlimit.Limiter
 
 	clientServer, readinessServer, operatorServer *http.Server
 }
@@ -191,6 +180,8 @@
 		DecodeConfig: d.store.DecodeConfig, DecodeInstance: d.store.DecodeInstance, RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
 		ApplyLimit: set.Bounds.Apply.Std(), PropagationLimit: set.Bounds.PropagationLimit(), SettleTime: set.Bounds.Settle.Std(), ExpiredRetention: set.Bounds.Drain.Std() - expiryMargin, Metrics: d.reg, Logger: d.logger,
 	})
+	d.resources = resources.Detect(set.MemoryMB, 0)
+	d.connections = connlimit.New(connlimit.Options{HeadMemory: d.resources.HeadMemory(), Limits: d.connectionLimits, Metrics: d.reg, Logger: d.logger})
 	d.client = upstream.New(d.reg)
 	d.client.SetLogger(d.logger)
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChangingRole)
@@ -284,10 +275,7 @@
 
 // relayBytes returns the memory in bytes that relayed connections may take.
 func (d *Daemon) relayBytes() int64 {
-	if d.settings.MemoryMB <= 0 {
-		return defaultRelayBytes
-	}
-	return int64(d.settings.MemoryMB * relayShare * (1 << 20))
+	return memoryShare(d.resources, resources.RelayShare, d.settings.MemoryMB)
 }
 
 // relayPeers returns the processes that may relay connections to instances: those that every process knows.
@@ -382,10 +370,10 @@
 }
 
 func (d *Daemon) buildServers() {
-	d.clientServer = httpServer(d.gateway)
+	d.clientServer = &http.Server{Handler: d.gateway}
 	ready := mux.NewRouter()
 	ready.HandleFunc("/readyz", d.ready).Methods(http.MethodGet)
-	d.readinessServer = httpServer(ready)
+	d.readinessServer = &http.Server{Handler: ready}
 	operators := mux.NewRouter()
 	operators.HandleFunc("/readyz", d.ready).Methods(http.MethodGet)
 	operators.HandleFunc("/metrics", d.metrics).Methods(http.MethodGet)
@@ -397,13 +385,18 @@
 	operators.HandleFunc("/shares", d.shares).Methods(http.MethodGet)
 	operators.HandleFunc("/capacity", d.capacity).Methods(http.MethodGet)
 	operators.HandleFunc("/quarantine/{fingerprint}", d.clearQuarantine).Methods(http.MethodDelete)
-	d.operatorServer = httpServer(operators)
+	d.operatorServer = &http.Server{Handler: operators}
 }
 
-func httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0), // clients can cause these lines at will; the metrics count the errors
+// connectionLimits returns the limits on clients that the configuration sets. The times are extended, so that a client that
+// keeps the published ones never reaches them.
+func (d *Daemon) connectionLimits() connlimit.Limits {
+	c := d.discovery.View().Config
+	if c == nil {
+		return connlimit.Limits{}
+	}
+	return connlimit.Limits{
+		HeadBytes: c.Limits.HeaderBytes, HeadTimeout: max(c.Limits.HeaderTimeout+headMargin, connlimit.DefaultHeadTimeout), IdleTimeout: max(c.Limits.IdleTimeout, connlimit.DefaultIdleTimeout),
 	}
 }
 
@@ -416,9 +409,15 @@
 	defer stopBackground()
 	var g run.Group
 	for _, s := range []struct {
+		name    string
 		server  *http.Server
 		address string
-	}{{d.clientServer, d.settings.Listen}, {d.readinessServer, d.settings.Readiness}, {d.operatorServer, d.settings.Metrics}} {
+		bounds  connlimit.Bounds
+	}{
+		{"clients", d.clientServer, d.settings.Listen, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
+		{"readiness", d.readinessServer, d.settings.Readiness, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
+		{"operators", d.operatorServer, d.settings.Metrics, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
+	} {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return fault.Wrap(err, fault.Invalid, "cannot listen on "+s.address, "check the addresses in the settings and that no other process uses them")
@@ -426,13 +425,16 @@
 		if s.server == d.clientServer {
 			l = d.shedder.Listener(l)
 		}
-		g.Add(func() error { return httpserve.Serve(background, s.server, l) }, func(error) { stopBackground(); _ = s.server.Close() })
+		limited := d.connections.Listen(s.name, l, s.bounds)
+		limited.Configure(s.server)
+		g.Add(func() error { return httpserve.Serve(background, s.server, limited) }, func(error) { stopBackground(); _ = s.server.Close() })
 	}
 	peers, err := net.Listen("tcp", d.settings.Peer)
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "cannot listen on "+d.settings.Peer, "check the address peer in the settings")
 	}
 	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
+	g.Add(func() error { return d.connections.Run(background) }, func(error) { stopBackground() })
 	go d.crashKeeper.Load(background, func() bool { v := d.discovery.View(); return v.Ready() && v.Scheduling })
 	g.Add(func() error { return d.crashSync.Run(background) }, func(error) { stopBackground() })
 	g.Add(func() error { return d.streams.Run(background) }, func(error) { stopBackground() })
@@ -495,20 +497,21 @@
 	level.Info(d.logger).Log("msg", "reload", "changed", *set != *d.settings, "at_next_start", set.NeedsRestart(d.settings))
 }
 
-// limitMemory applies the memory limit of the settings, in MB. Without one, only buffered bodies are limited.
+// limitMemory applies the memory limit of the settings, in MB, or the default if it is 0.
 func (d *Daemon) limitMemory(mb float64) {
-	buffers := int64(defaultBufferBytes)
-	if mb > 0 {
-		debug.SetMemoryLimit(memoryShare(mb, softLimitShare))
-		buffers = memoryShare(mb, bufferShare)
-	}
+	limits := resources.Detect(mb, 0)
+	debug.SetMemoryLimit(limits.Share(resources.GoShare))
+	buffers := memoryShare(limits, resources.BodyShare, mb)
 	d.gateway.SetBufferLimit(buffers)
-	level.Info(d.logger).Log("msg", "memory limits", "memory_mb", mb, "buffer_bytes", buffers, "default", mb <= 0)
+	level.Info(d.logger).Log("msg", "memory limits", "memory_mb", limits.MemoryMB, "source", limits.MemorySource, "buffer_bytes", buffers, "default", mb <= 0)
 }
 
-// memoryShare returns a share of a memory limit in bytes. It is positive, as 0 would mean that there is no limit.
-func memoryShare(mb, share float64) int64 {
-	return int64(max(1, min(mb*share*(1<<20), maxMemoryBytes)))
+// memoryShare returns a share of the memory in bytes. It is limited by maxDefaultBytes if no limit is set.
+func memoryShare(limits resources.Limits, share, settingMB float64) int64 {
+	if settingMB <= 0 {
+		return min(maxDefaultBytes, limits.Share(share))
+	}
+	return limits.Share(share)
 }
 
 // stop shuts the service down: it first reports not ready, then accepts no new connections, then
--- a/internal/gatewayd/memory_test.go
+++ b/internal/gatewayd/memory_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/internal/gateway"
+	"github.com/rockdoor/rockdoor/internal/resources"
 	"github.com/rockdoor/rockdoor/internal/upstream"
 )
 
@@ -18,7 +19,7 @@
 func TestBodiesAreLimitedWithoutAMemoryLimit(t *testing.T) {
 	before := debug.SetMemoryLimit(-1)
 	t.Cleanup(func() { debug.SetMemoryLimit(before) })
-	for mb, want := range map[float64]int64{0: 64 << 20, 1e-9: 1, 64: 16 << 20, math.MaxFloat64: maxMemoryBytes} {
+	for mb, want := range map[float64]int64{0: 64 << 20, 1e-9: 1, 64: 16 << 20, math.MaxFloat64: resources.MaxMemory} {
 		var logged strings.Builder
 		reg := metrics.NewRegistry()
 		d := &Daemon{logger: log.NewLogfmtLogger(&logged), gateway: gateway.New(gateway.Options{Client: upstream.New(reg), Metrics: reg, Logger: log.NewNopLogger()})}
