Clients and peers leave descriptors to the engines, the store and operators

What callers saw: 700 silent, half, idle or held connections at any port, that of peers included, took 600 of 600 descriptors; engines, store and peers could not be dialled, and ordinary clients got in only once connections timed out. Cause: nothing bounded the connections of a listener, and nothing was kept. Beyond it connections give way: those that have sent nothing whole for longest, those that read nothing, half heads, idle ones. A whole request under way never does; if all are of that kind, the next that has been answered does.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -65,6 +65,8 @@
 	endPollInterval = 10 * time.Millisecond
 	// headMargin is the time that the head of a request may take on its way besides the time that its client has.
 	headMargin = 2 * time.Second
+	// firstCallTimeout is how long a connection of another process may take until its first call has arrived.
+	firstCallTimeout = 15 * time.Second
 	// maxDefaultBytes limits each of the memory of buffered bodies and of relayed connections if the settings name no memory
 	// limit.
 	maxDefaultBytes = 64 << 20
@@ -180,7 +182,7 @@
 		DecodeConfig: d.store.DecodeConfig, DecodeInstance: d.store.DecodeInstance, RedactConfig: platform.RedactKeys, MaxConfigStaleness: set.Bounds.MaxConfigStaleness(),
 		ApplyLimit: set.Bounds.Apply.Std(), PropagationLimit: set.Bounds.PropagationLimit(), SettleTime: set.Bounds.Settle.Std(), ExpiredRetention: set.Bounds.Drain.Std() - expiryMargin, Metrics: d.reg, Logger: d.logger,
 	})
-	d.resources = resources.Detect(set.MemoryMB, 0)
+	d.resources = resources.Detect(set.MemoryMB, set.Descriptors)
 	d.connections = connlimit.New(connlimit.Options{HeadMemory: d.resources.HeadMemory(), Limits: d.connectionLimits, Metrics: d.reg, Logger: d.logger})
 	d.client = upstream.New(d.reg)
 	d.client.SetLogger(d.logger)
@@ -405,6 +407,7 @@
 func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
 	level.Info(d.logger).Log("msg", "start", "run", d.runID, "listen", d.settings.Listen, "store", d.settings.Store, "domain", d.settings.Domain)
 	d.limitMemory(d.settings.MemoryMB)
+	d.logConnectionLimits()
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var g run.Group
@@ -414,9 +417,9 @@
 		address string
 		bounds  connlimit.Bounds
 	}{
-		{"clients", d.clientServer, d.settings.Listen, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
-		{"readiness", d.readinessServer, d.settings.Readiness, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
-		{"operators", d.operatorServer, d.settings.Metrics, connlimit.Bounds{Descriptors: resources.MaxDescriptors}},
+		{"clients", d.clientServer, d.settings.Listen, connlimit.Bounds{Descriptors: d.resources.ClientDescriptors(), PerRequest: 1}},
+		{"readiness", d.readinessServer, d.settings.Readiness, connlimit.Bounds{Descriptors: d.resources.OperatorDescriptors()}},
+		{"operators", d.operatorServer, d.settings.Metrics, connlimit.Bounds{Descriptors: d.resources.OperatorDescriptors()}},
 	} {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
@@ -433,7 +436,9 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "cannot listen on "+d.settings.Peer, "check the address peer in the settings")
 	}
-	g.Add(func() error { return d.transport.Serve(peers) }, func(error) { _ = peers.Close(); d.transport.Close() })
+	all, waiting := d.resources.PeerDescriptors()
+	limitedPeers := d.connections.Listen("peers", peers, connlimit.Bounds{Descriptors: all, Waiting: waiting, FirstTimeout: firstCallTimeout})
+	g.Add(func() error { return d.transport.Serve(limitedPeers) }, func(error) { _ = peers.Close(); d.transport.Close() })
 	g.Add(func() error { return d.connections.Run(background) }, func(error) { stopBackground() })
 	go d.crashKeeper.Load(background, func() bool { v := d.discovery.View(); return v.Ready() && v.Scheduling })
 	g.Add(func() error { return d.crashSync.Run(background) }, func(error) { stopBackground() })
@@ -506,6 +511,13 @@
 	level.Info(d.logger).Log("msg", "memory limits", "memory_mb", limits.MemoryMB, "source", limits.MemorySource, "buffer_bytes", buffers, "default", mb <= 0)
 }
 
+// logConnectionLimits logs what clients and peers may take at most.
+func (d *Daemon) logConnectionLimits() {
+	peers, waiting := d.resources.PeerDescriptors()
+	level.Info(d.logger).Log("msg", "connection limits", "descriptors", d.resources.Descriptors, "clients", d.resources.ClientDescriptors(), "peers", peers, "peers_waiting", waiting,
+		"operators", d.resources.OperatorDescriptors(), "head_bytes", d.resources.HeadMemory())
+}
+
 // memoryShare returns a share of the memory in bytes. It is limited by maxDefaultBytes if no limit is set.
 func memoryShare(limits resources.Limits, share, settingMB float64) int64 {
 	if settingMB <= 0 {
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -38,9 +38,6 @@
 	unknownMemoryMB    = 512
 	unknownDescriptors = 1024
 
-	// MaxDescriptors is above any real limit.
-	MaxDescriptors = 1 << 30
-
 	bytesPerMB = 1 << 20
 )
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,6 +30,8 @@
 	// RolePolicy is the name of a policy of package roles.
 	RolePolicy string  `json:"rolePolicy"`
 	MemoryMB   float64 `json:"memoryMB"`
+	// Descriptors is the number of descriptors that the process may have open, 0 for the limit of the system.
+	Descriptors int `json:"descriptors"`
 	// Weight is how much scheduling work the process can do for others, as a share of a CPU core.
 	Weight float64 `json:"weight"`
 	Bounds Bounds  `json:"bounds"`
