Idle connections to instances are bounded for the whole process

What callers saw: clients that repeat one request ID on their connections took 600 of 600 descriptors, and ordinary requests got no answer. Cause: a connection to an instance carries each request ID once, so each such request opens another; idle ones were bounded for each instance (half of its connections, hundreds), not for the process. TestIdleConnectionsOfAllInstancesAreLimited.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -186,6 +186,7 @@
 	d.connections = connlimit.New(connlimit.Options{HeadMemory: d.resources.HeadMemory(), Limits: d.connectionLimits, Metrics: d.reg, Logger: d.logger})
 	d.client = upstream.New(d.reg)
 	d.client.SetLogger(d.logger)
+	d.client.SetMaxIdle(d.resources.IdleDescriptors())
 	d.placer = placement.New(set.Domain, d.peerLoad, d.isChangingRole)
 	d.suspects = quarantine.NewTable()
 	d.suspects.SetTrialPermission(func() bool { _, ok := d.authority.Grant(); return ok }) // one trial in the fleet
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -119,10 +119,12 @@
 	dial  DialFunc
 	paths Paths
 
-	mu        sync.Mutex
-	idle      map[string][]*conn
-	open      map[string]int
-	anonymous *anonymousGroups
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// idleCount is the number of all idle connections, maxIdle its limit, 0 for none.
+	idleCount, maxIdle int
+	open               map[string]int
+	anonymous          *anonymousGroups
 	// lastConn is the number of the last connection.
 	lastConn uint64
 	// interruptible has the exchanges over direct connections that may be given up, by address.
@@ -147,6 +149,10 @@
 // connections are direct.
 func (c *Client) SetPaths(p Paths) { c.paths = p }
 
+// SetMaxIdle limits the idle connections to all instances together. 0 means no limit. It must be called before the client is
+// used.
+func (c *Client) SetMaxIdle(n int) { c.maxIdle = n }
+
 // Connect connects to an address from this host.
 func (c *Client) Connect(ctx context.Context, address string) (net.Conn, error) {
 	nc, err := c.dial(ctx, address)
@@ -530,20 +536,23 @@
 			continue
 		}
 		c.idle[r.Address] = slices.Delete(all, n, n+1)
+		c.idleCount--
 		return cn
 	}
 	return nil
 }
 
 // put returns a connection to the pool. It closes the connections whose idle timeout has passed
-// and the oldest ones beyond maxIdle.
+// and the oldest ones beyond maxIdle. If there are too many idle connections to all instances, it closes those to this one.
 func (c *Client) put(address string, cn *conn, maxIdle int) {
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	var old []*conn
 	all := append(c.idle[address], cn)
-	for len(all) > 0 && (len(all) > maxIdle || cn.idleSince.Sub(all[0].idleSince) > all[0].idleTimeout) {
+	c.idleCount++
+	for len(all) > 0 && (len(all) > maxIdle || c.maxIdle > 0 && c.idleCount > c.maxIdle || cn.idleSince.Sub(all[0].idleSince) > all[0].idleTimeout) {
 		old, all = append(old, all[0]), all[1:]
+		c.idleCount--
 	}
 	c.idle[address] = all
 	c.mu.Unlock()
@@ -570,6 +579,7 @@
 	c.mu.Lock()
 	all := c.idle[address]
 	delete(c.idle, address)
+	c.idleCount -= len(all)
 	c.mu.Unlock()
 	for _, cn := range all {
 		c.drop(address, cn)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -374,3 +374,28 @@
 	require.Empty(t, do(""), "a call without an ID has a connection of its own")
 	require.Equal(t, "response on connection 5", do("last"))
 }
+
+// TestIdleConnectionsOfAllInstancesAreLimited keeps connections to several instances, of which each may have more than all may.
+func TestIdleConnectionsOfAllInstancesAreLimited(t *testing.T) {
+	c := New(metrics.NewRegistry())
+	c.SetMaxIdle(3)
+	idle := func() (n int) {
+		for _, all := range c.idle {
+			n += len(all)
+		}
+		return n
+	}
+	for n := range 10 {
+		client, server := net.Pipe()
+		defer server.Close()
+		cn := newConn(client, uint64(n))
+		cn.idleTimeout = time.Minute
+		c.put(fmt.Sprint("instance-", n%2), cn, 5)
+		require.LessOrEqual(t, idle(), 3)
+	}
+	require.Equal(t, c.idleCount, idle())
+	require.NotNil(t, c.pop(&Request{Address: "instance-1"}))
+	require.Equal(t, c.idleCount, idle())
+	c.Close()
+	require.Zero(t, c.idleCount)
+}
