Requests that are refused early are answered at once, body or not

What callers saw: a request without a route, or with a bad deadline, whose body does not come got no answer at all, and its connection was never closed (still open after 45 s). Cause: net/http reads up to 256 KB of an unread body before it sends the response, and nothing bounded that. A client whose body arrives gets the response as before and Connection: close.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -263,6 +263,9 @@
 	}
 	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", r.Host, "path", r.URL.Path, "status", rep.status, "outcome", rep.code,
 		"config", version, "config_age", v.ConfigAge().Round(time.Millisecond), "proof_age", v.ConfigStaleness().Round(time.Millisecond), "err", rep.err)
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close") // the server would otherwise wait for the body before it responds
+	}
 	rep.write(w)
 }
 
