Log lines that wait are bounded in bytes, and long ones are cut

What callers saw: with a log that nobody reads, 200 clients with paths or request IDs of 60 KB took 226 and 337 MB of a process of 64 MB. Cause: the queue was bounded at 4,096 lines; its comment said less than a megabyte, with lines of some 200 bytes in mind.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -57,7 +57,7 @@
 			logger = level.NewFilter(logger, level.Allow(level.ParseDefault(set.Log.Level, level.DebugValue())))
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return gatewayd.New(set, file, logger, sink.Dropped).Run(ctx, reloadSignals())
+			return gatewayd.New(set, file, logger, sink).Run(ctx, reloadSignals())
 		},
 	}
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -95,13 +95,12 @@
 type Daemon struct {
 	settings *settings.Gateway
 	// bounds are the bounds of the settings that were loaded last.
-	bounds atomic.Pointer[settings.Bounds]
-	file   string
-	logger log.Logger
-	reg    metrics.Registry
-	runID  string
-	// droppedLogLines returns the number of log lines that were dropped.
-	droppedLogLines func() int64
+	bounds    atomic.Pointer[settings.Bounds]
+	file      string
+	logger    log.Logger
+	reg       metrics.Registry
+	runID     string
+	logLosses LogLosses
 
 	store     *platform.Store
 	discovery *discovery.Discovery
@@ -153,10 +152,16 @@
 	clientServer, readinessServer, operatorServer *http.Server
 }
 
+// LogLosses tells how many log lines were dropped, and how many were cut since they were too long.
+type LogLosses interface {
+	Dropped() int64
+	Cut() int64
+}
+
 // New returns a process that serves once Run is called. file is the path that the settings were
-// loaded from, dropped returns the number of log lines that were dropped.
-func New(set *settings.Gateway, file string, logger log.Logger, dropped func() int64) *Daemon {
-	d := &Daemon{settings: set, file: file, droppedLogLines: dropped, reg: metrics.NewRegistry(), runID: members.NewIncarnation(), clock: truetime.New()}
+// loaded from, losses tells what the log has lost.
+func New(set *settings.Gateway, file string, logger log.Logger, losses LogLosses) *Daemon {
+	d := &Daemon{settings: set, file: file, logLosses: losses, reg: metrics.NewRegistry(), runID: members.NewIncarnation(), clock: truetime.New()}
 	d.logger = log.With(logger, "process", set.Name)
 	d.bounds.Store(&set.Bounds)
 	d.store = platform.NewStore(set.Store).WithPageTimeout(discovery.StoreCallTimeout(set.Bounds.Apply.Std()))
--- a/internal/gatewayd/gatewayd_test.go
+++ b/internal/gatewayd/gatewayd_test.go
@@ -115,6 +115,12 @@
 	log    *syncBuffer
 }
 
+// noLosses are the losses of a log that keeps everything.
+type noLosses struct{}
+
+func (noLosses) Dropped() int64 { return 0 }
+func (noLosses) Cut() int64     { return 0 }
+
 type syncBuffer struct {
 	mu sync.Mutex
 	b  strings.Builder
@@ -160,7 +166,7 @@
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{settings: loaded, stop: cancel, file: file, reload: make(chan struct{}), done: make(chan error, 1), log: &syncBuffer{}}
-	p.daemon = New(loaded, file, log.With(log.NewLogfmtLogger(p.log), "ts", log.DefaultTimestampUTC), func() int64 { return 0 })
+	p.daemon = New(loaded, file, log.With(log.NewLogfmtLogger(p.log), "ts", log.DefaultTimestampUTC), noLosses{})
 	if d.prepare != nil {
 		d.prepare(p)
 	}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// queueCapacity is the number of lines that wait for a slow reader: the lines of a few seconds at
-	// the usual rate, less than a megabyte.
+	// queueCapacity is the number of lines that wait for a slow reader, queueBytes the number of their bytes: the lines of a
+	// few seconds at the usual rate.
 	queueCapacity = 4096
+	queueBytes    = 1 << 20
+	// maxLineBytes is the length at which lines are cut. The fields that identify a request come first.
+	maxLineBytes = 4 << 10
 	// reservedShare is the share of the queue and of the rate limit that debug lines may not use.
 	reservedShare = 0.25
 	// DefaultRate is the default rate limit in lines per second: about ten lines for each request that a
@@ -34,7 +37,9 @@
 	currentSecond  atomic.Int64
 	usedThisSecond atomic.Int64
 	dropped        atomic.Int64
-	done           chan struct{}
+	// queued is the number of bytes in the queue, cut the number of lines that were cut.
+	queued, cut atomic.Int64
+	done        chan struct{}
 	// mu prevents Close from closing the channel lines while a line is being enqueued.
 	mu     sync.RWMutex
 	closed bool
@@ -49,25 +54,35 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
-	limit, capacity := s.rate, cap(s.lines)
-	if bytes.Contains(line, debugLevel) {
+	limit, capacity, room := s.rate, cap(s.lines), int64(queueBytes)
+	if bytes.Contains(line[:min(len(line), maxLineBytes)], debugLevel) {
 		limit -= int64(float64(limit) * reservedShare)
 		capacity -= int(float64(capacity) * reservedShare)
+		room -= int64(float64(room) * reservedShare)
 	}
 	now := time.Now().Unix()
 	if old := s.currentSecond.Load(); old != now && s.currentSecond.CompareAndSwap(old, now) {
 		s.usedThisSecond.Store(0)
 	}
-	if s.usedThisSecond.Add(1) > limit || len(s.lines) >= capacity {
+	if s.usedThisSecond.Add(1) > limit || len(s.lines) >= capacity || s.queued.Load() >= room {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
-	if !s.enqueue(bytes.Clone(line)) {
+	if !s.enqueue(s.shorten(line)) {
 		s.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// shorten returns a copy of a line that is cut at maxLineBytes and then says so.
+func (s *Sink) shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	s.cut.Add(1)
+	return fmt.Appendf(bytes.Clone(line[:maxLineBytes]), "... cut_bytes=%d\n", len(line)-maxLineBytes)
+}
+
 // enqueue adds a line to the queue. It reports false if the queue is full or the sink has been closed:
 // goroutines of a process that is about to exit may still log.
 func (s *Sink) enqueue(line []byte) bool {
@@ -76,10 +91,12 @@
 	if s.closed {
 		return false
 	}
+	s.queued.Add(int64(len(line)))
 	select {
 	case s.lines <- line:
 		return true
 	default:
+		s.queued.Add(-int64(len(line)))
 		return false
 	}
 }
@@ -87,6 +104,9 @@
 // Dropped returns the number of lines that have been dropped.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
+// Cut returns the number of lines that were too long.
+func (s *Sink) Cut() int64 { return s.cut.Load() }
+
 // Close writes the lines in the queue, but waits no longer than timeout. Lines that are written later are
 // dropped.
 func (s *Sink) Close(timeout time.Duration) {
@@ -113,5 +133,6 @@
 		if _, err := s.out.Write(line); err != nil {
 			s.dropped.Add(1) // the output is broken, so the error cannot be logged
 		}
+		s.queued.Add(-int64(len(line)))
 	}
 }
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -86,3 +86,32 @@
 	require.NoError(t, err)
 	require.Equal(t, before+1, s.Dropped(), "a line after Close is dropped and counted")
 }
+
+// TestWaitingLinesAreBoundedInBytes has long lines wait for a reader that does not come.
+func TestWaitingLinesAreBoundedInBytes(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	s := New(w, 1<<30)
+	line := []byte("level=warn request=r path=" + strings.Repeat("x", 100_000) + "\n")
+	for range queueCapacity {
+		_, err := s.Write(line)
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, s.queued.Load(), int64(queueBytes+2*maxLineBytes))
+	require.Positive(t, s.Dropped())
+}
+
+func TestLongLinesAreCut(t *testing.T) {
+	out := &buffer{}
+	s := New(out, 1000)
+	_, _ = s.Write([]byte("request=r path=" + strings.Repeat("x", 2*maxLineBytes) + "\n"))
+	_, _ = s.Write([]byte("request=q\n"))
+	s.Close(time.Second)
+	lines := strings.Split(strings.TrimSpace(out.b.String()), "\n")
+	require.Len(t, lines, 2)
+	require.True(t, strings.HasPrefix(lines[0], "request=r path=x"))
+	require.Contains(t, lines[0], " cut_bytes=")
+	require.Less(t, len(lines[0]), maxLineBytes+100)
+	require.EqualValues(t, 1, s.Cut())
+	require.Zero(t, s.queued.Load())
+}
