--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 	route := view.Config.Route(hostOnly(r.Host), targetPath(r))
 	if route == nil {
 		return nil, replyWithStatus(http.StatusNotFound, "no-route",
-			fault.New(fault.NotFound, "no route for "+r.Host+r.URL.Path, "check the host name and the path"), 0)
+			fault.New(fault.NotFound, "no route for "+shorten(r.Host)+shorten(r.URL.Path), "check the host name and the path"), 0)
 	}
 	workspace, rep := s.admit(view, route, call.Key)
 	if rep != nil {
@@ -261,7 +261,7 @@
 	if v.Config != nil {
 		version = v.Config.Version
 	}
-	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", r.Host, "path", r.URL.Path, "status", rep.status, "outcome", rep.code,
+	level.Warn(s.o.Logger).Log("msg", "request", "request", call.ID, "host", shorten(r.Host), "path", shorten(r.URL.Path), "status", rep.status, "outcome", rep.code,
 		"config", version, "config_age", v.ConfigAge().Round(time.Millisecond), "proof_age", v.ConfigStaleness().Round(time.Millisecond), "err", rep.err)
 	if r.ContentLength != 0 {
 		w.Header().Set("Connection", "close") // the server would otherwise wait for the body before it responds
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -39,8 +39,20 @@
 	level.Debug(q.s.o.Logger).Log(kv...)
 }
 
-// maxLoggedBytes bounds what is logged of a malformed event.
-const maxLoggedBytes = 64
+const (
+	// maxLoggedBytes bounds what is logged of a malformed event.
+	maxLoggedBytes = 64
+	// maxLoggedText bounds what is logged, and repeated in responses, of a text that a client chooses.
+	maxLoggedText = 256
+)
+
+// shorten cuts a text of a client at maxLoggedText.
+func shorten(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return text[:maxLoggedText] + "..."
+}
 
 // logMalformedEvent logs and counts bytes that an instance sent in place of the next event.
 func (q *request) logMalformedEvent(from *fleet.Instance, event []byte, err error) {
