What a process remembers of prompts is bounded in entries

What callers saw: nothing yet; found by reading. Prompts whose parts have no tokens, or requests without a number of tokens, added an entry to the model of an engine's cache that never left it, as only tokens were counted. Prompts of thousands of parts made the message of loads to the other processes larger than a message may be, with which the exchange of loads would end. Cause: clients choose the number of parts and their tokens. Change: the caches of all engines have 32,768 entries together, at least 256 each; entries without tokens and without a name are not made. The log of prefills for other processes has at most 32,768 parts, some 400 KB in a message. Evidence: TestPrefixCacheIsBoundedInEntries, TestPrefillLogIsBoundedInParts. They use the new bounds and do not build on the code before; that it had none is by reading.

--- a/placement/cache.go
+++ b/placement/cache.go
@@ -33,8 +33,9 @@
 // prefixCache models which prompt parts one engine has cached. Like the engine it evicts the least
 // recently used parts. It is not safe for concurrent use.
 type prefixCache struct {
-	// capacity and used are in tokens.
+	// capacity and used are in tokens. maxEntries bounds the entries, since clients choose how many tokens a part has.
 	capacity, used int
+	maxEntries     int
 	// order holds the entries, most recently used first.
 	order *list.List
 	parts map[uint64]*list.Element
@@ -53,10 +54,19 @@
 	// prefixCacheShare is the share of an engine's memory that is available for cached parts. The
 	// rest is used by requests in flight.
 	prefixCacheShare = 0.85
+	// maxCacheEntries bounds the entries of the caches of all engines together, each of about 150 bytes, and
+	// minCacheEntries what each engine may have at least.
+	maxCacheEntries = 1 << 15
+	minCacheEntries = 1 << 8
 )
 
 func newPrefixCache() *prefixCache {
-	return &prefixCache{capacity: defaultCapacityTokens, order: list.New(), parts: map[uint64]*list.Element{}}
+	return &prefixCache{capacity: defaultCapacityTokens, maxEntries: maxCacheEntries, order: list.New(), parts: map[uint64]*list.Element{}}
+}
+
+// limitEntries sets the share of one of a number of engines in the entries.
+func (c *prefixCache) limitEntries(engines int) {
+	c.maxEntries = max(minCacheEntries, maxCacheEntries/max(engines, 1))
 }
 
 // resize sets the engine's memory in tokens.
@@ -69,7 +79,9 @@
 // add records that the engine has prefilled a prompt, given its shared parts and the number of its
 // unshared tokens.
 func (c *prefixCache) add(parts []Part, unshared int) {
-	c.pushFront(cacheEntry{tokens: unshared})
+	if unshared > 0 {
+		c.pushFront(cacheEntry{tokens: unshared})
+	}
 	// The first parts go to the front last: a cached part is usable only together with all parts
 	// before it.
 	for n := len(parts) - 1; n >= 0; n-- {
@@ -80,7 +92,7 @@
 		}
 		c.parts[p.ID] = c.pushFront(cacheEntry{p.ID, true, p.Tokens})
 	}
-	for c.used > c.capacity {
+	for c.used > c.capacity || c.order.Len() > c.maxEntries {
 		c.dropOldest()
 	}
 }
--- a/placement/cache_test.go
+++ b/placement/cache_test.go
@@ -86,3 +86,34 @@
 		}
 	}
 }
+
+// TestPrefixCacheIsBoundedInEntries has clients send prompts of many parts of few tokens or none.
+func TestPrefixCacheIsBoundedInEntries(t *testing.T) {
+	c := newPrefixCache()
+	c.resize(1 << 30)
+	c.limitEntries(1000)
+	for n := range uint64(4 * minCacheEntries) {
+		c.add([]Part{{n, 0}, {1 << 40, 3}}, 0)
+	}
+	require.Equal(t, minCacheEntries, c.order.Len())
+	require.Len(t, c.parts, minCacheEntries)
+	require.Equal(t, 3, c.cachedTokens([]Part{{1 << 40, 3}}), "what is used is kept")
+	c.add([]Part{{7, 5}}, 0)
+	require.LessOrEqual(t, c.used, 8)
+}
+
+// TestPrefillLogIsBoundedInParts has clients send prompts of thousands of parts. The message with all entries must not become
+// larger than a message may be.
+func TestPrefillLogIsBoundedInParts(t *testing.T) {
+	p := New("a", nil, nil)
+	for range 20 {
+		p.prefillLog.add(Prefill{Instance: "i", Parts: make([]Part, maxLoggedParts/4)}, time.Now())
+	}
+	all, last := p.PrefillsAfter(0)
+	require.Len(t, all, 4)
+	require.EqualValues(t, 20, last)
+	p.prefillLog.add(Prefill{Instance: "i", Parts: make([]Part, 2*maxLoggedParts)}, time.Now())
+	none, last := p.PrefillsAfter(0)
+	require.Empty(t, none)
+	require.EqualValues(t, 21, last)
+}
--- a/placement/prefilllog.go
+++ b/placement/prefilllog.go
@@ -21,6 +21,8 @@
 	// lastSequence is the number of the newest entry.
 	lastSequence uint64
 	recent       []loggedPrefill
+	// parts is the number of parts in all entries.
+	parts int
 }
 
 type loggedPrefill struct {
@@ -32,12 +34,17 @@
 // that long has missed other updates as well.
 const prefillLogRetention = 2 * time.Second
 
+// maxLoggedParts bounds the parts of all entries, so that a message with all of them is far smaller than a message may be.
+const maxLoggedParts = 1 << 15
+
 func (l *prefillLog) add(r Prefill, now time.Time) {
-	for len(l.recent) > 0 && now.Sub(l.recent[0].at) > prefillLogRetention {
-		l.recent = l.recent[1:]
-	}
 	l.lastSequence++
 	l.recent = append(l.recent, loggedPrefill{r, now})
+	l.parts += len(r.Parts)
+	for len(l.recent) > 0 && (now.Sub(l.recent[0].at) > prefillLogRetention || l.parts > maxLoggedParts) {
+		l.parts -= len(l.recent[0].Parts)
+		l.recent = l.recent[1:]
+	}
 }
 
 // PrefillsAfter returns the retained prefills of this process with a number above the given one, and
@@ -61,7 +68,7 @@
 func (p *Placer) ApplyRemotePrefill(r Prefill) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stateByID(r.Instance).recordPrefill(r.Parts, r.UnsharedTokens)
+	p.stateByID(r.Instance).recordPrefill(r.Parts, r.UnsharedTokens, len(p.instances))
 }
 
 // RestoreCache records prompt parts that the present run of an engine has cached, in addition to
--- a/placement/state.go
+++ b/placement/state.go
@@ -130,8 +130,9 @@
 	return st
 }
 
-// recordPrefill records that the instance has prefilled a prompt.
-func (s *instanceState) recordPrefill(parts []Part, unshared int) {
+// recordPrefill records that the instance, one of a number of them, has prefilled a prompt.
+func (s *instanceState) recordPrefill(parts []Part, unshared, instances int) {
+	s.cache.limitEntries(instances)
 	s.cache.add(parts, unshared)
 	s.prefills++
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -91,7 +91,7 @@
 
 // recordCachedAt records that an engine has the prompt cached. The caller holds the placer's lock.
 func (t *Ticket) recordCachedAt(st *instanceState) {
-	st.recordPrefill(t.parts, t.unsharedTokens)
+	st.recordPrefill(t.parts, t.unsharedTokens, len(t.p.instances))
 	t.p.prefillLog.add(Prefill{st.id, t.parts, t.unsharedTokens}, t.p.now())
 }
 
