Records of streams are bounded in bytes

What callers saw: nothing yet; found by reading. 65,536 records with request IDs of 256 bytes, which clients choose, take some 32 MB of a process of 64 MB. Cause: the table was bounded in records only. Change: it also holds at most 4 MB, 250 bytes a record and its ID; the oldest are dropped, as before. With IDs of 16 bytes that is 15,700 records, for 130 streams a second that begin at this process and are remembered for two minutes. Evidence: TestRecordsAreBoundedInBytes, which does not build on the code before.

--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -256,3 +256,19 @@
 		})
 	}
 }
+
+// TestRecordsAreBoundedInBytes has clients begin streams with long request IDs.
+func TestRecordsAreBoundedInBytes(t *testing.T) {
+	tb := newTable()
+	id := func(n int) string { return fmt.Sprintf("%0250d", n) }
+	const records = maxRecordBytes / 250
+	for n := range records {
+		tb.add(Origin{Request: id(n), Service: "s"}, maxLife, true)
+	}
+	require.LessOrEqual(t, tb.bytes, maxRecordBytes+recordBytes+250)
+	require.Less(t, tb.size(), records)
+	_, known := tb.find("", id(records-1))
+	require.True(t, known, "the newest is kept")
+	_, known = tb.find("", id(0))
+	require.False(t, known, "the oldest is dropped")
+}
--- a/internal/resumption/table.go
+++ b/internal/resumption/table.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// maxRecords limits the records in a table. The oldest ones are dropped.
-	maxRecords = 1 << 16
+	// maxRecords limits the records in a table, maxRecordBytes their memory. The oldest ones are dropped.
+	maxRecords     = 1 << 16
+	maxRecordBytes = 4 << 20
+	// recordBytes is the memory of a record without its request ID, which the client chooses.
+	recordBytes = 250
 	// maxLife limits how long a record is kept, whatever its sender asks for.
 	maxLife = historyRetention
 )
@@ -46,8 +49,12 @@
 	records map[streamKey]record
 	// order has the keys of the records, oldest first. Keys of expired records may be left in it.
 	order []streamKey
+	// bytes is the memory of the keys in order and of their records.
+	bytes int
 }
 
+func (k streamKey) bytes() int { return recordBytes + len(k.request) }
+
 func newTable() *table { return &table{now: bootclock.Now, records: map[streamKey]record{}} }
 
 // add adds a record, or extends its life. Two records that differ make the origin ambiguous.
@@ -64,6 +71,7 @@
 	}
 	if !known {
 		t.order = append(t.order, key)
+		t.bytes += key.bytes()
 	}
 	t.records[key] = record{o, now.Add(min(life, maxLife)), own}
 }
@@ -73,9 +81,10 @@
 func (t *table) removeExpired(now bootclock.Instant) {
 	n := 0
 	for ; n < len(t.order); n++ {
-		if now < t.records[t.order[n]].expires && len(t.order)-n < maxRecords {
+		if now < t.records[t.order[n]].expires && len(t.order)-n < maxRecords && t.bytes < maxRecordBytes {
 			break
 		}
+		t.bytes -= t.order[n].bytes()
 		delete(t.records, t.order[n])
 	}
 	t.order = t.order[n:]
