The port of peers takes bounded memory from connections of others

What callers saw: 300 connections that open streams and send nothing took 115 MB of a process of 64 MB. Cause: each connection got the buffers of a session, each of its streams a goroutine and a buffer of 4 KB, and a message its whole stated size, up to 4 MB, before anything valid had arrived. Buffers of streams are 512 bytes. Messages take memory as their bytes arrive, 8 MB together. TestConnectionsOfOthersGetNoSession, TestMessagesTakeMemoryAsTheyArrive, TestMessagesAreReadWhole.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,9 +6,13 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +32,10 @@
 const (
 	// MaxMessageBytes limits the size of one message.
 	MaxMessageBytes = 4 << 20
+	// maxUnreadBytes limits the memory of all messages that are arriving at a time.
+	maxUnreadBytes = 8 << 20
+	// minReadBytes is what is read of a message at first. As much as has arrived is read next.
+	minReadBytes = 4 << 10
 
 	dialTimeout  = time.Second
 	serveTimeout = 5 * time.Second
@@ -52,6 +60,8 @@
 	reg     metrics.Registry
 	handler Handler
 	streams *semaphore.Weighted
+	// unread is the number of bytes of messages that are arriving.
+	unread atomic.Int64
 	// relay serves relayed connections, nil if this process relays none.
 	relay Relay
 
@@ -98,7 +108,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		t.accept(conn)
+		go t.accept(conn)
 	}
 }
 
@@ -108,8 +118,15 @@
 	return t.closed
 }
 
+// accept starts the session of a connection once its first frame has arrived.
 func (t *Transport) accept(conn net.Conn) {
-	session, err := newSession(conn, yamux.Server)
+	frame, err := readFirstFrame(conn)
+	if err != nil {
+		t.count("bad_connections")
+		conn.Close()
+		return
+	}
+	session, err := newSession(conn, frame, yamux.Server)
 	if err != nil {
 		conn.Close()
 		return
@@ -125,6 +142,8 @@
 	go t.serveSession(session)
 }
 
+func (t *Transport) count(name string) { metrics.GetOrRegisterCounter("peer."+name, t.reg).Inc(1) }
+
 func (t *Transport) serveSession(session *muxSession) {
 	defer t.wg.Done()
 	defer func() {
@@ -138,17 +157,20 @@
 		if err != nil {
 			return
 		}
+		release := session.awaitSlot()
 		if !t.streams.TryAcquire(1) {
 			accepted.Close()
+			release()
 			continue
 		}
 		stream := newStream(session, accepted)
 		t.wg.Add(1)
 		go func() {
 			defer t.wg.Done()
+			defer release()
 			defer t.streams.Release(1)
 			if err := t.serveStream(stream); err != nil {
-				metrics.GetOrRegisterCounter("peer.bad_calls", t.reg).Inc(1)
+				t.count("bad_calls")
 				level.Debug(t.logger).Log("msg", "peer call failed", "remote", session.RemoteAddr(), "err", err)
 				session.Close()
 			}
@@ -183,6 +205,7 @@
 	if req.GetFrom().GetName() == "" || req.Body == nil {
 		return fault.New(fault.Invalid, "peer call without sender or body", "check that all processes run the same version")
 	}
+	stream.session.establish()
 	if req.GetConnect() != nil {
 		return t.serveConnect(ctx, stream, req)
 	}
@@ -193,13 +216,41 @@
 	return nil
 }
 
+// readMessage reads a message. It takes memory only for bytes that have arrived, whatever size the message states.
 func (t *Transport) readMessage(r protodelim.Reader, m proto.Message) error {
-	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
-	if err := opts.UnmarshalFrom(r, m); err != nil {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
 		return err
 	}
-	t.countBytes("in", proto.Size(m))
-	return nil
+	if size > MaxMessageBytes {
+		return fault.Newf(fault.Invalid, "check that all processes run the same version", "message of %d bytes is larger than the limit", size)
+	}
+	arrived, release, err := t.readArriving(r, int(size))
+	defer release()
+	if err != nil {
+		return err
+	}
+	t.countBytes("in", len(arrived))
+	return proto.Unmarshal(arrived, m)
+}
+
+// readArriving reads size bytes into memory that it reserves as they arrive. release returns the memory.
+func (t *Transport) readArriving(r io.Reader, size int) (arrived []byte, release func(), err error) {
+	reserved := int64(0)
+	release = func() { t.unread.Add(-reserved) }
+	for len(arrived) < size {
+		n := min(size-len(arrived), max(len(arrived), minReadBytes))
+		reserved += int64(n)
+		if t.unread.Add(int64(n)) > maxUnreadBytes {
+			return nil, release, fault.New(fault.Exhausted, "too many large messages at a time", "send the message again")
+		}
+		begin := len(arrived)
+		arrived = slices.Grow(arrived, n)[:begin+n]
+		if _, err := io.ReadFull(r, arrived[begin:]); err != nil {
+			return nil, release, err
+		}
+	}
+	return arrived, release, nil
 }
 
 func (t *Transport) countBytes(direction string, n int) {
@@ -302,7 +353,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSession(conn, yamux.Client)
+	s, err := newSession(conn, nil, yamux.Client)
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"io"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -113,3 +116,60 @@
 	require.NoError(t, call(t, client, address))
 	require.Same(t, session, client.dialedSession(address))
 }
+
+// TestConnectionsOfOthersGetNoSession has programs that are no peers connect.
+func TestConnectionsOfOthersGetNoSession(t *testing.T) {
+	tr, address := serve(t, echo)
+	for _, text := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "garbage that is long enough", string(make([]byte, muxHeaderBytes)), "\x01\x01\x00\x01\x00\x00\x00\x01\x00\x00\x00\x00"} {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, text)
+		require.NoError(t, err)
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		n, err := c.Read(make([]byte, 1))
+		require.Zero(t, n, "%q", text)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%q", text)
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	require.Empty(t, tr.accepted)
+}
+
+// TestMessagesTakeMemoryAsTheyArrive has peers state the sizes of large messages and send little of them.
+func TestMessagesTakeMemoryAsTheyArrive(t *testing.T) {
+	tr, address := serve(t, echo)
+	client, _ := serve(t, echo)
+	var streams []*stream
+	for range maxEarlyStreams {
+		s, err := client.open(t.Context(), address)
+		require.NoError(t, err)
+		_, err = s.Write(append(binary.AppendUvarint(nil, MaxMessageBytes), make([]byte, 100)...))
+		require.NoError(t, err)
+		streams = append(streams, s)
+	}
+	require.Eventually(t, func() bool { return tr.unread.Load() >= maxEarlyStreams*minReadBytes }, 5*time.Second, time.Millisecond)
+	require.LessOrEqual(t, tr.unread.Load(), int64(maxEarlyStreams*minReadBytes))
+	other, _ := serve(t, echo)
+	require.NoError(t, call(t, other, address))
+	for _, s := range streams {
+		s.Close()
+	}
+	require.Eventually(t, func() bool { return tr.unread.Load() == 0 }, 10*time.Second, 10*time.Millisecond)
+}
+
+// TestMessagesAreReadWhole checks sizes around those in which messages are read.
+func TestMessagesAreReadWhole(t *testing.T) {
+	got := make(chan int, 1)
+	_, address := serve(t, func(r *peerpb.Request) *peerpb.Response {
+		got <- len(r.GetFetchChunk().GetDigest())
+		return echo(r)
+	})
+	client, _ := serve(t, echo)
+	for _, size := range []int{0, 1, minReadBytes - 10, minReadBytes, 3 * minReadBytes, 1 << 20, MaxMessageBytes - 100} {
+		r := &peerpb.Request{Body: &peerpb.Request_FetchChunk{FetchChunk: &peerpb.FetchChunk{Digest: strings.Repeat("a", size)}}}
+		_, err := client.Call(t.Context(), address, r)
+		require.NoError(t, err)
+		require.Equal(t, size, <-got)
+	}
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -14,6 +14,9 @@
 	// been closed there.
 	clientIdleTimeout = 5 * time.Second
 	serverIdleTimeout = 6 * clientIdleTimeout
+	// streamBuffer is the size in bytes of the read buffer of a stream. It is small because there may be thousands; larger
+	// messages bypass it.
+	streamBuffer = 512
 	// maxIdleStreams limits the idle streams to one process.
 	maxIdleStreams = 4
 	// openTimeout is how long a stream may take to be opened before its session is closed.
@@ -30,7 +33,7 @@
 }
 
 func newStream(s *muxSession, st *yamux.Stream) *stream {
-	return &stream{Stream: st, session: s, reader: bufio.NewReader(st)}
+	return &stream{Stream: st, session: s, reader: bufio.NewReaderSize(st, streamBuffer)}
 }
 
 func (s *stream) usable(now time.Time) bool {
