The completion service answers early refusals at once, body or not

What callers saw: requests without a route, a known workspace or valid headers, whose body does not come, got no answer, and their connections stayed open. Change: such replies close their connection, so that they are sent first.

--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -106,6 +106,15 @@
 	h.Set("Retry-After-Ms", strconv.FormatInt(d.Milliseconds(), 10))
 }
 
+// writeUnread writes a reply to a request whose body has not been read. The connection is closed after it: the HTTP server would
+// otherwise wait for the body before it sends the reply.
+func (p *reply) writeUnread(w http.ResponseWriter, r *http.Request, id string) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	p.write(w, id)
+}
+
 func (p *reply) write(w http.ResponseWriter, id string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -134,19 +134,19 @@
 
 func (s *Server) noRoute(w http.ResponseWriter, r *http.Request) {
 	err := fault.New(fault.NotFound, "no route for "+r.URL.Path, "check the path, or add it to routes in the configuration")
-	errorReply(http.StatusNotFound, codeNoRoute, err, 0).write(w, "")
+	errorReply(http.StatusNotFound, codeNoRoute, err, 0).writeUnread(w, r, "")
 }
 
 func (s *Server) wrongMethod(w http.ResponseWriter, r *http.Request) {
 	err := fault.New(fault.Invalid, "method "+r.Method+" is not allowed for "+r.URL.Path, "use a method that the route allows")
-	errorReply(http.StatusMethodNotAllowed, codeMethod, err, 0).write(w, "")
+	errorReply(http.StatusMethodNotAllowed, codeMethod, err, 0).writeUnread(w, r, "")
 }
 
 // models lists the models that the client's workspace may use.
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
 	c, rep := s.openCall(r)
 	if rep != nil {
-		rep.write(w, "")
+		rep.writeUnread(w, r, "")
 		return
 	}
 	list := openai.ModelList{Object: "list", Data: []openai.Model{}}
@@ -207,7 +207,7 @@
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	c, rep := s.openCall(r)
 	if rep != nil {
-		rep.write(w, "")
+		rep.writeUnread(w, r, "")
 		return
 	}
 	if rep := s.readBody(w, r, c); rep != nil {
@@ -233,7 +233,7 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	c, rep := s.openCall(r)
 	if rep != nil {
-		rep.write(w, "")
+		rep.writeUnread(w, r, "")
 		return
 	}
 	rt := c.snapshot.Config.RouteFor(r.URL.Path)
@@ -247,7 +247,7 @@
 	}
 	c.forRoute(rt)
 	if err := c.applyHeaders(r.Header, time.Now(), rt.Timeout.Std()); err != nil {
-		errorReplyFor(err).write(w, c.id)
+		errorReplyFor(err).writeUnread(w, r, c.id)
 		return
 	}
 	if rep := s.readBody(w, r, c); rep != nil {
