The completion service bounds what clients take at all its listeners

What callers saw: 300 clients with heads of 31 KB took 171 MB (operators' port too) and 297 MB; 700 silent connections, or refused ones, 600 of 600 descriptors, and ordinary requests got no answer beside some of them. Change: the listeners of clients, operators and peers are limited by connlimit, with the settings memoryMB and descriptors or the limits of the environment (GOMEMLIMIT, the control group, half of the host's memory; open files), which are logged at the start. The limit of the Go runtime follows from it, idle connections to targets are bounded. headerBytes and headerTimeout hold as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -23,6 +24,7 @@
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/attempt"
 	"github.com/rockdoor/rockdoor/internal/charts"
+	"github.com/rockdoor/rockdoor/internal/connlimit"
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/controller"
 	"github.com/rockdoor/rockdoor/internal/entry"
@@ -31,6 +33,7 @@
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
 	"github.com/rockdoor/rockdoor/internal/ratelimit"
 	"github.com/rockdoor/rockdoor/internal/reach"
+	"github.com/rockdoor/rockdoor/internal/resources"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/internal/suspects"
 	"github.com/rockdoor/rockdoor/members"
@@ -47,8 +50,12 @@
 	// mirrorPrefix is the key prefix of the objects that every process mirrors.
 	mirrorPrefix = "state/"
 	pollInterval = 50 * time.Millisecond
-	// relayBytes is the memory that the relayed connections of peers may take.
-	relayBytes        = 32 << 20
+	// maxRelayBytes limits the memory that the relayed connections of peers may take.
+	maxRelayBytes = 32 << 20
+	// idleTimeout is how long a connection of a client may be idle.
+	idleTimeout = time.Minute
+	// firstCallTimeout is how long a connection of another process may take until its first call has arrived.
+	firstCallTimeout  = 15 * time.Second
 	unregisterTimeout = 2 * time.Second
 	closeTimeout      = time.Second
 	handOverTimeout   = 5 * time.Second
@@ -85,6 +92,9 @@
 
 	clientServer *http.Server
 	adminServer  *http.Server
+	// resources are the limits of the process, connections limits what clients and peers may take of them.
+	resources   resources.Limits
+	connections *connlimit.Limiter
 }
 
 // New returns a process. The caller must call Run.
@@ -101,6 +111,8 @@
 			Peer: set.Peer, Admin: set.Admin, Listen: set.Listen,
 		},
 	}
+	d.resources = resources.Detect(set.MemoryMB, set.Descriptors)
+	d.connections = connlimit.New(connlimit.Options{HeadMemory: d.resources.HeadMemory(), Limits: d.connectionLimits, Metrics: d.reg, Logger: d.logger})
 	d.client = httpapi.New(set.Platform)
 	d.store = objstore.NewLimited(d.client, objstore.Budget{
 		CallsPerSecond: set.PlatformCalls.PerSecond, Burst: set.PlatformCalls.Burst, CallTimeout: set.PlatformCalls.Timeout.Std(),
@@ -151,8 +163,8 @@
 		Store: d.store, Loader: d.loader, Snapshot: d.loop.Snapshot, Refresh: d.refresh, Ready: d.ready,
 		Self: d.self, Explain: d.entry.Explain, Pools: d.manager.Status, Watcher: d.isWatcher, OwnLoad: d.tracker.Load, Metrics: d.reg, Logger: d.logger,
 	})
-	d.clientServer = d.httpServer(d.entry)
-	d.adminServer = d.httpServer(d.admin)
+	d.clientServer = &http.Server{Handler: d.entry}
+	d.adminServer = &http.Server{Handler: d.admin}
 }
 
 // newSender returns a sender that reaches targets through peers where this host does not reach them, and has this
@@ -161,13 +173,14 @@
 	sender := attempt.NewSender(d.reg)
 	client := sender.Client()
 	client.SetLogger(d.logger)
+	client.SetMaxIdle(d.resources.IdleDescriptors())
 	paths := reach.NewDialer(reach.Options{
 		Self: d.self.Name, Direct: client.Connect, Instance: d.targetAt, Peers: d.syncPeers, Transport: d.transport, OnSilent: client.InterruptSilent, Metrics: d.reg, Logger: d.logger,
 	})
 	client.SetPaths(paths)
 	d.relay = reach.NewRelay(reach.RelayOptions{
 		Dialer: paths, Address: d.targetAddress, Helpers: func(string) []members.Member { return nil },
-		Stopping: func() bool { return d.chart.State() != charts.ProcessServing }, MaxBytes: relayBytes, FreeIdle: d.transport.DrainIdleRelayed, Metrics: d.reg, Logger: d.logger,
+		Stopping: func() bool { return d.chart.State() != charts.ProcessServing }, MaxBytes: min(maxRelayBytes, d.resources.Share(resources.RelayShare)), FreeIdle: d.transport.DrainIdleRelayed, Metrics: d.reg, Logger: d.logger,
 	})
 	d.transport.SetRelay(d.relay)
 	return sender
@@ -198,14 +211,9 @@
 	return nil
 }
 
-func (d *Daemon) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: d.set.Limits.HeaderTimeout.Std(),
-		MaxHeaderBytes:    d.set.Limits.HeaderBytes,
-		IdleTimeout:       time.Minute,
-		ErrorLog:          discardLog(),
-	}
+// connectionLimits returns the limits of the settings on clients.
+func (d *Daemon) connectionLimits() connlimit.Limits {
+	return connlimit.Limits{HeadBytes: d.set.Limits.HeaderBytes, HeadTimeout: d.set.Limits.HeaderTimeout.Std(), IdleTimeout: idleTimeout}
 }
 
 // maxSyncPeers is the maximum number of peers to which this process sends an update.
@@ -286,6 +294,7 @@
 	if err != nil {
 		return err
 	}
+	d.limitResources()
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var g run.Group
@@ -300,6 +309,7 @@
 	add(d.runMaintenance)
 	add(d.quarantineSyncer.Run)
 	add(d.rateLimitSyncer.Run)
+	add(d.connections.Run)
 	g.Add(func() error { return d.transport.Serve(listeners.peer) }, func(error) { listeners.peer.Close(); d.transport.Close() })
 	g.Add(func() error { return httpserve.Serve(background, d.adminServer, listeners.admin) }, func(error) { stopBackground(); closeServer(d.adminServer) })
 	g.Add(func() error { return httpserve.Serve(background, d.clientServer, listeners.clients) }, func(error) { stopBackground(); closeServer(d.clientServer) })
@@ -318,10 +328,32 @@
 	}
 }
 
+// limitResources sets the limit on the memory of the Go runtime and logs what clients and peers may take at most.
+func (d *Daemon) limitResources() {
+	debug.SetMemoryLimit(d.resources.Share(resources.GoShare))
+	peers, waiting := d.resources.PeerDescriptors()
+	level.Info(d.logger).Log("msg", "connection limits", "memory_mb", d.resources.MemoryMB, "source", d.resources.MemorySource, "descriptors", d.resources.Descriptors,
+		"clients", d.resources.ClientDescriptors(), "peers", peers, "peers_waiting", waiting, "operators", d.resources.OperatorDescriptors(), "head_bytes", d.resources.HeadMemory())
+}
+
 type listeners struct{ clients, admin, peer net.Listener }
 
 // listen opens all listeners, or none.
 func (d *Daemon) listen() (listeners, error) {
+	out, err := d.listenUnlimited()
+	if err != nil {
+		return out, err
+	}
+	clients := d.connections.Listen("clients", out.clients, connlimit.Bounds{Descriptors: d.resources.ClientDescriptors(), PerRequest: 1})
+	clients.Configure(d.clientServer)
+	operators := d.connections.Listen("operators", out.admin, connlimit.Bounds{Descriptors: d.resources.OperatorDescriptors()})
+	operators.Configure(d.adminServer)
+	all, waiting := d.resources.PeerDescriptors()
+	peers := d.connections.Listen("peers", out.peer, connlimit.Bounds{Descriptors: all, Waiting: waiting, FirstTimeout: firstCallTimeout})
+	return listeners{clients: clients, admin: operators, peer: peers}, nil
+}
+
+func (d *Daemon) listenUnlimited() (listeners, error) {
 	var out listeners
 	for _, l := range []struct {
 		address string
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"io"
-	stdlog "log"
 	"os"
 
 	"github.com/go-kit/log"
@@ -22,7 +20,3 @@
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.Level, level.InfoValue())))
 	return log.With(logger, "ts", log.DefaultTimestampUTC)
 }
-
-// discardLog returns a logger that discards everything. It replaces the HTTP server's
-// log of malformed input, which any client could flood. Metrics count such input.
-func discardLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,14 +23,18 @@
 // Settings are the settings of one process. The schema in schema.json describes the meaning, unit,
 // range and default of each field.
 type Settings struct {
-	Name          string        `json:"name"`
-	Host          string        `json:"host"`
-	Domain        string        `json:"domain"`
-	Listen        string        `json:"listen"`
-	Admin         string        `json:"admin"`
-	Peer          string        `json:"peer"`
-	Platform      string        `json:"platform"`
-	Seeds         []string      `json:"seeds"`
+	Name     string   `json:"name"`
+	Host     string   `json:"host"`
+	Domain   string   `json:"domain"`
+	Listen   string   `json:"listen"`
+	Admin    string   `json:"admin"`
+	Peer     string   `json:"peer"`
+	Platform string   `json:"platform"`
+	Seeds    []string `json:"seeds"`
+	// MemoryMB is the memory limit of the process in MB, Descriptors the number of descriptors that it may have open. 0 means
+	// the limits of the environment.
+	MemoryMB      float64       `json:"memoryMB"`
+	Descriptors   int           `json:"descriptors"`
 	Limits        Limits        `json:"limits"`
 	PlatformCalls PlatformCalls `json:"platformCalls"`
 	Control       Control       `json:"control"`
