The completion service's log no longer blocks the process

What callers saw: while nobody reads the log, no request gets an answer. Cause: the log was written by the goroutines that serve requests, to a pipe that fills up. Change: it goes through the same bounded queue as the gateway's (logsink), which drops and counts what does not fit and cuts long lines.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -14,6 +14,7 @@
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/daemon"
+	"github.com/rockdoor/rockdoor/internal/logsink"
 	"github.com/rockdoor/rockdoor/internal/settings"
 	"github.com/rockdoor/rockdoor/jsonc"
 )
@@ -118,7 +119,9 @@
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			context.AfterFunc(ctx, stop) // a second signal ends the process at once
-			return daemon.New(set, daemon.NewLogger(set.Log)).Run(ctx)
+			sink := logsink.New(os.Stderr, logsink.DefaultRate)
+			defer sink.Close(logFlushTimeout)
+			return daemon.New(set, daemon.NewLogger(sink, set.Log)).Run(ctx)
 		},
 	}
 }
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -1,7 +1,7 @@
 package daemon
 
 import (
-	"os"
+	"io"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -9,10 +9,9 @@
 	"github.com/rockdoor/rockdoor/internal/settings"
 )
 
-// NewLogger returns a logger with the format and level of the settings. It writes to
-// standard error and is safe for concurrent use.
-func NewLogger(s settings.Log) log.Logger {
-	w := log.NewSyncWriter(os.Stderr)
+// NewLogger returns a logger with the format and level of the settings, which writes to w. It is safe for concurrent use if w
+// is.
+func NewLogger(w io.Writer, s settings.Log) log.Logger {
 	logger := log.NewLogfmtLogger(w)
 	if s.Format == "json" {
 		logger = log.NewJSONLogger(w)
