Clients that have just connected are not closed for others that do the same

Cause: the log lines showed some 2,400 connections a second that gave way: new ones were the only ones that could, and each took the place of the one before, whose request had not been read yet. Clients that read nothing held theirs for 5 s each. Change: a connection on which nothing whole has arrived gives way only after 250 ms; until then the newest is closed. Once a request has been handled and only the end of its response is left, its client may read nothing for 250 ms while others wait, not for 5 s. A connection that was let in gets its request handled.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -240,10 +240,14 @@
 		}
 		return
 	}
+	limit := stallTime
+	if !c.handling {
+		limit = unreadTime
+	}
 	switch waited := now.Sub(c.stalledSince); {
 	case waited > WriteTimeout:
 		c.closeBy(causeWriteTimeout)
-	case waited > stallTime && c.state == serving:
+	case waited > limit && c.state == serving:
 		c.enter(stalled)
 	}
 }
@@ -259,7 +263,7 @@
 	case !c.reserveHead(handledCopies):
 		c.ln.limiter.count(c.ln.name, causeHeadMemory)
 		return errHeadMemory
-	case !c.ln.makeRoom(c.ln.bounds.PerRequest, c) && !c.ln.within(c.ln.bounds.PerRequest, c.ln.overdraft()):
+	case !c.ln.makeRoom(c.ln.bounds.PerRequest, c) && !c.ln.within(c.ln.bounds.PerRequest, (1+c.ln.bounds.PerRequest)*c.ln.overdraft()):
 		c.ln.limiter.count(c.ln.name, causeNoRoom)
 		return errTooManyRequests
 	}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -26,10 +26,14 @@
 	DefaultIdleTimeout = 2 * time.Minute
 	// WriteTimeout is how long a client may read nothing of what was sent to it.
 	WriteTimeout = 30 * time.Second
-	// stallTime is how long a client must have read nothing before its connection gives way to others.
-	stallTime = 5 * time.Second
-	// arrivalTime is how long a head may be on its way before its connection gives way to another large head. The bytes of a
-	// client that sends the head at once arrive sooner.
+	// stallTime is how long a client must have read nothing before its connection gives way to others, unreadTime the same once
+	// its request has been handled and only the end of the response is left to be sent.
+	stallTime  = 5 * time.Second
+	unreadTime = 250 * time.Millisecond
+	// stallCheckInterval is the shortest time between two searches for such clients when there is no room.
+	stallCheckInterval = 50 * time.Millisecond
+	// arrivalTime is how long a connection on which nothing whole has arrived, or a large head on its way, does not give way to
+	// others. The bytes of a client that sends its request at once arrive sooner, also at a busy process.
 	arrivalTime = 250 * time.Millisecond
 	// checkInterval is how often the timeouts are checked.
 	checkInterval = 500 * time.Millisecond
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -280,6 +280,7 @@
 	other := s.send(head("/held") + "\r\n")
 	s.awaitState(serving, 2)
 
+	time.Sleep(2 * arrivalTime)
 	for _, gone := range []net.Conn{silent, upload, first, half, idleConn} {
 		before := s.lists[serving].len
 		s.send(head("/held") + "\r\n")
@@ -413,6 +414,7 @@
 	established.Established()
 	silent, _ := accept()
 	defer silent.Close()
+	time.Sleep(2 * arrivalTime)
 	next, _ := accept()
 	defer next.Close()
 	require.True(t, isClosed(silent, 5*time.Second), "only one may wait")
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -42,6 +42,7 @@
 	open, underWay int
 	lists          [states]connList
 	errorLogged    time.Time
+	stallsChecked  time.Time
 }
 
 // Listen returns a listener that limits the connections of l. name identifies it in the log and in metrics.
@@ -79,10 +80,7 @@
 func (ln *Listener) admit(inner net.Conn) *conn {
 	ln.limiter.mu.Lock()
 	defer ln.limiter.mu.Unlock()
-	if w := &ln.lists[waiting]; ln.bounds.Waiting > 0 && w.len >= ln.bounds.Waiting {
-		w.front().closeBy(causeTooMany)
-	}
-	if !ln.makeRoom(1, nil) && !ln.within(1, ln.overdraft()) {
+	if !ln.makeRoomToWait() || !ln.makeRoom(1, nil) && !ln.within(1, ln.overdraft()) {
 		ln.limiter.count(ln.name, causeNoRoom)
 		return nil
 	}
@@ -93,6 +91,19 @@
 	return c
 }
 
+// makeRoomToWait closes the connection that has waited for longest if too many do. It reports false if that one has just begun to.
+func (ln *Listener) makeRoomToWait() bool {
+	w := &ln.lists[waiting]
+	if ln.bounds.Waiting == 0 || w.len < ln.bounds.Waiting {
+		return true
+	}
+	if time.Since(w.first.since) < arrivalTime {
+		return false
+	}
+	w.first.closeBy(causeTooMany)
+	return true
+}
+
 // overdraftShare is the share of the descriptors by which new connections may exceed the limit while all others have requests under
 // way. The next ones of those that have been answered then give way, so that clients that always have a request under way do
 // not keep others out.
@@ -110,6 +121,10 @@
 func (ln *Listener) makeRoom(n int, except *conn) bool {
 	for !ln.within(n, 0) {
 		c := ln.leastDeserving(except)
+		if now := time.Now(); c == nil && now.Sub(ln.stallsChecked) > stallCheckInterval {
+			ln.checkWrites(now)
+			c = ln.leastDeserving(except)
+		}
 		if c == nil {
 			return false
 		}
@@ -124,6 +139,9 @@
 	if c := ln.lists[uploading].frontExcept(except); oldest == nil || c != nil && c.since.Before(oldest.since) {
 		oldest = c
 	}
+	if oldest != nil && time.Since(oldest.since) < arrivalTime {
+		oldest = nil
+	}
 	for _, s := range []state{stalled, receiving, idle} {
 		if oldest != nil {
 			return oldest
@@ -143,6 +161,7 @@
 // checkWrites finds the connections whose clients read nothing of what is sent to them, and closes those that have done so for
 // WriteTimeout. Callers hold the lock.
 func (ln *Listener) checkWrites(now time.Time) {
+	ln.stallsChecked = now
 	for _, s := range []state{serving, stalled} {
 		var next *conn
 		for c := ln.lists[s].front(); c != nil; c = next {
