The soak has clients that misbehave beside its other faults

Cause: it had callers that upload slowly, but none that hold connections or send odd heads while processes are killed, stopped and cut off.

--- a/cmd/rockdoor-lab/soak.go
+++ b/cmd/rockdoor-lab/soak.go
@@ -29,6 +29,8 @@
 			&cli.IntFlag{Name: "callers", Usage: "number of clients for each gateway", Value: soakClients},
 			&cli.DurationFlag{Name: "think", Usage: "mean `TIME` between a response and the client's next request; 0 uses that of a small deployment"},
 			&cli.Float64Flag{Name: "share", Usage: "share of the time in which each process runs, as on a host with a part of a core; 0 is all of it"},
+			&cli.Float64Flag{Name: "memory", Usage: "memory limit of each process in `MB`, which it must keep; 0 is none"},
+			&cli.IntFlag{Name: "descriptors", Usage: "`NUMBER` of descriptors that each process may have open, which it must keep; 0 is the system's limit"},
 			&cli.StringFlag{Name: "site", Usage: "`FILE` of the users' platform with the layout and bounds of the run; --processes 0 then runs one gateway per host"},
 			&cli.BoolFlag{Name: "regressions", Usage: "repeat all runs that ever failed instead of a seed"},
 			&cli.StringFlag{Name: "binary", Usage: "the rockdoor `FILE` to run; by default the one beside this program"},
@@ -40,7 +42,7 @@
 
 func runSoak(c *cli.Context) error {
 	if !c.Bool("regressions") {
-		o := soak.Options{Seed: c.Uint64("seed"), Processes: c.Int("processes"), Length: time.Duration(c.Float64("minutes") * float64(time.Minute)), Bounds: soak.DefaultBounds}
+		o := soak.Options{Seed: c.Uint64("seed"), Processes: c.Int("processes"), Length: time.Duration(c.Float64("minutes") * float64(time.Minute)), MemoryMB: c.Float64("memory"), Descriptors: c.Int("descriptors"), Bounds: soak.DefaultBounds}
 		if err := readSite(c.String("site"), &o); err != nil {
 			return err
 		}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -36,7 +36,7 @@
 		{c.reusedConnsAnswered, 30}, {c.answeredInTime, 0}, {c.configurationInForce, 10}, {c.configurationMonotonic, 20}, {c.withdrawnGetNoWork, minWithdrawalRate},
 		{c.rateLimits, minLimitCaseRate},
 		{c.budget, 0}, {c.deadlines, 30}, {c.canceledWorkEnds, 2}, {c.resumedRunsExclusive, 0}, {c.streamsOfOneVersion, minResumptionRate}, {c.resumptionsServed, 0}, {c.poisonPartsStopped, 0}, {c.singleHolder, 1}, {c.ordersUnderLease, 1},
-		{c.usageWindowsStable, 1}, {c.plannedStopsLoseNothing, 2}, {c.processesExitWhenTold, 1}, {c.logsAreClean, 1}, {c.servesAfterRecovery, 3}, {c.neverServed, 1},
+		{c.usageWindowsStable, 1}, {c.plannedStopsLoseNothing, 2}, {c.processesExitWhenTold, 1}, {c.processesStayWithinLimits, 0}, {c.logsAreClean, 1}, {c.servesAfterRecovery, 3}, {c.neverServed, 1},
 	} {
 		guarantee := g.check()
 		guarantee.MinCases = int(g.rate * c.o.Length.Minutes() * float64(c.o.Processes))
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -516,3 +516,16 @@
 	f.Disturbances = nil
 	require.Equal(t, 1, violations())
 }
+
+// TestProcessesBeyondTheirLimitsAreFound checks the memory and the descriptors that processes took against their limits.
+func TestProcessesBeyondTheirLimitsAreFound(t *testing.T) {
+	o := Options{Bounds: DefaultBounds, Processes: 2, MemoryMB: 64, Descriptors: 600}
+	for _, c := range []struct {
+		memory      float64
+		descriptors int
+		violations  int
+	}{{63, 599, 0}, {65, 100, 1}, {30, 600, 1}, {65, 600, 2}} {
+		f := &Observations{PeakMemoryMB: c.memory, MostDescriptors: c.descriptors}
+		require.Len(t, newChecker(o, f, at(80)).processesStayWithinLimits().Violations, c.violations)
+	}
+}
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -206,6 +206,9 @@
 	Disturbances []*Disturbance
 	Exits        []Exit
 	Engines      []*EngineRun
+	// PeakMemoryMB and MostDescriptors are the most that any process took.
+	PeakMemoryMB    float64
+	MostDescriptors int
 	// PartCrashes are the times at which engines crashed under a part of a prompt.
 	PartCrashes []time.Time
 	// LateResponses counts the responses in excess.
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -31,6 +31,8 @@
 	ThinkTime time.Duration
 	// MemoryMB is the memory that a host has for its process; 0 means unlimited.
 	MemoryMB float64
+	// Descriptors is the number of descriptors that a process may have open; 0 means the limit of the system.
+	Descriptors int
 	// Bounds are the limits that the deployment requires the processes to keep.
 	Bounds Bounds
 	// CPUShare is the share of the time in which each process runs, as on a host that is given a part of a core; 0 means
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -85,14 +85,14 @@
 	b, host := g.w.o.Bounds, g.w.o.Layout.host(g.number)
 	text := fmt.Sprintf(`{
   "name": %q, "domain": %q, "store": %q,
-  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "weight": %v, "memoryMB": %v,
+  "listen": %q, "readiness": %q, "metrics": %q, "peer": %q, "weight": %v, "memoryMB": %v, "descriptors": %d,
   "bounds": {"apply": %q, "settle": %q, "drain": %q, "grace": %q, "notice": %q, "lease": %q,
     "retryRatio": %v, "retrySlack": %v, "retryWindow": %q},
   "duties": {"address": %q, "kinds": "metering", "usageWindow": "1s", "usageDue": "4s"},
   "scheduling": {"wholeRequests": "auto", "engineProfiles": "auto", "workspaceShares": "auto", "engineOrders": "demand", "hungAttempts": "auto"},
 }
 `, g.name(), host.Domain, g.w.storeLink(g).Address,
-		g.address(portClients), g.address(portReadiness), g.address(portMetrics), g.address(portPeers), host.Weight, g.w.o.MemoryMB,
+		g.address(portClients), g.address(portReadiness), g.address(portMetrics), g.address(portPeers), host.Weight, g.w.o.MemoryMB, g.w.o.Descriptors,
 		b.Apply, b.ContactTime, b.Drain, b.Grace, b.Notice, b.Lease, b.RetryRatio, g.retrySlack, b.RetryWindow, g.w.apiLink(g).Address)
 	if err := replaceFile(g.settingsFile(), text); err != nil {
 		return fmt.Errorf("cannot write settings of %s: %w", g.name(), err)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -124,6 +124,8 @@
 		}()
 	}
 	w.startUploaders(ctx, op, &all)
+	w.startMisbehaving(ctx, &all)
+	all.Go(func() { w.watchResources(ctx) })
 	return func() { cancel(); all.Wait() }
 }
 
