connlimit: the field's words for what is closed to make room

Cause: read as a newcomer, "gives way" and "least deserving" need explaining. Change: comments, one method and two test names; a field that was set to its zero value is not set. Behaviour is the same (wording compare: this structure and one message of a test).

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -140,7 +140,7 @@
 }
 
 // Established states that the other side has sent something whole, on a connection that carries no HTTP requests. The
-// connection then gives way to no other.
+// connection is then no longer closed to make room.
 func (c *conn) Established() {
 	defer c.lock()()
 	if !c.closed {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,7 +1,7 @@
 // Package connlimit bounds the memory and the descriptors that the clients of a process can take. It counts the bytes of the
-// heads of requests before an HTTP server parses them, and the connections of each listener. When there are too many, those
-// give way on which no whole request has arrived for the longest time, then those whose client reads no response, then idle
-// ones. A connection whose request is being handled never gives way.
+// heads of requests before an HTTP server parses them, and the connections of each listener. When there are too many, it closes
+// those on which no whole request has arrived for the longest time, then those whose client reads no response, then idle ones.
+// It never closes a connection to make room while its request is being handled.
 package connlimit
 
 import (
@@ -26,14 +26,14 @@
 	DefaultIdleTimeout = 2 * time.Minute
 	// WriteTimeout is how long a client may read nothing of what was sent to it.
 	WriteTimeout = 30 * time.Second
-	// stallTime is how long a client must have read nothing before its connection gives way to others, unreadTime the same once
-	// its request has been handled and only the end of the response is left to be sent.
+	// stallTime is how long a client must have read nothing before its connection may be closed to make room, unreadTime the
+	// same once its request has been handled and only the end of the response is left to be sent.
 	stallTime  = 5 * time.Second
 	unreadTime = 250 * time.Millisecond
 	// stallCheckInterval is the shortest time between two searches for such clients when there is no room.
 	stallCheckInterval = 50 * time.Millisecond
-	// arrivalTime is how long a connection on which nothing whole has arrived, or a large head on its way, does not give way to
-	// others. The bytes of a client that sends its request at once arrive sooner, also at a busy process.
+	// arrivalTime is the age up to which a connection on which nothing whole has arrived, or a large head on its way, is not
+	// closed to make room. The bytes of a client that sends its request at once arrive sooner, also at a busy process.
 	arrivalTime = 250 * time.Millisecond
 	// checkInterval is how often the timeouts are checked.
 	checkInterval = 500 * time.Millisecond
@@ -85,8 +85,8 @@
 
 // Causes of events, as they stand in the log and in the names of metrics.
 const (
-	causeTooMany      cause = "too_many" // gave way to another connection
-	causeNoRoom       cause = "no_room"  // no other connection could give way
+	causeTooMany      cause = "too_many" // closed to make room for another connection
+	causeNoRoom       cause = "no_room"  // no other connection could be closed to make room
 	causeHeadTooLarge cause = "head_too_large"
 	causeHeadMemory   cause = "head_memory"
 	causeHeadTimeout  cause = "head_timeout"
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -246,8 +246,8 @@
 	require.Eventually(t, func() bool { return respond(t, s.dial(), head("/x")+large+"\r\n") == http.StatusOK }, 5*time.Second, 10*time.Millisecond)
 }
 
-// TestSlowHeadGivesWayToAnother has heads on their way take all memory when another one arrives.
-func TestSlowHeadGivesWayToAnother(t *testing.T) {
+// TestSlowHeadIsEvictedForAnother has heads on their way take all memory when another one arrives.
+func TestSlowHeadIsEvictedForAnother(t *testing.T) {
 	s, _ := startServer(t, Bounds{Descriptors: unlimited}, nil)
 	large := fields(DefaultHeadBytes - 100)
 	held := s.send(head("/x") + large)
@@ -257,8 +257,8 @@
 	require.True(t, isClosed(held, 5*time.Second))
 }
 
-// TestOrderOfGivingWay fills a listener with one connection in each state. New ones then take their places one by one.
-func TestOrderOfGivingWay(t *testing.T) {
+// TestOrderOfEviction fills a listener with one connection in each state. New ones then take their places one by one.
+func TestOrderOfEviction(t *testing.T) {
 	s, release := startServer(t, Bounds{Descriptors: 7}, nil)
 	defer close(release)
 	idleConn := s.dial()
@@ -287,7 +287,7 @@
 		require.True(t, isClosed(gone, 5*time.Second))
 		s.awaitState(serving, before+1)
 	}
-	require.True(t, isClosed(s.dial(), 5*time.Second), "requests under way do not give way")
+	require.True(t, isClosed(s.dial(), 5*time.Second), "a request under way is not interrupted to make room")
 	require.False(t, isClosed(other, 100*time.Millisecond))
 }
 
@@ -395,7 +395,7 @@
 	require.EqualValues(t, 3, reg.Get("connections.test.malformed").(metrics.Counter).Count())
 }
 
-// TestConnectionsThatCarryNoHTTP checks that connections of other protocols give way until they are established.
+// TestConnectionsThatCarryNoHTTP checks that connections of other protocols are closed to make room until they are established.
 func TestConnectionsThatCarryNoHTTP(t *testing.T) {
 	l := New(Options{HeadMemory: headMemory, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -84,14 +83,15 @@
 		ln.limiter.count(ln.name, causeNoRoom)
 		return nil
 	}
-	c := &conn{Conn: inner, ln: ln, inHead: atomic.Bool{}}
+	c := &conn{Conn: inner, ln: ln}
 	c.inHead.Store(ln.isHTTP)
 	ln.open++
 	c.enter(waiting)
 	return c
 }
 
-// makeRoomToWait closes the connection that has waited for longest if too many do. It reports false if that one has just begun to.
+// makeRoomToWait closes the connection that has waited for longest for its first request if too many do. It reports false if that
+// one is too young to be closed. Callers hold the lock.
 func (ln *Listener) makeRoomToWait() bool {
 	w := &ln.lists[waiting]
 	if ln.bounds.Waiting == 0 || w.len < ln.bounds.Waiting {
@@ -105,7 +105,7 @@
 }
 
 // overdraftShare is the share of the descriptors by which new connections may exceed the limit while all others have requests under
-// way. The next ones of those that have been answered then give way, so that clients that always have a request under way do
+// way. The next ones that have been answered are then closed, so that clients that always have a request under way do
 // not keep others out.
 const overdraftShare = 1. / 16
 
@@ -120,10 +120,10 @@
 // closed. Callers hold the lock.
 func (ln *Listener) makeRoom(n int, except *conn) bool {
 	for !ln.within(n, 0) {
-		c := ln.leastDeserving(except)
+		c := ln.evictionCandidate(except)
 		if now := time.Now(); c == nil && now.Sub(ln.stallsChecked) > stallCheckInterval {
 			ln.checkWrites(now)
-			c = ln.leastDeserving(except)
+			c = ln.evictionCandidate(except)
 		}
 		if c == nil {
 			return false
@@ -133,8 +133,8 @@
 	return true
 }
 
-// leastDeserving returns the connection that gives way to another one next, nil if there is none.
-func (ln *Listener) leastDeserving(except *conn) *conn {
+// evictionCandidate returns the connection that is closed next to make room, nil if there is none.
+func (ln *Listener) evictionCandidate(except *conn) *conn {
 	oldest := ln.lists[waiting].frontExcept(except)
 	if c := ln.lists[uploading].frontExcept(except); oldest == nil || c != nil && c.since.Before(oldest.since) {
 		oldest = c
