Heads of responses whose field names are no tokens are rejected

What callers saw: an engine in trouble sent a response with a blank inside the name of a field ("X A: b", also "Content Length: 3" and "Transfer Encoding: chunked", or only in a 103 before it). The client got its status and body as the answer. Beside a sound engine it kept its share of the requests and was never blamed; a 503 or 429 of such a head was believed when it said "not run".

Cause: net/http accepts blanks in names and leaves them as they are, and our own check looked only at the first byte of a line and at the one before its colon.

Status 000, 099 and 600, and control bytes, DEL, tabs, separators and bytes over 127 in a name were rejected before: these cases stay as tests.

--- a/internal/entry/foreign_test.go
+++ b/internal/entry/foreign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/rockdoor/rockdoor/internal/control"
 	"github.com/rockdoor/rockdoor/internal/standin/answer"
 	"github.com/rockdoor/rockdoor/internal/standin/engined"
+	"github.com/rockdoor/rockdoor/internal/standin/rawresponse"
 )
 
 // foreign has the first engine send a response. mediaType holds the values of Content-Type.
@@ -102,6 +104,52 @@
 	}
 }
 
+// TestCompletionsWithBrokenHeadsAreNotForwarded has an engine answer a completion or a stream, sound by itself, with a broken head.
+func TestCompletionsWithBrokenHeadsAreNotForwarded(t *testing.T) {
+	stream := "Content-Type: text/event-stream\r\n"
+	sound := strings.ReplaceAll(soundStream(t), answer.Piece("hello", 1), "garbage")
+	for name, head := range rawresponse.BrokenHeads() {
+		for form, c := range map[string]struct {
+			stream       bool
+			status       string
+			fields, body string
+		}{
+			"completion": {false, "200 OK", "", `{"choices": [], "garbage": 1}`},
+			"stream":     {true, "200 OK", stream, sound},
+			"not found":  {false, "404 Not Found", "", `{"error": "garbage"}`},
+			"not run":    {false, "503 Service Unavailable", openai.NotRunHeader + ": true\r\n", `{"error": "garbage"}`},
+		} {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				var calls atomic.Int64
+				send := func(engine int, w http.ResponseWriter, r *http.Request) bool {
+					if engine != 0 {
+						return false
+					}
+					calls.Add(1)
+					rawresponse.Send(w, fmt.Sprintf("%s\r\n%s: %s\r\n%s%sContent-Length: %d\r\n\r\n%s", strings.Replace(head.Status, "200 OK", c.status, 1),
+						openai.AttemptHeader, r.Header.Get(openai.AttemptHeader), c.fields, head.Fields, len(c.body), c.body))
+					return true
+				}
+				f := start(t)
+				f.respond = send
+				got := f.chat("review", c.stream, HeaderSelector, "domain=d0")
+				require.Equal(t, http.StatusBadGateway, got.status, got.body)
+				require.Equal(t, codeUnknown, got.code(t))
+				require.EqualValues(t, 1, calls.Load())
+
+				f = start(t)
+				f.respond = send
+				for n := 0; n < 20 && calls.Load() == 1; n++ { // some begin at the other engine
+					got = f.chat("notes", c.stream)
+					require.Equal(t, http.StatusOK, got.status, got.body)
+					require.NotContains(t, got.body, "garbage")
+				}
+				require.EqualValues(t, 2, calls.Load())
+			})
+		}
+	}
+}
+
 // TestCompletionsInTheirOtherFormsAreForwarded sends streams whose type is written in another way, and errors.
 func TestCompletionsInTheirOtherFormsAreForwarded(t *testing.T) {
 	for _, mediaType := range [][]string{nil, {"TEXT/Event-Stream"}, {"text/event-stream; charset=utf-8"}, {"text/event-stream ;a=b"}} {
--- a/internal/gatewayd/garbage_test.go
+++ b/internal/gatewayd/garbage_test.go
@@ -53,7 +53,9 @@
 		d := newDeployment(t)
 		d.addVersions(len(names), "v1")
 		for n, e := range d.engines[4:] {
-			e.Garble.Head = heads[names[n]]
+			e.Garble = fleetengine.Garble{Head: heads[names[n]], Change: func(events []string) string {
+				return strings.ReplaceAll(strings.Join(events, ""), "data: ", "data: foreign ") // only the head tells that it is no stream
+			}}
 		}
 		all, paths := d.startWithPaths("a", "b", "c")
 		paths[0].cut(cutReset, nil)
--- a/internal/standin/fleetengine/garble.go
+++ b/internal/standin/fleetengine/garble.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+
+	"github.com/rockdoor/rockdoor/internal/standin/rawresponse"
 )
 
 // Garbled sends a stream with bytes that the run did not write, as Engine.Garble says.
@@ -36,9 +38,9 @@
 
 const streamType = "Content-Type: text/event-stream\r\n"
 
-// ForeignHeads returns heads of successful responses, by name, that cannot begin a stream. The client must receive nothing of them.
+// ForeignHeads returns heads, by name, that cannot begin a stream. The client must receive nothing of their responses.
 func ForeignHeads() map[string]Head {
-	return map[string]Head{
+	heads := map[string]Head{
 		"plain text":           {Fields: "Content-Type: text/plain\r\n"},
 		"JSON":                 {Fields: "Content-Type: application/json\r\n"},
 		"binary":               {Fields: "Content-Type: application/octet-stream\r\n"},
@@ -57,6 +59,10 @@
 		"a folded field":       {Fields: "X-A: b\r\n c\r\n" + streamType},
 		"a length, and chunks": {Fields: "Content-Length: 9\r\n" + streamType},
 	}
+	for name, head := range rawresponse.BrokenHeads() {
+		heads[name] = Head{head.Status, head.Fields + streamType}
+	}
+	return heads
 }
 
 // GarbledStreams returns functions for Garble.Change by the name of what they put into a stream. The client must receive none of it.
--- a/internal/upstream/review_head_test.go
+++ b/internal/upstream/review_head_test.go
@@ -115,7 +115,7 @@
 
 // TestDrawnHeads compares the scanner with a simple reading of the same head.
 func TestDrawnHeads(t *testing.T) {
-	parts := []string{"Content-Length: 2", "content-length:2", "Transfer-Encoding: chunked", "TRANSFER-ENCODING:chunked", "X: y", " z", "\tz", "Content-Lengths: 9", "X-Transfer-Encoding: chunked", ":", "a", "\r", "Content-Length", "X: Content-Length: 2"}
+	parts := []string{"Content-Length: 2", "content-length:2", "Transfer-Encoding: chunked", "TRANSFER-ENCODING:chunked", "X: y", " z", "\tz", "Content-Lengths: 9", "X-Transfer-Encoding: chunked", ":", "a", "\r", "Content-Length", "X: Content-Length: 2", "A B: c", "Content Length: 2", "X : y"}
 	for seed := range uint64(20_000) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		lines := []string{"HTTP/1.1 200 OK"}
@@ -124,12 +124,14 @@
 		}
 		eol := []string{"\r\n", "\n"}[r.IntN(2)]
 		text := strings.Join(lines, eol) + eol + eol + "ok"
-		var folded, length, encoding bool
+		var folded, length, encoding, badName bool
 		for _, l := range lines[1:] {
 			if l = strings.ToLower(l); l == "\r" {
 				break // ends the head
 			}
 			folded = folded || l != "" && (l[0] == ' ' || l[0] == '\t')
+			name, _, _ := strings.Cut(l, ":")
+			badName = badName || strings.Contains(name, " ")
 			length = length || strings.HasPrefix(l, "content-length:")
 			encoding = encoding || strings.HasPrefix(l, "transfer-encoding:")
 		}
@@ -137,7 +139,7 @@
 		c := split(text, r.IntN(len(text)))
 		limit := maxHeadBytes
 		_, err := c.readHead(&http.Request{}, &limit)
-		require.Equal(t, plainErr != nil || folded || length && encoding, err != nil, "%d %q: %v, %v %v", seed, text, err, plainErr, plain)
+		require.Equal(t, plainErr != nil || folded || badName || length && encoding, err != nil, "%d %q: %v, %v %v", seed, text, err, plainErr, plain)
 	}
 }
 
