Broken heads from the store, control APIs and processes are no answers

What callers saw: a store in trouble that sent status 000 or 099, or a blank in the name of a field, had a list, a watch and a write taken as done. An engine's control API and the process that the command line asks had theirs taken with a blank in a name; status 000 failed there, but a 409 or 412 with a blank counted as a rejection of an order that may have been carried out.

Cause: these clients read with http.Transport, which accepts such heads, and nothing checked them after it.

Evidence: the stand-in's 23 heads at both store clients (get, list, watch, create, replace, delete), at httpcontrol and at the command line. Before: 10 of 23 failed at the stores (status 000, 099, blanks in names and before the colon, in early hints too); TestResponsesWithBrokenHeadsAreNoAnswers of httpcontrol and of cli failed. Control bytes and the other names were rejected before.

Change: responsehead.Transport checks version, status and names of each response and of informational ones, and closes the connection of one that it rejects. The store's clients are made by httpcall.NewClient, httpcontrol wraps any transport that it is given (orders with it), the command line has it. A rejected response is one that was lost: a read fails, the outcome of a write or an order is unknown and is read back.

Measured: all 23 pass at each; TestResponsesOfSoundHeadsAreAnswers gets the same bodies with sound heads, an early hint before them, through.

--- a/engine/httpcontrol/httpcontrol.go
+++ b/engine/httpcontrol/httpcontrol.go
@@ -16,6 +16,7 @@
 
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/responsehead"
 )
 
 const (
@@ -35,7 +36,7 @@
 	if transport == nil {
 		transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: dontRedirect}}
+	return &Client{http: &http.Client{Transport: responsehead.Transport{Base: transport}, CheckRedirect: dontRedirect}}
 }
 
 // dontRedirect has the redirect itself be the response: the server that it names is not the engine that was asked.
--- a/engine/httpcontrol/httpcontrol_test.go
+++ b/engine/httpcontrol/httpcontrol_test.go
@@ -1,9 +1,11 @@
 package httpcontrol
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -11,6 +13,7 @@
 
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/standin/rawresponse"
 )
 
 func start(t *testing.T, h http.HandlerFunc) string {
@@ -52,3 +55,20 @@
 	}
 	require.Zero(t, calls.Load())
 }
+
+// TestResponsesWithBrokenHeadsAreNoAnswers has an engine send heads that are none of HTTP/1. It may have carried out an order, even
+// if it states that it rejected it.
+func TestResponsesWithBrokenHeadsAreNoAnswers(t *testing.T) {
+	const body = `{"role":"mixed","changing":false,"asOf":"2026-01-02T03:04:05Z"}`
+	for name, head := range rawresponse.BrokenHeads() {
+		for _, status := range []string{"200 OK", "409 Conflict", "412 Precondition Failed"} {
+			address := start(t, rawresponse.Handler(func(*http.Request) string {
+				return fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", strings.Replace(head.Status, "200 OK", status, 1), head.Fields, len(body), body)
+			}).ServeHTTP)
+			_, err := New(nil).Status(t.Context(), address)
+			require.True(t, fault.Is(err, fault.Unavailable), "%s: %v", name, err)
+			err = New(nil).Send(t.Context(), address, engine.Order{ID: "o"})
+			require.True(t, fault.Is(err, fault.Unknown), "%s: %v", name, err)
+		}
+	}
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/admin"
+	"github.com/rockdoor/rockdoor/internal/responsehead"
 )
 
 const (
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "admin address is invalid", "give an IP address and port with --admin")
 	}
-	client := http.Client{Timeout: clientTimeout}
+	client := http.Client{Timeout: clientTimeout, Transport: responsehead.Transport{Base: http.DefaultTransport}}
 	resp, err := client.Do(req)
 	if err != nil && (method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED)) {
 		return nil, fault.Wrap(err, fault.Unavailable, "no answer", "check --admin, or name another entry process")
--- /dev/null
+++ b/internal/responsehead/transport.go
@@ -0,0 +1,34 @@
+package responsehead
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
+
+// Transport rejects responses whose head is not one of HTTP/1. Their connections are closed.
+type Transport struct {
+	// Base makes the calls.
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return CheckNames(http.Header(h)) }}
+	resp, err := t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close() // the response is discarded
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections of the base.
+func (t Transport) CloseIdleConnections() {
+	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
--- a/objstore/httpapi/httpapi.go
+++ b/objstore/httpapi/httpapi.go
@@ -48,8 +48,7 @@
 
 // New returns a client for the API at base, such as http://127.0.0.2:9000.
 func New(base string) *Client {
-	tr := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}
-	return &Client{base: base, http: &http.Client{Transport: tr}}
+	return &Client{base: base, http: httpcall.NewClient(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})}
 }
 
 // Close closes idle connections.
--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -13,13 +13,20 @@
 	"sync/atomic"
 
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/responsehead"
 	"github.com/rockdoor/rockdoor/objstore"
 )
 
-// MaxHeaderBytes bounds the header of a response. Transports of stores should set it.
-const MaxHeaderBytes = 64 << 10
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
 
-// Do makes one call. A nil body sends none, and a nil out ignores the response
+// NewClient returns a client of a store, which bounds and checks the heads of responses. It takes over the transport.
+func NewClient(transport *http.Transport) *http.Client {
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return &http.Client{Transport: responsehead.Transport{Base: transport}}
+}
+
+// Do makes one call with a client of NewClient. A nil body sends none, and a nil out ignores the response
 // body. An out of type *[]byte receives it as it is. The response may have at most maxBytes. The errors are of the kinds that objstore.Store documents. The request body
 // cannot be read a second time, so that the transport never retries a write by
 // itself.
--- /dev/null
+++ b/objstore/httpcall/httpcall_test.go
@@ -0,0 +1,80 @@
+package httpcall_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/standin/rawresponse"
+	"github.com/rockdoor/rockdoor/objstore"
+	"github.com/rockdoor/rockdoor/objstore/httpapi"
+	"github.com/rockdoor/rockdoor/platform"
+)
+
+// stores are the clients that call stores through the package, with the body of a response that each of their calls can read.
+var stores = map[string]struct {
+	open func(address string) objstore.Store
+	key  string
+	body string
+}{
+	"httpapi":  {func(address string) objstore.Store { return httpapi.New("http://" + address) }, "k/a", `{"objects": [], "events": [], "key": "k/a", "version": 5, "revision": 5}`},
+	"platform": {func(address string) objstore.Store { return platform.NewStore(address) }, platform.LeasePrefix + "a", `{"items": [], "events": [], "current_rev": 5, "metadata": {"name": "a", "revision": 5}, "spec": {"write": "w", "value": 1}}`},
+}
+
+// callAll makes each call to a store and returns the errors of those that read and of those that write.
+func callAll(t *testing.T, s objstore.Store, key string) (reads, writes map[string]error) {
+	ctx := t.Context()
+	_, get := s.Get(ctx, key)
+	_, _, list := s.List(ctx, key[:len(key)-1])
+	_, _, watch := s.Watch(ctx, key[:len(key)-1], 0, 0)
+	_, create := s.Put(ctx, key, []byte("1"), 0, "w")
+	_, replace := s.Put(ctx, key, []byte("1"), 4, "w")
+	return map[string]error{"get": get, "list": list, "watch": watch}, map[string]error{"create": create, "replace": replace, "delete": s.Delete(ctx, key, 4)}
+}
+
+// requireNoAnswer has a store send the same response to all calls. No call may take it for an answer, and the outcome of the
+// writes is unknown.
+func requireNoAnswer(t *testing.T, head func(body string) string) {
+	for name, c := range stores {
+		server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head(c.body), len(c.body), c.body)
+		}))
+		t.Cleanup(server.Close)
+		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		for call, err := range reads {
+			require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s: %v", name, call, err)
+		}
+		for call, err := range writes {
+			require.Truef(t, fault.Is(err, fault.Unknown), "%s, %s: %v", name, call, err)
+		}
+	}
+}
+
+// TestResponsesWithBrokenHeadsAreNoAnswers has a store send heads that are none of HTTP/1.
+func TestResponsesWithBrokenHeadsAreNoAnswers(t *testing.T) {
+	for name, head := range rawresponse.BrokenHeads() {
+		t.Run(name, func(t *testing.T) {
+			requireNoAnswer(t, func(string) string { return head.Status + "\r\n" + head.Fields })
+		})
+	}
+}
+
+// TestResponsesOfSoundHeadsAreAnswers sends the same bodies with a sound head.
+func TestResponsesOfSoundHeadsAreAnswers(t *testing.T) {
+	for name, c := range stores {
+		server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body)
+		}))
+		t.Cleanup(server.Close)
+		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		for _, errs := range []map[string]error{reads, writes} {
+			for call, err := range errs {
+				require.NoErrorf(t, err, "%s, %s", name, call)
+			}
+		}
+	}
+}
