Only 200, and 201 and 204 of writes, say that the store carried out a call

What callers saw: any status under 300 of the store was taken as done: a 206, 205 or 299 as a whole list, a 202 as a write that had happened. A 3xx without a place to go was "Invalid, correct the call", which says that a write did not happen.

Cause: statusError took "under 300" for a success.

Evidence: TestOnlyListedSuccessesAreAnswers sends 101, 202, 203, 205, 206, 207, 226, 299, 300, 304 and 399 at both store clients. Before: all but 101 (rejected by responsehead) failed. TestSuccessesOfWritesAreNoListsOrObjects failed too: a list or an object with 201, or with 204 and nothing, was taken.

Change: the statuses are listed: 200, for a write also 201 and 204. All others below 400 are lost responses: a read fails as unavailable, the outcome of a write is unknown and is read back.

Measured: all cases pass, the tests of objstore and platform too.

--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -12,6 +12,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/responsehead"
 	"github.com/rockdoor/rockdoor/objstore"
@@ -88,12 +90,25 @@
 	return fault.Wrap(err, fault.Unavailable, "store did not respond", "check the network path to the store; the call may be repeated")
 }
 
+// isDone reports whether a status says that a call was carried out, and for a read that the body is all of what was asked for.
+func isDone(code int, method string) bool {
+	switch code {
+	case http.StatusOK:
+		return true
+	case http.StatusCreated, http.StatusNoContent:
+		return method != http.MethodGet
+	}
+	return false
+}
+
 func statusError(code int, method, path string, body []byte) error {
 	const maxShown = 200 // bytes of the response body that an error message quotes
 	text := string(bytes.TrimSpace(body[:min(len(body), maxShown)]))
 	switch {
-	case code < http.StatusMultipleChoices:
+	case isDone(code, method):
 		return nil
+	case code < http.StatusBadRequest:
+		return lostResponse(errors.Newf("store returned HTTP status %d for %s %s", code, method, path), method, true)
 	case code == http.StatusNotFound:
 		return fault.Newf(fault.NotFound, "check the name", "%s does not exist", path)
 	case code == http.StatusConflict:
--- a/objstore/httpcall/httpcall_test.go
+++ b/objstore/httpcall/httpcall_test.go
@@ -78,3 +78,29 @@
 		}
 	}
 }
+
+// TestOnlyListedSuccessesAreAnswers has a store send statuses of success that do not say that a call was carried out, or that the
+// body is all of what was asked for.
+func TestOnlyListedSuccessesAreAnswers(t *testing.T) {
+	for _, status := range []int{101, 202, 203, 205, 206, 207, 226, 299, 300, 304, 399} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			requireNoAnswer(t, func(string) string { return fmt.Sprintf("HTTP/1.1 %d Odd\r\n", status) })
+		})
+	}
+}
+
+// TestSuccessesOfWritesAreNoListsOrObjects has a store answer reads with statuses that only writes have.
+func TestSuccessesOfWritesAreNoListsOrObjects(t *testing.T) {
+	for _, status := range []string{"201 Created", "204 No Content"} {
+		for name, c := range stores {
+			server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
+				return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(c.body), c.body)
+			}))
+			t.Cleanup(server.Close)
+			reads, _ := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+			for call, err := range reads {
+				require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s, %s: %v", name, call, status, err)
+			}
+		}
+	}
+}
