Redirects of the store are not followed

What callers saw: a read or a write that the store answered with a redirect went to the server that the redirect named, a PUT there as a GET; its response counted as the store's.

Cause: the store's clients had net/http's default, as the control API of engines once did. It was listed as open in docs/design/what-a-response-may-be.md.

Evidence: TestRedirectsOfStoresAreNotFollowed sends 301, 302, 303, 307 and 308 at both store clients.

Change: responsehead.NewClient makes clients that check heads and return a redirect as the response; httpcall and httpcontrol use it, in place of httpcontrol's own. A redirect is then a status below 400 that is not listed: a read fails, the outcome of a write is unknown.

--- a/engine/httpcontrol/httpcontrol.go
+++ b/engine/httpcontrol/httpcontrol.go
@@ -36,12 +36,9 @@
 	if transport == nil {
 		transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
 	}
-	return &Client{http: &http.Client{Transport: responsehead.Transport{Base: transport}, CheckRedirect: dontRedirect}}
+	return &Client{http: responsehead.NewClient(transport)}
 }
 
-// dontRedirect has the redirect itself be the response: the server that it names is not the engine that was asked.
-func dontRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Status implements engine.Controller.
 func (c *Client) Status(ctx context.Context, address string) (engine.Status, error) {
 	var st engine.Status
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -6,6 +6,14 @@
 	"net/textproto"
 )
 
+// NewClient returns a client that rejects responses as Transport does and follows no redirects.
+func NewClient(base http.RoundTripper) *http.Client {
+	return &http.Client{Transport: Transport{Base: base}, CheckRedirect: dontRedirect}
+}
+
+// dontRedirect has the redirect itself be the response: the server that it names is not the one that was asked.
+func dontRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Transport rejects responses whose head is not one of HTTP/1. Their connections are closed.
 type Transport struct {
 	// Base makes the calls.
--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -25,7 +25,7 @@
 // NewClient returns a client of a store, which bounds and checks the heads of responses. It takes over the transport.
 func NewClient(transport *http.Transport) *http.Client {
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
-	return &http.Client{Transport: responsehead.Transport{Base: transport}}
+	return responsehead.NewClient(transport)
 }
 
 // Do makes one call with a client of NewClient. A nil body sends none, and a nil out ignores the response
--- a/objstore/httpcall/httpcall_test.go
+++ b/objstore/httpcall/httpcall_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -104,3 +106,19 @@
 		}
 	}
 }
+
+// TestRedirectsOfStoresAreNotFollowed has a store redirect calls to another server, which would answer in its place.
+func TestRedirectsOfStoresAreNotFollowed(t *testing.T) {
+	for _, c := range stores {
+		var calls atomic.Int64
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			_, _ = io.WriteString(w, c.body)
+		}))
+		t.Cleanup(other.Close)
+		for _, status := range []string{"301 Moved", "302 Found", "303 See Other", "307 Temporary Redirect", "308 Permanent Redirect"} {
+			requireNoAnswer(t, func(string) string { return fmt.Sprintf("HTTP/1.1 %s\r\nLocation: %s/x\r\n", status, other.URL) })
+		}
+		require.Zero(t, calls.Load())
+	}
+}
