A success of the store without a body is no list and no object

What callers saw: an empty 200 was an empty list, or an object without a version, at the object API's client. At the platform's store a write answered so was read back; when the read failed, the error said that the write had no effect, and an object that another writer had put there since was returned as the one written.

Cause: httpcall left the result at zero for an empty body, and Store.Put returned what its read returned.

Evidence: TestEmptyBodiesAreNoListsOrObjects.

Change: a call that reads a body needs one; a deletion reads none.

--- a/objstore/httpcall/httpcall.go
+++ b/objstore/httpcall/httpcall.go
@@ -72,7 +72,7 @@
 		*raw = data
 		return nil
 	}
-	if out == nil || len(data) == 0 {
+	if out == nil {
 		return nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
--- a/objstore/httpcall/httpcall_test.go
+++ b/objstore/httpcall/httpcall_test.go
@@ -122,3 +122,19 @@
 		require.Zero(t, calls.Load())
 	}
 }
+
+// TestEmptyBodiesAreNoListsOrObjects has a store answer with a success whose body is empty.
+func TestEmptyBodiesAreNoListsOrObjects(t *testing.T) {
+	server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }))
+	t.Cleanup(server.Close)
+	for name, c := range stores {
+		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		for call, err := range reads {
+			require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s: %v", name, call, err)
+		}
+		for _, call := range []string{"create", "replace"} {
+			require.Truef(t, fault.Is(writes[call], fault.Unknown), "%s, %s: %v", name, call, writes[call])
+		}
+		require.NoErrorf(t, writes["delete"], "%s: nothing is returned", name)
+	}
+}
