Clients of the soak and the lab see broken heads

What was seen: nothing. The readers that check what clients get read with net/http alone, so that a response with status 000 or a blank in a field's name was good, or, as status 0, looked like no response.

Cause: the checks had the fault that they were to find.

Change: both check heads with responsehead. The soak counts a broken head, or an informational response in place of the final one, as a violation of "a successful response is the complete response to its own request"; the lab's client has no final response.

--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/responsehead"
 	"github.com/rockdoor/rockdoor/internal/standin/answer"
 	"github.com/rockdoor/rockdoor/internal/standin/serviced"
 )
@@ -78,7 +79,7 @@
 func newClient(entries []string) *client {
 	return &client{entries: entries, http: &http.Client{
 		Timeout:   requestTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute},
+		Transport: responsehead.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}},
 	}}
 }
 
--- a/internal/lab/load/client_test.go
+++ b/internal/lab/load/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/rockdoor/rockdoor/config"
 	"github.com/rockdoor/rockdoor/engine/openai"
 	"github.com/rockdoor/rockdoor/internal/entry"
+	"github.com/rockdoor/rockdoor/internal/standin/rawresponse"
 )
 
 // TestClientNoticesMalformedEvents reads streams with and without an event that is not a chunk.
@@ -43,6 +45,19 @@
 	}
 }
 
+// TestResponsesWithBrokenHeadsAreNoResults has an entry host call responses with broken heads complete.
+func TestResponsesWithBrokenHeadsAreNoResults(t *testing.T) {
+	for name, head := range rawresponse.BrokenHeads() {
+		server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
+			return fmt.Sprintf("%s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", head.Status, entry.HeaderOutcome, Complete, head.Fields)
+		}))
+		got := newClient([]string{server.Listener.Addr().String()}).send(t.Context(), "a", Arrival{Class: &Class{Path: "/x"}}, time.Now())
+		server.Close()
+		require.Equal(t, Broken, got.Outcome, name)
+		require.False(t, got.Good, name)
+	}
+}
+
 // TestMissingListOfRunsIsAnError has a stand-in answer the call for its runs with something else, which must not pass the checks.
 func TestMissingListOfRunsIsAnError(t *testing.T) {
 	for body, status := range map[string]int{`null`: 200, `[`: 200, `{}`: 200, `[]{}`: 200, `[]`: 206, ``: 204} {
--- a/internal/lab/soak/check_answers.go
+++ b/internal/lab/soak/check_answers.go
@@ -130,6 +130,10 @@
 func (c *checker) responsesComplete() Guarantee {
 	g := Guarantee{Name: "a successful response is the complete response to its own request"}
 	for _, call := range c.observed.Calls {
+		if call.Err == fleetcaller.ErrMalformedHead.Error() {
+			g.addViolation(call.ID, "%s: %s", call.ID, call.Err)
+			continue
+		}
 		if call.Status == 0 {
 			continue
 		}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetapi"
+	"github.com/rockdoor/rockdoor/internal/standin/fleetcaller"
 	"github.com/rockdoor/rockdoor/internal/standin/fleetengine"
 )
 
@@ -79,6 +80,10 @@
 			c, _ := f.addAnsweredCall("r", Stream, 40)
 			c.ResponseBody = c.ResponseBody[:40]
 		}},
+		"response with a malformed head": {(*checker).responsesComplete, func(f *Observations) {
+			c, _ := f.addAnsweredCall("r", Stream, 40)
+			c.Status, c.Complete, c.ResponseBody, c.Err = 0, false, "", fleetcaller.ErrMalformedHead.Error()
+		}},
 		"stream with events of two versions": {(*checker).responsesComplete, func(f *Observations) {
 			c, _ := f.addAnsweredCall("r", Stream, 40)
 			c.ResponseBody = expectedEvents(c, versionMark+"v1")
--- a/internal/standin/fleetcaller/fleetcaller.go
+++ b/internal/standin/fleetcaller/fleetcaller.go
@@ -13,11 +13,15 @@
 	"time"
 
 	"github.com/rockdoor/rockdoor/engine"
+	"github.com/rockdoor/rockdoor/internal/responsehead"
 )
 
 // ErrExtraBytes reports that a connection delivered bytes beyond the end of the response.
 var ErrExtraBytes = errors.New("bytes after the response")
 
+// ErrMalformedHead reports that a connection delivered a head that does not begin a final response of HTTP/1.
+var ErrMalformedHead = errors.New("malformed head of the response")
+
 // Request is a request of a client.
 type Request struct {
 	ID, Path, Body string
@@ -93,6 +97,9 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
+	if responsehead.Check(resp) != nil || resp.StatusCode < http.StatusOK {
+		return Response{}, ErrMalformedHead
+	}
 	body, err := io.ReadAll(resp.Body)
 	out := Response{
 		Status: resp.StatusCode, Sealed: resp.Header.Get("X-Response-Seal") != "", Body: string(body), Complete: err == nil, ClosesConnection: resp.Close,
