Bytes of a malformed head go to the log, not to clients

What callers saw: the 502 for an engine's broken head quoted the engine's bytes (escaped), such as malformed MIME header line: "A\x01B: x".

Cause: the error of net/http was passed on. What net/http rejected was not counted in upstream.malformed_heads either, only what our own check rejected.

Evidence: TestMalformedHeadsAreQuotedOnlyInTheLog; before, the error had the line.

Change: when all bytes of a head have arrived and it cannot be read, the client of instances logs "malformed head of a response" with request, address, connection and the error, counts it, and returns an error without the instance's bytes. A head that breaks off is told apart by the error of the connection.

Measured: the test passes for six heads; the tests of upstream, gateway and entry pass.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,6 +58,8 @@
 	headLimit int
 	// head looks at what is read while headLimit is not negative.
 	head headScanner
+	// headErr is the error that ended reading the current head, nil if its bytes have arrived.
+	headErr error
 	// wrote is true once a byte of the current request may have been sent.
 	wrote atomic.Bool
 	// idleSince is when the connection became idle. It may be reused until idleTimeout later.
@@ -102,17 +104,19 @@
 		return c.Conn.Read(p)
 	}
 	if c.headLimit == 0 {
-		return 0, errHeadTooLarge
+		c.headErr = errHeadTooLarge
+		return 0, c.headErr
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLimit)])
 	c.headLimit -= n
 	c.head.scan(p[:n])
+	c.headErr = err
 	return n, err
 }
 
 // readHead reads the head of a response of at most *limit bytes, from which it subtracts what it reads.
 func (c *conn) readHead(forMethod *http.Request, limit *int) (*http.Response, error) {
-	c.head = headScanner{}
+	c.head, c.headErr = headScanner{}, nil
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // an error is impossible
 	c.head.scan(buffered)
 	c.headLimit = *limit
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rockdoor/rockdoor/fault"
@@ -115,9 +116,10 @@
 
 // Client sends requests to instances and pools connections. It is safe for concurrent use.
 type Client struct {
-	reg   metrics.Registry
-	dial  DialFunc
-	paths Paths
+	reg    metrics.Registry
+	logger log.Logger
+	dial   DialFunc
+	paths  Paths
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -133,13 +135,16 @@
 
 // New returns a client that registers its metrics in reg.
 func New(reg metrics.Registry) *Client {
-	c := &Client{reg: reg, dial: dialDirect, idle: map[string][]*conn{}, open: map[string]int{}, interruptible: map[string]map[*Response]bool{}, anonymous: newAnonymousGroups()}
+	c := &Client{reg: reg, logger: log.NewNopLogger(), dial: dialDirect, idle: map[string][]*conn{}, open: map[string]int{}, interruptible: map[string]map[*Response]bool{}, anonymous: newAnonymousGroups()}
 	c.paths = onlyDirect{c}
 	return c
 }
 
 // SetLogger sets the log of what the client learns of instances. It must be called before the client is used.
-func (c *Client) SetLogger(l log.Logger) { c.anonymous.logger = log.With(l, "component", "upstream") }
+func (c *Client) SetLogger(l log.Logger) {
+	c.logger = log.With(l, "component", "upstream")
+	c.anonymous.logger = c.logger
+}
 
 // SetDial replaces the function that connects to instances from this host. It must be called before the
 // client is used.
@@ -336,9 +341,10 @@
 		case errors.Is(err, errHeadTooLarge):
 			r.client.count("heads_too_large")
 			return err
-		case resp != nil && err != nil:
+		case err != nil && r.conn.headErr == nil:
 			r.client.count("malformed_heads")
-			return err
+			level.Warn(r.client.logger).Log("msg", "malformed head of a response", "request", req.ID, "address", req.Address, "conn", r.conn.number, "err", err)
+			return errMalformedHead // err may quote the instance's bytes, which are not for clients
 		case err != nil:
 			return err
 		}
@@ -395,6 +401,9 @@
 	}
 }
 
+// errMalformedHead is returned for bytes that are no head of a response.
+var errMalformedHead = errors.New("head of the response is malformed")
+
 // errAmbiguous is returned for a response that may be another request's.
 var errAmbiguous = errors.New("response states no request ID and may be that of an earlier request on the connection")
 
