Informational responses of the store are bounded again

What callers saw: since the check of heads at http.Transport, a store that sent informational responses without end was read until the call's deadline.

Cause: net/http counts all informational responses against the limit of a head only if nobody looks at them. responsehead.Transport does, so each had a limit of its own.

Change: at most five informational responses come before a final one.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -14,6 +14,8 @@
 	ErrVersion   = errors.New("response has another version than HTTP/1")
 	ErrStatus    = errors.New("response has a status that ends no exchange of HTTP/1")
 	ErrFieldName = errors.New("response has a header field whose name is not a token")
+	// ErrInformational is returned by Transport.
+	ErrInformational = errors.New("response has too many informational responses before it")
 )
 
 // maxStatus is the largest status of HTTP.
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -14,6 +14,9 @@
 // dontRedirect has the redirect itself be the response: the server that it names is not the one that was asked.
 func dontRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// maxInformational bounds the informational responses before a final one. net/http bounds each by itself if they are looked at.
+const maxInformational = 5
+
 // Transport rejects responses whose head is not one of HTTP/1. Their connections are closed.
 type Transport struct {
 	// Base makes the calls.
@@ -22,7 +25,13 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return CheckNames(http.Header(h)) }}
+	informational := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		if informational++; informational > maxInformational {
+			return ErrInformational
+		}
+		return CheckNames(http.Header(h))
+	}}
 	resp, err := t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
