Test: the stand-in of a store announces that it closes connections

The stand-in closes each connection after its response and did not say so; the client kept the connection and sent the next write there. The outcome of that write is unknown, as the product said: the fault was the test's. Change: the responses of these tests say "Connection: close".

--- a/internal/standin/rawresponse/rawresponse.go
+++ b/internal/standin/rawresponse/rawresponse.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// Send sends a response as it is and closes the connection.
+// Send sends a response as it is and closes the connection. A response that a client takes for an answer should announce it with
+// "Connection: close".
 func Send(w http.ResponseWriter, response string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/objstore/httpcall/httpcall_test.go
+++ b/objstore/httpcall/httpcall_test.go
@@ -27,6 +27,15 @@
 	"platform": {func(address string) objstore.Store { return platform.NewStore(address) }, platform.LeasePrefix + "a", `{"items": [], "events": [], "current_rev": 5, "metadata": {"name": "a", "revision": 5}, "spec": {"write": "w", "value": 1}}`},
 }
 
+// serve starts a store that sends the same response to all calls, each on a connection of its own. It returns the store's address.
+func serve(t *testing.T, head, body string) (address string) {
+	server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
+		return fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // callAll makes each call to a store and returns the errors of those that read and of those that write.
 func callAll(t *testing.T, s objstore.Store, key string) (reads, writes map[string]error) {
 	ctx := t.Context()
@@ -40,13 +49,9 @@
 
 // requireNoAnswer has a store send the same response to all calls. No call may take it for an answer, and the outcome of the
 // writes is unknown.
-func requireNoAnswer(t *testing.T, head func(body string) string) {
+func requireNoAnswer(t *testing.T, head string) {
 	for name, c := range stores {
-		server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
-			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head(c.body), len(c.body), c.body)
-		}))
-		t.Cleanup(server.Close)
-		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		reads, writes := callAll(t, c.open(serve(t, head, c.body)), c.key)
 		for call, err := range reads {
 			require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s: %v", name, call, err)
 		}
@@ -60,7 +65,7 @@
 func TestResponsesWithBrokenHeadsAreNoAnswers(t *testing.T) {
 	for name, head := range rawresponse.BrokenHeads() {
 		t.Run(name, func(t *testing.T) {
-			requireNoAnswer(t, func(string) string { return head.Status + "\r\n" + head.Fields })
+			requireNoAnswer(t, head.Status+"\r\n"+head.Fields)
 		})
 	}
 }
@@ -68,11 +73,7 @@
 // TestResponsesOfSoundHeadsAreAnswers sends the same bodies with a sound head.
 func TestResponsesOfSoundHeadsAreAnswers(t *testing.T) {
 	for name, c := range stores {
-		server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
-			return fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body)
-		}))
-		t.Cleanup(server.Close)
-		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		reads, writes := callAll(t, c.open(serve(t, "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n", c.body)), c.key)
 		for _, errs := range []map[string]error{reads, writes} {
 			for call, err := range errs {
 				require.NoErrorf(t, err, "%s, %s", name, call)
@@ -86,7 +87,7 @@
 func TestOnlyListedSuccessesAreAnswers(t *testing.T) {
 	for _, status := range []int{101, 202, 203, 205, 206, 207, 226, 299, 300, 304, 399} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
-			requireNoAnswer(t, func(string) string { return fmt.Sprintf("HTTP/1.1 %d Odd\r\n", status) })
+			requireNoAnswer(t, fmt.Sprintf("HTTP/1.1 %d Odd\r\n", status))
 		})
 	}
 }
@@ -95,11 +96,7 @@
 func TestSuccessesOfWritesAreNoListsOrObjects(t *testing.T) {
 	for _, status := range []string{"201 Created", "204 No Content"} {
 		for name, c := range stores {
-			server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string {
-				return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(c.body), c.body)
-			}))
-			t.Cleanup(server.Close)
-			reads, _ := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+			reads, _ := callAll(t, c.open(serve(t, "HTTP/1.1 "+status+"\r\n", c.body)), c.key)
 			for call, err := range reads {
 				require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s, %s: %v", name, call, status, err)
 			}
@@ -117,7 +114,7 @@
 		}))
 		t.Cleanup(other.Close)
 		for _, status := range []string{"301 Moved", "302 Found", "303 See Other", "307 Temporary Redirect", "308 Permanent Redirect"} {
-			requireNoAnswer(t, func(string) string { return fmt.Sprintf("HTTP/1.1 %s\r\nLocation: %s/x\r\n", status, other.URL) })
+			requireNoAnswer(t, fmt.Sprintf("HTTP/1.1 %s\r\nLocation: %s/x\r\n", status, other.URL))
 		}
 		require.Zero(t, calls.Load())
 	}
@@ -125,10 +122,8 @@
 
 // TestEmptyBodiesAreNoListsOrObjects has a store answer with a success whose body is empty.
 func TestEmptyBodiesAreNoListsOrObjects(t *testing.T) {
-	server := httptest.NewServer(rawresponse.Handler(func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }))
-	t.Cleanup(server.Close)
 	for name, c := range stores {
-		reads, writes := callAll(t, c.open(server.Listener.Addr().String()), c.key)
+		reads, writes := callAll(t, c.open(serve(t, "HTTP/1.1 200 OK\r\n", "")), c.key)
 		for call, err := range reads {
 			require.Truef(t, fault.Is(err, fault.Unavailable), "%s, %s: %v", name, call, err)
 		}
