Reset during an upload is no end of a response

Callers got a part of a response as a whole one: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: one goroutine writes the upload while another reads the response. The kernel reports the error of a lost connection once, to the call that meets it first. When the write got ECONNRESET, the next read got 0 bytes, which net returns as io.EOF, the regular end of a body that ends with its connection. Nobody compared the two. Evidence: a socket on which a write has failed with ECONNRESET (or ETIMEDOUT, of an engine that reads nothing) is then read to a clean end; after a FIN the write fails with EPIPE instead.

Change: internal/tcpreset wraps the connections of the client of instances. A read that meets the end asks for the state of the socket. Unless the connection has ended in both directions, the other host has sent a FIN: the end is real, and nothing waits for the upload. Otherwise a write under way fails at once; the read waits for it, and returns the first error that a write took from the kernel. EPIPE stands for a reset after a FIN, which servers that close in stages cause, and leaves the end as it is. What had arrived is still read, and responses with a length or chunks are whole as before.

Responses through a peer that relays are not covered yet.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -47,6 +47,9 @@
 	snapshot *control.Snapshot
 	// respond replaces responses of the engines. It returns false for those that the engine itself is to make.
 	respond func(engine int, w http.ResponseWriter, r *http.Request) bool
+	// service replaces the backend servers if it is not nil.
+	service  http.Handler
+	settings *settings.Settings
 }
 
 const testConfig = `{
@@ -99,13 +102,20 @@
 	for i := range 2 {
 		s := serviced.New(fmt.Sprintf("s%d", i), 0)
 		f.services = append(f.services, s)
-		addresses = append(addresses, listener(t, s))
+		addresses = append(addresses, listener(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if f.service != nil {
+				f.service.ServeHTTP(w, r)
+				return
+			}
+			s.ServeHTTP(w, r)
+		})))
 	}
 	addresses = append(addresses, capacity)
 	_, compiled, err := config.Parse("test", fmt.Appendf(nil, testConfig, addresses...))
 	require.NoError(t, err)
 	f.snapshot = &control.Snapshot{Config: compiled, Revision: 7, Serving: 1, FreshUntil: bootclock.Now().Add(time.Hour)}
 	set := &settings.Settings{Host: "entry", Domain: "d0"}
+	f.settings = set
 	set.Limits = settings.Limits{BodyBytes: 4096, Requests: 16 * capacity, UrgentReserve: 0.1}
 	require.NoError(t, set.Limits.BodyTimeout.UnmarshalText([]byte("300ms")))
 	self := claims.Member{Name: "entry", Incarnation: "1"}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,6 +29,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/peer"
 	"github.com/rockdoor/rockdoor/internal/reach"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 )
 
 const (
@@ -163,8 +164,9 @@
 	nc, err := c.dial(ctx, address)
 	if err != nil {
 		c.countDialFailure(err)
+		return nil, err
 	}
-	return nc, err
+	return tcpreset.Wrap(nc), nil
 }
 
 // OpenConns returns the number of open connections to an address, idle ones included.
