--- a/internal/peer/relayed.go
+++ b/internal/peer/relayed.go
@@ -63,7 +63,7 @@
 // Relay serves the relayed connections of other processes.
 type Relay interface {
 	// Connect connects to an instance for the process with the given name. Unless the status is CONNECTED, the
-	// connection is nil.
+	// connection is nil. Its reads must tell a reset from the end of the stream, also if a write has met it.
 	Connect(ctx context.Context, from string, to *peerpb.Connect) (net.Conn, *peerpb.Connected)
 	// Request is called before each request that a process sends over a relayed connection.
 	Request(from string, to *peerpb.Connect, id string)
@@ -249,8 +249,11 @@
 	}
 }
 
+// toInstance forwards until the caller closes its connection or is lost. A write that fails is not the end: the response may have
+// arrived before, and toCaller, whose read fails next, tells the caller how the connection ended.
 func (f *forwarder) toInstance() {
 	defer f.endExchange()
+	failed := false
 	for {
 		kind, payload, err := readFrame(f.stream.reader)
 		if err != nil {
@@ -266,8 +269,12 @@
 			f.endExchange()
 			f.idleSince.Store(int64(bootclock.Now()))
 		case frameData:
+			if failed {
+				continue
+			}
 			if _, err := f.conn.Write(payload); err != nil {
-				return
+				failed = true
+				continue
 			}
 			f.written.Add(int64(len(payload)))
 			select {
--- a/internal/peer/relayed_test.go
+++ b/internal/peer/relayed_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rockdoor/rockdoor/internal/peer/peerpb"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 )
 
 // pipeRelay connects each caller to the far end of a pipe, which is sent to accepted.
@@ -105,7 +106,7 @@
 type tcpRelay struct{ address string }
 
 func (r tcpRelay) Connect(context.Context, string, *peerpb.Connect) (net.Conn, *peerpb.Connected) {
-	conn, err := net.Dial("tcp", r.address)
+	conn, err := tcpreset.Dial(&net.Dialer{})(context.Background(), "tcp", r.address)
 	if err != nil {
 		return nil, &peerpb.Connected{Status: peerpb.ConnectStatus_CONNECT_STATUS_UNREACHABLE}
 	}
@@ -140,6 +141,71 @@
 	require.False(t, errors.Is(err, io.EOF), "%v", err)
 }
 
+// TestResponsesDuringAnUploadOverARelayedConnection has an instance respond, and end its connection, while the caller sends a long
+// request.
+func TestResponsesDuringAnUploadOverARelayedConnection(t *testing.T) {
+	const runs, upload = 20, 4 << 20
+	long := strings.Repeat("response ", 5_000) // more than the helper reads at once
+	for name, c := range map[string]struct {
+		response string
+		end      func(*net.TCPConn) error
+		err      error
+	}{
+		"reset": {long, func(c *net.TCPConn) error { return c.SetLinger(0) }, errReset},
+		"end, and a reset": {long, func(c *net.TCPConn) error {
+			if err := c.CloseWrite(); err != nil {
+				return err
+			}
+			time.Sleep(20 * time.Millisecond) // all of it must have arrived
+			return c.SetLinger(0)
+		}, io.EOF},
+		"end": {long, func(c *net.TCPConn) error {
+			if err := c.CloseWrite(); err != nil {
+				return err
+			}
+			_, err := io.CopyN(io.Discard, c, upload-1)
+			return err
+		}, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range runs {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				helper, address := serve(t, echo)
+				helper.SetRelay(tcpRelay{l.Addr().String()})
+				caller, _ := serve(t, echo)
+				conn, _, err := caller.Connect(context.Background(), address, &peerpb.Connect{Address: "i:1"})
+				require.NoError(t, err)
+				accepted, err := l.Accept()
+				require.NoError(t, err)
+				written := make(chan struct{})
+				go func() { // ends with the connection
+					defer close(written)
+					_, _ = conn.Write(make([]byte, upload))
+				}()
+				_, err = io.ReadFull(accepted, make([]byte, 1))
+				require.NoError(t, err)
+				_, err = io.WriteString(accepted, c.response)
+				require.NoError(t, err)
+				require.NoError(t, c.end(accepted.(*net.TCPConn)))
+				require.NoError(t, accepted.Close())
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+				var got strings.Builder
+				_, err = io.Copy(&got, struct{ io.Reader }{conn})
+				require.Equal(t, len(c.response), got.Len(), "what has arrived is passed on")
+				if errors.Is(c.err, io.EOF) {
+					require.NoError(t, err)
+				} else {
+					require.ErrorIs(t, err, c.err)
+				}
+				require.NoError(t, conn.Close())
+				<-written
+				require.NoError(t, l.Close())
+			}
+		})
+	}
+}
+
 // TestClosedRelayedConnectionCancelsAtTheInstance checks that the instance learns soon that a client has left.
 func TestClosedRelayedConnectionCancelsAtTheInstance(t *testing.T) {
 	c, far, _, _ := relayedPair(t)
