Calls over http.Transport do not end with a reset that a write has met

Cause: the transport writes and reads in two goroutines too, so the error that its write takes from the kernel is missing when the body is read. It then closes the connection itself, which hides the state of the socket as well.

Change: the clients of the stores, of the control API, of orders and of the command line connect through internal/tcpreset. A connection that this side has closed counts as ended: no write can block there, so the read may wait for what the last one met.

The outcome of the write is unknown, so it is read back. Status calls and orders send little and use a whole head or a whole object: no test of their own, nor has the command line one.

--- a/engine/httpcontrol/httpcontrol.go
+++ b/engine/httpcontrol/httpcontrol.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/responsehead"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 )
 
 const (
@@ -34,7 +36,7 @@
 // New returns a client. If transport is nil, the client creates its own.
 func New(transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+		transport = &http.Transport{DialContext: tcpreset.Dial(&net.Dialer{}), IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
 	}
 	return &Client{http: responsehead.NewClient(transport)}
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/rockdoor/rockdoor/fault"
 	"github.com/rockdoor/rockdoor/internal/admin"
 	"github.com/rockdoor/rockdoor/internal/responsehead"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 )
 
 const (
@@ -25,6 +27,8 @@
 	defaultAdmin     = "127.0.0.1:7001"
 )
 
+var transport = &http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: tcpreset.Dial(&net.Dialer{})}
+
 func adminFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name: "admin", Usage: "admin `ADDRESS` of any entry process", Value: defaultAdmin, EnvVars: []string{"ROCKDOOR_ADMIN"},
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "admin address is invalid", "give an IP address and port with --admin")
 	}
-	client := http.Client{Timeout: clientTimeout, Transport: responsehead.Transport{Base: http.DefaultTransport}}
+	client := http.Client{Timeout: clientTimeout, Transport: responsehead.Transport{Base: transport}}
 	resp, err := client.Do(req)
 	if err != nil && (method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED)) {
 		return nil, fault.Wrap(err, fault.Unavailable, "no answer", "check --admin, or name another entry process")
--- a/internal/tcpreset/tcpreset.go
+++ b/internal/tcpreset/tcpreset.go
@@ -75,22 +75,22 @@
 	return n, err
 }
 
-// isClosed reports whether the connection has ended in both directions.
+// isClosed reports whether the connection has ended in both directions, or this side has closed it. Writes then end at once.
 func (c *conn) isClosed() bool {
 	raw, err := c.socket.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	closed := false
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		closed = err == nil && info.State == stateClosed
 	})
-	return err == nil && closed
+	return closed || err != nil
 }
 
 // lostError returns the error with which the connection was lost before the other host had ended its stream, nil if it had. It waits
-// for a write under way, which fails at once on a connection that has ended.
+// for a write under way, so isClosed must have returned true.
 func (c *conn) lostError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/objstore/httpapi/httpapi.go
+++ b/objstore/httpapi/httpapi.go
@@ -10,12 +10,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rockdoor/rockdoor/fault"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 	"github.com/rockdoor/rockdoor/objstore"
 	"github.com/rockdoor/rockdoor/objstore/httpcall"
 )
@@ -48,7 +50,8 @@
 
 // New returns a client for the API at base, such as http://127.0.0.2:9000.
 func New(base string) *Client {
-	return &Client{base: base, http: httpcall.NewClient(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})}
+	transport := &http.Transport{DialContext: tcpreset.Dial(&net.Dialer{}), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	return &Client{base: base, http: httpcall.NewClient(transport)}
 }
 
 // Close closes idle connections.
--- a/objstore/httpcall/httpcall_test.go
+++ b/objstore/httpcall/httpcall_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -133,3 +135,20 @@
 		require.NoErrorf(t, writes["delete"], "%s: nothing is returned", name)
 	}
 }
+
+// TestResetDuringAWriteIsNoEndOfTheResponse has a store respond to a long write before it has read it, without a length, with what may
+// be a part of an object, and reset the connection.
+func TestResetDuringAWriteIsNoEndOfTheResponse(t *testing.T) {
+	const runs = 20
+	value := []byte(`"` + strings.Repeat("x", 1_000_000) + `"`)
+	for name, c := range stores {
+		for _, delay := range []time.Duration{0, 5 * time.Millisecond} {
+			server := httptest.NewServer(rawresponse.Early{Delay: delay, Response: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + c.body }})
+			t.Cleanup(server.Close)
+			for range runs {
+				_, err := c.open(server.Listener.Addr().String()).Put(t.Context(), c.key, value, 0, "w")
+				require.Truef(t, fault.Is(err, fault.Unknown), "%s, reset after %s: %v", name, delay, err)
+			}
+		}
+	}
+}
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -11,6 +11,7 @@
 	"github.com/rockdoor/rockdoor/engine"
 	"github.com/rockdoor/rockdoor/engine/httpcontrol"
 	"github.com/rockdoor/rockdoor/guard"
+	"github.com/rockdoor/rockdoor/internal/tcpreset"
 	"github.com/rockdoor/rockdoor/lease"
 )
 
@@ -61,7 +62,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return &guardedConn{Conn: conn, grant: g}, nil
+	return &guardedConn{Conn: tcpreset.Wrap(conn), grant: g}, nil
 }
 
 // limitInFlight makes the kernel drop the connection if bytes are not acknowledged
